--- /dev/null
+++ b/packages/bulrushgrade/bulrushgrade/__init__.py
@@ -0,0 +1,1 @@
+"""Coordination parts for serving a fixed fleet of model engines."""
--- /dev/null
+++ b/packages/bulrushgrade/bulrushgrade/errors.py
@@ -0,0 +1,45 @@
+"""Errors that the library and its users return as values.
+
+Each class is small and specific. Functions return them inside
+``returns.result.Failure``; nothing here is raised, except
+`BrokenInvariantError`, which stops the process.
+"""
+
+import attrs
+
+
+class BrokenInvariantError(Exception):
+    """A state that the program's own logic rules out; stops the process."""
+
+
+@attrs.frozen(kw_only=True)
+class BadRecord:
+    """A record or message that can't be decoded.
+
+    Attributes:
+        reason: What was wrong, for a person.
+    """
+
+    reason: str
+
+
+@attrs.frozen(kw_only=True)
+class UnknownService:
+    """No service of this name is registered with the kernel.
+
+    Attributes:
+        name: The name that was asked for.
+    """
+
+    name: str
+
+
+@attrs.frozen(kw_only=True)
+class DependencyCycle:
+    """Services that need each other, so that none can start first.
+
+    Attributes:
+        names: The services on the cycle, sorted.
+    """
+
+    names: tuple[str, ...]
--- /dev/null
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon that runs on each entry host."""
