Add the stand-ins for the platform and the endpoints

Cause: daemon, demo and failure tests need a log, a host list, engines, plain services, weights and a breakable link to run against, and none existed. Ruled out: an engine that sleeps once a token and stream (a timer each would bound it to few tokens) and orders kept inside the engine class (too long). Before: nothing.

--- /dev/null
+++ b/packages/bulrushgrade_standins/bulrushgrade_standins/attempt.py
@@ -0,0 +1,210 @@
+"""One attempt at a completion, and the faults of its stream."""
+
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+from twisted.internet import defer
+from twisted.internet import reactor
+
+from bulrushgrade_standins import batch
+from bulrushgrade_standins import completion
+from bulrushgrade_standins import ledger
+from bulrushgrade_standins import server
+
+_FLUSH_S = 0.01
+
+
+@attrs.define(kw_only=True)
+class StreamFaults:
+    """What goes wrong with the answers of an engine.
+
+    Token counts are of the tokens sent in the attempt, so that a resumed
+    answer can be cut again.
+
+    Attributes:
+        die_after: Tokens after which the connection is reset.
+        silent_after: Tokens after which nothing more comes.
+        truncate_after: Tokens after which the answer ends, without its end
+            marker but as a whole HTTP message.
+        duplicate_at: The token of the attempt whose event is sent twice.
+        wrong_attempt: Answers carry the id of another attempt.
+        attempts: How many attempts these apply to, or None for all.
+    """
+
+    die_after: int | None = None
+    silent_after: int | None = None
+    truncate_after: int | None = None
+    duplicate_at: int | None = None
+    wrong_attempt: bool = False
+    attempts: int | None = None
+
+
+def take_faults(faults: StreamFaults) -> StreamFaults:
+    """Returns the faults of one attempt and counts it."""
+    if faults.attempts is None:
+        return faults
+    if faults.attempts <= 0:
+        return StreamFaults()
+    faults.attempts -= 1
+    return attrs.evolve(faults)
+
+
+class Attempt:
+    """The answer in the making and the connection it goes out on."""
+
+    def __init__(
+        self,
+        *,
+        request: Any,
+        wanted: completion.Completion,
+        sequence: batch.Sequence,
+        run: ledger.Run,
+        faults: StreamFaults,
+    ):
+        self._request = request
+        self._wanted = wanted
+        self._sequence = sequence
+        self._run = run
+        self._faults = faults
+        self._first = sequence.index
+        self._shown_id = run.attempt
+        if faults.wrong_attempt:
+            self._shown_id = f"{run.attempt}-other"
+            request.setHeader("X-Attempt-Id", self._shown_id)
+        self._done: defer.Deferred = defer.Deferred()
+        self._silent = False
+
+    @property
+    def wanted(self) -> completion.Completion:
+        """What was asked for."""
+        return self._wanted
+
+    @property
+    def sequence(self) -> batch.Sequence:
+        """Its part of the batch."""
+        return self._sequence
+
+    @property
+    def run(self) -> ledger.Run:
+        """Its entry in the ledger."""
+        return self._run
+
+    def watch(
+        self, *, on_gone: Callable[["Attempt", str], None]
+    ) -> defer.Deferred:
+        """Returns what fires with the last bytes of the answer.
+
+        Args:
+            on_gone: Called with the attempt and ``cut`` when the caller has
+                gone away first.
+        """
+        self._request.notifyFinish().addErrback(lambda _: on_gone(self, "cut"))
+        return self._done
+
+    def write(self, start: int, stop: int) -> str:
+        """Sends the tokens of some steps, as far as the faults let it.
+
+        Args:
+            start: The number of the first token.
+            stop: The number after the last token.
+
+        Returns:
+            How the attempt ended, or ``""`` while it goes on.
+        """
+        if self._silent:
+            return ""
+        cut = self._find_cut()
+        sent_until = stop if cut is None else min(stop, cut[0])
+        if self._wanted.stream:
+            self._send_events(start, sent_until)
+        if cut is not None and stop >= cut[0]:
+            return self._cut(cut[1])
+        if stop < self._sequence.max_tokens:
+            return ""
+        if self._wanted.stream:
+            self.finish(completion.DONE_EVENT)
+        else:
+            self.finish(self._make_whole())
+        return "done"
+
+    def finish(self, rest: bytes) -> None:
+        """Ends the answer with its last bytes."""
+        if not self._done.called:
+            self._done.callback(rest)
+
+    def finish_export(self, handle: str) -> None:
+        """Answers the handle of the KV cache that was asked for."""
+        usage = self._make_usage(0)
+        value = {"kv_handle": handle, "usage": usage}
+        self.finish(server.answer(self._request, value))
+
+    def _find_cut(self) -> tuple[int, str] | None:
+        """Returns the number of the first token not sent, and why not."""
+        faults = self._faults
+        cuts = [
+            (self._first + after, fate)
+            for after, fate in (
+                (faults.die_after, "die"),
+                (faults.silent_after, "silent"),
+                (faults.truncate_after, "truncate"),
+            )
+            if after is not None
+        ]
+        return min(cuts, default=None)
+
+    def _cut(self, fate: str) -> str:
+        if fate == "silent":
+            self._silent = True
+            return ""
+        if fate == "die":
+            # A reset discards what the transport still holds, so what was
+            # sent is given time to leave.
+            reactor.callLater(_FLUSH_S, server.abort, self._request)
+        elif self._wanted.stream:
+            self.finish(b"")
+        else:
+            whole = self._make_whole()
+            self.finish(whole[: len(whole) // 2])
+        return "cut"
+
+    def _send_events(self, start: int, stop: int) -> None:
+        last = self._sequence.max_tokens - 1
+        tokens = completion.expected_tokens(
+            self._sequence.prompt, stop, start=start
+        )
+        parts = []
+        for index, token in enumerate(tokens, start=start):
+            event = completion.make_event(
+                attempt=self._shown_id,
+                chat=self._wanted.chat,
+                index=index,
+                token=token,
+                usage=self._make_usage(last + 1) if index == last else None,
+            )
+            parts.append(event)
+            if index - self._first == self._faults.duplicate_at:
+                parts.append(event)
+        if parts:
+            self._request.setHeader("Content-Type", "text/event-stream")
+            self._request.write(b"".join(parts))
+
+    def _make_whole(self) -> bytes:
+        count = self._sequence.max_tokens
+        tokens = completion.expected_tokens(
+            self._sequence.prompt, count, start=self._first
+        )
+        value = completion.make_answer(
+            attempt=self._shown_id,
+            chat=self._wanted.chat,
+            text="".join(tokens),
+            usage=self._make_usage(count),
+        )
+        return server.answer(self._request, value)
+
+    def _make_usage(self, completion_tokens: int) -> dict[str, int]:
+        return completion.make_usage(
+            prompt_tokens=self._sequence.prompt_tokens,
+            completion_tokens=completion_tokens,
+            cached_tokens=self._sequence.cached_tokens,
+        )
--- /dev/null
+++ b/packages/bulrushgrade_standins/bulrushgrade_standins/batch.py
@@ -0,0 +1,289 @@
+"""Continuous batching of a model engine, in virtual time and counts only.
+
+A batch runs in steps. In one step each running sequence whose prompt has been
+read yields one token, and prompts take a part of the step that the engine's
+role limits. The time of a step grows with the sequences and prompt tokens in
+it, so that long readings and short chats get in each other's way as they do
+on a real engine.
+"""
+
+import bisect
+import collections
+import itertools
+
+import attrs
+import xxhash
+
+# The characters of a prompt that count as one token.
+CHARACTERS_PER_TOKEN = 4
+# Prefixes are cached and told of in blocks of so many tokens.
+BLOCK_TOKENS = 64
+_MAX_CACHE_EVENTS = 2000
+# Every so many-th cache event is lost, which leaves a gap in the numbers.
+_LOST_EVENT_PERIOD = 17
+
+
+@attrs.frozen(kw_only=True)
+class Limits:
+    """How fast and how large an engine is.
+
+    Attributes:
+        slots: Sequences that run at once.
+        queue: Sequences that wait at most; more are refused.
+        kv_capacity_tokens: Tokens of KV cache for running sequences.
+        cache_tokens: Tokens of the prefix cache.
+        prefill_tokens_per_s: Prompt tokens read in a second of prefill.
+        step_s: Seconds of a step with nothing in it.
+        step_per_sequence_s: Seconds that each decoding sequence adds.
+        prefill_step_tokens: Prompt tokens in one step at most, by role. A
+            decode engine keeps its steps short, a prefill engine reads fast.
+    """
+
+    slots: int = 16
+    queue: int = 64
+    kv_capacity_tokens: int = 262_144
+    cache_tokens: int = 131_072
+    prefill_tokens_per_s: float = 8000.0
+    step_s: float = 0.02
+    step_per_sequence_s: float = 0.0005
+    prefill_step_tokens: dict[str, int] = attrs.field(
+        factory=lambda: {"prefill": 4096, "mixed": 512, "decode": 64}
+    )
+
+
+@attrs.define(kw_only=True, eq=False)
+class Sequence:
+    """One request in the batch.
+
+    Attributes:
+        prompt: The prompt's text.
+        priority: Smaller is sooner.
+        max_tokens: Tokens of the whole answer.
+        index: Number of the next token, counted from 0.
+        prefill_tokens: Tokens still to be read before the first is yielded.
+        cached_tokens: Prompt tokens that the prefix cache spared.
+        prefill_only: Ends once the prompt has been read.
+        dropped: Taken out; yields no more.
+    """
+
+    prompt: str
+    priority: int = 0
+    max_tokens: int
+    index: int = 0
+    prefill_tokens: int = 0
+    cached_tokens: int = 0
+    prefill_only: bool = False
+    dropped: bool = False
+
+    @property
+    def prompt_tokens(self) -> int:
+        """The prompt's length in tokens."""
+        return count_tokens(self.prompt)
+
+    @property
+    def size_tokens(self) -> int:
+        """KV cache that the sequence takes up at its end."""
+        answer = 0 if self.prefill_only else self.max_tokens
+        return self.prompt_tokens + answer
+
+    @property
+    def done(self) -> bool:
+        """Whether it has nothing left to yield."""
+        if self.prefill_only:
+            return self.prefill_tokens == 0
+        return self.index >= self.max_tokens
+
+
+def count_tokens(prompt: str) -> int:
+    """Returns how many tokens a prompt has."""
+    return max(1, -(-len(prompt) // CHARACTERS_PER_TOKEN))
+
+
+def hash_prefixes(prompt: str) -> list[str]:
+    """Returns the hash of each whole block's prefix of a prompt.
+
+    The k-th is the xxh64 of the UTF-8 bytes of the first 256 * (k + 1)
+    characters, as docs/WIRE.md gives it.
+    """
+    size = BLOCK_TOKENS * CHARACTERS_PER_TOKEN
+    state = xxhash.xxh64()
+    hashes = []
+    for start in range(0, len(prompt) - size + 1, size):
+        state.update(prompt[start : start + size].encode())
+        hashes.append(state.hexdigest())
+    return hashes
+
+
+class PrefixCache:
+    """The prefixes an engine holds, least recently used first."""
+
+    def __init__(self, *, capacity_tokens: int):
+        self._capacity_blocks = capacity_tokens // BLOCK_TOKENS
+        self._held: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
+        self._seq = itertools.count()
+        self._events: collections.deque[tuple[float, dict]] = collections.deque(
+            maxlen=_MAX_CACHE_EVENTS
+        )
+
+    def match(self, hashes: list[str]) -> int:
+        """Returns how many tokens of a prompt are held."""
+        blocks = 0
+        for prefix in hashes:
+            if prefix not in self._held:
+                break
+            self._held.move_to_end(prefix)
+            blocks += 1
+        return blocks * BLOCK_TOKENS
+
+    def store(self, hashes: list[str], now: float) -> None:
+        """Holds the prefixes of a prompt; evicts others to make room."""
+        for prefix in hashes:
+            if prefix not in self._held:
+                self._tell(now, "stored", prefix)
+            self._held[prefix] = None
+            self._held.move_to_end(prefix)
+        while len(self._held) > self._capacity_blocks:
+            prefix, _ = self._held.popitem(last=False)
+            self._tell(now, "evicted", prefix)
+
+    def clear(self, now: float) -> None:
+        """Drops all, as a change of model does."""
+        for prefix in self._held:
+            self._tell(now, "evicted", prefix)
+        self._held.clear()
+
+    def read_events(self, start: int, until: float) -> list[dict]:
+        """Returns the events from a number on, as old as `until` or older."""
+        return [
+            event
+            for at, event in self._events
+            if at <= until and event["seq"] >= start
+        ]
+
+    def _tell(self, now: float, kind: str, prefix: str) -> None:
+        seq = next(self._seq)
+        if seq % _LOST_EVENT_PERIOD != _LOST_EVENT_PERIOD - 1:
+            event = {"seq": seq, "kind": kind, "prefix": prefix}
+            self._events.append((now, event))
+
+
+class Batch:
+    """The sequences that run and those that wait."""
+
+    def __init__(self, *, limits: Limits, cache: PrefixCache):
+        self._limits = limits
+        self._cache = cache
+        self._order = itertools.count()
+        self._queued: list[tuple[int, int, Sequence]] = []
+        self._running: list[Sequence] = []
+        self._kv_used = 0
+        self.now = 0.0
+
+    @property
+    def running(self) -> int:
+        """How many sequences run."""
+        return len(self._running)
+
+    @property
+    def queued(self) -> int:
+        """How many sequences wait."""
+        return len(self._queued)
+
+    @property
+    def kv_used_tokens(self) -> int:
+        """KV cache taken up by the running sequences."""
+        return self._kv_used
+
+    @property
+    def backlog_tokens(self) -> int:
+        """Prompt tokens still to be read."""
+        waiting = sum(s.prefill_tokens for _, _, s in self._queued)
+        return waiting + sum(s.prefill_tokens for s in self._running)
+
+    def add(self, sequence: Sequence) -> bool:
+        """Queues a sequence; False where it finds no room."""
+        too_large = sequence.size_tokens > self._limits.kv_capacity_tokens
+        if too_large or len(self._queued) >= self._limits.queue:
+            return False
+        entry = (sequence.priority, next(self._order), sequence)
+        bisect.insort(self._queued, entry)
+        return True
+
+    def remove(self, sequence: Sequence) -> None:
+        """Takes a sequence out, whether it waits or runs."""
+        sequence.dropped = True
+        self._queued = [e for e in self._queued if e[2] is not sequence]
+        if sequence in self._running:
+            self._leave(sequence)
+
+    def run(self, role: str, budget_s: float) -> tuple[float, list]:
+        """Runs steps until they have taken a budget of time.
+
+        Args:
+            role: ``prefill``, ``decode`` or ``mixed``.
+            budget_s: Seconds to fill; at least one step runs where there is
+                work.
+
+        Returns:
+            The seconds taken and, for each sequence that got on, itself, the
+            number of its first new token and the number after its last.
+        """
+        taken_s = 0.0
+        first: dict[Sequence, int] = {}
+        while taken_s < budget_s:
+            self._admit()
+            if not self._running:
+                break
+            taken_s += self._step(role, first)
+        return taken_s, [(s, start, s.index) for s, start in first.items()]
+
+    def _admit(self) -> None:
+        while self._queued and len(self._running) < self._limits.slots:
+            sequence = self._queued[0][2]
+            room = self._limits.kv_capacity_tokens - self._kv_used
+            if sequence.size_tokens > room:
+                return
+            self._queued.pop(0)
+            self._running.append(sequence)
+            self._kv_used += sequence.size_tokens
+            self._spare_cached(sequence)
+
+    def _spare_cached(self, sequence: Sequence) -> None:
+        """Takes the cached prefix off what a sequence has to read."""
+        if sequence.prefill_tokens:
+            held = self._cache.match(hash_prefixes(sequence.prompt))
+            # At least one token has to be read to yield the next.
+            spared = min(held, sequence.prefill_tokens - 1)
+            sequence.cached_tokens = spared
+            sequence.prefill_tokens -= spared
+
+    def _step(self, role: str, first: dict[Sequence, int]) -> float:
+        left = self._limits.prefill_step_tokens[role]
+        read = decoded = 0
+        for sequence in list(self._running):
+            if sequence.prefill_tokens:
+                part = min(left, sequence.prefill_tokens)
+                sequence.prefill_tokens -= part
+                left -= part
+                read += part
+                if part and not sequence.prefill_tokens:
+                    hashes = hash_prefixes(sequence.prompt)
+                    self._cache.store(hashes, self.now)
+            else:
+                first.setdefault(sequence, sequence.index)
+                sequence.index += 1
+                decoded += 1
+            if sequence.done:
+                first.setdefault(sequence, sequence.index)
+                self._leave(sequence)
+        return (
+            self._limits.step_s
+            + decoded * self._limits.step_per_sequence_s
+            + read / self._limits.prefill_tokens_per_s
+        )
+
+    def _leave(self, sequence: Sequence) -> None:
+        self._running.remove(sequence)
+        self._kv_used -= sequence.size_tokens
--- /dev/null
+++ b/packages/bulrushgrade_standins/bulrushgrade_standins/hostlist.py
@@ -0,0 +1,93 @@
+"""A stand-in for the platform's host list, which lags behind what is set."""
+
+from typing import Any
+
+import attrs
+import klein
+from twisted.internet import reactor
+
+from bulrushgrade_standins import server
+
+
+@attrs.define(kw_only=True)
+class HostListFaults:
+    """What is wrong with the host list.
+
+    Attributes:
+        outage: Reads are answered with 503.
+        silent: Reads are not answered.
+        nonsense: Reads are answered with bytes that aren't JSON.
+    """
+
+    outage: bool = False
+    silent: bool = False
+    nonsense: bool = False
+
+
+class HostList:
+    """The list as readers see it, and the app that serves it."""
+
+    def __init__(self, *, lag_s: float = 0.0):
+        self._lag_s = lag_s
+        self._set_version = 0
+        self._seen: dict[str, Any] = {"version": 0, "hosts": []}
+        self._faults = HostListFaults()
+        self._app = klein.Klein()
+        self._app.route("/hosts", methods=["GET"])(self._get_hosts)
+        self._app.route("/hosts", methods=["PUT"])(self._put_hosts)
+        server.route_faults(
+            app=self._app,
+            kind=HostListFaults,
+            read=lambda: self._faults,
+            write=self._set_faults,
+        )
+
+    @property
+    def app(self) -> klein.Klein:
+        """The HTTP app."""
+        return self._app
+
+    def set_hosts(
+        self, hosts: list[dict[str, Any]], *, lag_s: float | None = None
+    ) -> int:
+        """Sets the list; readers see it after the lag.
+
+        Args:
+            hosts: Entries as docs/WIRE.md describes them.
+            lag_s: Seconds of lag for this change; None takes the usual lag.
+
+        Returns:
+            The version under which readers will see it.
+        """
+        self._set_version += 1
+        seen = {"version": self._set_version, "hosts": hosts}
+        delay_s = self._lag_s if lag_s is None else lag_s
+        if delay_s > 0:
+            reactor.callLater(delay_s, self._show, seen)
+        else:
+            self._show(seen)
+        return self._set_version
+
+    def _show(self, seen: dict[str, Any]) -> None:
+        # A change with a long lag must not undo a later one with a short lag.
+        if seen["version"] > self._seen["version"]:
+            self._seen = seen
+
+    def _set_faults(self, faults: HostListFaults) -> None:
+        self._faults = faults
+
+    def _get_hosts(self, request: Any) -> Any:
+        if self._faults.silent:
+            return server.stay_silent()
+        if self._faults.outage:
+            return server.answer(request, {"code": "outage"}, code=503)
+        if self._faults.nonsense:
+            return b"<nonsense>"
+        return server.answer(request, self._seen)
+
+    def _put_hosts(self, request: Any) -> bytes:
+        raw = server.read_json(request)
+        if raw is None or not isinstance(raw.get("hosts"), list):
+            return server.answer(request, {"code": "bad_hosts"}, code=400)
+        version = self.set_hosts(raw["hosts"], lag_s=raw.get("lag_s"))
+        return server.answer(request, {"version": version})
--- /dev/null
+++ b/packages/bulrushgrade_standins/bulrushgrade_standins/kvcache.py
@@ -0,0 +1,62 @@
+"""KV cache that one engine exports and another imports."""
+
+import itertools
+import time
+
+import treq
+from twisted.internet import reactor
+
+from bulrushgrade_standins import batch
+from bulrushgrade_standins import completion
+
+_LIFE_S = 30.0
+_FETCH_TIMEOUT_S = 5.0
+
+
+class Exports:
+    """The exported KV cache of prompts, by handle, for a limited time."""
+
+    def __init__(self):
+        self._numbers = itertools.count()
+        self._held: dict[str, tuple[str, float]] = {}
+
+    @property
+    def tokens(self) -> int:
+        """How many tokens are held."""
+        self._drop_old()
+        return sum(batch.count_tokens(p) for p, _ in self._held.values())
+
+    def export(self, prompt: str) -> str:
+        """Holds the KV cache of a prompt and returns its handle."""
+        handle = f"kv-{next(self._numbers)}"
+        self._held[handle] = (prompt, time.monotonic() + _LIFE_S)
+        return handle
+
+    def find(self, handle: str) -> str | None:
+        """Returns the prompt behind a handle, or None where it is gone."""
+        self._drop_old()
+        prompt, _ = self._held.get(handle, (None, 0.0))
+        return prompt
+
+    def _drop_old(self) -> None:
+        now = time.monotonic()
+        self._held = {h: e for h, e in self._held.items() if e[1] > now}
+
+
+async def fetch(source: completion.KvSource, prompt: str) -> bool:
+    """Fetches the KV cache of a prompt from another engine.
+
+    Returns:
+        Whether it was there and of this very prompt.
+    """
+    url = f"http://{source.address}/kv/{source.handle}"
+    try:
+        response = await treq.get(
+            url, timeout=_FETCH_TIMEOUT_S, reactor=reactor
+        )
+        value = await response.json()
+    except Exception:
+        # Whatever the failure, the caller only has to know that there is no
+        # KV cache: it then has the prompt read anew.
+        return False
+    return response.code == 200 and value.get("prompt") == prompt
--- /dev/null
+++ b/packages/bulrushgrade_standins/bulrushgrade_standins/plain.py
@@ -0,0 +1,145 @@
+"""A stand-in for a plain service: it echoes, and keeps a ledger of its runs."""
+
+import time
+from typing import Any
+
+import attrs
+import klein
+from twisted.internet import defer
+
+from bulrushgrade_standins import ledger
+from bulrushgrade_standins import server
+
+_METHODS = ["GET", "POST", "PUT", "PATCH", "DELETE", "HEAD"]
+
+
+@attrs.define(kw_only=True)
+class PlainFaults:
+    """What is wrong with the service.
+
+    Attributes:
+        refuse: New requests are refused as not started.
+        silent: Requests run and are never answered.
+        die_before: The connection is reset before the request has run.
+        die_after: The connection is reset after the request has run.
+        wrong_attempt: Answers carry the id of another attempt.
+        slow_s: Seconds by which each run takes longer.
+        times: How many requests the faults but `slow_s` apply to, or None
+            for all.
+    """
+
+    refuse: bool = False
+    silent: bool = False
+    die_before: bool = False
+    die_after: bool = False
+    wrong_attempt: bool = False
+    slow_s: float = 0.0
+    times: int | None = None
+
+
+class PlainService:
+    """The service's ledger and the app that serves it."""
+
+    def __init__(self, *, work_s: float = 0.0):
+        self._work_s = work_s
+        self._ledger = ledger.Ledger()
+        self._faults = PlainFaults()
+        self._draining = False
+        self._running = 0
+        self._idle: list[defer.Deferred] = []
+        self._app = klein.Klein()
+        self._app.route("/ledger", methods=["GET"])(self._get_ledger)
+        self._app.route("/drain", methods=["POST"])(self._post_drain)
+        server.route_faults(
+            app=self._app,
+            kind=PlainFaults,
+            read=lambda: self._faults,
+            write=self.set_faults,
+        )
+        self._app.route("/", methods=_METHODS)(self._run_root)
+        self._app.route("/<path:path>", methods=_METHODS)(self._run)
+
+    @property
+    def app(self) -> klein.Klein:
+        """The HTTP app."""
+        return self._app
+
+    @property
+    def ledger(self) -> ledger.Ledger:
+        """What has run."""
+        return self._ledger
+
+    def set_faults(self, faults: PlainFaults) -> None:
+        """Puts faults in force from now on."""
+        self._faults = faults
+
+    def drain(self) -> defer.Deferred:
+        """Refuses new requests; fires when those in flight are done."""
+        self._draining = True
+        idle: defer.Deferred = defer.Deferred()
+        self._idle.append(idle)
+        self._check_idle()
+        return idle
+
+    def _check_idle(self) -> None:
+        if self._running == 0:
+            waiting, self._idle = self._idle, []
+            for idle in waiting:
+                idle.callback(None)
+
+    def _take_faults(self) -> PlainFaults:
+        """Returns the faults of one request and counts it."""
+        faults = self._faults
+        if faults.times is None:
+            return faults
+        if faults.times <= 0:
+            return PlainFaults(slow_s=faults.slow_s)
+        faults.times -= 1
+        return attrs.evolve(faults)
+
+    def _run_root(self, request: Any) -> defer.Deferred:
+        return defer.ensureDeferred(self._run(request, ""))
+
+    async def _run(self, request: Any, path: str) -> Any:
+        faults = self._take_faults()
+        attempt = server.read_header(request, "X-Attempt-Id")
+        shown = f"{attempt}-other" if faults.wrong_attempt else attempt
+        request.setHeader("X-Attempt-Id", shown)
+        if self._draining or faults.refuse:
+            self._ledger.refused += 1
+            return server.answer_not_started(request, "refused")
+        if faults.die_before:
+            return server.abort(request)
+        run = ledger.Run(
+            attempt=attempt,
+            request=server.read_header(request, "X-Request-Id"),
+            key=server.read_header(request, "Idempotency-Key"),
+            method=request.method.decode(),
+            path=f"/{path}",
+            at_s=time.monotonic(),
+        )
+        self._ledger.runs.append(run)
+        self._running += 1
+        try:
+            await server.sleep(self._work_s + faults.slow_s)
+            run.ended = "done"
+            if faults.silent:
+                await server.stay_silent()
+        except defer.CancelledError:
+            run.ended = run.ended or "cut"
+            raise
+        finally:
+            self._running -= 1
+            self._check_idle()
+        if faults.die_after:
+            return server.abort(request)
+        body = request.content.read().decode("utf-8", "replace")
+        echo = {"method": run.method, "path": run.path, "body": body}
+        return server.answer(request, echo)
+
+    def _get_ledger(self, request: Any) -> bytes:
+        return server.answer(request, self._ledger)
+
+    def _post_drain(self, request: Any) -> bytes:
+        self.drain()
+        return server.answer(request, {})
