--- a/packages/bulrushgrade_standins/bulrushgrade_standins/attempt.py
+++ b/packages/bulrushgrade_standins/bulrushgrade_standins/attempt.py
@@ -68,6 +68,7 @@
         self._run = run
         self._faults = faults
         self._first = sequence.index
+        self._seed = completion.make_seed(sequence.prompt)
         self._shown_id = run.attempt
         if faults.wrong_attempt:
             self._shown_id = f"{run.attempt}-other"
@@ -170,9 +171,7 @@
 
     def _send_events(self, start: int, stop: int) -> None:
         last = self._sequence.max_tokens - 1
-        tokens = completion.expected_tokens(
-            self._sequence.prompt, stop, start=start
-        )
+        tokens = completion.make_tokens(self._seed, start, stop)
         parts = []
         for index, token in enumerate(tokens, start=start):
             event = completion.make_event(
@@ -191,9 +190,7 @@
 
     def _make_whole(self) -> bytes:
         count = self._sequence.max_tokens
-        tokens = completion.expected_tokens(
-            self._sequence.prompt, count, start=self._first
-        )
+        tokens = completion.make_tokens(self._seed, self._first, count)
         value = completion.make_answer(
             attempt=self._shown_id,
             chat=self._wanted.chat,
--- a/packages/bulrushgrade_standins/bulrushgrade_standins/completion.py
+++ b/packages/bulrushgrade_standins/bulrushgrade_standins/completion.py
@@ -96,10 +96,19 @@
         count: The number after the last token.
         start: The number of the first token.
     """
-    seed = xxhash.xxh32_intdigest(prompt.encode())
+    return make_tokens(make_seed(prompt), start, count)
+
+
+def make_seed(prompt: str) -> int:
+    """Returns the number that stands for a prompt in `make_tokens`."""
+    return xxhash.xxh32_intdigest(prompt.encode())
+
+
+def make_tokens(seed: int, start: int, stop: int) -> list[str]:
+    """Returns the tokens of an answer from one number up to another."""
     return [
         f" {xxhash.xxh32_intdigest(index.to_bytes(4, 'big'), seed):08x}"
-        for index in range(start, count)
+        for index in range(start, stop)
     ]
 
 
