Read and check a daemon's settings, naming every error

A daemon must know before it opens anything that its file is right, and an operator should correct a wrong file in one go. parse_settings collects every unknown section or key, wrong type, range or address with its file, section, key, reason and what was expected.

--- a/packages/bulrushgrade/bulrushgrade/errors.py
+++ b/packages/bulrushgrade/bulrushgrade/errors.py
@@ -43,3 +43,22 @@
     """
 
     names: tuple[str, ...]
+
+
+@attrs.frozen(kw_only=True)
+class SettingsError:
+    """One thing wrong in a daemon's settings file.
+
+    Attributes:
+        file: The file's path as it was given.
+        section: The section, or empty where the file as a whole is at fault.
+        key: The key, or empty where a section is at fault.
+        reason: What was found.
+        expected: What would have been right.
+    """
+
+    file: str
+    section: str
+    key: str
+    reason: str
+    expected: str
--- /dev/null
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/settings.py
@@ -0,0 +1,331 @@
+"""Settings of one daemon, read from INI and checked before anything opens.
+
+The file holds only what belongs to the process: its addresses, its
+availability zone, where the platform is and the limits of the process.
+Whatever operators change while the system runs is a published document.
+
+A wrong file yields every error at once, so that an operator corrects it in
+one go and not by one failed start after another.
+"""
+
+import configparser
+from typing import Any
+
+import attrs
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from bulrushgrade import errors
+from bulrushgrade_daemon import keys
+
+
+def _key(kind: keys.Kind, default: Any = attrs.NOTHING) -> Any:
+    return attrs.field(default=default, metadata={"kind": kind})
+
+
+@attrs.frozen(kw_only=True)
+class Host:
+    """Section ``[host]``: which host this is.
+
+    Attributes:
+        name: A name for logs and dumps, unique among the entry hosts.
+        zone: Its availability zone.
+        region: The region of that zone.
+    """
+
+    name: str = _key(keys.NAME)
+    zone: str = _key(keys.NAME)
+    region: str = _key(keys.NAME)
+
+
+@attrs.frozen(kw_only=True)
+class Listen:
+    """Section ``[listen]``: the addresses that the daemon opens.
+
+    Attributes:
+        callers: For callers, behind the platform's balancer.
+        admin: For operators: metrics and dumps.
+        peers: For other daemons; the host list must show it as ``peer``.
+    """
+
+    callers: keys.Address = _key(keys.address(0))
+    admin: keys.Address = _key(keys.address(0))
+    peers: keys.Address = _key(keys.address(0))
+
+
+@attrs.frozen(kw_only=True)
+class Platform:
+    """Section ``[platform]``: the platform's services.
+
+    Attributes:
+        log: The log service.
+        host_list: The host list.
+        weight_store: The weight store.
+        host_list_period_s: Seconds between two reads of the host list. The
+            list itself lags, so reading faster gives load and little else.
+    """
+
+    log: keys.Address = _key(keys.address(1))
+    host_list: keys.Address = _key(keys.address(1))
+    weight_store: keys.Address = _key(keys.address(1))
+    host_list_period_s: float = _key(
+        keys.number(float, 0.05, 60, "seconds"), 1.0
+    )
+
+
+@attrs.frozen(kw_only=True)
+class Limits:
+    """Section ``[limits]``: what the process may use at most.
+
+    Attributes:
+        max_body_bytes: The largest request body; a whole inventory or field
+            history with room to spare.
+        max_header_bytes: All headers of a request together.
+        max_open_requests: Requests open at once; bounds memory in a flood.
+        buffer_bytes: Bytes held for one caller that reads slowly, before the
+            endpoint's stream is paused.
+        header_timeout_s: How long a caller may take to send its headers.
+        body_timeout_s: How long a caller may pause within its body.
+        stall_timeout_s: How long a caller may leave a full buffer unread
+            before its request is cancelled.
+        idle_timeout_s: When a connection of a caller without a request is
+            closed.
+        stop_grace_s: How long the platform's balancer goes on sending
+            requests after this host says that it is not ready.
+        drain_limit_s: How long a stop waits for requests in flight. It must
+            exceed the longest deadline of any service, or a stop cuts them.
+        peer_queue_messages: Messages held for one peer that does not take
+            them; the newest are dropped beyond that.
+    """
+
+    max_body_bytes: int = _key(
+        keys.number(int, 1024, 1 << 30, "bytes"), 8 * 1024 * 1024
+    )
+    max_header_bytes: int = _key(
+        keys.number(int, 1024, 1 << 20, "bytes"), 16384
+    )
+    max_open_requests: int = _key(
+        keys.number(int, 1, 100_000, "requests"), 2000
+    )
+    buffer_bytes: int = _key(
+        keys.number(int, 4096, 1 << 26, "bytes"), 256 * 1024
+    )
+    header_timeout_s: float = _key(
+        keys.number(float, 0.1, 300, "seconds"), 10.0
+    )
+    body_timeout_s: float = _key(keys.number(float, 0.1, 300, "seconds"), 30.0)
+    stall_timeout_s: float = _key(
+        keys.number(float, 0.1, 3600, "seconds"), 60.0
+    )
+    idle_timeout_s: float = _key(keys.number(float, 0.1, 3600, "seconds"), 60.0)
+    stop_grace_s: float = _key(keys.number(float, 0, 600, "seconds"), 10.0)
+    drain_limit_s: float = _key(keys.number(float, 0, 86400, "seconds"), 900.0)
+    peer_queue_messages: int = _key(
+        keys.number(int, 1, 100_000, "messages"), 1000
+    )
+
+
+@attrs.frozen(kw_only=True)
+class Authority:
+    """Section ``[authority]``: leases over groups of engines.
+
+    Attributes:
+        groups: The groups for which this host may hold authority; empty
+            where it never does.
+        lease_ttl_s: How long a renewal lasts, counted by the holder from
+            before it sent the append.
+        lease_guard_s: Allowance for clocks that run at unlike rates; taken
+            off the holder's time and added to a candidate's.
+        pause_allowance_s: How long a new holder waits before its first order
+            to an engine that ignores fencing numbers.
+    """
+
+    groups: tuple[str, ...] = _key(keys.NAMES, ())
+    lease_ttl_s: float = _key(keys.number(float, 0.2, 600, "seconds"), 10.0)
+    lease_guard_s: float = _key(keys.number(float, 0.01, 60, "seconds"), 1.0)
+    pause_allowance_s: float = _key(keys.number(float, 0, 600, "seconds"), 10.0)
+
+
+@attrs.frozen(kw_only=True)
+class Logging:
+    """Section ``[logging]``.
+
+    Attributes:
+        level: The least severe level that is written.
+    """
+
+    level: str = _key(keys.LEVEL, "info")
+
+
+@attrs.frozen(kw_only=True)
+class Settings:
+    """The settings of one daemon, a section an attribute."""
+
+    host: Host
+    listen: Listen
+    platform: Platform
+    limits: Limits = attrs.field(factory=Limits)
+    authority: Authority = attrs.field(factory=Authority)
+    logging: Logging = attrs.field(factory=Logging)
+
+
+_SECTIONS: dict[str, type] = {
+    "host": Host,
+    "listen": Listen,
+    "platform": Platform,
+    "limits": Limits,
+    "authority": Authority,
+    "logging": Logging,
+}
+
+Errors = tuple[errors.SettingsError, ...]
+
+
+def _new_parser() -> configparser.ConfigParser:
+    # Without a default section a stray [DEFAULT] is an unknown section; with
+    # one, its keys would show up in every other section.
+    parser = configparser.ConfigParser(interpolation=None, default_section="")
+    parser.optionxform = str
+    return parser
+
+
+def _parse_section(
+    file: str, section: str, texts: dict[str, str]
+) -> tuple[Any, list[errors.SettingsError]]:
+    cls = _SECTIONS[section]
+    fields = {field.name: field for field in attrs.fields(cls)}
+    known = "one of " + ", ".join(fields)
+    found = []
+
+    def report(key: str, reason: str, expected: str) -> None:
+        found.append(
+            errors.SettingsError(
+                file=file,
+                section=section,
+                key=key,
+                reason=reason,
+                expected=expected,
+            )
+        )
+
+    values = {}
+    for key, text in texts.items():
+        if key not in fields:
+            report(key, "unknown key", known)
+            continue
+        kind = fields[key].metadata["kind"]
+        try:
+            values[key] = kind.parse(text)
+        except ValueError as error:
+            report(key, f"{text!r}: {error}", kind.expected)
+    for key, field in fields.items():
+        if field.default is attrs.NOTHING and key not in texts:
+            report(key, "missing", field.metadata["kind"].expected)
+    return (None if found else cls(**values)), found
+
+
+def _check_together(
+    file: str, settings: Settings
+) -> list[errors.SettingsError]:
+    """Finds settings that are right alone and wrong together."""
+    found = []
+    authority = settings.authority
+    # The holder renews at a third of its time; with a guard of half the
+    # lease or more, one lost append would already cost it its authority.
+    if authority.lease_guard_s * 2 >= authority.lease_ttl_s:
+        found.append(
+            errors.SettingsError(
+                file=file,
+                section="authority",
+                key="lease_guard_s",
+                reason=f"{authority.lease_guard_s}: too long for the lease",
+                expected=f"less than half of lease_ttl_s, which is"
+                f" {authority.lease_ttl_s}",
+            )
+        )
+    return found
+
+
+def parse_settings(text: str, *, file: str) -> Result[Settings, Errors]:
+    """Returns the settings in the text of an INI file.
+
+    Args:
+        text: The text.
+        file: What errors name as the file.
+
+    Returns:
+        The settings, or every error in them.
+    """
+    parser = _new_parser()
+    try:
+        parser.read_string(text, source=file)
+    except configparser.Error as error:
+        return Failure(
+            (_file_error(file, " ".join(str(error).split()), "an INI file"),)
+        )
+    found = []
+    for section in parser.sections():
+        if section not in _SECTIONS:
+            found.append(
+                errors.SettingsError(
+                    file=file,
+                    section=section,
+                    key="",
+                    reason="unknown section",
+                    expected="one of " + ", ".join(_SECTIONS),
+                )
+            )
+    sections = {}
+    for section in _SECTIONS:
+        texts = dict(parser[section]) if parser.has_section(section) else {}
+        sections[section], wrong = _parse_section(file, section, texts)
+        found.extend(wrong)
+    if not found:
+        settings = Settings(**sections)
+        found = _check_together(file, settings)
+    return Failure(tuple(found)) if found else Success(settings)
+
+
+def read_settings(path: str) -> Result[Settings, Errors]:
+    """Returns the settings in a file, or every error in it."""
+    try:
+        with open(path, encoding="utf-8") as stream:
+            text = stream.read()
+    except OSError as error:
+        reason = error.strerror or str(error)
+        return Failure((_file_error(path, reason, "a readable file"),))
+    except UnicodeDecodeError as error:
+        return Failure((_file_error(path, str(error), "text in UTF-8"),))
+    return parse_settings(text, file=path)
+
+
+def serialize_settings(settings: Settings) -> str:
+    """Returns settings as the text of an INI file, every key written out."""
+    lines = []
+    for section in _SECTIONS:
+        lines.append(f"[{section}]")
+        values = getattr(settings, section)
+        for field in attrs.fields(type(values)):
+            value = getattr(values, field.name)
+            if isinstance(value, tuple):
+                value = ", ".join(value) or "none"
+            lines.append(f"{field.name} = {value}")
+        lines.append("")
+    return "\n".join(lines)
+
+
+def format_error(error: errors.SettingsError) -> str:
+    """Returns one error as a line for a person."""
+    place = error.file
+    if error.section:
+        place += f": [{error.section}]"
+    if error.key:
+        place += f" {error.key}"
+    return f"{place}: {error.reason}; expected {error.expected}"
+
+
+def _file_error(file: str, reason: str, expected: str) -> errors.SettingsError:
+    return errors.SettingsError(
+        file=file, section="", key="", reason=reason, expected=expected
+    )
