--- /dev/null
+++ b/packages/bulrushgrade/tests/test_answer.py
@@ -0,0 +1,51 @@
+"""Tests of putting an answer together."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bulrushgrade import answer
+
+DELIVER, DROP, BROKEN = answer.Step.DELIVER, answer.Step.DROP, answer.Step.BROKEN
+
+
+def _take(state, index, *, attempt="a", finish=False):
+    return state.take(attempt, index, has_token=True, finish=finish)
+
+
+def test_two_tokens_and_a_marker_are_whole():
+    state = answer.Answer()
+    state.begin("a")
+    assert _take(state, 0) is DELIVER
+    assert _take(state, 1, finish=True) is DELIVER
+    assert not state.whole
+    assert state.end()
+
+
+def test_marker_without_finish_is_not_whole():
+    state = answer.Answer()
+    state.begin("a")
+    _take(state, 0)
+    assert not state.end()
+
+
+def test_late_events_of_an_abandoned_attempt_are_dropped():
+    # A caller would see a token twice: the first engine went silent, the
+    # answer went on elsewhere, and then the first engine's events arrived.
+    state = answer.Answer()
+    state.begin("a")
+    _take(state, 0)
+    assert state.begin("b") == 1
+    assert _take(state, 1, attempt="a") is DROP
+    assert _take(state, 1, attempt="b") is DELIVER
+    assert (state.tokens, state.strays) == (2, 1)
+
+
+@given(st.lists(st.tuples(st.sampled_from("ab"), st.integers(0, 6))))
+def test_delivered_tokens_count_up_without_holes(events):
+    state = answer.Answer()
+    state.begin("a")
+    delivered = []
+    for attempt, index in events:
+        if _take(state, index, attempt=attempt) is DELIVER:
+            delivered.append(index)
+    assert delivered == list(range(len(delivered)))
--- /dev/null
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/clock.py
@@ -0,0 +1,94 @@
+"""The daemon's clock and its timer service."""
+
+from collections.abc import Callable
+import time
+from typing import Any
+
+from bulrushgrade import timer
+
+# A callback that is due within this many seconds runs now: arming the
+# reactor again for less costs more than it gains in exactness.
+SLACK_S = 0.0005
+
+
+def read_boottime() -> float:
+    """Returns seconds of the clock that counts suspend.
+
+    Leases compare rates of this clock only. CLOCK_MONOTONIC stops while a
+    machine is suspended, so a holder that was suspended would believe that
+    its lease still stands.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class TimerService:
+    """Drives `bulrushgrade.timer.Timers` from a reactor."""
+
+    name = "timer"
+    requires = ()
+
+    def __init__(
+        self, *, reactor: Any, clock: Callable[[], float] = read_boottime
+    ):
+        self._reactor = reactor
+        self._clock = clock
+        self._timers = timer.Timers(now=clock())
+        self._call = None
+        self._armed_for = 0.0
+        self._running = False
+
+    @property
+    def now(self) -> float:
+        """The present time in seconds of the boot-time clock."""
+        return self._clock()
+
+    def every(
+        self, period_s: float, callback: Callable[[], None]
+    ) -> timer.Subscription:
+        """Subscribes to a call every `period_s` seconds."""
+        subscription = self._timers.every(period_s, callback)
+        self._arm()
+        return subscription
+
+    def after(
+        self, delay_s: float, callback: Callable[[], None]
+    ) -> timer.Subscription:
+        """Subscribes to a single call in `delay_s` seconds from now."""
+        lag_s = self._clock() - self._timers.now
+        subscription = self._timers.after(lag_s + delay_s, callback)
+        self._arm()
+        return subscription
+
+    async def start(self) -> None:
+        """Begins to call subscribers."""
+        self._running = True
+        self._arm()
+
+    async def stop(self) -> None:
+        """Calls nobody any more."""
+        self._running = False
+        if self._call is not None and self._call.active():
+            self._call.cancel()
+
+    def receive(self, message: Any) -> None:
+        """Takes no messages."""
+
+    def dump(self) -> dict[str, Any]:
+        """Returns the time and when the next callback is due."""
+        return {"now_s": self.now, "next_due_s": self._timers.next_due}
+
+    def _arm(self) -> None:
+        due = self._timers.next_due
+        if not self._running or due is None:
+            return
+        if self._call is not None and self._call.active():
+            if self._armed_for <= due:
+                return
+            self._call.cancel()
+        self._armed_for = due
+        delay_s = max(0.0, due - self._clock())
+        self._call = self._reactor.callLater(delay_s, self._tick)
+
+    def _tick(self) -> None:
+        self._timers.advance(self._clock() + SLACK_S)
+        self._arm()
--- /dev/null
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/engine.py
@@ -0,0 +1,438 @@
+"""The adapter to model engines: streams, loads, orders.
+
+Everything that depends on the engines' wire format stands in this module.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+import msgspec
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+import treq
+from twisted.internet import defer
+from twisted.internet import protocol
+from twisted.python import failure as twisted_failure
+from twisted.web import client as web_client
+
+from bulrushgrade_daemon import httpclient
+
+ATTEMPT_HEADER = "X-Attempt-Id"
+REQUEST_HEADER = "X-Request-Id"
+NOT_STARTED_HEADER = "X-Not-Started"
+EVENT_END = b"\n\n"
+DATA_PREFIX = b"data: "
+END_MARKER = b"[DONE]"
+# An event is one token with its envelope; more is no event.
+MAX_EVENT_BYTES = 1 << 20
+# Calls about an engine, as against requests on it.
+CONTROL_TIMEOUT_S = 2.0
+
+
+@attrs.frozen(kw_only=True)
+class EngineCall:
+    """One attempt at one engine.
+
+    Attributes:
+        attempt_id: Unique for this attempt.
+        request_id: The caller's request.
+        address: The engine's ``IP:PORT``.
+        path: ``/v1/completions`` or ``/v1/chat/completions``.
+        body: The request as the engine takes it.
+    """
+
+    attempt_id: str
+    request_id: str
+    address: str
+    path: str
+    body: dict[str, Any]
+
+
+@attrs.frozen(kw_only=True)
+class Event:
+    """One event of a stream.
+
+    Attributes:
+        attempt_id: The attempt that it says it belongs to.
+        index: The number of its token.
+        text: The token, or None where the event carries none.
+        finish_reason: Why the answer is finished, or None while it is not.
+        usage: The token counts, in the last event.
+        raw: The event's JSON as it came.
+    """
+
+    attempt_id: str
+    index: int
+    text: str | None
+    finish_reason: str | None
+    usage: dict[str, Any] | None
+    raw: bytes
+
+
+@attrs.frozen(kw_only=True)
+class Ended:
+    """The end marker came."""
+
+
+@attrs.frozen(kw_only=True)
+class NotStarted:
+    """The engine did not start the attempt and never will.
+
+    Attributes:
+        reason: How that is known.
+        retry_after_s: When it asks to be tried again, in seconds.
+    """
+
+    reason: str
+    retry_after_s: float | None = None
+
+
+@attrs.frozen(kw_only=True)
+class Rejected:
+    """The engine judged the request itself to be bad.
+
+    Attributes:
+        status: Its HTTP status.
+        message: Its answer, cut short.
+    """
+
+    status: int
+    message: str
+
+
+@attrs.frozen(kw_only=True)
+class Lost:
+    """The attempt broke; what the engine did of it is not known.
+
+    Attributes:
+        reason: How it broke.
+    """
+
+    reason: str
+
+
+StreamOutcome = Ended | NotStarted | Rejected | Lost
+
+
+@attrs.frozen
+class EngineLoad:
+    """An engine's own report; its figures lag.
+
+    Attributes:
+        role: ``prefill``, ``decode`` or ``mixed``.
+        model: The model it serves.
+        state: ``serving``, ``draining``, ``changing`` or ``down``.
+        version: The model's version.
+        adapters: Adapters that are loaded.
+        running: Attempts in its batch.
+        queued: Attempts that wait for a place in it.
+        prefill_backlog_tokens: Prompt tokens not yet read.
+        kv_used: KV cache in use, in tokens.
+        kv_capacity: KV cache in all, in tokens.
+        age_s: How old the figures are, in seconds.
+        order_id: The order that it carried out last.
+        term: That order's fencing number.
+    """
+
+    role: str
+    model: str
+    state: str
+    version: str = ""
+    adapters: list[str] = attrs.field(factory=list)
+    running: int = 0
+    queued: int = 0
+    prefill_backlog_tokens: float = 0
+    kv_used: float = 0
+    kv_capacity: float = 0
+    age_s: float = 0.0
+    order_id: str | None = None
+    term: int | None = None
+
+
+@attrs.frozen
+class _Delta:
+    content: str | None = None
+
+
+@attrs.frozen
+class _Choice:
+    text: str | None = None
+    delta: _Delta | None = None
+    finish_reason: str | None = None
+
+
+@attrs.frozen
+class _WireEvent:
+    id: str
+    index: int
+    choices: list[_Choice]
+    usage: dict[str, Any] | None = None
+
+
+_decode_event = msgspec.json.Decoder(_WireEvent).decode
+
+
+def parse_event(raw: bytes) -> Result[Event, Lost]:
+    """Parses the JSON of one event."""
+    try:
+        wire = _decode_event(raw)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return Failure(Lost(reason=f"bad event: {error}"))
+    if not wire.choices:
+        return Failure(Lost(reason="event without choices"))
+    choice = wire.choices[0]
+    text = choice.text if choice.delta is None else choice.delta.content
+    return Success(
+        Event(
+            attempt_id=wire.id,
+            index=wire.index,
+            text=text or None,
+            finish_reason=choice.finish_reason,
+            usage=wire.usage,
+            raw=raw,
+        )
+    )
+
+
+class EngineStream(protocol.Protocol):
+    """Reads one stream of events and tells how it ended.
+
+    The owner may pause it, which stops reading from the engine, and may end
+    it, after which nothing more is delivered.
+    """
+
+    def __init__(self, *, on_event: Callable[[Event], bool]):
+        """Makes a stream that has not been connected.
+
+        Args:
+            on_event: Called with each event; returns whether to go on.
+        """
+        self._on_event = on_event
+        self._buffer = b""
+        self._outcome: StreamOutcome | None = None
+        self.done: defer.Deferred = defer.Deferred()
+
+    @property
+    def outcome(self) -> StreamOutcome | None:
+        """How the stream ended, or None while it goes on."""
+        return self._outcome
+
+    def pause(self) -> None:
+        """Stops reading; the engine's sends block once buffers are full."""
+        if self._outcome is None and self.transport is not None:
+            self.transport.pauseProducing()
+
+    def resume(self) -> None:
+        """Reads on."""
+        if self._outcome is None and self.transport is not None:
+            self.transport.resumeProducing()
+
+    def end(self, outcome: StreamOutcome) -> None:
+        """Ends the stream with an outcome; only the first one counts."""
+        if self._outcome is not None:
+            return
+        self._outcome = outcome
+        if self.transport is not None and not isinstance(outcome, Ended):
+            self.transport.loseConnection()
+        self.done.callback(outcome)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Takes bytes from the engine."""
+        if self._outcome is not None:
+            return
+        events = (self._buffer + data).split(EVENT_END)
+        self._buffer = events.pop()
+        for event in events:
+            self._take(event)
+            if self._outcome is not None:
+                return
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            self.end(Lost(reason="event too large"))
+
+    def connectionLost(  # noqa: N802
+        self, reason: twisted_failure.Failure = protocol.connectionDone
+    ) -> None:
+        """Notes that the engine ended the stream, well or not."""
+        # An engine that dies or truncates its answer closes the connection
+        # like one that has finished; only the end marker tells them apart.
+        self.end(Lost(reason="stream ended without its end marker"))
+
+    def _take(self, event: bytes) -> None:
+        if not event.startswith(DATA_PREFIX):
+            return
+        raw = event[len(DATA_PREFIX) :]
+        if raw == END_MARKER:
+            self.end(Ended())
+            return
+        parsed = parse_event(raw)
+        if isinstance(parsed, Failure):
+            self.end(parsed.failure())
+        elif not self._on_event(parsed.unwrap()):
+            self.end(Lost(reason="hole in the stream"))
+
+
+class EngineClient:
+    """Talks to engines by address."""
+
+    name = "engines"
+    requires = ("timer",)
+
+    def __init__(self, *, reactor: Any):
+        self._reactor = reactor
+        self._requests = httpclient.open_client(reactor)
+        self._control = httpclient.open_client(reactor)
+        self._cancelled = 0
+
+    async def start(self) -> None:
+        """Opens nothing; connections come with the first call."""
+
+    async def stop(self) -> None:
+        """Closes the idle connections."""
+        await self._requests.pool.closeCachedConnections()
+        await self._control.pool.closeCachedConnections()
+
+    def receive(self, message: Any) -> None:
+        """Takes no messages."""
+
+    def dump(self) -> dict[str, Any]:
+        """Returns the counters."""
+        return {"cancelled": self._cancelled}
+
+    async def run_stream(
+        self, call: EngineCall, stream: EngineStream
+    ) -> StreamOutcome:
+        """Sends an attempt and delivers its stream until it ends.
+
+        The stream may be ended by its owner at any time, also before the
+        engine has answered.
+        """
+        sent = self._send(call)
+        # The owner's end (a timeout, a caller gone) must not wait for an
+        # engine that never answers its headers.
+        stream.done.addCallback(_cancel_and_pass, sent)
+        try:
+            response = await sent
+        except Exception as error:
+            stream.end(_outcome_of_error(error))
+            return stream.outcome
+        if stream.outcome is not None:
+            return stream.outcome
+        if response.code != 200:
+            stream.end(await self._read_refusal(response))
+            return stream.outcome
+        response.deliverBody(stream)
+        if stream.outcome is None:
+            await _wait(stream.done)
+        return stream.outcome
+
+    async def prefill(
+        self, call: EngineCall, timeout_s: float
+    ) -> Result[str, StreamOutcome]:
+        """Runs the prefill of a request and returns its KV handle."""
+        answer = defer.Deferred.fromCoroutine(self._prefill(call))
+        try:
+            return await answer.addTimeout(timeout_s, self._reactor)
+        except defer.TimeoutError:
+            return Failure(Lost(reason="prefill timed out"))
+
+    def cancel(self, address: str, attempt_id: str) -> None:
+        """Asks an engine to drop an attempt; the answer is not waited for.
+
+        Closing the connection is enough for most; an engine behind a link
+        that went silent learns of it only this way, on another connection.
+        """
+        self._cancelled += 1
+        url = f"http://{address}/v1/attempts/{attempt_id}"
+        call = self._control.http.delete(url)
+        call.addCallback(treq.content)
+        call.addTimeout(CONTROL_TIMEOUT_S, self._reactor)
+        call.addErrback(lambda _: None)
+
+    async def read_load(self, address: str) -> Result[EngineLoad, Lost]:
+        """Reads an engine's report of its load and state."""
+        try:
+            call = self._control.http.get(f"http://{address}/load")
+            raw = await _content(call, self._reactor)
+            return Success(msgspec.json.decode(raw, type=EngineLoad))
+        except Exception as error:
+            return Failure(Lost(reason=type(error).__name__))
+
+    def _send(self, call: EngineCall) -> defer.Deferred:
+        return self._requests.http.post(
+            f"http://{call.address}{call.path}",
+            data=msgspec.json.encode(call.body),
+            headers={
+                "Content-Type": "application/json",
+                ATTEMPT_HEADER: call.attempt_id,
+                REQUEST_HEADER: call.request_id,
+            },
+            unbuffered=True,
+        )
+
+    async def _prefill(
+        self, call: EngineCall
+    ) -> Result[str, StreamOutcome]:
+        try:
+            response = await self._send(call)
+            if response.code != 200:
+                return Failure(await self._read_refusal(response))
+            answer = msgspec.json.decode(await treq.content(response))
+            return Success(str(answer["kv_handle"]))
+        except Exception as error:
+            return Failure(_outcome_of_error(error))
+
+    async def _read_refusal(self, response: Any) -> StreamOutcome:
+        try:
+            body = treq.content(response).addTimeout(
+                CONTROL_TIMEOUT_S, self._reactor
+            )
+            message = (await body)[:500].decode(errors="replace")
+        except Exception as error:
+            message = type(error).__name__
+        if response.headers.hasHeader(NOT_STARTED_HEADER):
+            after = response.headers.getRawHeaders("Retry-After", ["1"])[0]
+            return NotStarted(
+                reason=f"engine refused with {response.code}",
+                retry_after_s=_parse_seconds(after),
+            )
+        if 400 <= response.code < 500:
+            return Rejected(status=response.code, message=message)
+        return Lost(reason=f"engine answered {response.code}")
+
+
+def _cancel_and_pass(outcome: Any, sent: defer.Deferred) -> Any:
+    sent.cancel()
+    return outcome
+
+
+async def _wait(done: defer.Deferred) -> None:
+    waiter: defer.Deferred = defer.Deferred()
+
+    def fired(outcome: Any) -> Any:
+        waiter.callback(None)
+        return outcome
+
+    done.addCallback(fired)
+    await waiter
+
+
+async def _content(call: defer.Deferred, reactor: Any) -> bytes:
+    answer = call.addCallback(treq.content)
+    return await answer.addTimeout(CONTROL_TIMEOUT_S, reactor)
+
+
+def _parse_seconds(text: str) -> float | None:
+    try:
+        return max(0.0, float(text))
+    except ValueError:
+        return None
+
+
+def _outcome_of_error(error: Exception) -> StreamOutcome:
+    if httpclient.was_not_sent(error):
+        return NotStarted(reason=f"not sent: {error}")
+    if isinstance(error, web_client.ResponseNeverReceived):
+        return Lost(reason="connection lost before an answer")
+    return Lost(reason=type(error).__name__)
--- /dev/null
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/logclient.py
@@ -0,0 +1,367 @@
+"""The adapter to the platform's log service, and readers that follow it."""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+import random
+from typing import Any
+
+import attrs
+import msgspec
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+import treq
+from twisted.internet import defer
+
+from bulrushgrade import record
+from bulrushgrade_daemon import clock as clock_module
+from bulrushgrade_daemon import httpclient
+from bulrushgrade_daemon import task
+
+APPEND_TIMEOUT_S = 2.0
+# A read waits at the log for news; the answer must come this much later at
+# the latest, or the connection counts as silent.
+READ_WAIT_S = 5.0
+READ_GRACE_S = 2.0
+READ_LIMIT = 500
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+# After a failed read: soon enough to be in force within seconds once the log
+# is back, slow enough that hundreds of daemons do not keep it down.
+RETRY_MIN_S = 0.2
+RETRY_MAX_S = 2.0
+
+
+@attrs.frozen(kw_only=True)
+class NotStored:
+    """The log certainly did not take an append.
+
+    Attributes:
+        reason: What it answered.
+    """
+
+    reason: str
+
+
+@attrs.frozen(kw_only=True)
+class OutcomeUnknown:
+    """An append may or may not have been stored; read back to know.
+
+    Attributes:
+        reason: How the answer was lost.
+    """
+
+    reason: str
+
+
+@attrs.frozen(kw_only=True)
+class Unavailable:
+    """A read failed or answered what can't be an answer.
+
+    Attributes:
+        reason: What happened.
+    """
+
+    reason: str
+
+
+@attrs.frozen
+class _WireRecord:
+    offset: int
+    id: str
+    body: str
+
+
+@attrs.frozen
+class _WirePage:
+    records: list[_WireRecord]
+    next_offset: int
+    earliest_offset: int
+    end_offset: int
+
+
+@attrs.frozen
+class _WireOffsets:
+    offsets: list[int]
+
+
+class LogClient:
+    """Appends to and reads from the streams of the log service."""
+
+    name = "log"
+    requires = ("timer",)
+
+    def __init__(self, *, reactor: Any, address: str):
+        """Makes a client.
+
+        Args:
+            reactor: The reactor for its connections.
+            address: The log service's ``IP:PORT``.
+        """
+        self._reactor = reactor
+        self._base = f"http://{address}/streams"
+        # Long polls hold a connection each; appends must not wait for one.
+        self._appends = httpclient.open_client(reactor)
+        self._reads = httpclient.open_client(reactor)
+        self._counts = {"appended": 0, "append_failed": 0, "read_failed": 0}
+        self._reachable = True
+
+    @property
+    def reachable(self) -> bool:
+        """Whether the last call was answered."""
+        return self._reachable
+
+    async def append(
+        self, stream: str, appends: Sequence[record.Append]
+    ) -> Result[tuple[int, ...], NotStored | OutcomeUnknown]:
+        """Appends records in order.
+
+        Args:
+            stream: The stream's name.
+            appends: What to append; one request carries them all.
+
+        Returns:
+            Their offsets, or what is known of a failure.
+        """
+        body = {
+            "records": [
+                {"id": a.record_id, "body": a.body.decode()} for a in appends
+            ]
+        }
+        try:
+            status, raw = await self._post(stream, msgspec.json.encode(body))
+        except Exception as error:
+            self._note(False, "append_failed")
+            if httpclient.was_not_sent(error):
+                return Failure(NotStored(reason=str(error)))
+            return Failure(OutcomeUnknown(reason=type(error).__name__))
+        if status == 429:
+            self._note(True, "append_failed")
+            return Failure(NotStored(reason="the log is over its rate"))
+        return self._parse_offsets(status, raw, len(appends))
+
+    async def read(
+        self,
+        stream: str,
+        offset: int,
+        *,
+        limit: int = READ_LIMIT,
+        wait_s: float = 0.0,
+    ) -> Result[record.Page, Unavailable]:
+        """Reads records from an offset on.
+
+        Args:
+            stream: The stream's name.
+            offset: The first offset wanted.
+            limit: At most so many records.
+            wait_s: How long the log may wait for news, in seconds.
+        """
+        url = (
+            f"{self._base}/{stream}/records"
+            f"?from={offset}&limit={limit}&wait_s={wait_s}"
+        )
+        try:
+            status, raw = await self._answer(
+                self._reads.http.get(url), wait_s + READ_GRACE_S
+            )
+        except Exception as error:
+            self._note(False, "read_failed")
+            return Failure(Unavailable(reason=type(error).__name__))
+        if status != 200:
+            self._note(False, "read_failed")
+            return Failure(Unavailable(reason=f"status {status}"))
+        page = parse_page(raw, offset)
+        self._note(isinstance(page, Success), "read_failed")
+        return page
+
+    async def start(self) -> None:
+        """Opens nothing; connections come with the first call."""
+
+    async def stop(self) -> None:
+        """Closes the idle connections."""
+        await self._appends.pool.closeCachedConnections()
+        await self._reads.pool.closeCachedConnections()
+
+    def receive(self, message: Any) -> None:
+        """Takes no messages."""
+
+    def dump(self) -> dict[str, Any]:
+        """Returns the counters and whether the log answers."""
+        return {"reachable": self._reachable, **self._counts}
+
+    async def _post(self, stream: str, body: bytes) -> tuple[int, bytes]:
+        url = f"{self._base}/{stream}/records"
+        headers = {"Content-Type": "application/json"}
+        call = self._appends.http.post(url, data=body, headers=headers)
+        return await self._answer(call, APPEND_TIMEOUT_S)
+
+    async def _answer(
+        self, call: defer.Deferred, timeout_s: float
+    ) -> tuple[int, bytes]:
+        async def whole() -> tuple[int, bytes]:
+            response = await call
+            raw = await treq.content(response)
+            return response.code, raw
+
+        answer = defer.Deferred.fromCoroutine(whole())
+        return await answer.addTimeout(timeout_s, self._reactor)
+
+    def _parse_offsets(
+        self, status: int, raw: bytes, count: int
+    ) -> Result[tuple[int, ...], OutcomeUnknown]:
+        # Only a well-formed 200 proves that the records stand. Any other
+        # answer may come from something in front of the log after the log
+        # itself has stored them, so it is settled by reading back.
+        try:
+            offsets = msgspec.json.decode(raw, type=_WireOffsets).offsets
+        except (msgspec.MsgspecError, UnicodeDecodeError):
+            offsets = []
+        if status != 200 or len(offsets) != count:
+            self._note(False, "append_failed")
+            return Failure(OutcomeUnknown(reason=f"status {status}"))
+        self._note(True, None)
+        self._counts["appended"] += count
+        return Success(tuple(offsets))
+
+    def _note(self, reachable: bool, counter: str | None) -> None:
+        self._reachable = reachable
+        if counter is not None and not reachable:
+            self._counts[counter] += 1
+
+
+def parse_page(
+    raw: bytes, offset: int
+) -> Result[record.Page, Unavailable]:
+    """Parses an answer to a read and checks that it makes sense.
+
+    Args:
+        raw: The body of the answer.
+        offset: The offset that was asked for.
+    """
+    try:
+        page = msgspec.json.decode(raw, type=_WirePage)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return Failure(Unavailable(reason=f"nonsense: {error}"))
+    offsets = [entry.offset for entry in page.records]
+    # A log that answers out of order would make two folds differ for good,
+    # which no later read could mend.
+    ordered = all(a < b for a, b in zip(offsets, offsets[1:], strict=False))
+    first_ok = not offsets or offsets[0] >= max(offset, page.earliest_offset)
+    last = offsets[-1] + 1 if offsets else max(offset, page.earliest_offset)
+    if not (ordered and first_ok and last <= page.next_offset):
+        return Failure(Unavailable(reason="nonsense: offsets out of order"))
+    records = tuple(
+        record.Record(offset=e.offset, record_id=e.id, body=e.body.encode())
+        for e in page.records
+    )
+    return Success(
+        record.Page(
+            records=records,
+            next_offset=page.next_offset,
+            earliest_offset=page.earliest_offset,
+            end_offset=page.end_offset,
+        )
+    )
+
+
+class LogTail:
+    """Follows one stream and hands each page to its owner."""
+
+    def __init__(
+        self,
+        *,
+        log: LogClient,
+        timers: clock_module.TimerService,
+        stream: str,
+        on_page: Callable[[record.Page], None],
+        on_broken: Callable[[str], None],
+        rng: random.Random,
+        offset: int = 0,
+    ):
+        """Makes a reader that is not yet running.
+
+        Args:
+            log: The client to read with.
+            timers: Paces reads after a failure.
+            stream: The stream to follow.
+            on_page: Called with each page in order.
+            on_broken: Called with the reason when the loop fails.
+            rng: Source of jitter.
+            offset: Where to begin.
+        """
+        self._log = log
+        self._timers = timers
+        self._stream = stream
+        self._on_page = on_page
+        self._on_broken = on_broken
+        self._rng = rng
+        self._offset = offset
+        self._caught_up = False
+        self._running = False
+        self._loop: defer.Deferred | None = None
+        self._failures = 0
+
+    @property
+    def offset(self) -> int:
+        """The next offset to read."""
+        return self._offset
+
+    @property
+    def caught_up(self) -> bool:
+        """Whether the end of the stream has been reached once."""
+        return self._caught_up
+
+    def start(self, *, offset: int | None = None) -> None:
+        """Begins to follow the stream, from another offset if given."""
+        if offset is not None:
+            self._offset = offset
+        self._running = True
+        self._loop = task.spawn(
+            self._follow(), name=self._stream, on_broken=self._on_broken
+        )
+
+    def stop(self) -> None:
+        """Ends the loop at once, also in the middle of a read."""
+        self._running = False
+        if self._loop is not None:
+            self._loop.cancel()
+
+    def dump(self) -> dict[str, Any]:
+        """Returns how far the reader has come."""
+        return {
+            "stream": self._stream,
+            "offset": self._offset,
+            "caught_up": self._caught_up,
+            "failures_in_a_row": self._failures,
+        }
+
+    async def _follow(self) -> None:
+        while self._running:
+            wait_s = READ_WAIT_S if self._caught_up else 0.0
+            page = await self._log.read(
+                self._stream, self._offset, wait_s=wait_s
+            )
+            if not self._running:
+                return
+            if isinstance(page, Failure):
+                self._failures += 1
+                await self._back_off()
+                continue
+            self._failures = 0
+            self._take(page.unwrap())
+
+    def _take(self, page: record.Page) -> None:
+        self._offset = page.next_offset
+        self._caught_up = page.next_offset >= page.end_offset
+        self._on_page(page)
+
+    async def _back_off(self) -> None:
+        ceiling_s = min(RETRY_MAX_S, RETRY_MIN_S * 2 ** min(self._failures, 8))
+        delay_s = self._rng.uniform(RETRY_MIN_S, ceiling_s)
+        pause: defer.Deferred = defer.Deferred()
+        subscription = self._timers.after(
+            delay_s, lambda: pause.called or pause.callback(None)
+        )
+        try:
+            await pause
+        finally:
+            subscription.cancel()
--- /dev/null
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/placing.py
@@ -0,0 +1,284 @@
+"""The service that owns the scheduler of this host.
+
+Others ask it for a place and tell it how requests go on; it asks the
+scheduler again whenever something may have become free.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from typing import Any
+
+import attrs
+from twisted.internet import defer
+
+from bulrushgrade import scheduler
+from bulrushgrade import work as work_module
+from bulrushgrade_daemon import engine
+from bulrushgrade_daemon import hostlist
+
+# Queued work is looked at again this often at the least, so that a request
+# whose deadline has become hopeless is told so at once.
+POLL_S = 0.05
+
+_ENGINE_STATES = {
+    "serving": work_module.EndpointState.SERVING,
+    "draining": work_module.EndpointState.LEAVING,
+    "changing": work_module.EndpointState.CHANGING,
+    "down": work_module.EndpointState.DOWN,
+}
+
+
+@attrs.frozen(kw_only=True)
+class EngineSeen:
+    """An engine's report as it was read, or that it could not be read.
+
+    Attributes:
+        address: The engine.
+        load: Its report, or None where it did not answer.
+    """
+
+    address: str
+    load: engine.EngineLoad | None
+
+
+@attrs.frozen(kw_only=True)
+class PeerLoads:
+    """What another host has in flight.
+
+    Attributes:
+        peer: The host.
+        loads: One entry an endpoint.
+    """
+
+    peer: str
+    loads: tuple[work_module.PeerLoad, ...]
+
+
+class Placing:
+    """Places requests and keeps the scheduler's view of endpoints fresh."""
+
+    name = "placing"
+    requires = ("timer",)
+
+    def __init__(
+        self,
+        *,
+        timers: Any,
+        core: scheduler.Scheduler,
+        on_changed: Callable[[str], None] = lambda address: None,
+    ):
+        """Makes the service.
+
+        Args:
+            timers: The timer service.
+            core: The decisions.
+            on_changed: Called with an engine's address when it takes work
+                no more or again.
+        """
+        self._timers = timers
+        self._core = core
+        self._on_changed = on_changed
+        self._waiting: dict[str, defer.Deferred] = {}
+        self._hosts: dict[str, hostlist.Host] = {}
+        self._loads: dict[str, engine.EngineLoad] = {}
+        self._held: set[str] = set()
+        self._poll: Any = None
+
+    @property
+    def hosts(self) -> dict[str, hostlist.Host]:
+        """The endpoints on the host list, by address."""
+        return self._hosts
+
+    @property
+    def loads(self) -> dict[str, engine.EngineLoad]:
+        """The last report of each engine, by address."""
+        return self._loads
+
+    @property
+    def now(self) -> float:
+        """The time that decisions are made at, in seconds."""
+        return self._timers.now
+
+    async def start(self) -> None:
+        """Begins to look at queued work again and again."""
+        self._poll = self._timers.every(POLL_S, self._settle)
+
+    async def stop(self) -> None:
+        """Stops looking; nothing is queued any more by then."""
+        self._poll.cancel()
+
+    def receive(self, message: Any) -> None:
+        """Takes lists of hosts, engines' reports and peers' loads."""
+        if isinstance(message, hostlist.HostsRead):
+            self._take_hosts(message.hosts)
+        elif isinstance(message, EngineSeen):
+            self._take_report(message)
+        elif isinstance(message, PeerLoads):
+            self._core.peer_load(message.peer, message.loads, self.now)
+
+    def dump(self) -> dict[str, Any]:
+        """Returns the scheduler's state and the last reports."""
+        return {
+            "queued": len(self._waiting),
+            "held": sorted(self._held),
+            "reports": {a: attrs.asdict(r) for a, r in self._loads.items()},
+            "scheduler": self._core.dump(),
+        }
+
+    def set_policies(
+        self, policies: Iterable[work_module.ServicePolicy]
+    ) -> None:
+        """Puts the accepted documents' policies in force."""
+        self._core.set_policies(tuple(policies))
+
+    def hold(self, address: str, *, held: bool) -> None:
+        """Keeps new work from an engine, or no longer.
+
+        Used before a planned change, so that nothing is sent to an engine
+        that is about to be away.
+        """
+        if held == (address in self._held):
+            return
+        (self._held.add if held else self._held.discard)(address)
+        self._update_endpoints()
+        self._on_changed(address)
+
+    def in_flight(self, address: str) -> int:
+        """Returns how many requests of this host are at an endpoint."""
+        return sum(
+            load.running
+            for load in self._core.own_loads()
+            if load.endpoint == address
+        )
+
+    def own_loads(self) -> tuple[work_module.PeerLoad, ...]:
+        """Returns what this host has in flight, for its peers."""
+        return tuple(self._core.own_loads())
+
+    async def offer(
+        self, work: work_module.Work
+    ) -> work_module.Placed | work_module.Refused:
+        """Returns where a request goes, waiting while it is queued."""
+        return await self._decided(self._core.offer(work, self.now))
+
+    async def retry(
+        self, request_id: str, failed_endpoint: str, tokens_done: int
+    ) -> work_module.Placed | work_module.Refused:
+        """Returns where a request goes after an attempt failed."""
+        return await self._decided(
+            self._core.retry(
+                request_id, failed_endpoint, tokens_done, self.now
+            )
+        )
+
+    def first_token(self, request_id: str) -> None:
+        """Notes that a request's first token came."""
+        self._core.first_token(request_id, self.now)
+
+    def tokens(self, request_id: str, count: int) -> None:
+        """Notes that so many more tokens came."""
+        self._core.tokens(request_id, count, self.now)
+
+    def finished(
+        self, request_id: str, outcome: work_module.Outcome
+    ) -> None:
+        """Notes that a request has ended; something may be free now."""
+        self._core.finished(request_id, outcome, self.now)
+        self._settle()
+
+    def cancel(self, request_id: str) -> None:
+        """Drops a request whose caller is gone, queued or running."""
+        self._core.cancel(request_id, self.now)
+        waiting = self._waiting.pop(request_id, None)
+        if waiting is not None:
+            waiting.cancel()
+        self._settle()
+
+    async def _decided(
+        self, decision: work_module.Decision
+    ) -> work_module.Placed | work_module.Refused:
+        if not isinstance(decision, work_module.Queued):
+            return decision
+        waiting: defer.Deferred = defer.Deferred()
+        self._waiting[decision.request_id] = waiting
+        return await waiting
+
+    def _settle(self) -> None:
+        if not self._waiting:
+            return
+        for decision in self._core.poll(self.now):
+            waiting = self._waiting.pop(decision.request_id, None)
+            if waiting is not None:
+                waiting.callback(decision)
+
+    def _take_hosts(self, hosts: Iterable[hostlist.Host]) -> None:
+        self._hosts = {h.address: h for h in hosts if h.kind != "entry"}
+        for address in set(self._loads) - set(self._hosts):
+            del self._loads[address]
+        self._update_endpoints()
+
+    def _take_report(self, seen: EngineSeen) -> None:
+        if seen.address not in self._hosts:
+            return
+        before = self._loads.get(seen.address)
+        if seen.load is None:
+            # Silence says nothing about the engine's state: it may be busy,
+            # or the link to it cut. Ejection judges it by how requests go.
+            return
+        load = seen.load
+        self._loads[seen.address] = load
+        if before is None or _shape(before) != _shape(load):
+            self._update_endpoints()
+            self._on_changed(seen.address)
+        self._core.report(
+            work_module.LoadReport(
+                endpoint=seen.address,
+                running=load.running,
+                queued=load.queued,
+                prefill_backlog_tokens=int(load.prefill_backlog_tokens),
+                kv_used_tokens=int(load.kv_used),
+                kv_capacity_tokens=int(load.kv_capacity),
+                age_s=load.age_s,
+            ),
+            self.now,
+        )
+
+    def _update_endpoints(self) -> None:
+        endpoints = tuple(
+            self._endpoint(host)
+            for host in self._hosts.values()
+            if host.kind == "plain" or host.address in self._loads
+        )
+        self._core.set_endpoints(endpoints, self.now)
+        self._settle()
+
+    def _endpoint(self, host: hostlist.Host) -> work_module.Endpoint:
+        load = self._loads.get(host.address)
+        state = work_module.EndpointState.SERVING
+        if load is not None:
+            state = _ENGINE_STATES.get(
+                load.state, work_module.EndpointState.DOWN
+            )
+        if host.state != "live" or host.address in self._held:
+            state = work_module.EndpointState.LEAVING
+        if load is None:
+            return work_module.Endpoint(
+                address=host.address,
+                zone=host.zone,
+                service=host.service,
+                state=state,
+            )
+        return work_module.Endpoint(
+            address=host.address,
+            zone=host.zone,
+            service=host.service,
+            model=load.model,
+            adapters=frozenset(load.adapters),
+            role=work_module.Role(load.role),
+            state=state,
+            kv_capacity_tokens=int(load.kv_capacity),
+        )
+
+
+def _shape(load: engine.EngineLoad) -> tuple[Any, ...]:
+    return (load.role, load.model, load.state, tuple(load.adapters))
--- /dev/null
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/plain.py
@@ -0,0 +1,204 @@
+"""The adapter to plain services: one whole answer for one request."""
+
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+from twisted.internet import defer
+from twisted.internet import protocol
+from twisted.python import failure as twisted_failure
+from twisted.web import client as web_client
+
+from bulrushgrade_daemon import engine
+from bulrushgrade_daemon import httpclient
+
+# Answers are held whole before the caller sees a byte, so that a cut one can
+# be told and, where allowed, repeated; the bound is what one costs in memory.
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+# Headers that belong to one connection and are not passed on.
+HOP_HEADERS = frozenset({
+    "connection", "keep-alive", "proxy-authenticate", "proxy-authorization",
+    "te", "trailer", "transfer-encoding", "upgrade", "host",
+    "content-length", "expect", "accept-encoding",
+})  # fmt: skip
+
+
+@attrs.frozen(kw_only=True)
+class PlainCall:
+    """One attempt at a plain service.
+
+    Attributes:
+        attempt_id: Unique for this attempt.
+        request_id: The caller's request.
+        address: The endpoint's ``IP:PORT``.
+        method: The HTTP method.
+        path: Path and query as the endpoint takes them.
+        headers: Headers to pass on.
+        body: The request's body.
+    """
+
+    attempt_id: str
+    request_id: str
+    address: str
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+@attrs.frozen(kw_only=True)
+class PlainAnswer:
+    """A whole answer.
+
+    Attributes:
+        status: Its HTTP status.
+        headers: Its headers, without those of the connection.
+        body: Its body.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+class _Body(protocol.Protocol):
+    """Collects a bounded body and tells whether it came whole."""
+
+    def __init__(self):
+        self._parts: list[bytes] = []
+        self._size = 0
+        self.done: defer.Deferred = defer.Deferred()
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        self._size += len(data)
+        if self._size > MAX_ANSWER_BYTES:
+            self._finish(engine.Lost(reason="answer too large"))
+            self.transport.loseConnection()
+            return
+        self._parts.append(data)
+
+    def connectionLost(  # noqa: N802
+        self, reason: twisted_failure.Failure = protocol.connectionDone
+    ) -> None:
+        if reason.check(web_client.ResponseDone):
+            self._finish(b"".join(self._parts))
+        else:
+            # Includes PotentialDataLoss: without a length, a cut answer and a
+            # whole one look the same.
+            self._finish(engine.Lost(reason="answer was cut"))
+
+    def _finish(self, outcome: Any) -> None:
+        if not self.done.called:
+            self.done.callback(outcome)
+
+
+class PlainClient:
+    """Sends requests to plain services."""
+
+    name = "plain"
+    requires = ()
+
+    def __init__(self, *, reactor: Any):
+        self._reactor = reactor
+        self._shared = httpclient.open_client(reactor)
+
+    async def start(self) -> None:
+        """Opens nothing; connections come with the first call."""
+
+    async def stop(self) -> None:
+        """Closes the idle connections."""
+        await self._shared.pool.closeCachedConnections()
+
+    def receive(self, message: Any) -> None:
+        """Takes no messages."""
+
+    def dump(self) -> dict[str, Any]:
+        """Returns nothing; the relay counts requests."""
+        return {}
+
+    async def send(
+        self,
+        call: PlainCall,
+        *,
+        timeout_s: float,
+        once: bool = False,
+        check: Callable[[], bool] | None = None,
+    ) -> PlainAnswer | engine.NotStarted | engine.Lost:
+        """Sends one attempt and returns its whole answer or what is known.
+
+        Args:
+            call: The attempt.
+            timeout_s: How long the whole answer may take.
+            once: Whether the request must not be repeated: it then goes on a
+                connection of its own, never on one whose state is uncertain.
+            check: Asked in the turn of the write; only with `once`.
+        """
+        client = (
+            httpclient.open_client(
+                self._reactor, persistent=False, check=check
+            )
+            if once
+            else self._shared
+        )
+        answer = defer.Deferred.fromCoroutine(self._exchange(client, call))
+        try:
+            return await answer.addTimeout(timeout_s, self._reactor)
+        except defer.TimeoutError:
+            return engine.Lost(reason="timed out")
+        except Exception as error:
+            if httpclient.was_not_sent(error):
+                return engine.NotStarted(reason=f"not sent: {error}")
+            return engine.Lost(reason=type(error).__name__)
+
+    async def _exchange(
+        self, client: httpclient.Client, call: PlainCall
+    ) -> PlainAnswer | engine.NotStarted | engine.Lost:
+        response = await client.http.request(
+            call.method,
+            f"http://{call.address}{call.path}",
+            data=call.body or None,
+            headers=_request_headers(call),
+            unbuffered=True,
+        )
+        body = _Body()
+        response.deliverBody(body)
+        outcome = await body.done
+        if isinstance(outcome, engine.Lost):
+            return outcome
+        if response.headers.hasHeader(engine.NOT_STARTED_HEADER):
+            return engine.NotStarted(
+                reason=f"endpoint refused with {response.code}"
+            )
+        return PlainAnswer(
+            status=response.code,
+            headers=_answer_headers(response),
+            body=outcome,
+        )
+
+
+def pass_headers(
+    headers: list[tuple[str, str]],
+) -> tuple[tuple[str, str], ...]:
+    """Returns the headers that go through, without a connection's own."""
+    return tuple(
+        (name, value)
+        for name, value in headers
+        if name.lower() not in HOP_HEADERS
+    )
+
+
+def _request_headers(call: PlainCall) -> dict[str, list[str]]:
+    headers: dict[str, list[str]] = {}
+    for name, value in call.headers:
+        headers.setdefault(name, []).append(value)
+    headers[engine.ATTEMPT_HEADER] = [call.attempt_id]
+    headers[engine.REQUEST_HEADER] = [call.request_id]
+    return headers
+
+
+def _answer_headers(response: Any) -> tuple[tuple[str, str], ...]:
+    return pass_headers([
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, values in response.headers.getAllRawHeaders()
+        for value in values
+    ])
--- /dev/null
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/relay.py
@@ -0,0 +1,353 @@
+"""Carries a model request from its place to its whole answer."""
+
+from collections.abc import Callable
+import itertools
+from typing import Any
+
+import attrs
+from returns.result import Failure
+from twisted.internet import defer
+
+from bulrushgrade import answer
+from bulrushgrade import document
+from bulrushgrade import work as work_module
+from bulrushgrade_daemon import engine
+from bulrushgrade_daemon import placing
+from bulrushgrade_daemon import refusal
+from bulrushgrade_daemon import request
+from bulrushgrade_daemon import silence
+
+# Progress is told to the scheduler in steps: one call a token would cost more
+# than the relay itself.
+PROGRESS_TOKENS = 16
+# After a deadline was missed: the load that caused it has to pass first.
+LATE_RETRY_S = 1.0
+
+
+@attrs.define(kw_only=True, eq=False)
+class ModelJob:
+    """One open request for a model.
+
+    Attributes:
+        request_id: Unique in the system, made by this host.
+        caller_id: The id that the caller gave, or the same.
+        asked: What the caller sent.
+        service: The document that it falls under.
+        model: The model that it runs on.
+        limits: Its deadline class.
+        work: The request as decisions see it.
+        arrived_s: When it came.
+        on_event: Takes each event that the caller is to see.
+        answer: How far the answer has come.
+        stream: The running attempt's stream.
+        endpoint: The running attempt's engine.
+        attempt_id: The running attempt's id.
+        gone: Whether the caller has left.
+        paused: Whether the caller does not take more for now.
+        maybe_ran: Whether an attempt may have run at an engine.
+        watch: Notices when the running attempt goes silent.
+    """
+
+    request_id: str
+    caller_id: str
+    asked: request.Completion
+    service: document.ServiceDocument
+    model: str
+    limits: document.DeadlineClass
+    work: work_module.Work
+    arrived_s: float
+    on_event: Callable[[engine.Event], None]
+    answer: answer.Answer = attrs.field(factory=answer.Answer)
+    stream: engine.EngineStream | None = None
+    endpoint: str = ""
+    attempt_id: str = ""
+    gone: bool = False
+    paused: bool = False
+    maybe_ran: bool = False
+    watch: silence.SilenceWatch | None = None
+
+    def pause(self) -> None:
+        """Stops reading from the engine while the caller is behind."""
+        self.paused = True
+        if self.stream is not None:
+            self.watch.set_paused(True)
+            self.stream.pause()
+
+    def resume(self) -> None:
+        """Reads on."""
+        self.paused = False
+        if self.stream is not None:
+            self.watch.set_paused(False)
+            self.stream.resume()
+
+
+class Relay:
+    """Runs attempts until a request has its whole answer or is given up."""
+
+    name = "relay"
+    requires = ("timer", "engines", "placing")
+
+    def __init__(
+        self,
+        *,
+        timers: Any,
+        engines: engine.EngineClient,
+        place: placing.Placing,
+    ):
+        self._timers = timers
+        self._engines = engines
+        self._placing = place
+        self._jobs: dict[str, ModelJob] = {}
+        self._counts = dict.fromkeys(
+            (
+                "whole", "refused", "lost_attempts", "resumed", "tokens",
+                "duplicate_events", "stray_events", "caller_gone", "late",
+            ),
+            0,
+        )  # fmt: skip
+
+    @property
+    def open_jobs(self) -> int:
+        """How many requests are open."""
+        return len(self._jobs)
+
+    @property
+    def counts(self) -> dict[str, int]:
+        """The counters, by name."""
+        return self._counts
+
+    async def start(self) -> None:
+        """Needs nothing opened."""
+
+    async def stop(self) -> None:
+        """Ends nothing: the callers' service has waited for open requests."""
+
+    def receive(self, message: Any) -> None:
+        """Takes no messages."""
+
+    def dump(self) -> dict[str, Any]:
+        """Returns the counters and each open request."""
+        return {
+            "counts": dict(self._counts),
+            "open": [
+                {
+                    "request": job.request_id,
+                    "service": job.service.service,
+                    "endpoint": job.endpoint,
+                    "tokens": job.answer.tokens,
+                    "age_s": self._timers.now - job.arrived_s,
+                }
+                for job in itertools.islice(self._jobs.values(), 200)
+            ],
+        }
+
+    def leave(self, job: ModelJob) -> None:
+        """Notes that the caller is gone: its engine must not work on."""
+        job.gone = True
+        self._counts["caller_gone"] += 1
+        if job.stream is not None:
+            job.stream.end(engine.Lost(reason="caller gone"))
+        self._placing.cancel(job.request_id)
+
+    async def run(self, job: ModelJob) -> refusal.Refusal | None:
+        """Returns None once the caller has its whole answer, or a refusal.
+
+        Args:
+            job: The request; its `on_event` gets the events meanwhile.
+        """
+        self._jobs[job.request_id] = job
+        deadline = self._timers.after(
+            max(0.0, job.work.deadline - self._timers.now),
+            lambda: self._expire(job),
+        )
+        try:
+            refused = await self._run(job)
+        except defer.CancelledError:
+            # The caller left while the request was queued.
+            refused = _caller_gone()
+        finally:
+            deadline.cancel()
+            del self._jobs[job.request_id]
+        self._counts["whole" if refused is None else "refused"] += 1
+        self._counts["tokens"] += job.answer.tokens
+        self._counts["duplicate_events"] += job.answer.duplicates
+        self._counts["stray_events"] += job.answer.strays
+        return refused
+
+    async def _run(self, job: ModelJob) -> refusal.Refusal | None:
+        attempts = itertools.count(1)
+        placed = await self._placing.offer(job.work)
+        while isinstance(placed, work_module.Placed):
+            outcome = await self._attempt(job, placed, next(attempts))
+            if isinstance(outcome, engine.Ended) and job.answer.whole:
+                self._finish(job, work_module.Outcome.DONE)
+                return None
+            final = self._judge(job, outcome)
+            if final is not None:
+                return final
+            self._counts["lost_attempts"] += 1
+            placed = await self._placing.retry(
+                job.request_id, placed.endpoint, job.answer.tokens
+            )
+        return _refuse(placed, job)
+
+    def _judge(
+        self, job: ModelJob, outcome: engine.StreamOutcome
+    ) -> refusal.Refusal | None:
+        """Returns the refusal that ends a request, or None to try again."""
+        if job.gone:
+            return _caller_gone()
+        if isinstance(outcome, engine.Rejected):
+            self._finish(job, work_module.Outcome.DONE)
+            return refusal.Refusal(
+                status=outcome.status,
+                code="rejected",
+                message=outcome.message,
+                ran=refusal.Ran.UNKNOWN,
+            )
+        job.maybe_ran |= not isinstance(outcome, engine.NotStarted)
+        if self._timers.now >= job.work.deadline:
+            self._counts["late"] += 1
+            self._finish(job, work_module.Outcome.FAILED)
+            return _late(job)
+        # What must not be repeated ends here, unless it is certain that the
+        # engine did not start: its work may be done, and only its answer
+        # lost.
+        if not job.work.repeatable and job.maybe_ran:
+            self._finish(job, work_module.Outcome.FAILED)
+            return refusal.Refusal(
+                status=502,
+                code="outcome_unknown",
+                message="the answer was lost; the request may have run",
+                ran=refusal.Ran.UNKNOWN,
+            )
+        return None
+
+    async def _attempt(
+        self, job: ModelJob, placed: work_module.Placed, number: int
+    ) -> engine.StreamOutcome:
+        job.endpoint = placed.decode_endpoint or placed.endpoint
+        job.attempt_id = f"{job.request_id}.{number}"
+        body = self._body(job)
+        if placed.decode_endpoint is not None:
+            moved = await self._prefill(job, placed, body)
+            if not isinstance(moved, dict):
+                return moved
+            body = moved
+        stream = engine.EngineStream(
+            on_event=lambda event: self._take(job, event)
+        )
+        job.stream = stream
+        job.watch = silence.SilenceWatch(
+            timers=self._timers,
+            stream=stream,
+            deadline=job.work.deadline,
+            first_token_s=placed.first_token_s,
+            between_tokens_s=job.limits.between_tokens_s or 0.0,
+        )
+        call = engine.EngineCall(
+            attempt_id=job.attempt_id,
+            request_id=job.caller_id,
+            address=job.endpoint,
+            path=job.asked.path,
+            body=body,
+        )
+        try:
+            outcome = await self._engines.run_stream(call, stream)
+        finally:
+            job.stream = None
+            job.watch.stop()
+            job.watch = None
+        if isinstance(outcome, engine.Lost):
+            self._engines.cancel(job.endpoint, job.attempt_id)
+        return outcome
+
+    def _body(self, job: ModelJob) -> dict[str, Any]:
+        body = dict(job.asked.fields)
+        body["model"] = job.model
+        body["stream"] = True
+        body["priority"] = job.work.priority
+        resume = job.answer.begin(job.attempt_id)
+        if resume:
+            body["resume_tokens"] = resume
+            self._counts["resumed"] += 1
+        return body
+
+    async def _prefill(
+        self,
+        job: ModelJob,
+        placed: work_module.Placed,
+        body: dict[str, Any],
+    ) -> dict[str, Any] | engine.StreamOutcome:
+        """Reads the prompt at one engine for another to generate from."""
+        call = engine.EngineCall(
+            attempt_id=f"{job.attempt_id}p",
+            request_id=job.caller_id,
+            address=placed.endpoint,
+            path=job.asked.path,
+            body={**body, "stream": False, "kv_export": True},
+        )
+        left_s = job.work.deadline - self._timers.now
+        handle = await self._engines.prefill(call, left_s * silence.SILENCE_PART)
+        if job.gone:
+            self._engines.cancel(placed.endpoint, call.attempt_id)
+            return engine.Lost(reason="caller gone")
+        if isinstance(handle, Failure):
+            return handle.failure()
+        moved = {"address": placed.endpoint, "handle": handle.unwrap()}
+        return {**body, "kv_import": moved}
+
+    def _take(self, job: ModelJob, event: engine.Event) -> bool:
+        finish = event.finish_reason is not None
+        step = job.answer.take(
+            event.attempt_id,
+            event.index,
+            has_token=event.text is not None,
+            finish=finish,
+        )
+        if step is not answer.Step.DELIVER:
+            return step is answer.Step.DROP
+        job.watch.progress()
+        tokens = job.answer.tokens
+        if tokens == 1 and event.text is not None:
+            self._placing.first_token(job.request_id)
+        elif tokens % PROGRESS_TOKENS == 0:
+            self._placing.tokens(job.request_id, PROGRESS_TOKENS)
+        job.on_event(event)
+        return True
+
+    def _expire(self, job: ModelJob) -> None:
+        # The answer can't be in time any more: the engine is freed and the
+        # caller told now, not when the engine would have been done.
+        if job.stream is not None:
+            job.stream.end(engine.Lost(reason="deadline"))
+
+    def _finish(
+        self, job: ModelJob, outcome: work_module.Outcome
+    ) -> None:
+        self._placing.finished(job.request_id, outcome)
+
+
+def _caller_gone() -> refusal.Refusal:
+    return refusal.Refusal(
+        status=499,
+        code="caller_gone",
+        message="the caller has left",
+        ran=refusal.Ran.UNKNOWN,
+    )
+
+
+def _late(job: ModelJob) -> refusal.Refusal:
+    ran = refusal.Ran.UNKNOWN if job.maybe_ran else refusal.Ran.NOT_RUN
+    return refusal.Refusal(
+        status=504,
+        code="deadline",
+        message="the answer could not be had in time",
+        ran=ran,
+        retry_after_s=LATE_RETRY_S,
+    )
+
+
+def _refuse(refused: work_module.Refused, job: ModelJob) -> refusal.Refusal:
+    ran = refusal.Ran.UNKNOWN if job.maybe_ran else refusal.Ran.NOT_RUN
+    return refusal.of_decision(refused, ran)
--- /dev/null
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/request.py
@@ -0,0 +1,125 @@
+"""Callers' requests for a model, parsed and checked."""
+
+from typing import Any
+
+import attrs
+import msgspec
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from bulrushgrade_daemon import refusal
+
+COMPLETIONS = "/v1/completions"
+CHAT = "/v1/chat/completions"
+# What an answer is expected to take where the caller sets no limit.
+DEFAULT_MAX_TOKENS = 256
+MAX_MAX_TOKENS = 1_000_000
+# Fields that the daemon sets itself on the way to an engine.
+OWN_FIELDS = frozenset({
+    "stream", "priority", "resume_tokens", "kv_export", "kv_import", "model",
+    "stream_options",
+})  # fmt: skip
+
+
+@attrs.frozen(kw_only=True)
+class Completion:
+    """A request for a model.
+
+    Attributes:
+        path: Which of the two interfaces it came by.
+        model: The model, or the service that offers one.
+        text: All that the model reads, for estimating and for prefixes.
+        max_tokens: At most so many tokens are generated.
+        stream: Whether the caller wants a stream of events.
+        fields: The caller's fields that go to the engine as they are.
+    """
+
+    path: str
+    model: str
+    text: str
+    max_tokens: int
+    stream: bool
+    fields: dict[str, Any]
+
+    @property
+    def chat(self) -> bool:
+        """Whether the answer has the form of a chat."""
+        return self.path == CHAT
+
+
+def parse_completion(
+    raw: bytes, path: str
+) -> Result[Completion, refusal.Refusal]:
+    """Parses and checks the JSON body of a request for a model.
+
+    Args:
+        raw: The body.
+        path: The path that it was sent to.
+    """
+    try:
+        body = msgspec.json.decode(raw)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        return _bad(f"the body is not JSON: {error}")
+    if not isinstance(body, dict):
+        return _bad("the body must be a JSON object")
+    text = _parse_text(body, path)
+    if isinstance(text, Failure):
+        return text
+    model = body.get("model")
+    if not isinstance(model, str) or not model:
+        return _bad("'model' must be a non-empty string")
+    stream = body.get("stream", False)
+    if not isinstance(stream, bool):
+        return _bad("'stream' must be true or false")
+    max_tokens = body.get("max_tokens", DEFAULT_MAX_TOKENS)
+    if (
+        not isinstance(max_tokens, int)
+        or isinstance(max_tokens, bool)
+        or not 1 <= max_tokens <= MAX_MAX_TOKENS
+    ):
+        return _bad(
+            f"'max_tokens' must be a whole number from 1 to {MAX_MAX_TOKENS}"
+        )
+    if body.get("n", 1) != 1:
+        return _bad("'n' must be 1: one answer a request")
+    fields = {k: v for k, v in body.items() if k not in OWN_FIELDS}
+    fields["max_tokens"] = max_tokens
+    return Success(
+        Completion(
+            path=path,
+            model=model,
+            text=text.unwrap(),
+            max_tokens=max_tokens,
+            stream=stream,
+            fields=fields,
+        )
+    )
+
+
+def _parse_text(
+    body: dict[str, Any], path: str
+) -> Result[str, refusal.Refusal]:
+    if path == COMPLETIONS:
+        prompt = body.get("prompt")
+        if not isinstance(prompt, str):
+            return _bad("'prompt' must be a string")
+        return Success(prompt)
+    messages = body.get("messages")
+    if not isinstance(messages, list) or not messages:
+        return _bad("'messages' must be a non-empty list")
+    parts = []
+    for number, message in enumerate(messages):
+        if not isinstance(message, dict):
+            return _bad(f"'messages[{number}]' must be an object")
+        role, content = message.get("role"), message.get("content")
+        if not isinstance(role, str) or not isinstance(content, str):
+            return _bad(
+                f"'messages[{number}]' needs 'role' and 'content' as strings"
+            )
+        parts.append(f"{role}: {content}")
+    return Success("\n".join(parts))
+
+
+def _bad(message: str) -> Failure[refusal.Refusal]:
+    return Failure(refusal.bad_request(message))
--- /dev/null
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/silence.py
@@ -0,0 +1,84 @@
+"""Notices an attempt that has gone silent."""
+
+from typing import Any
+
+from bulrushgrade_daemon import engine
+
+# An attempt that is silent is given up early enough that another engine can
+# still do the rest: half of the time that is left, and never sooner than an
+# engine under ordinary load may take.
+SILENCE_PART = 0.5
+FIRST_MIN_S = 1.0
+FIRST_FACTOR = 4.0
+BETWEEN_MIN_S = 1.0
+BETWEEN_FACTOR = 20.0
+RECHECK_MIN_S = 0.01
+
+
+class SilenceWatch:
+    """Ends a stream that makes no progress for too long.
+
+    Failure guarded against: a connection that something between the two ends
+    has lost track of, or an engine that hangs. Both show only as silence, and
+    the same connection never recovers, so the attempt is given up and the
+    answer resumed on another one.
+    """
+
+    def __init__(
+        self,
+        *,
+        timers: Any,
+        stream: engine.EngineStream,
+        deadline: float,
+        first_token_s: float,
+        between_tokens_s: float,
+    ):
+        """Begins to watch.
+
+        Args:
+            timers: The timer service.
+            stream: What is ended when it is silent.
+            deadline: When the whole answer is due.
+            first_token_s: Predicted seconds until the first token.
+            between_tokens_s: Seconds between tokens that the document asks.
+        """
+        self._timers = timers
+        self._stream = stream
+        self._deadline = deadline
+        self._usual_s = max(FIRST_MIN_S, FIRST_FACTOR * first_token_s)
+        self._between_s = max(
+            BETWEEN_MIN_S, BETWEEN_FACTOR * between_tokens_s
+        )
+        self._progress_s = timers.now
+        self._paused = False
+        self._subscription = timers.after(self._limit_s(), self._look)
+
+    def progress(self) -> None:
+        """Notes that a token came."""
+        self._progress_s = self._timers.now
+        self._usual_s = self._between_s
+
+    def set_paused(self, paused: bool) -> None:
+        """Notes whether the stream is held up by the caller's side."""
+        self._paused = paused
+        self._progress_s = self._timers.now
+
+    def stop(self) -> None:
+        """Watches no more."""
+        self._subscription.cancel()
+
+    def _limit_s(self) -> float:
+        left_s = max(0.0, self._deadline - self._timers.now)
+        return min(self._usual_s, left_s * SILENCE_PART)
+
+    def _look(self) -> None:
+        if self._paused:
+            self._progress_s = self._timers.now
+        silent_s = self._timers.now - self._progress_s
+        left_s = self._limit_s() - silent_s
+        if left_s <= 0.0:
+            self._stream.end(engine.Lost(reason="silent"))
+            return
+        self._subscription = self._timers.after(
+            max(left_s, RECHECK_MIN_S), self._look
+        )
