Read service and fleet documents with every error named

Operators drive the system only by documents, and the standard INI reader stops at the first fault, so that mending one fault costs a round a fault.

--- /dev/null
+++ b/packages/bulrushgrade/bulrushgrade/document.py
@@ -0,0 +1,347 @@
+"""Service documents: what one service asks of the shared fleet.
+
+A team writes a document in INI and publishes it; every daemon parses it by
+the same rules and comes to the same verdict. `VALIDATION` numbers the rules:
+a change to what is accepted takes a new number, and the old rules stay, since
+daemons of two releases fold the same stream.
+"""
+
+import attrs
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from bulrushgrade import demand
+from bulrushgrade import errors
+from bulrushgrade import ini
+
+# The newest rules that this release knows, and the number that a document
+# gives as its format.
+VALIDATION = 1
+
+# Published as if it were a service; no service may have this name.
+FLEET = "fleet"
+
+# A document of today has about 1 kB. Every daemon holds every document, so a
+# longer one would be paid for by all hosts.
+MAX_BYTES = 32 * 1024
+
+# One document may not make the search for a route or a class long.
+MAX_NAMED_SECTIONS = 64
+
+NAME = r"[a-z][a-z0-9-]{0,62}"
+NAME_EXPECTED = "lower case letters, digits and -, a letter first, at most 63"
+MODEL_NAME = r"[A-Za-z0-9][A-Za-z0-9._/-]{0,127}"
+_VERSION = r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}"
+_HEADER = r"[A-Za-z][A-Za-z0-9-]{0,63}"
+_PATH = r"/|(/([A-Za-z0-9._~:@-]+|\*))+(/\*\*)?|/\*\*"
+
+
+@attrs.frozen(kw_only=True)
+class ServiceDocument:
+    """One service's document; sections are attributes, see their classes."""
+
+    heading: demand.Heading
+    models: tuple[demand.ModelUse, ...] = ()
+    deadlines: tuple[demand.DeadlineClass, ...]
+    share: demand.Share = attrs.field(factory=demand.Share)
+    routes: tuple[demand.Route, ...] = ()
+    retry: demand.RetryLimits = attrs.field(factory=demand.RetryLimits)
+    queue: demand.QueueLimits = attrs.field(factory=demand.QueueLimits)
+    weights: demand.Weights = attrs.field(factory=demand.Weights)
+
+    @property
+    def service(self) -> str:
+        """The service's name."""
+        return self.heading.service
+
+    @property
+    def team(self) -> str:
+        """The owner's name."""
+        return self.heading.team
+
+    @property
+    def kind(self) -> str:
+        """``model`` or ``plain``."""
+        return self.heading.kind
+
+
+def _seconds(name: str, high: float, **options) -> ini.Key:
+    # A limit of nothing at all would refuse every request.
+    return ini.number_key(name, low=0.001, high=high, unit="of s", **options)
+
+
+def _count(name: str, low: int, high: int, **options) -> ini.Key:
+    return ini.number_key(name, low=low, high=high, whole=True, **options)
+
+
+def name_key(name: str, **options) -> ini.Key:
+    """Returns a key for the name of a service, team, zone or the like."""
+    return ini.text_key(name, pattern=NAME, expected=NAME_EXPECTED, **options)
+
+
+FORMAT_KEY = ini.number_key(
+    "format", low=VALIDATION, high=VALIDATION, whole=True
+)
+
+SCHEMA = (
+    ini.Section(
+        name="document",
+        make=demand.Heading,
+        keys=(
+            FORMAT_KEY,
+            name_key("service"),
+            name_key("team"),
+            ini.text_key(
+                "kind", pattern="model|plain", expected="model or plain"
+            ),
+        ),
+    ),
+    ini.Section(
+        name="model",
+        make=demand.ModelUse,
+        named=True,
+        name_pattern=MODEL_NAME,
+        required=False,
+        keys=(
+            ini.text_key(
+                "version",
+                pattern=_VERSION,
+                expected="letters, digits, . _ and -, at most 64",
+            ),
+            ini.list_key(
+                "adapters", pattern=MODEL_NAME, expected="names", default=()
+            ),
+        ),
+    ),
+    ini.Section(
+        name="deadline",
+        make=demand.DeadlineClass,
+        named=True,
+        keys=(
+            # An hour bounds how long a planned stop can take.
+            _seconds("whole_answer_s", 3600.0),
+            _seconds("first_token_s", 600.0, default=None),
+            _seconds("between_tokens_s", 60.0, default=None),
+            _count("max_prompt_tokens", 1, 10_000_000, default=None),
+            _count("max_answer_tokens", 1, 10_000_000, default=None),
+            ini.text_key(
+                "header",
+                pattern=_HEADER + r": [!-~]{1,64}",
+                expected="Name: value",
+                default=None,
+            ),
+        ),
+    ),
+    ini.Section(
+        name="share",
+        make=demand.Share,
+        required=False,
+        keys=(
+            ini.number_key(
+                "guaranteed_token_s_per_s", low=0, high=1e12, default=None
+            ),
+            ini.number_key("guaranteed_fraction", low=0, high=1, default=None),
+            ini.flag_key("borrow", default=True),
+            _count("priority", 0, 9, default=5),
+        ),
+    ),
+    ini.Section(
+        name="route",
+        make=demand.Route,
+        named=True,
+        required=False,
+        keys=(
+            ini.text_key(
+                "method",
+                pattern=r"[A-Z]{1,16}|\*",
+                expected="an HTTP method in capitals, or *",
+            ),
+            ini.text_key(
+                "path",
+                pattern=_PATH,
+                expected="/segment/*/..., with a last /** for the rest",
+            ),
+            ini.flag_key("repeatable"),
+            ini.text_key(
+                "idempotency_header",
+                pattern=_HEADER,
+                expected="a header's name",
+                default=None,
+            ),
+            name_key("deadline", default=None),
+        ),
+    ),
+    ini.Section(
+        name="retry",
+        make=demand.RetryLimits,
+        required=False,
+        keys=(
+            _count("max_attempts", 1, 5, default=2),
+            # Retries on top of full load are what keeps an overload going;
+            # half of the fresh traffic is the most that a fleet can stand.
+            ini.number_key("budget_fraction", low=0, high=0.5, default=0.1),
+        ),
+    ),
+    ini.Section(
+        name="queue",
+        make=demand.QueueLimits,
+        required=False,
+        keys=(
+            _count("max_requests", 1, 100_000, default=256),
+            _seconds("max_wait_s", 3600.0, default=10.0),
+        ),
+    ),
+    ini.Section(
+        name="weights",
+        make=demand.Weights,
+        required=False,
+        keys=(
+            ini.number_key("goodput", low=0, high=1000, default=1.0),
+            ini.number_key("role_changes", low=0, high=1000, default=1.0),
+        ),
+    ),
+)
+
+
+def parse_document(
+    text: str, *, source: str
+) -> Result[ServiceDocument, tuple[errors.DocumentError, ...]]:
+    """Reads a service document.
+
+    Args:
+        text: The document in INI.
+        source: Where it came from, for the errors.
+
+    Returns:
+        The document, or every error in it.
+    """
+    parsed = ini.parse_sections(
+        text, source=source, schema=SCHEMA, max_bytes=MAX_BYTES
+    )
+    for check in (_check_names, _check_kind, _check_deadlines, _check_routes):
+        check(parsed)
+    if parsed.faults:
+        return Failure(tuple(parsed.faults))
+    return Success(
+        ServiceDocument(
+            heading=parsed.one("document"),
+            models=parsed.objects["model"],
+            deadlines=parsed.objects["deadline"],
+            share=parsed.one("share"),
+            routes=parsed.objects["route"],
+            retry=parsed.one("retry"),
+            queue=parsed.one("queue"),
+            weights=parsed.one("weights"),
+        )
+    )
+
+
+def serialize_document(document: ServiceDocument) -> str:
+    """Returns the INI text that `parse_document` reads back equal."""
+    return ini.serialize_sections(
+        SCHEMA,
+        {
+            "document": (document.heading,),
+            "model": document.models,
+            "deadline": document.deadlines,
+            "share": (document.share,),
+            "route": document.routes,
+            "retry": (document.retry,),
+            "queue": (document.queue,),
+            "weights": (document.weights,),
+        },
+    )
+
+
+def _check_names(parsed: ini.Parsed) -> None:
+    for kind, names in parsed.names.items():
+        if len(names) > MAX_NAMED_SECTIONS:
+            expected = f"at most {MAX_NAMED_SECTIONS}"
+            parsed.fault(kind, "", f"{len(names)} sections", expected)
+    heading = parsed.one("document")
+    if heading is not None and heading.service == FLEET:
+        expected = "another name; this one stands for the fleet's document"
+        parsed.fault("document", "service", "reserved name", expected)
+
+
+def _check_kind(parsed: ini.Parsed) -> None:
+    heading, share = parsed.one("document"), parsed.one("share")
+    if heading is None:
+        return
+    engines = heading.kind == "model"
+    if engines and not parsed.names["model"]:
+        parsed.fault("model NAME", "", "missing", "a model service has one")
+    if not engines and parsed.names.get("model"):
+        header = f"model {parsed.names['model'][0]}"
+        parsed.fault(header, "", "a plain service has none", "no such section")
+    if share is None:
+        return
+    given = [share.guaranteed_token_s_per_s, share.guaranteed_fraction]
+    stated = sum(value is not None for value in given)
+    keys = "guaranteed_token_s_per_s or guaranteed_fraction"
+    if engines and stated != 1:
+        # A service without a guarantee could be starved by any borrower.
+        parsed.fault("share", keys, f"{stated} given", "exactly one")
+    if not engines and stated:
+        reason = "a plain service uses no engines"
+        parsed.fault("share", keys, reason, "neither")
+
+
+def _check_deadlines(parsed: ini.Parsed) -> None:
+    heading = parsed.one("document")
+    for deadline in parsed.objects.get("deadline", ()):
+        header = f"deadline {deadline.name}"
+        if heading is not None:
+            _check_limits(parsed, header, deadline, heading.kind == "model")
+        for key in ("first_token_s", "between_tokens_s"):
+            value = getattr(deadline, key)
+            if value is not None and value > deadline.whole_answer_s:
+                expected = "at most whole_answer_s"
+                parsed.fault(header, key, f"{value:g} s", expected)
+    classes = parsed.objects.get("deadline", ())
+    if len(classes) < len(parsed.names.get("deadline", ())):
+        return
+    for deadline in classes[:-1]:
+        if deadline.unconditional:
+            reason = "takes every request, so that none reaches later classes"
+            expected = "a condition, or its place at the end"
+            parsed.fault(f"deadline {deadline.name}", "", reason, expected)
+    if classes and not classes[-1].unconditional:
+        header = f"deadline {classes[-1].name}"
+        expected = "a last class without conditions, for all other requests"
+        parsed.fault(header, "", "has a condition", expected)
+
+
+def _check_limits(
+    parsed: ini.Parsed,
+    header: str,
+    deadline: demand.DeadlineClass,
+    engines: bool,
+) -> None:
+    tokens = (
+        "first_token_s",
+        "between_tokens_s",
+        "max_prompt_tokens",
+        "max_answer_tokens",
+    )
+    for key in tokens[:2] if engines else ():
+        if getattr(deadline, key) is None:
+            expected = "a limit, for a model service"
+            parsed.fault(header, key, "missing", expected)
+    for key in () if engines else tokens:
+        if getattr(deadline, key) is not None:
+            reason = "a plain service has no tokens"
+            parsed.fault(header, key, reason, "no such key")
+
+
+def _check_routes(parsed: ini.Parsed) -> None:
+    classes = parsed.names.get("deadline", ())
+    for route in parsed.objects.get("route", ()):
+        if route.deadline is not None and route.deadline not in classes:
+            expected = "one of " + ", ".join(classes)
+            reason = f"no deadline class {route.deadline!r}"
+            parsed.fault(f"route {route.name}", "deadline", reason, expected)
+    weights = parsed.one("weights")
+    if weights is not None and weights.goodput + weights.role_changes <= 0:
+        parsed.fault("weights", "goodput", "both are 0", "one above 0")
--- /dev/null
+++ b/packages/bulrushgrade/tests/test_demand.py
@@ -0,0 +1,67 @@
+"""Tests of the lookups in a document's sections."""
+
+from bulrushgrade import demand
+
+
+def _route(path, *, repeatable, method="*"):
+    return demand.Route(
+        name=path, method=method, path=path, repeatable=repeatable
+    )
+
+
+def test_a_wide_route_does_not_undo_a_narrow_one():
+    # Story: a farm books a spray day; the answer is lost; the system repeats
+    # the call and two crews come. Cause: a route for everything, written
+    # above the one for bookings, says that repeats do no harm.
+    routes = (
+        _route("/**", repeatable=True),
+        _route("/bookings/*", repeatable=False, method="PUT"),
+    )
+    for path in (
+        "/bookings/7",
+        "/bookings/7/",
+        "/Bookings/7",
+        "//bookings/7",
+        "/x/../bookings/7",
+        "/book%69ngs/7",
+    ):
+        assert not demand.is_repeatable(routes, method="PUT", path=path)
+    assert demand.is_repeatable(routes, method="GET", path="/bookings/7")
+    assert demand.is_repeatable(routes, method="PUT", path="/bookings/7/crew")
+    assert not demand.is_repeatable((), method="GET", path="/")
+
+
+def test_stars():
+    one = (_route("/a/*", repeatable=True),)
+    rest = (_route("/a/**", repeatable=True),)
+    for path, in_one, in_rest in (
+        ("/a", False, True),
+        ("/a/b", True, True),
+        ("/a/b/c", False, True),
+        ("/ab", False, False),
+    ):
+        found = demand.find_route(one, method="GET", path=path)
+        assert (found is not None) == in_one, path
+        found = demand.find_route(rest, method="GET", path=path)
+        assert (found is not None) == in_rest, path
+
+
+def test_a_request_has_the_first_class_that_it_meets():
+    def make(name, **conditions):
+        return demand.DeadlineClass(name=name, whole_answer_s=1.0, **conditions)
+
+    classes = (
+        make("marked", header="X-Kind: photo tag"),
+        make("short", max_prompt_tokens=100, max_answer_tokens=10),
+        make("rest"),
+    )
+    for prompt, answer, headers, name in (
+        (9, 9, {}, "short"),
+        (9, 9, {"x-kind": "photo tag"}, "marked"),
+        (101, 9, {}, "rest"),
+        (9, 11, {"x-kind": "other"}, "rest"),
+    ):
+        found = demand.classify(
+            classes, prompt_tokens=prompt, answer_tokens=answer, headers=headers
+        )
+        assert found.name == name
