--- a/packages/bulrushgrade/bulrushgrade/errors.py
+++ b/packages/bulrushgrade/bulrushgrade/errors.py
@@ -62,3 +62,40 @@
     key: str
     reason: str
     expected: str
+
+
+@attrs.frozen(kw_only=True)
+class BadHostList:
+    """An answer of the host list that can't be used.
+
+    Attributes:
+        reason: What was wrong, for a person.
+    """
+
+    reason: str
+
+
+@attrs.frozen(kw_only=True)
+class StaleHostList:
+    """A host list older than one that is already in force.
+
+    Attributes:
+        version: The version of the older list.
+        current: The version in force.
+    """
+
+    version: int
+    current: int
+
+
+@attrs.frozen(kw_only=True)
+class StalePeerMessage:
+    """A peer's message that a newer one has overtaken.
+
+    Attributes:
+        sender: The peer.
+        sequence: The message's number.
+    """
+
+    sender: str
+    sequence: int
--- /dev/null
+++ b/packages/bulrushgrade/bulrushgrade/subset.py
@@ -0,0 +1,233 @@
+"""Which endpoints a daemon is tied to, and which other daemons it hears.
+
+With every daemon tied to every endpoint, connections and load messages grow
+with the product of the two. A daemon is tied to a bounded subset instead,
+chosen by rendezvous hashing: all daemons compute the same ties from the same
+host list, and a change of one host moves only the ties of that host.
+
+Endpoints of the daemon's own zone come first. A few come from the next zone
+of the region, the same one for every daemon of a zone: were it a different
+one for each daemon, a daemon would share endpoints with nearly all others.
+"""
+
+from collections.abc import Iterable
+import heapq
+
+import attrs
+import xxhash
+
+from bulrushgrade import membership
+
+# Endpoints a service in the own zone. Two random choices need a handful of
+# near-equals to choose from; a dozen also keeps a tie's share of an endpoint
+# small when one of them fails.
+OWN_ZONE_TIES = 12
+# Endpoints a service outside the own zone, so that a daemon has somewhere to
+# place at once when its zone's endpoints are lost, before any list says so.
+# Up to OWN_ZONE_TIES + SPARE_TIES endpoints a service, all are tied to all.
+SPARE_TIES = 4
+# Daemons that may seek authority over one group of engines. Each reads the
+# group's stream, so the number is small; with three, two may be lost at once.
+CANDIDATES = 3
+
+
+def weigh(key: str, member: str) -> int:
+    """Returns the rendezvous weight of a member for a key, 64 bits."""
+    return xxhash.xxh3_64_intdigest(f"{key} {member}".encode())
+
+
+def rank(key: str, members: Iterable[str], count: int) -> tuple[str, ...]:
+    """Returns the members of the greatest weights for a key.
+
+    Args:
+        key: Whose choice this is.
+        members: Distinct names to choose from.
+        count: How many to return at most.
+
+    Returns:
+        The chosen members, the greatest weight first.
+    """
+    return tuple(
+        heapq.nlargest(count, members, key=lambda member: weigh(key, member))
+    )
+
+
+def order_zones(
+    own: tuple[str, str], zones: Iterable[tuple[str, str]]
+) -> tuple[tuple[str, str], ...]:
+    """Orders zones by how soon a daemon of one zone turns to them.
+
+    The own zone, then the region's others in a ring, then other regions. In a
+    ring each zone is the next of exactly one, so that the load of a lost zone
+    does not pile up on one by the chance of a hash.
+
+    Args:
+        own: The daemon's region and zone.
+        zones: Regions and zones that there are.
+    """
+    region, zone = own
+    near = sorted(z for z in zones if z[0] == region and z[1] > zone)
+    near += sorted(z for z in zones if z[0] == region and z[1] < zone)
+    far = sorted(z for z in zones if z[0] > region)
+    far += sorted(z for z in zones if z[0] < region)
+    return (own, *near, *far)
+
+
+@attrs.frozen(kw_only=True)
+class _Bucket:
+    """The endpoints of one service in one zone, with choices made so far."""
+
+    members: tuple[str, ...]
+    choices: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
+
+    def choose(self, daemon: str, count: int) -> tuple[str, ...]:
+        """Returns the daemon's first choices among the members."""
+        if daemon not in self.choices:
+            limit = OWN_ZONE_TIES + SPARE_TIES
+            self.choices[daemon] = rank(daemon, self.members, limit)
+        return self.choices[daemon][:count]
+
+
+class Ties:
+    """The ties of all daemons, by one host list.
+
+    Choices are kept for each zone and service until an endpoint there comes
+    or goes: computing all anew for one host would hold up the requests of a
+    large deployment for a good part of a second.
+    """
+
+    def __init__(self):
+        self._buckets: dict[str, dict[tuple[str, str], _Bucket]] = {}
+        self._daemons: dict[str, membership.Host] = {}
+        self._ties: dict[str, frozenset[str]] = {}
+
+    def update(self, hosts: Iterable[membership.Host]) -> None:
+        """Takes the hosts of a newer list.
+
+        Leaving hosts keep their ties: work is still in flight there, and
+        their loads still matter to those who share them.
+
+        Args:
+            hosts: All listed hosts, daemons and endpoints.
+        """
+        daemons: dict[str, membership.Host] = {}
+        sorted_out: dict[str, dict[tuple[str, str], list[str]]] = {}
+        for host in hosts:
+            if host.kind is membership.Kind.ENTRY:
+                daemons[host.address] = host
+                continue
+            by_zone = sorted_out.setdefault(host.service, {})
+            zone = (host.region, host.zone)
+            by_zone.setdefault(zone, []).append(host.address)
+        self._buckets = {
+            service: {
+                zone: self._reuse(service, zone, tuple(sorted(members)))
+                for zone, members in by_zone.items()
+            }
+            for service, by_zone in sorted_out.items()
+        }
+        for address in self._daemons.keys() - daemons.keys():
+            self._forget(address)
+        self._daemons = daemons
+        self._ties = {}
+
+    def get_endpoints(self, daemon: str) -> frozenset[str]:
+        """Returns the addresses of the endpoints that a daemon is tied to.
+
+        Args:
+            daemon: The address of a listed daemon; one that is not listed,
+                such as one just started, has no ties.
+        """
+        if daemon not in self._daemons:
+            return frozenset()
+        if daemon not in self._ties:
+            self._ties[daemon] = frozenset(
+                endpoint
+                for by_zone in self._buckets.values()
+                for endpoint in self._choose(self._daemons[daemon], by_zone)
+            )
+        return self._ties[daemon]
+
+    def find_peers(self, daemon: str) -> dict[str, frozenset[str]]:
+        """Returns the daemons that share an endpoint with one daemon.
+
+        Args:
+            daemon: The address of a daemon.
+
+        Returns:
+            The shared endpoints by the other daemon's address.
+        """
+        own = self.get_endpoints(daemon)
+        shared = {
+            other: own & self.get_endpoints(other)
+            for other in self._daemons
+            if other != daemon
+        }
+        return {other: ties for other, ties in shared.items() if ties}
+
+    def _choose(
+        self,
+        daemon: membership.Host,
+        by_zone: dict[tuple[str, str], _Bucket],
+    ) -> list[str]:
+        limit = OWN_ZONE_TIES + SPARE_TIES
+        if sum(len(b.members) for b in by_zone.values()) <= limit:
+            return [a for b in by_zone.values() for a in b.members]
+        own = (daemon.region, daemon.zone)
+        chosen: list[str] = []
+        for zone in order_zones(own, by_zone):
+            if zone not in by_zone:
+                continue
+            count = limit - len(chosen)
+            if zone == own:
+                count = OWN_ZONE_TIES
+            chosen.extend(by_zone[zone].choose(daemon.address, count))
+            if len(chosen) >= limit:
+                break
+        return chosen
+
+    def _reuse(
+        self, service: str, zone: tuple[str, str], members: tuple[str, ...]
+    ) -> _Bucket:
+        old = self._buckets.get(service, {}).get(zone)
+        if old is not None and old.members == members:
+            return old
+        return _Bucket(members=members)
+
+    def _forget(self, daemon: str) -> None:
+        for by_zone in self._buckets.values():
+            for bucket in by_zone.values():
+                bucket.choices.pop(daemon, None)
+
+
+def choose_candidates(
+    group: str,
+    own: tuple[str, str],
+    daemons: Iterable[membership.Host],
+    *,
+    count: int = CANDIDATES,
+) -> tuple[str, ...]:
+    """Returns the daemons that may seek authority over a group of engines.
+
+    All but one come from the group's zone, where orders travel shortest; the
+    last comes from the next zone, so that the loss of every entry host in a
+    zone does not leave its engines without a holder.
+
+    Args:
+        group: The name of the group.
+        own: The region and zone of the group's engines.
+        daemons: The listed daemons; leaving ones are passed over, since they
+            would give up the authority within minutes.
+        count: How many to return at most.
+    """
+    by_zone: dict[tuple[str, str], list[str]] = {}
+    for daemon in membership.select_live(daemons):
+        zone = (daemon.region, daemon.zone)
+        by_zone.setdefault(zone, []).append(daemon.address)
+    chosen: list[str] = []
+    for zone in order_zones(own, by_zone):
+        wanted = count - len(chosen)
+        if zone == own and len(by_zone) > 1:
+            wanted = max(1, count - 1)
+        chosen.extend(rank(group, by_zone.get(zone, ()), wanted))
+    return tuple(chosen[:count])
