--- /dev/null
+++ b/packages/bulrushgrade/bulrushgrade/catalog.py
@@ -0,0 +1,107 @@
+"""The accepted documents as a request meets them: what names mean."""
+
+from collections.abc import Iterable
+
+import attrs
+
+from bulrushgrade import document
+from bulrushgrade import fleet
+from bulrushgrade import work
+
+
+@attrs.frozen(kw_only=True)
+class Catalog:
+    """The services that are in force.
+
+    Attributes:
+        services: Their documents by service name.
+        offers: The model services that offer a model or adapter, by its name.
+        capacity_token_s_per_s: What the whole fleet can hold in work.
+    """
+
+    services: dict[str, document.ServiceDocument]
+    offers: dict[str, tuple[document.ServiceDocument, ...]]
+    capacity_token_s_per_s: float
+
+    def find_model_services(
+        self, name: str
+    ) -> tuple[document.ServiceDocument, ...]:
+        """Returns the model services that a request may mean by a name.
+
+        A service's own name goes before a model's, so that a service can
+        always be told from others that offer the same model.
+        """
+        service = self.services.get(name)
+        if service is not None and service.kind == "model":
+            return (service,)
+        return self.offers.get(name, ())
+
+    def find_plain_service(self, name: str) -> document.ServiceDocument | None:
+        """Returns the plain service of this name, or None."""
+        service = self.services.get(name)
+        if service is None or service.kind != "plain":
+            return None
+        return service
+
+    def policies(self) -> tuple[work.ServicePolicy, ...]:
+        """Returns what the decisions need to know of each service."""
+        return tuple(
+            _to_policy(service, self.capacity_token_s_per_s)
+            for service in self.services.values()
+        )
+
+
+def make_catalog(
+    services: Iterable[document.ServiceDocument],
+    fleet_document: fleet.FleetDocument | None,
+) -> Catalog:
+    """Returns the catalog of some accepted documents.
+
+    Args:
+        services: The accepted service documents.
+        fleet_document: The accepted fleet document, if there is one.
+    """
+    by_name = {service.service: service for service in services}
+    offers: dict[str, tuple[document.ServiceDocument, ...]] = {}
+    for service in by_name.values():
+        for name in _offered(service):
+            offers[name] = (*offers.get(name, ()), service)
+    capacity = 0.0
+    if fleet_document is not None:
+        capacity = fleet_document.capacity_token_s_per_s
+    return Catalog(
+        services=by_name, offers=offers, capacity_token_s_per_s=capacity
+    )
+
+
+def choose_model(service: document.ServiceDocument, name: str) -> str:
+    """Returns the model or adapter that a request to a service runs on.
+
+    Args:
+        service: The service's document.
+        name: What the request calls it: the service, a model or an adapter.
+    """
+    return name if name in _offered(service) else service.models[0].name
+
+
+def _offered(service: document.ServiceDocument) -> tuple[str, ...]:
+    names = [model.name for model in service.models]
+    for model in service.models:
+        names.extend(model.adapters)
+    return tuple(dict.fromkeys(names))
+
+
+def _to_policy(
+    service: document.ServiceDocument, capacity_token_s_per_s: float
+) -> work.ServicePolicy:
+    return work.ServicePolicy(
+        service=service.service,
+        team=service.team,
+        share=min(1.0, service.share.fraction_of(capacity_token_s_per_s)),
+        borrow=service.share.borrow,
+        priority=service.share.priority,
+        queue_limit=service.queue.max_requests,
+        retry_ratio=service.retry.budget_fraction,
+        goodput_weight=service.weights.goodput,
+        role_change_weight=service.weights.role_changes,
+    )
--- /dev/null
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/callers.py
@@ -0,0 +1,486 @@
+"""What callers meet: requests in, answers and refusals out."""
+
+from collections.abc import Callable
+import itertools
+from typing import Any
+
+import attrs
+import klein
+from returns.result import Failure
+from twisted.internet import defer
+
+from bulrushgrade import catalog as catalog_module
+from bulrushgrade import demand
+from bulrushgrade import document
+from bulrushgrade import work as work_module
+from bulrushgrade_daemon import plain
+from bulrushgrade_daemon import plainrelay
+from bulrushgrade_daemon import refusal
+from bulrushgrade_daemon import relay
+from bulrushgrade_daemon import reply
+from bulrushgrade_daemon import request as request_module
+from bulrushgrade_daemon import settings as settings_module
+from bulrushgrade_daemon import site
+from bulrushgrade_daemon import task
+
+SERVICES_PREFIX = "/services/"
+SERVICE_HEADER = "X-Service"
+REQUEST_HEADER = "X-Request-Id"
+DEFAULT_KEY_HEADER = "Idempotency-Key"
+MAX_CALLER_ID = 128
+MAX_KEY = 256
+METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
+JSON_TYPE = "application/json"
+# A host that can't decide yet or is full; another may do better at once.
+NOT_READY_RETRY_S = 1.0
+DRAIN_CHECK_S = 0.05
+
+
+@attrs.frozen(kw_only=True)
+class Parts:
+    """The services that callers' requests go through.
+
+    Attributes:
+        timers: The timer service.
+        relay: Carries model requests.
+        plain: Carries requests for plain services.
+        catalog: Returns the accepted documents, or None before the first.
+        ready: Returns None, or why this host can't serve yet.
+        on_broken: Called with the reason of a broken invariant.
+    """
+
+    timers: Any
+    relay: relay.Relay
+    plain: plainrelay.PlainRelay
+    catalog: Callable[[], catalog_module.Catalog | None]
+    ready: Callable[[], str | None]
+    on_broken: Callable[[str], None]
+
+
+class Callers:
+    """The HTTP service for callers, and its graceful stop."""
+
+    name = "callers"
+    requires = ("timer", "relay", "plainrelay", "documents", "hostlist")
+
+    def __init__(
+        self,
+        *,
+        reactor: Any,
+        settings: settings_module.Settings,
+        incarnation: str,
+        parts: Parts,
+    ):
+        """Makes the service.
+
+        Args:
+            reactor: Where it listens.
+            settings: The daemon's settings.
+            incarnation: Tells this run of the daemon from earlier ones.
+            parts: The services it uses.
+        """
+        self._reactor = reactor
+        self._settings = settings
+        self._limits = settings.limits
+        self._parts = parts
+        self._prefix = f"{settings.host.name}-{incarnation}"
+        self._numbers = itertools.count(1)
+        self._open: set[str] = set()
+        self._port: Any = None
+        self._stopping = False
+        self._counts = dict.fromkeys(
+            ("model", "plain", "bad", "not_ready", "stalled"), 0
+        )
+
+    @property
+    def address(self) -> str:
+        """Where callers reach this host, ``IP:PORT``."""
+        host = self._port.getHost()
+        return f"{host.host}:{host.port}"
+
+    @property
+    def counts(self) -> dict[str, int]:
+        """The counters, by name."""
+        return self._counts
+
+    @property
+    def open_requests(self) -> int:
+        """How many requests are open."""
+        return len(self._open)
+
+    async def start(self) -> None:
+        """Listens for callers."""
+        limits = self._limits
+        bounds = site.Bounds(
+            max_body_bytes=limits.max_body_bytes,
+            max_header_bytes=limits.max_header_bytes,
+            header_timeout_s=limits.header_timeout_s,
+            body_timeout_s=limits.body_timeout_s,
+            idle_timeout_s=limits.idle_timeout_s,
+            buffer_bytes=limits.buffer_bytes,
+        )
+        factory = site.CallerSite(
+            resource=self._app().resource(),
+            bounds=bounds,
+            reactor=self._reactor,
+        )
+        listen = self._settings.listen.callers
+        self._port = self._reactor.listenTCP(
+            listen.port, factory, interface=listen.host, backlog=1024
+        )
+
+    async def stop(self) -> None:
+        """Stops without cutting a request.
+
+        The balancer goes on sending for a while after the host says that it
+        is not ready, so those requests are still served; then nothing new is
+        taken, and what is open is finished.
+        """
+        self._stopping = True
+        await self._sleep(self._limits.stop_grace_s)
+        await defer.maybeDeferred(self._port.stopListening)
+        give_up = self._parts.timers.now + self._limits.drain_limit_s
+        while self._open and self._parts.timers.now < give_up:
+            await self._sleep(DRAIN_CHECK_S)
+
+    def receive(self, message: Any) -> None:
+        """Takes no messages."""
+
+    def dump(self) -> dict[str, Any]:
+        """Returns the counters and whether the host is ready."""
+        return {
+            "address": self.address if self._port else None,
+            "open": len(self._open),
+            "stopping": self._stopping,
+            "not_ready": self._not_ready(),
+            "counts": dict(self._counts),
+        }
+
+    def _app(self) -> klein.Klein:
+        app = klein.Klein()
+        app.route("/healthz", methods=["GET"])(self._health)
+        app.route("/readyz", methods=["GET"])(self._readiness)
+        for path in (request_module.COMPLETIONS, request_module.CHAT):
+            app.route(path, methods=["POST"])(self._complete)
+        app.route(
+            f"{SERVICES_PREFIX}<path:rest>",
+            methods=list(METHODS),
+            merge_slashes=False,
+        )(self._call)
+        app.handle_errors(Exception)(self._no_such)
+        return app
+
+    def _health(self, http_request: Any) -> bytes:
+        return b"ok\n"
+
+    def _readiness(self, http_request: Any) -> bytes:
+        reason = self._not_ready()
+        if reason is not None:
+            http_request.setResponseCode(503)
+        return f"{reason or 'ready'}\n".encode()
+
+    def _no_such(self, http_request: Any, failure: Any) -> bytes:
+        status = getattr(failure.value, "code", None)
+        if not isinstance(status, int):
+            self._parts.on_broken(failure.getTraceback())
+            status = 500
+        refused = refusal.bad_request(
+            "no such path or method", status=status, code="not_found"
+        )
+        return reply.refuse(http_request, refused)
+
+    def _not_ready(self) -> str | None:
+        return "stopping" if self._stopping else self._parts.ready()
+
+    def _complete(self, http_request: Any) -> Any:
+        self._counts["model"] += 1
+        job_or_refusal = self._model_job(http_request)
+        if isinstance(job_or_refusal, refusal.Refusal):
+            self._counts["bad"] += 1
+            return reply.refuse(http_request, job_or_refusal)
+        job, answer = job_or_refusal
+        self._prepare(http_request, job)
+        answer.control(
+            timers=self._parts.timers,
+            stall_s=self._limits.stall_timeout_s,
+            leave=lambda: self._leave_stalled(job),
+        )
+
+        async def run() -> bytes:
+            return answer.finish(await self._parts.relay.run(job))
+
+        return self._answer(
+            job.request_id, run(), lambda: self._parts.relay.leave(job)
+        )
+
+    def _call(self, http_request: Any, rest: str) -> Any:
+        self._counts["plain"] += 1
+        job = self._plain_job(http_request)
+        if isinstance(job, refusal.Refusal):
+            self._counts["bad"] += 1
+            return reply.refuse(http_request, job)
+        self._prepare(http_request, job)
+
+        async def run() -> bytes:
+            outcome = await self._parts.plain.run(job)
+            if isinstance(outcome, plain.PlainAnswer):
+                return reply.pass_answer(http_request, outcome)
+            return reply.refuse(http_request, outcome)
+
+        def leave() -> None:
+            job.gone = True
+
+        return self._answer(job.request_id, run(), leave)
+
+    def _answer(
+        self, request_id: str, work: Any, leave: Callable[[], None]
+    ) -> defer.Deferred:
+        """Runs the work of a request apart from the caller's connection.
+
+        A caller that leaves must not cut the work in the middle of a step
+        whose outcome has to be noted, so the connection's end is told to the
+        work instead of cancelling it.
+        """
+        answered: defer.Deferred = defer.Deferred(lambda _: leave())
+        self._open.add(request_id)
+
+        async def run() -> None:
+            try:
+                body = await work
+            finally:
+                self._open.discard(request_id)
+            if not answered.called:
+                answered.callback(body)
+
+        task.spawn(run(), name=request_id, on_broken=self._parts.on_broken)
+        return answered
+
+    def _prepare(self, http_request: Any, job: Any) -> None:
+        http_request.setHeader(REQUEST_HEADER, job.caller_id)
+        if self._stopping:
+            http_request.setHeader("Connection", "close")
+
+    def _leave_stalled(self, job: relay.ModelJob) -> None:
+        self._counts["stalled"] += 1
+        self._parts.relay.leave(job)
+
+    def _admit(self) -> refusal.Refusal | None:
+        reason = self._parts.ready()
+        if reason is not None:
+            self._counts["not_ready"] += 1
+            return refusal.not_ready(reason, NOT_READY_RETRY_S)
+        # Each open request holds buffers on both sides; without a bound a
+        # flood would end the process and cut them all.
+        if len(self._open) >= self._limits.max_open_requests:
+            return refusal.Refusal(
+                status=503,
+                code="host_full",
+                message="this host has too many open requests",
+                retry_after_s=NOT_READY_RETRY_S,
+            )
+        return None
+
+    def _model_job(
+        self, http_request: Any
+    ) -> tuple[relay.ModelJob, reply.ModelReply] | refusal.Refusal:
+        refused = self._admit()
+        if refused is not None:
+            return refused
+        content_type = http_request.getHeader("Content-Type") or ""
+        if content_type.split(";")[0].strip().lower() != JSON_TYPE:
+            return refusal.bad_request(
+                f"Content-Type must be {JSON_TYPE}",
+                status=415,
+                code="unsupported_media_type",
+            )
+        parsed = request_module.parse_completion(
+            http_request.content.read(), http_request.path.decode()
+        )
+        if isinstance(parsed, Failure):
+            return parsed.failure()
+        asked = parsed.unwrap()
+        service = self._find_model_service(
+            asked.model, http_request.getHeader(SERVICE_HEADER)
+        )
+        if isinstance(service, refusal.Refusal):
+            return service
+        return self._make_model_job(http_request, asked, service)
+
+    def _find_model_service(
+        self, name: str, wanted: str | None
+    ) -> document.ServiceDocument | refusal.Refusal:
+        found = self._parts.catalog().find_model_services(wanted or name)
+        if not found:
+            return refusal.bad_request(
+                f"no service offers the model {name!r}",
+                status=404,
+                code="unknown_model",
+            )
+        if len(found) > 1:
+            names = ", ".join(sorted(s.service for s in found))
+            return refusal.bad_request(
+                f"{name!r} is offered by {names}: name one of them in"
+                f" {SERVICE_HEADER}",
+                code="ambiguous_model",
+            )
+        return found[0]
+
+    def _make_model_job(
+        self,
+        http_request: Any,
+        asked: request_module.Completion,
+        service: document.ServiceDocument,
+    ) -> tuple[relay.ModelJob, reply.ModelReply]:
+        now = self._parts.timers.now
+        request_id = self._new_id()
+        prompt_tokens = work_module.estimate_tokens(asked.text)
+        limits = demand.classify(
+            service.deadlines,
+            prompt_tokens=prompt_tokens,
+            answer_tokens=asked.max_tokens,
+            headers=read_headers(http_request),
+        )
+        route = demand.find_route(
+            service.routes, method="POST", path=asked.path
+        )
+        work = work_module.Work(
+            request_id=request_id,
+            service=service.service,
+            team=service.team,
+            model=catalog_module.choose_model(service, asked.model),
+            prompt_tokens=prompt_tokens,
+            output_tokens=asked.max_tokens,
+            prefix=work_module.prefix_blocks(asked.text),
+            deadline=now + limits.whole_answer_s,
+            first_token_deadline=_plus(now, limits.first_token_s),
+            between_tokens_s=limits.between_tokens_s,
+            priority=service.share.priority,
+            repeatable=route is None or route.repeatable,
+        )
+        answer = reply.ModelReply(
+            http_request=http_request, request_id=request_id, asked=asked
+        )
+        job = relay.ModelJob(
+            request_id=request_id,
+            caller_id=_caller_id(http_request) or request_id,
+            asked=asked,
+            service=service,
+            model=work.model,
+            limits=limits,
+            work=work,
+            arrived_s=now,
+            on_event=answer.take,
+        )
+        answer.bind(job)
+        return job, answer
+
+    def _plain_job(
+        self, http_request: Any
+    ) -> plainrelay.PlainJob | refusal.Refusal:
+        refused = self._admit()
+        if refused is not None:
+            return refused
+        uri = http_request.uri.decode("latin-1")
+        name, _, rest = uri[len(SERVICES_PREFIX) :].partition("/")
+        service = self._parts.catalog().find_plain_service(name)
+        if service is None:
+            return refusal.bad_request(
+                f"there is no plain service {name!r}",
+                status=404,
+                code="unknown_service",
+            )
+        method = http_request.method.decode("latin-1")
+        path = "/" + rest.partition("?")[0]
+        route = demand.find_route(service.routes, method=method, path=path)
+        repeatable = demand.is_repeatable(
+            service.routes, method=method, path=path
+        )
+        key = _read_key(http_request, route)
+        if isinstance(key, refusal.Refusal):
+            return key
+        return self._make_plain_job(
+            http_request, service, route, f"/{rest}", repeatable, key
+        )
+
+    def _make_plain_job(
+        self,
+        http_request: Any,
+        service: document.ServiceDocument,
+        route: document.Route | None,
+        path: str,
+        repeatable: bool,
+        key: str | None,
+    ) -> plainrelay.PlainJob:
+        now = self._parts.timers.now
+        request_id = self._new_id()
+        limits = demand.classify(
+            service.deadlines, headers=read_headers(http_request)
+        )
+        for named in service.deadlines:
+            if route is not None and named.name == route.deadline:
+                limits = named
+        return plainrelay.PlainJob(
+            request_id=request_id,
+            caller_id=_caller_id(http_request) or request_id,
+            service=service,
+            method=http_request.method.decode("latin-1"),
+            path=path,
+            headers=plain.pass_headers(_all_headers(http_request)),
+            body=http_request.content.read(),
+            key=key,
+            work=work_module.Work(
+                request_id=request_id,
+                service=service.service,
+                team=service.team,
+                deadline=now + limits.whole_answer_s,
+                priority=service.share.priority,
+                repeatable=repeatable,
+            ),
+        )
+
+    def _new_id(self) -> str:
+        return f"{self._prefix}-{next(self._numbers)}"
+
+    async def _sleep(self, delay_s: float) -> None:
+        done: defer.Deferred = defer.Deferred()
+        self._parts.timers.after(delay_s, lambda: done.callback(None))
+        await done
+
+
+def read_headers(http_request: Any) -> dict[str, str]:
+    """Returns the first value of each header, by name in lower case."""
+    headers: dict[str, str] = {}
+    for name, value in _all_headers(http_request):
+        headers.setdefault(name.lower(), value)
+    return headers
+
+
+def _all_headers(http_request: Any) -> list[tuple[str, str]]:
+    return [
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, values in http_request.requestHeaders.getAllRawHeaders()
+        for value in values
+    ]
+
+
+def _caller_id(http_request: Any) -> str | None:
+    given = http_request.getHeader(REQUEST_HEADER)
+    if given and len(given) <= MAX_CALLER_ID and given.isprintable():
+        return given
+    return None
+
+
+def _read_key(
+    http_request: Any, route: document.Route | None
+) -> str | None | refusal.Refusal:
+    header = DEFAULT_KEY_HEADER
+    if route is not None and route.idempotency_header is not None:
+        header = route.idempotency_header
+    key = http_request.getHeader(header)
+    if key is not None and not 1 <= len(key) <= MAX_KEY:
+        return refusal.bad_request(f"{header} must have 1 to {MAX_KEY} bytes")
+    return key
+
+
+def _plus(now: float, limit_s: float | None) -> float | None:
+    return None if limit_s is None else now + limit_s
--- /dev/null
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/reply.py
@@ -0,0 +1,149 @@
+"""Writes answers and refusals to callers."""
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from bulrushgrade_daemon import engine
+from bulrushgrade_daemon import plain
+from bulrushgrade_daemon import refusal
+from bulrushgrade_daemon import relay
+from bulrushgrade_daemon import request
+from bulrushgrade_daemon import site
+
+EVENT_STREAM = "text/event-stream"
+DONE_EVENT = b"data: [DONE]\n\n"
+
+
+def refuse(http_request: Any, refused: refusal.Refusal) -> bytes:
+    """Sets the head of a refusal and returns its body."""
+    http_request.setResponseCode(refused.status)
+    http_request.setHeader("Content-Type", "application/json")
+    after = refusal.retry_header(refused)
+    if after is not None:
+        http_request.setHeader("Retry-After", after)
+    return refusal.serialize_refusal(refused)
+
+
+def pass_answer(http_request: Any, answer: plain.PlainAnswer) -> bytes:
+    """Sets the head of a plain service's answer and returns its body."""
+    http_request.setResponseCode(answer.status)
+    for name, value in answer.headers:
+        http_request.responseHeaders.addRawHeader(name, value)
+    return answer.body
+
+
+class ModelReply:
+    """One model answer on its way to a caller, as a stream or whole."""
+
+    def __init__(
+        self,
+        *,
+        http_request: Any,
+        request_id: str,
+        asked: request.Completion,
+    ):
+        self._http = http_request
+        self._id = request_id
+        self._asked = asked
+        self._job: relay.ModelJob | None = None
+        self._texts: list[str] = []
+        self._last: engine.Event | None = None
+        self._begun = False
+        self._control: site.FlowControl | None = None
+
+    def bind(self, job: relay.ModelJob) -> None:
+        """Ties the reply to the request that it answers."""
+        self._job = job
+
+    def control(
+        self, *, timers: Any, stall_s: float, leave: Callable[[], None]
+    ) -> None:
+        """Passes the caller's reading speed on to the engine.
+
+        Args:
+            timers: The timer service.
+            stall_s: How long a caller may leave its buffer full.
+            leave: Called when it has for longer: its engine's place and the
+                buffers are worth more to others.
+        """
+        job = self._job
+        stalled: Any = None
+
+        def pause() -> None:
+            nonlocal stalled
+            job.pause()
+            stalled = timers.after(stall_s, stall)
+
+        def stall() -> None:
+            leave()
+            self._http.loseConnection()
+
+        def resume() -> None:
+            if stalled is not None:
+                stalled.cancel()
+            job.resume()
+
+        def stop() -> None:
+            if stalled is not None:
+                stalled.cancel()
+
+        self._control = site.FlowControl(
+            pause=pause, resume=resume, stop=stop
+        )
+
+    def take(self, event: engine.Event) -> None:
+        """Takes an event of the answer, in order."""
+        if not self._asked.stream:
+            self._last = event
+            if event.text is not None:
+                self._texts.append(event.text)
+            return
+        if not self._begun:
+            self._begin()
+        # Callers see one id for the whole answer, whichever attempts it took.
+        raw = event.raw.replace(
+            event.attempt_id.encode(), self._id.encode(), 1
+        )
+        self._http.write(b"data: " + raw + b"\n\n")
+
+    def finish(self, refused: refusal.Refusal | None) -> bytes:
+        """Returns what is left to write once the request has ended."""
+        if self._begun and self._http.channel is not None:
+            self._http.unregisterProducer()
+        if refused is None:
+            return DONE_EVENT if self._asked.stream else self._whole()
+        if not self._begun:
+            return refuse(self._http, refused)
+        # The status is long sent; the missing end marker and this event tell
+        # the caller that the answer is cut.
+        return b"data: " + refusal.serialize_refusal(refused) + b"\n\n"
+
+    def _begin(self) -> None:
+        self._begun = True
+        self._http.setHeader("Content-Type", EVENT_STREAM)
+        self._http.setHeader("Cache-Control", "no-cache")
+        if self._http.channel is not None:
+            self._http.registerProducer(self._control, True)
+
+    def _whole(self) -> bytes:
+        self._http.setHeader("Content-Type", "application/json")
+        text = "".join(self._texts)
+        choice: dict[str, Any] = {
+            "index": 0,
+            "finish_reason": self._last.finish_reason,
+        }
+        if self._asked.chat:
+            choice["message"] = {"role": "assistant", "content": text}
+        else:
+            choice["text"] = text
+        return msgspec.json.encode({
+            "id": self._id,
+            "object": (
+                "chat.completion" if self._asked.chat else "text_completion"
+            ),
+            "model": self._job.model,
+            "choices": [choice],
+            "usage": self._last.usage,
+        })
