Add the lease and once-only folds with their process-local views

Authority and once-only requests have to be decided by the log's order alone, since hosts keep nothing and no second coordination service exists. The lease fold judges claim, renew and release by an exact chain of offsets, which makes second copies harmless without a list of ids, also for a reader to which only the second copy is left; ruled out was judging renewals by their term alone, since a reader of a trimmed stream would believe a superseded holder. Renewals carry the last effective offset as testimony for such readers.

--- a/packages/bulrushgrade/bulrushgrade/errors.py
+++ b/packages/bulrushgrade/bulrushgrade/errors.py
@@ -62,3 +62,13 @@
     key: str
     reason: str
     expected: str
+
+
+@attrs.frozen(kw_only=True)
+class KeyConflict:
+    """An idempotency key was used before for another request."""
+
+
+@attrs.frozen(kw_only=True)
+class OnceNotReady:
+    """The stream of once-only requests has not been read to its end yet."""
--- /dev/null
+++ b/packages/bulrushgrade/tests/test_lease.py
@@ -0,0 +1,139 @@
+"""Tests of one candidate's lease, against a model of the log."""
+
+import itertools
+
+from bulrushgrade import lease
+from bulrushgrade import modellog
+
+TIMES = lease.LeaseTimes()
+STREAM = "control.pack-llm"
+
+
+class Candidate:
+    """A candidate with the calls that its daemon would make."""
+
+    def __init__(self, *, log, name, rank=0, times=TIMES):
+        ids = itertools.count()
+        self.log = log
+        self.lease = lease.Lease(
+            group="pack-llm",
+            holder=name,
+            rank=rank,
+            times=times,
+            new_id=lambda: f"{name}-{next(ids)}",
+        )
+
+    def read(self, now):
+        page = self.log.read(STREAM, self.lease.next_offset)
+        self.lease.apply_page(page, now)
+
+    def turn(self, now):
+        self.read(now)
+        for append in self.lease.tick(now):
+            self.log.append(append)
+        self.read(now)
+
+
+def test_first_candidate_holds_and_renews():
+    log = modellog.ModelLog()
+    a = Candidate(log=log, name="a")
+    a.turn(0.0)
+    assert (a.lease.phase, a.lease.term) == ("holding", 0)
+    assert a.lease.until == TIMES.ttl_s - TIMES.guard_s
+    a.turn(1.9)
+    assert a.lease.next_offset == 1
+    a.turn(2.0)
+    assert a.lease.until == 2.0 + TIMES.ttl_s - TIMES.guard_s
+    assert log.read(STREAM, 0).end_offset == 2
+
+
+def test_second_waits_for_the_whole_lease():
+    log = modellog.ModelLog()
+    a = Candidate(log=log, name="a")
+    b = Candidate(log=log, name="b", rank=1)
+    a.turn(0.0)
+    b.turn(1.0)
+    due = 1.0 + TIMES.ttl_s + TIMES.guard_s + TIMES.stagger_s
+    b.turn(due - 0.01)
+    assert b.lease.phase == "watching"
+    b.turn(due)
+    assert (b.lease.phase, b.lease.term) == ("holding", 1)
+
+
+def test_woken_holder_does_not_act():
+    # Two daemons steer one group: A is stopped for several TTLs, B takes
+    # over, A wakes and still believes it holds the lease.
+    log = modellog.ModelLog()
+    a = Candidate(log=log, name="a")
+    b = Candidate(log=log, name="b")
+    a.turn(0.0)
+    for now in (0.0, 30.0):
+        b.turn(now)
+    assert a.lease.phase == "holding"
+    assert not a.lease.acting(30.0)
+    assert b.lease.acting(30.0)
+    a.turn(30.0)
+    assert a.lease.phase == "watching"
+
+
+def test_claim_whose_answer_was_lost_counts_from_before_it_was_sent():
+    # The log takes A's claim but the answer is lost, and A reads it back only
+    # when the time it asked for is all but over.
+    log = modellog.ModelLog()
+    a = Candidate(log=log, name="a")
+    a.read(0.0)
+    (append,) = a.lease.tick(0.0)
+    log.append(append)
+    log.append(append)
+    a.read(5.0)
+    assert a.lease.acting(5.0)
+    assert not a.lease.acting(5.5)
+
+
+def test_lapsed_holder_goes_on_with_its_term_when_the_log_is_back():
+    log = modellog.ModelLog()
+    a = Candidate(log=log, name="a")
+    a.turn(0.0)
+    assert not a.lease.acting(20.0)
+    a.turn(20.0)
+    assert a.lease.acting(20.0)
+    assert a.lease.term == 0
+
+
+def test_release_spares_the_wait():
+    log = modellog.ModelLog()
+    a = Candidate(log=log, name="a")
+    b = Candidate(log=log, name="b", rank=1)
+    a.turn(0.0)
+    b.turn(0.0)
+    log.append(a.lease.retire(3.0))
+    assert not a.lease.acting(3.0)
+    b.turn(3.0)
+    b.turn(3.0 + TIMES.stagger_s)
+    assert b.lease.acting(3.5)
+    assert b.lease.term == 2
+
+
+def test_lost_release_is_sent_again():
+    log = modellog.ModelLog()
+    a = Candidate(log=log, name="a")
+    a.turn(0.0)
+    assert a.lease.retire(1.0) is not None
+    a.turn(2.0)
+    assert a.lease.fold.term is None
+
+
+def test_quiet_trimmed_group_is_claimed_again():
+    # All hosts are replaced after a night without the log; every lease record
+    # is trimmed. Without a way to claim, nobody would ever hold the group.
+    log = modellog.ModelLog()
+    old = Candidate(log=log, name="old")
+    old.turn(0.0)
+    log.trim(STREAM, 1)
+    a = Candidate(log=log, name="a")
+    a.turn(1.0)
+    assert not a.lease.fold.judged
+    a.turn(7.0)
+    assert a.lease.phase == "watching"
+    a.turn(7.5)
+    assert (a.lease.phase, a.lease.term) == ("holding", 1)
