--- a/packages/bulrushgrade/bulrushgrade/errors.py
+++ b/packages/bulrushgrade/bulrushgrade/errors.py
@@ -118,3 +118,12 @@
 
     sender: str
     sequence: int
+
+@attrs.frozen(kw_only=True)
+class KeyConflict:
+    """An idempotency key was used before for another request."""
+
+
+@attrs.frozen(kw_only=True)
+class OnceNotReady:
+    """The stream of once-only requests has not been read to its end yet."""
