Rename the module of endpoint pools to pools (by the lead)

Change: fleet.py is pools.py here; nothing else. Before and after: the scheduler's tests pass. Conclusion: please go on in pools.py.

--- a/packages/bulrushgrade/bulrushgrade/scheduler.py
+++ b/packages/bulrushgrade/bulrushgrade/scheduler.py
@@ -11,9 +11,9 @@
 from typing import Any
 
 from bulrushgrade import admission
-from bulrushgrade import fleet
 from bulrushgrade import lane
 from bulrushgrade import placement
+from bulrushgrade import pools
 from bulrushgrade import progress
 from bulrushgrade import queueing
 from bulrushgrade import retry
@@ -71,12 +71,12 @@
         self._zone = zone
         self._rng = rng
         self._judge = judge
-        self._fleet = fleet.Fleet(rng=rng)
+        self._fleet = pools.Fleet(rng=rng)
         self._policies: dict[str, work.ServicePolicy] = {}
         self._budgets: dict[str, retry.RetryBudget] = {}
         self._progress: dict[str, progress.Progress] = {}
         self._waiting: dict[
-            str, tuple[fleet.PoolState, lane.LaneName, lane.Waiting]
+            str, tuple[pools.PoolState, lane.LaneName, lane.Waiting]
         ] = {}
         self._outbox: dict[str, work.Placed | work.Refused] = {}
         self._numbers = itertools.count()
@@ -283,7 +283,7 @@
 
     def _queue(
         self,
-        state: fleet.PoolState,
+        state: pools.PoolState,
         name: lane.LaneName,
         item: lane.Waiting,
         now: float,
@@ -307,7 +307,7 @@
         self._counts["queued"] += 1
         return work.Queued(request_id=wanted.request_id, wait_s=wait_s)
 
-    def _dispatch(self, state: fleet.PoolState, now: float) -> None:
+    def _dispatch(self, state: pools.PoolState, now: float) -> None:
         for item in state.queue.take_expired(now):
             del self._waiting[item.work.request_id]
             late_s = now - item.latest_start
@@ -326,7 +326,7 @@
 
     def _place(
         self,
-        state: fleet.PoolState,
+        state: pools.PoolState,
         name: lane.LaneName,
         item: lane.Waiting,
         now: float,
