--- a/packages/bulrushgrade/bulrushgrade/errors.py
+++ b/packages/bulrushgrade/bulrushgrade/errors.py
@@ -58,30 +58,11 @@
     """
 
     file: str
-class DocumentError:
-    """One fault of a document, named so that its author can mend it.
-
-    Attributes:
-        source: The file or record that the text came from.
-        section: The section's header without brackets, or "" for the whole.
-        key: The key, or "" where the section itself is at fault.
-        reason: What is wrong.
-        expected: What would be right.
-    """
-
-    source: str
     section: str
     key: str
     reason: str
     expected: str
 
-    def __str__(self) -> str:
-        place = f"[{self.section}]" if self.section else "document"
-        if self.key:
-            place += f" {self.key}"
-        return (
-            f"{self.source}: {place}: {self.reason}; expected {self.expected}"
-        )
 
 @attrs.frozen(kw_only=True)
 class BadHostList:
@@ -119,6 +100,34 @@
     sender: str
     sequence: int
 
+
+@attrs.frozen(kw_only=True)
+class DocumentError:
+    """One fault of a document, named so that its author can mend it.
+
+    Attributes:
+        source: The file or record that the text came from.
+        section: The section's header without brackets, or "" for the whole.
+        key: The key, or "" where the section itself is at fault.
+        reason: What is wrong.
+        expected: What would be right.
+    """
+
+    source: str
+    section: str
+    key: str
+    reason: str
+    expected: str
+
+    def __str__(self) -> str:
+        place = f"[{self.section}]" if self.section else "document"
+        if self.key:
+            place += f" {self.key}"
+        return (
+            f"{self.source}: {place}: {self.reason}; expected {self.expected}"
+        )
+
+
 @attrs.frozen(kw_only=True)
 class KeyConflict:
     """An idempotency key was used before for another request."""
--- a/packages/bulrushgrade/bulrushgrade/pools.py
+++ b/packages/bulrushgrade/bulrushgrade/pools.py
@@ -1,239 +1,217 @@
-"""The fleet document: who shares which engines.
+"""The endpoints that one host knows, grouped into pools of equal ability."""
 
-It travels on the same stream as the service documents, under the reserved
-service name `document.FLEET`, so that one order of offsets decides both which
-team owns a service and whether the guaranteed shares still fit.
-"""
-
-from collections.abc import Iterable
-import math
+import random
+from typing import Any
 
 import attrs
-from returns.result import Failure
-from returns.result import Result
-from returns.result import Success
-
-from bulrushgrade import demand
-from bulrushgrade import document
-from bulrushgrade import errors
-from bulrushgrade import ini
-
-# Some thousand services with a line each; see `document.MAX_BYTES`.
-MAX_BYTES = 256 * 1024
-
-# Shares such as 0.1 + 0.2 + 0.7 come to a hair more than 1 in binary
-# fractions; no fleet is sized to a billionth.
-ROUNDING = 1e-9
-
-
-@attrs.frozen(kw_only=True)
-class FleetHeading:
-    """Which fleet, and who may change its document.
-
-    Attributes:
-        format: Number of the rules that it is written for.
-        name: The fleet's name.
-        team: The team that keeps the fleet's document.
-        newest_format: The newest rules that documents may be published
-            under. It is raised after every daemon's release knows the rules.
-    """
-
-    format: int
-    name: str
-    team: str
-    newest_format: int = document.VALIDATION
 
+from bulrushgrade import ejection
+from bulrushgrade import load
+from bulrushgrade import placement
+from bulrushgrade import queueing
+from bulrushgrade import work
 
-@attrs.frozen(kw_only=True)
-class Region:
-    """Availability zones that are near to each other."""
+Key = tuple[str, str]
+"""What a pool is for: ``("model", NAME)`` or ``("service", NAME)``."""
 
-    name: str
-    zones: tuple[str, ...]
 
+@attrs.define(kw_only=True, eq=False)
+class PoolState:
+    """A pool of endpoints and what waits for it."""
 
-@attrs.frozen(kw_only=True)
-class Team:
-    """A member team and the services that it owns."""
+    pool: placement.Pool
+    queue: queueing.PoolQueue
 
-    name: str
-    services: tuple[str, ...] = ()
 
+class Fleet:
+    """Endpoints with their loads, and the pools that they belong to.
 
-@attrs.frozen(kw_only=True)
-class Engines:
-    """Like engines in one availability zone.
-
-    Attributes:
-        name: A name for the set.
-        zone: The availability zone.
-        count: How many engines.
-        token_s_per_s: What each can hold in work, in token-seconds a second.
+    An engine belongs to the pool of its model and of each adapter that it
+    has loaded; a plain endpoint to that of its service.
     """
 
-    name: str
-    zone: str
-    count: int
-    token_s_per_s: float
-
-
-@attrs.frozen(kw_only=True)
-class FleetDocument:
-    """The fleet's document; sections are attributes, see their classes."""
-
-    heading: FleetHeading
-    regions: tuple[Region, ...]
-    teams: tuple[Team, ...]
-    engines: tuple[Engines, ...]
+    def __init__(self, *, rng: random.Random):
+        self._rng = rng
+        self._policies: tuple[work.ServicePolicy, ...] = ()
+        self._loads: dict[str, load.EndpointLoad] = {}
+        self._keys: dict[str, tuple[Key, ...]] = {}
+        self._pools: dict[Key, PoolState] = {}
+        self._peers: dict[str, float] = {}
 
     @property
-    def team(self) -> str:
-        """The team that keeps the document."""
-        return self.heading.team
+    def pools(self) -> tuple[PoolState, ...]:
+        """All pools."""
+        return tuple(self._pools.values())
+
+    def set_policies(self, policies: tuple[work.ServicePolicy, ...]) -> None:
+        """Replaces the shares in all pools."""
+        self._policies = policies
+        for state in self._pools.values():
+            self._set_shares(state)
+
+    def set_endpoints(self, endpoints: tuple[work.Endpoint, ...]) -> None:
+        """Replaces the view of the endpoints; what is known of them stays."""
+        wanted = {endpoint.address: endpoint for endpoint in endpoints}
+        for address in [a for a in self._loads if a not in wanted]:
+            for key in self._keys.pop(address):
+                self._pools[key].pool.drop(address)
+            del self._loads[address]
+        for address, endpoint in wanted.items():
+            self._set_endpoint(address, endpoint)
+
+    def find_pool(self, item: work.Work) -> PoolState | None:
+        """Returns the pool for some work, or None without one in service."""
+        key = ("service", item.service)
+        if item.model:
+            key = ("model", item.model)
+        state = self._pools.get(key)
+        return state if state and state.pool.serving() else None
+
+    def report(self, report: work.LoadReport, now: float) -> None:
+        """Takes in an engine's lagged report of its load."""
+        item = self._loads.get(report.endpoint)
+        if item is not None:
+            item.take_report(report, now)
+            self._refresh(report.endpoint)
+
+    def peer_load(
+        self, peer: str, loads: tuple[work.PeerLoad, ...], now: float
+    ) -> None:
+        """Takes in all that a peer has in flight; what it omits is none."""
+        self._peers[peer] = now
+        told = {item.endpoint: item for item in loads}
+        for address, item in self._loads.items():
+            theirs = told.get(address)
+            amount = load.NOTHING
+            if theirs is not None:
+                amount = load.Amount(
+                    float(theirs.running),
+                    float(theirs.prefill_backlog_tokens),
+                    float(theirs.kv_tokens),
+                )
+            if item.set_peer(peer, amount, now):
+                self._refresh(address)
+
+    def fresh_peers(self, now: float) -> int:
+        """Returns how many peers have been heard lately."""
+        return sum(now - at <= load.PEER_LIFE_S for at in self._peers.values())
+
+    def expire_peers(self, now: float) -> None:
+        """Forgets the loads of peers that fell silent."""
+        for peer in [
+            p for p, at in self._peers.items() if now - at > load.PEER_LIFE_S
+        ]:
+            del self._peers[peer]
+            for address, item in self._loads.items():
+                item.set_peer(peer, load.NOTHING, now)
+                self._refresh(address)
+
+    def own_loads(self) -> tuple[work.PeerLoad, ...]:
+        """Returns what this host has in flight, for its peers."""
+        return tuple(
+            work.PeerLoad(
+                endpoint=address,
+                running=round(item.own.running),
+                prefill_backlog_tokens=round(item.own.prefill_tokens),
+                kv_tokens=round(item.own.kv_tokens),
+            )
+            for address, item in self._loads.items()
+            if item.own != load.NOTHING
+        )
 
-    @property
-    def owners(self) -> dict[str, str]:
-        """The owning team's name by service."""
+    def cache_event(self, endpoint: str, prefix: int, stored: bool) -> None:
+        """Takes in that an engine stored or evicted a prompt block."""
+        for key in self._keys.get(endpoint, ()):
+            prefixes = self._pools[key].pool.prefixes
+            if stored:
+                prefixes.add((prefix,), endpoint)
+            else:
+                prefixes.discard(prefix, endpoint)
+
+    def book(
+        self, item: load.EndpointLoad, amount: load.Amount, now: float
+    ) -> None:
+        """Adds to this host's work in flight at an endpoint."""
+        item.add_own(amount, now)
+        self._refresh(item.endpoint.address)
+
+    def observe_failure(self, address: str, now: float) -> None:
+        """Notes that an endpoint failed a request."""
+        item = self._loads.get(address)
+        if item is not None:
+            item.health.fail()
+            self._judge(item, now)
+
+    def observe_ratio(
+        self, item: load.EndpointLoad, ratio: float, now: float
+    ) -> None:
+        """Notes an answer's observed to predicted time."""
+        item.health.observe(ratio)
+        self._judge(item, now)
+
+    def dump(self) -> dict[str, Any]:
+        """Returns the state for a person, ready for JSON."""
         return {
-            service: team.name
-            for team in self.teams
-            for service in team.services
+            "peers": sorted(self._peers),
+            "endpoints": {
+                address: item.dump() for address, item in self._loads.items()
+            },
+            "pools": {
+                "/".join(key): {
+                    "queues": state.queue.dump(),
+                    "shares": state.queue.shares.dump(),
+                    "cost": state.pool.model.dump(),
+                }
+                for key, state in self._pools.items()
+            },
         }
 
-    @property
-    def capacity_token_s_per_s(self) -> float:
-        """What all engines can hold in work together."""
-        return math.fsum(e.count * e.token_s_per_s for e in self.engines)
-
-
-SCHEMA = (
-    ini.Section(
-        name="fleet",
-        make=FleetHeading,
-        keys=(
-            document.FORMAT_KEY,
-            document.name_key("name"),
-            document.name_key("team"),
-            ini.number_key(
-                "newest_format",
-                low=1,
-                high=1000,
-                whole=True,
-                default=document.VALIDATION,
-            ),
-        ),
-    ),
-    ini.Section(
-        name="region",
-        make=Region,
-        named=True,
-        keys=(ini.list_key("zones", pattern=document.NAME, expected="names"),),
-    ),
-    ini.Section(
-        name="team",
-        make=Team,
-        named=True,
-        keys=(
-            ini.list_key(
-                "services", pattern=document.NAME, expected="names", default=()
-            ),
-        ),
-    ),
-    ini.Section(
-        name="engines",
-        make=Engines,
-        named=True,
-        required=False,
-        keys=(
-            document.name_key("zone"),
-            ini.number_key("count", low=0, high=100_000, whole=True),
-            ini.number_key("token_s_per_s", low=0, high=1e9),
-        ),
-    ),
-)
-
-
-def parse_fleet(
-    text: str, *, source: str
-) -> Result[FleetDocument, tuple[errors.DocumentError, ...]]:
-    """Reads a fleet document.
-
-    Args:
-        text: The document in INI.
-        source: Where it came from, for the errors.
-
-    Returns:
-        The document, or every error in it.
-    """
-    parsed = ini.parse_sections(
-        text, source=source, schema=SCHEMA, max_bytes=MAX_BYTES
-    )
-    _check_team(parsed)
-    _check_once(parsed, "region", "zones")
-    _check_once(parsed, "team", "services")
-    _check_zones(parsed)
-    if parsed.faults:
-        return Failure(tuple(parsed.faults))
-    return Success(
-        FleetDocument(
-            heading=parsed.one("fleet"),
-            regions=parsed.objects["region"],
-            teams=parsed.objects["team"],
-            engines=parsed.objects["engines"],
-        )
-    )
-
-
-def serialize_fleet(fleet: FleetDocument) -> str:
-    """Returns the INI text that `parse_fleet` reads back equal."""
-    return ini.serialize_sections(
-        SCHEMA,
-        {
-            "fleet": (fleet.heading,),
-            "region": fleet.regions,
-            "team": fleet.teams,
-            "engines": fleet.engines,
-        },
-    )
-
-
-def fits(shares: Iterable[demand.Share], capacity_token_s_per_s: float) -> bool:
-    """Whether guaranteed shares fit a capacity together.
-
-    The sum is exact before it is rounded (`math.fsum`), so that the verdict
-    does not depend on the order in which a daemon came by the documents.
-    """
-    parts = (share.fraction_of(capacity_token_s_per_s) for share in shares)
-    return math.fsum(parts) <= 1.0 + ROUNDING
-
-
-def _check_team(parsed: ini.Parsed) -> None:
-    heading, teams = parsed.one("fleet"), parsed.names.get("team", ())
-    if heading is not None and heading.team not in teams:
-        expected = "a team with a section of its own"
-        parsed.fault("fleet", "team", f"no team {heading.team!r}", expected)
-
-
-def _check_once(parsed: ini.Parsed, kind: str, key: str) -> None:
-    seen: dict[str, str] = {}
-    for made in parsed.objects.get(kind, ()):
-        header = f"{kind} {made.name}"
-        for name in getattr(made, key):
-            if name in seen:
-                reason = f"{name!r} also stands under [{seen[name]}]"
-                parsed.fault(header, key, reason, "each name once")
-            if name == document.FLEET:
-                parsed.fault(header, key, "reserved name", "another name")
-            seen.setdefault(name, header)
-
-
-def _check_zones(parsed: ini.Parsed) -> None:
-    regions = parsed.objects.get("region", ())
-    if len(regions) < len(parsed.names.get("region", ())):
-        return
-    zones = {zone for region in regions for zone in region.zones}
-    for engines in parsed.objects.get("engines", ()):
-        if engines.zone not in zones:
-            reason = f"no availability zone {engines.zone!r}"
-            expected = "a zone that a region lists"
-            parsed.fault(f"engines {engines.name}", "zone", reason, expected)
+    def _judge(self, item: load.EndpointLoad, now: float) -> None:
+        for key in self._keys.get(item.endpoint.address, ())[:1]:
+            fellows = self._pools[key].pool.fellows(item.endpoint.role)
+            ejection.judge(item.health, fellows, now)
+
+    def _set_endpoint(self, address: str, endpoint: work.Endpoint) -> None:
+        known = self._loads.get(address)
+        if known is None:
+            known = load.EndpointLoad(endpoint=endpoint)
+            self._loads[address] = known
+            self._keys[address] = ()
+        elif known.endpoint == endpoint:
+            return
+        known.describe(endpoint)
+        keys = _keys_of(endpoint)
+        for key in self._keys[address]:
+            if key not in keys:
+                self._pools[key].pool.drop(address)
+        for key in keys:
+            self._pool(key).pool.put(known)
+        self._keys[address] = keys
+
+    def _pool(self, key: Key) -> PoolState:
+        state = self._pools.get(key)
+        if state is None:
+            state = PoolState(
+                pool=placement.Pool(rng=self._rng),
+                queue=queueing.PoolQueue(),
+            )
+            self._set_shares(state)
+            self._pools[key] = state
+        return state
+
+    def _set_shares(self, state: PoolState) -> None:
+        for policy in self._policies:
+            state.queue.shares.set_share(
+                policy.service, policy.share, policy.borrow
+            )
+
+    def _refresh(self, address: str) -> None:
+        for key in self._keys.get(address, ()):
+            self._pools[key].pool.refresh(address)
+
+
+def _keys_of(endpoint: work.Endpoint) -> tuple[Key, ...]:
+    if endpoint.model:
+        names = (endpoint.model, *sorted(endpoint.adapters))
+        return tuple(("model", name) for name in names)
+    return (("service", endpoint.service),)
--- a/packages/bulrushgrade/bulrushgrade/scheduler.py
+++ b/packages/bulrushgrade/bulrushgrade/scheduler.py
@@ -146,25 +146,29 @@
     ) -> work.Decision:
         """Decides on a request whose endpoint failed it.
 
-        Work that may not be repeated is always refused: the caller of this
-        method offers it anew only when it is certain that it did not run.
+        Work that may not be repeated is refused once it may have run.
 
         Args:
             request_id: A request that was placed.
             failed_endpoint: The endpoint that failed.
             tokens_done: Tokens of the answer that the caller already has.
             now: The present time.
+            started: False where the endpoint certainly did not start it.
         """
         failed = self._progress.pop(request_id)
         self._release(failed, now)
         self._fleet.observe_failure(failed_endpoint, now)
         item = failed.item
         attempt = item.attempt + 1
-        if not item.work.repeatable:
+        if started and not item.work.repeatable:
             code = work.RefusalCode.NOT_REPEATABLE
             return self._refuse(item.work, code, NO_ENDPOINT_RETRY_S)
         budget = self._budgets[item.work.service]
-        if attempt >= retry.MAX_ATTEMPTS or not budget.spend():
+        # What an endpoint turned away cost it nothing, so it is no load that
+        # the budget has to bound; counting it would cut requests whenever
+        # engines are drained faster than the host list tells.
+        spent = not started or budget.spend()
+        if attempt >= retry.MAX_ATTEMPTS or not spent:
             code = work.RefusalCode.RETRY_BUDGET
             return self._refuse(item.work, code, NO_ENDPOINT_RETRY_S)
         self._counts["retried"] += 1
--- a/packages/bulrushgrade/tests/test_answer.py
+++ b/packages/bulrushgrade/tests/test_answer.py
@@ -5,7 +5,11 @@
 
 from bulrushgrade import answer
 
-DELIVER, DROP, BROKEN = answer.Step.DELIVER, answer.Step.DROP, answer.Step.BROKEN
+DELIVER, DROP, BROKEN = (
+    answer.Step.DELIVER,
+    answer.Step.DROP,
+    answer.Step.BROKEN,
+)
 
 
 def _take(state, index, *, attempt="a", finish=False):
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/engine.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/engine.py
@@ -371,9 +371,7 @@
             unbuffered=True,
         )
 
-    async def _prefill(
-        self, call: EngineCall
-    ) -> Result[str, StreamOutcome]:
+    async def _prefill(self, call: EngineCall) -> Result[str, StreamOutcome]:
         try:
             response = await self._send(call)
             if response.code != 200:
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/fleet.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/fleet.py
@@ -45,9 +45,7 @@
             self._addresses = tuple(
                 h.address for h in message.hosts if h.kind == "engine"
             )
-            self._missed = {
-                a: self._missed.get(a, 0) for a in self._addresses
-            }
+            self._missed = {a: self._missed.get(a, 0) for a in self._addresses}
             self._poll()
 
     def dump(self) -> dict[str, Any]:
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/hostlist.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/hostlist.py
@@ -13,9 +13,6 @@
 
 from bulrushgrade_daemon import httpclient
 
-# How often the list is read. A leaving endpoint gets no new work once a read
-# shows it, so this and the list's own lag bound that time.
-PERIOD_S = 0.5
 TIMEOUT_S = 2.0
 
 
@@ -77,6 +74,7 @@
         reactor: Any,
         timers: Any,
         address: str,
+        period_s: float,
         on_hosts: Callable[[HostsRead], None],
     ):
         """Makes a reader.
@@ -85,12 +83,16 @@
             reactor: The reactor for its connections.
             timers: The timer service.
             address: The host list's ``IP:PORT``.
+            period_s: Time between reads. A leaving endpoint gets no new work
+                once a read shows it, so this and the list's own lag bound
+                that time.
             on_hosts: Called with each list whose version is new.
         """
         self._reactor = reactor
         self._timers = timers
         self._url = f"http://{address}/hosts"
         self._on_hosts = on_hosts
+        self._period_s = period_s
         self._client = httpclient.open_client(reactor)
         self._reading = False
         self._last: HostsRead | None = None
@@ -105,7 +107,7 @@
     async def start(self) -> None:
         """Reads the list once and then again and again."""
         self._poll()
-        self._subscription = self._timers.every(PERIOD_S, self._poll)
+        self._subscription = self._timers.every(self._period_s, self._poll)
 
     async def stop(self) -> None:
         """Reads no more."""
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/httpclient.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/httpclient.py
@@ -30,11 +30,11 @@
 CONNECTIONS_A_HOST = 64
 
 
-class RefusedByCheck(Exception):
+class RefusedByCheckError(Exception):
     """A check made in the turn of the write said no; nothing was written."""
 
 
-class ConnectFailed(Exception):
+class ConnectFailedError(Exception):
     """No connection was made, so no byte of the request was written."""
 
 
@@ -48,9 +48,7 @@
     exactly there, the endpoint's own read timeout ends the connection.
     """
 
-    def __init__(
-        self, *, inner: Any, check: Callable[[], bool] | None
-    ):
+    def __init__(self, *, inner: Any, check: Callable[[], bool] | None):
         self._inner = inner
         self._check = check
 
@@ -69,7 +67,7 @@
         )
         if self._check is not None and not self._check():
             transport.abortConnection()
-            raise RefusedByCheck()
+            raise RefusedByCheckError()
         return protocol
 
     def _failed(self, failure: Any) -> Any:
@@ -78,7 +76,7 @@
             defer.CancelledError,
             internet_error.DNSLookupError,
         ):
-            raise ConnectFailed(failure.getErrorMessage())
+            raise ConnectFailedError(failure.getErrorMessage())
         return failure
 
 
@@ -134,7 +132,7 @@
             a lost connection before the first byte is known as such.
         check: Asked in the same turn as the write of a request on a new
             connection; where it says no, nothing is written and the request
-            fails with `RefusedByCheck`.
+            fails with `RefusedByCheckError`.
         connect_timeout_s: How long a connection may take to open.
     """
     pool = web_client.HTTPConnectionPool(reactor, persistent=persistent)
@@ -151,4 +149,4 @@
 
 def was_not_sent(error: BaseException) -> bool:
     """Tells whether an error proves that no byte of a request was written."""
-    return isinstance(error, ConnectFailed | RefusedByCheck)
+    return isinstance(error, ConnectFailedError | RefusedByCheckError)
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/logclient.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/logclient.py
@@ -228,9 +228,7 @@
             self._counts[counter] += 1
 
 
-def parse_page(
-    raw: bytes, offset: int
-) -> Result[record.Page, Unavailable]:
+def parse_page(raw: bytes, offset: int) -> Result[record.Page, Unavailable]:
     """Parses an answer to a read and checks that it makes sense.
 
     Args:
@@ -319,6 +317,10 @@
             self._follow(), name=self._stream, on_broken=self._on_broken
         )
 
+    def seek(self, offset: int) -> None:
+        """Reads on from another offset, after the read under way."""
+        self._offset = offset
+
     def stop(self) -> None:
         """Ends the loop at once, also in the middle of a read."""
         self._running = False
@@ -337,11 +339,12 @@
     async def _follow(self) -> None:
         while self._running:
             wait_s = READ_WAIT_S if self._caught_up else 0.0
-            page = await self._log.read(
-                self._stream, self._offset, wait_s=wait_s
-            )
+            asked = self._offset
+            page = await self._log.read(self._stream, asked, wait_s=wait_s)
             if not self._running:
                 return
+            if asked != self._offset:
+                continue
             if isinstance(page, Failure):
                 self._failures += 1
                 await self._back_off()
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/placing.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/placing.py
@@ -20,6 +20,10 @@
 # whose deadline has become hopeless is told so at once.
 POLL_S = 0.05
 
+# How a placed request ended, as the scheduler calls it.
+COMPLETE = "complete"
+FAILED = "failed"
+
 _ENGINE_STATES = {
     "serving": work_module.EndpointState.SERVING,
     "draining": work_module.EndpointState.LEAVING,
@@ -162,26 +166,38 @@
         return await self._decided(self._core.offer(work, self.now))
 
     async def retry(
-        self, request_id: str, failed_endpoint: str, tokens_done: int
+        self,
+        request_id: str,
+        failed_endpoint: str,
+        tokens_done: int,
+        *,
+        started: bool = True,
     ) -> work_module.Placed | work_module.Refused:
-        """Returns where a request goes after an attempt failed."""
+        """Returns where a request goes after an attempt failed.
+
+        Args:
+            request_id: The request.
+            failed_endpoint: Where the attempt was.
+            tokens_done: Tokens of the answer that the caller has.
+            started: False where the endpoint certainly did not start it.
+        """
         return await self._decided(
-            self._core.retry(
-                request_id, failed_endpoint, tokens_done, self.now
-            )
+            self._core.retry(request_id, failed_endpoint, tokens_done, self.now)
         )
 
     def first_token(self, request_id: str) -> None:
         """Notes that a request's first token came."""
         self._core.first_token(request_id, self.now)
 
+    def prefill_done(self, request_id: str) -> None:
+        """Notes that the prompt was read, before its KV cache moves."""
+        self._core.prefill_done(request_id, self.now)
+
     def tokens(self, request_id: str, count: int) -> None:
-        """Notes that so many more tokens came."""
+        """Notes that an answer has so many tokens in all by now."""
         self._core.tokens(request_id, count, self.now)
 
-    def finished(
-        self, request_id: str, outcome: work_module.Outcome
-    ) -> None:
+    def finished(self, request_id: str, outcome: work_module.Outcome) -> None:
         """Notes that a request has ended; something may be free now."""
         self._core.finished(request_id, outcome, self.now)
         self._settle()
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/plain.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/plain.py
@@ -134,9 +134,7 @@
             check: Asked in the turn of the write; only with `once`.
         """
         client = (
-            httpclient.open_client(
-                self._reactor, persistent=False, check=check
-            )
+            httpclient.open_client(self._reactor, persistent=False, check=check)
             if once
             else self._shared
         )
@@ -197,8 +195,10 @@
 
 
 def _answer_headers(response: Any) -> tuple[tuple[str, str], ...]:
-    return pass_headers([
-        (name.decode("latin-1"), value.decode("latin-1"))
-        for name, values in response.headers.getAllRawHeaders()
-        for value in values
-    ])
+    return pass_headers(
+        [
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, values in response.headers.getAllRawHeaders()
+            for value in values
+        ]
+    )
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/plainrelay.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/plainrelay.py
@@ -100,9 +100,7 @@
         """Returns the counters and how many requests are open."""
         return {"open": self._open, "counts": dict(self._counts)}
 
-    async def run(
-        self, job: PlainJob
-    ) -> plain.PlainAnswer | refusal.Refusal:
+    async def run(self, job: PlainJob) -> plain.PlainAnswer | refusal.Refusal:
         """Returns the whole answer or a refusal."""
         self._open += 1
         try:
@@ -125,11 +123,11 @@
         while isinstance(placed, work_module.Placed):
             outcome = await self._send(job, placed, number)
             if isinstance(outcome, plain.PlainAnswer):
-                self._placing.finished(job.request_id, work_module.DONE)
+                self._placing.finished(job.request_id, placing.COMPLETE)
                 return outcome
             final = self._judge(job, outcome)
             if final is not None:
-                self._placing.finished(job.request_id, work_module.FAILED)
+                self._placing.finished(job.request_id, placing.FAILED)
                 return final
             number += 1
             placed = await self._placing.retry(
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/refusal.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/refusal.py
@@ -13,10 +13,12 @@
 
 from bulrushgrade import work
 
-_CALLER_TO_SLOW_DOWN = frozenset({
-    work.RefusalCode.OVERLOADED,
-    work.RefusalCode.QUEUE_FULL,
-})
+_CALLER_TO_SLOW_DOWN = frozenset(
+    {
+        work.RefusalCode.OVERLOADED,
+        work.RefusalCode.QUEUE_FULL,
+    }
+)
 
 
 class Ran(enum.Enum):
@@ -74,12 +76,12 @@
     return Refusal(status=status, code=code, message=message)
 
 
-def not_ready(retry_after_s: float) -> Refusal:
+def not_ready(reason: str, retry_after_s: float) -> Refusal:
     """Returns the refusal of a daemon that can't decide yet."""
     return Refusal(
         status=503,
         code="not_ready",
-        message="this host has no accepted documents yet; try another",
+        message=f"this host can't serve yet: {reason}",
         retry_after_s=retry_after_s,
     )
 
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/relay.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/relay.py
@@ -180,14 +180,17 @@
         while isinstance(placed, work_module.Placed):
             outcome = await self._attempt(job, placed, next(attempts))
             if isinstance(outcome, engine.Ended) and job.answer.whole:
-                self._finish(job, work_module.Outcome.DONE)
+                self._finish(job, placing.COMPLETE)
                 return None
             final = self._judge(job, outcome)
             if final is not None:
                 return final
             self._counts["lost_attempts"] += 1
             placed = await self._placing.retry(
-                job.request_id, placed.endpoint, job.answer.tokens
+                job.request_id,
+                placed.endpoint,
+                job.answer.tokens,
+                started=not isinstance(outcome, engine.NotStarted),
             )
         return _refuse(placed, job)
 
@@ -198,7 +201,7 @@
         if job.gone:
             return _caller_gone()
         if isinstance(outcome, engine.Rejected):
-            self._finish(job, work_module.Outcome.DONE)
+            self._finish(job, placing.COMPLETE)
             return refusal.Refusal(
                 status=outcome.status,
                 code="rejected",
@@ -208,13 +211,13 @@
         job.maybe_ran |= not isinstance(outcome, engine.NotStarted)
         if self._timers.now >= job.work.deadline:
             self._counts["late"] += 1
-            self._finish(job, work_module.Outcome.FAILED)
+            self._finish(job, placing.FAILED)
             return _late(job)
         # What must not be repeated ends here, unless it is certain that the
         # engine did not start: its work may be done, and only its answer
         # lost.
         if not job.work.repeatable and job.maybe_ran:
-            self._finish(job, work_module.Outcome.FAILED)
+            self._finish(job, placing.FAILED)
             return refusal.Refusal(
                 status=502,
                 code="outcome_unknown",
@@ -288,12 +291,15 @@
             body={**body, "stream": False, "kv_export": True},
         )
         left_s = job.work.deadline - self._timers.now
-        handle = await self._engines.prefill(call, left_s * silence.SILENCE_PART)
+        handle = await self._engines.prefill(
+            call, left_s * silence.SILENCE_PART
+        )
         if job.gone:
             self._engines.cancel(placed.endpoint, call.attempt_id)
             return engine.Lost(reason="caller gone")
         if isinstance(handle, Failure):
             return handle.failure()
+        self._placing.prefill_done(job.request_id)
         moved = {"address": placed.endpoint, "handle": handle.unwrap()}
         return {**body, "kv_import": moved}
 
@@ -312,7 +318,7 @@
         if tokens == 1 and event.text is not None:
             self._placing.first_token(job.request_id)
         elif tokens % PROGRESS_TOKENS == 0:
-            self._placing.tokens(job.request_id, PROGRESS_TOKENS)
+            self._placing.tokens(job.request_id, tokens)
         job.on_event(event)
         return True
 
@@ -322,9 +328,7 @@
         if job.stream is not None:
             job.stream.end(engine.Lost(reason="deadline"))
 
-    def _finish(
-        self, job: ModelJob, outcome: work_module.Outcome
-    ) -> None:
+    def _finish(self, job: ModelJob, outcome: work_module.Outcome) -> None:
         self._placing.finished(job.request_id, outcome)
 
 
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/reply.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/reply.py
@@ -89,9 +89,7 @@
             if stalled is not None:
                 stalled.cancel()
 
-        self._control = site.FlowControl(
-            pause=pause, resume=resume, stop=stop
-        )
+        self._control = site.FlowControl(pause=pause, resume=resume, stop=stop)
 
     def take(self, event: engine.Event) -> None:
         """Takes an event of the answer, in order."""
@@ -103,9 +101,7 @@
         if not self._begun:
             self._begin()
         # Callers see one id for the whole answer, whichever attempts it took.
-        raw = event.raw.replace(
-            event.attempt_id.encode(), self._id.encode(), 1
-        )
+        raw = event.raw.replace(event.attempt_id.encode(), self._id.encode(), 1)
         self._http.write(b"data: " + raw + b"\n\n")
 
     def finish(self, refused: refusal.Refusal | None) -> bytes:
@@ -138,12 +134,14 @@
             choice["message"] = {"role": "assistant", "content": text}
         else:
             choice["text"] = text
-        return msgspec.json.encode({
-            "id": self._id,
-            "object": (
-                "chat.completion" if self._asked.chat else "text_completion"
-            ),
-            "model": self._job.model,
-            "choices": [choice],
-            "usage": self._last.usage,
-        })
+        return msgspec.json.encode(
+            {
+                "id": self._id,
+                "object": (
+                    "chat.completion" if self._asked.chat else "text_completion"
+                ),
+                "model": self._job.model,
+                "choices": [choice],
+                "usage": self._last.usage,
+            }
+        )
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/silence.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/silence.py
@@ -46,9 +46,7 @@
         self._stream = stream
         self._deadline = deadline
         self._usual_s = max(FIRST_MIN_S, FIRST_FACTOR * first_token_s)
-        self._between_s = max(
-            BETWEEN_MIN_S, BETWEEN_FACTOR * between_tokens_s
-        )
+        self._between_s = max(BETWEEN_MIN_S, BETWEEN_FACTOR * between_tokens_s)
         self._progress_s = timers.now
         self._paused = False
         self._subscription = timers.after(self._limit_s(), self._look)
