Fold the stream of documents into accepted revisions

Operators of different teams race each other, and no host keeps anything, so the log's order of offsets alone has to decide which document is in force. The fold (registry.py) accepts a publish iff its base is still the accepted revision, the team owns the service, the text is valid under the numbered rules it names and the guaranteed shares fit the fleet (acceptance.py, pure). State and indexes are in catalog.py, messages in publication.py, checkpoint parts in checkpoint.py.

--- /dev/null
+++ b/packages/bulrushgrade/bulrushgrade/catalog.py
@@ -0,0 +1,162 @@
+"""The state that the fold of documents keeps, with its indexes.
+
+`publication.ServiceState` is the whole truth a service; parsed documents,
+digests and the index of record ids are derived from it.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+
+import attrs
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from bulrushgrade import acceptance
+from bulrushgrade import document
+from bulrushgrade import errors
+from bulrushgrade import fleet
+from bulrushgrade import publication
+
+
+class Catalog:
+    """Accepted documents and the newest verdicts of each service."""
+
+    def __init__(self, *, rules: Mapping[int, acceptance.Rules]):
+        self._scene = acceptance.Scene(rules=rules)
+        self._states: dict[str, publication.ServiceState] = {}
+        self._digests: dict[str, int] = {}
+        self._verdicts: dict[str, publication.Verdict] = {}
+
+    @property
+    def scene(self) -> acceptance.Scene:
+        """What the next publish is judged against."""
+        return self._scene
+
+    @property
+    def states(self) -> tuple[publication.ServiceState, ...]:
+        """Every service's state, sorted by service."""
+        return tuple(self._states[name] for name in sorted(self._states))
+
+    @property
+    def digest(self) -> str:
+        """The digest of all states."""
+        return publication.digest_states(self._digests.values())
+
+    def state(self, service: str) -> publication.ServiceState:
+        """Returns a service's state, an empty one where nothing is known."""
+        empty = publication.ServiceState(service=service)
+        return self._states.get(service, empty)
+
+    def verdict(self, record_id: str) -> publication.Verdict | None:
+        """Returns the verdict on a record id that is still remembered."""
+        return self._verdicts.get(record_id)
+
+    def keep(
+        self, publish: publication.Publish, judgement: acceptance.Judgement
+    ) -> None:
+        """Adds the verdict on a publish and, if accepted, the document."""
+        owned = acceptance.owns(self._scene, publish)
+        name = publish.service if owned else publication.STRAY
+        limit = publication.MAX_VERDICTS
+        if not owned:
+            limit = publication.MAX_STRAY_VERDICTS
+        verdict = judgement.verdict
+        verdicts = (*self.state(name).verdicts, verdict)
+        for old in verdicts[:-limit]:
+            del self._verdicts[old.record_id]
+        state = attrs.evolve(self.state(name), verdicts=verdicts[-limit:])
+        if verdict.accepted:
+            state = attrs.evolve(
+                state, accepted=_make_revision(publish, verdict)
+            )
+        self._verdicts[verdict.record_id] = verdict
+        self._put(state)
+        if judgement.parsed is not None:
+            self._set_document(name, verdict.offset, judgement.parsed)
+
+    def replace(
+        self, states: Iterable[publication.ServiceState]
+    ) -> Result[None, errors.BadSnapshot]:
+        """Takes over other states as a whole, or none of them."""
+        scene = acceptance.Scene(rules=self._scene.rules)
+        made = Catalog(rules=scene.rules)
+        for state in states:
+            made._put(state)
+            for verdict in state.verdicts:
+                made._verdicts[verdict.record_id] = verdict
+            if state.accepted is None:
+                continue
+            read = _parse_revision(state.service, state.accepted, scene.rules)
+            if isinstance(read, Failure):
+                return read
+            offset = state.accepted.offset
+            made._set_document(state.service, offset, read.unwrap())
+        behind = self._behind(made)
+        if behind:
+            reason = f"would go back behind accepted revisions of {behind}"
+            return Failure(errors.BadSnapshot(reason=reason))
+        self._scene, self._states = made._scene, made._states
+        self._digests, self._verdicts = made._digests, made._verdicts
+        return Success(None)
+
+    def _put(self, state: publication.ServiceState) -> None:
+        self._states[state.service] = state
+        self._digests[state.service] = publication.digest_state(state)
+
+    def _set_document(
+        self,
+        name: str,
+        offset: int,
+        made: document.ServiceDocument | fleet.FleetDocument,
+    ) -> None:
+        self._scene.accepted[name] = offset
+        if not isinstance(made, fleet.FleetDocument):
+            self._scene.documents[name] = made
+            return
+        self._scene.fleet_document = made
+        # Names that came and went without a document would pile up.
+        kept = {*made.owners, document.FLEET, publication.STRAY}
+        for state in self.states:
+            if state.service not in kept and state.accepted is None:
+                del self._states[state.service]
+                del self._digests[state.service]
+                for verdict in state.verdicts:
+                    del self._verdicts[verdict.record_id]
+
+    def _behind(self, other: "Catalog") -> str:
+        # What was once accepted stays, or a later revision takes its place. A
+        # state that says otherwise comes from a fold that went wrong.
+        theirs = other.scene.accepted
+        names = [
+            name
+            for name, offset in self._scene.accepted.items()
+            if theirs.get(name, -1) < offset
+        ]
+        return ", ".join(sorted(names))
+
+
+def _make_revision(
+    publish: publication.Publish, verdict: publication.Verdict
+) -> publication.Revision:
+    return publication.Revision(
+        offset=verdict.offset,
+        record_id=verdict.record_id,
+        team=publish.team,
+        text=publish.text,
+        validation=publish.validation,
+    )
+
+
+def _parse_revision(
+    service: str,
+    revision: publication.Revision,
+    rules: Mapping[int, acceptance.Rules],
+) -> Result[document.ServiceDocument | fleet.FleetDocument, errors.BadSnapshot]:
+    known = rules.get(revision.validation)
+    if known is None:
+        reason = f"{service} needs rules {revision.validation}"
+        return Failure(errors.BadSnapshot(reason=reason))
+    return acceptance.parse_text(service, revision.text, known).alt(
+        lambda faults: errors.BadSnapshot(reason=str(faults[0]))
+    )
--- a/packages/bulrushgrade/bulrushgrade/errors.py
+++ b/packages/bulrushgrade/bulrushgrade/errors.py
@@ -70,3 +70,40 @@
         return (
             f"{self.source}: {place}: {self.reason}; expected {self.expected}"
         )
+
+
+@attrs.frozen(kw_only=True)
+class UnjudgedRecord:
+    """A publish that this release has no rules for.
+
+    Attributes:
+        offset: Where the fold stopped.
+        validation: The number of the rules that it would take.
+    """
+
+    offset: int
+    validation: int
+
+
+@attrs.frozen(kw_only=True)
+class RegistryNotReady:
+    """Why a registry may not yet be served from.
+
+    Attributes:
+        reason: For a person.
+        next_offset: Up to where the stream has been folded.
+    """
+
+    reason: str
+    next_offset: int
+
+
+@attrs.frozen(kw_only=True)
+class BadSnapshot:
+    """A snapshot or checkpoint that can't be taken over.
+
+    Attributes:
+        reason: What was wrong, for a person.
+    """
+
+    reason: str
--- /dev/null
+++ b/packages/bulrushgrade/tests/test_registry.py
@@ -0,0 +1,308 @@
+"""Tests of the fold of documents."""
+
+import hypothesis
+from hypothesis import strategies
+from returns.result import Failure
+from returns.result import Success
+
+from bulrushgrade import acceptance
+from bulrushgrade import checkpoint
+from bulrushgrade import errors
+from bulrushgrade import publication
+from bulrushgrade import record
+from bulrushgrade import registry
+
+
+def fleet_text(*, capacity=1000, newest=1, services="desk, ledger"):
+    return f"""
+[fleet]
+format = 1
+name = ring
+team = office
+newest_format = {newest}
+[region plain]
+zones = hall
+[team office]
+services = {services}
+[team growers]
+services = other
+[engines all]
+zone = hall
+count = 1
+token_s_per_s = {capacity}
+"""
+
+
+def service_text(service, *, team="office", share=100):
+    return f"""
+[document]
+format = 1
+service = {service}
+team = {team}
+kind = model
+[model reader]
+version = 1
+[deadline all]
+whole_answer_s = 9
+first_token_s = 1
+between_tokens_s = 1
+[share]
+guaranteed_token_s_per_s = {share}
+"""
+
+
+def publish(service, text, *, team="office", base=None, validation=1):
+    return publication.CODEC.serialize(
+        publication.Publish(
+            service=service,
+            team=team,
+            base_offset=base,
+            text=text,
+            validation=validation,
+        )
+    )
+
+
+def desk(*, share=100, **options):
+    return publish("desk", service_text("desk", share=share), **options)
+
+
+FLEET = publish("fleet", fleet_text())
+
+
+class _Log:
+    def __init__(self):
+        self.records = []
+        self.earliest = 0
+
+    def append(self, *bodies, record_id=None):
+        for body in bodies:
+            offset = len(self.records)
+            self.records.append(
+                record.Record(
+                    offset=offset,
+                    record_id=record_id or f"r{offset}",
+                    body=body,
+                )
+            )
+
+    def checkpoint(self, fold, checkpoint_id="c"):
+        self.append(
+            *checkpoint.serialize_checkpoint(
+                fold.snapshot(), checkpoint_id=checkpoint_id
+            )
+        )
+
+    def read(self, fold):
+        """Lets a fold read to the end; returns the outcomes."""
+        outcomes, before = [], None
+        while before != fold.read_offset:
+            before = fold.read_offset
+            start = max(before, self.earliest)
+            page = record.Page(
+                records=tuple(self.records[start : start + 3]),
+                next_offset=start + 3,
+                earliest_offset=self.earliest,
+                end_offset=len(self.records),
+            )
+            outcomes += fold.apply_page(page)
+        return outcomes
+
+
+def _codes(outcomes):
+    return [
+        o.code if isinstance(o, publication.Verdict) else o.reason
+        for o in outcomes
+    ]
+
+
+def _fold(*bodies):
+    log, fold = _Log(), registry.Registry()
+    log.append(*bodies)
+    return log, fold, _codes(log.read(fold))
+
+
+def test_a_race_has_one_winner_and_the_loser_is_told():
+    # Story: two operators edit the same revision; the second publish would
+    # undo the first without its author having seen it. The base that each
+    # names decides: the first in offset order wins.
+    _, fold, codes = _fold(
+        FLEET, desk(), desk(base=1, share=200), desk(base=1, share=300)
+    )
+    assert codes == ["accepted"] * 3 + ["base_replaced"]
+    assert fold.accepted("desk").offset == 2
+    assert fold.outcome_of("r3").beaten_by == 2
+    assert fold.documents["desk"].share.guaranteed_token_s_per_s == 200
+
+
+def test_refusals_change_nothing():
+    _, fold, codes = _fold(
+        desk(),
+        FLEET,
+        desk(team="growers"),
+        publish("nobody", service_text("nobody")),
+        publish("ledger", service_text("desk")),
+        publish("ledger", service_text("ledger").replace("= model", "= x")),
+        desk(validation=2),
+        desk(share=1001),
+        publish("fleet", fleet_text(), team="growers", base=1),
+        b"{",
+        b'{"kind": []}',
+        b"[" * 100_000,
+    )
+    assert codes == [
+        "no_fleet",
+        "accepted",
+        "wrong_team",
+        "unknown_service",
+        "other_heading",
+        "bad_document",
+        "format_not_enabled",
+        "shares_do_not_fit",
+        "wrong_team",
+        *[registry.Skip.UNREADABLE] * 3,
+    ]
+    assert not fold.documents
+    assert "[document] kind: bad value 'x'" in fold.outcome_of("r5").message
+
+
+def test_a_fleet_stays_large_enough_for_what_it_guaranteed():
+    _, fold, codes = _fold(
+        FLEET,
+        desk(share=900),
+        publish("fleet", fleet_text(capacity=800), base=0),
+        publish("fleet", fleet_text(services="ledger"), base=0),
+        publish("ledger", service_text("ledger", share=101)),
+        publish("fleet", fleet_text(capacity=1001), base=0),
+        publish("ledger", service_text("ledger", share=101)),
+    )
+    assert codes == [
+        "accepted",
+        "accepted",
+        "shares_do_not_fit",
+        "service_in_use",
+        "shares_do_not_fit",
+        "accepted",
+        "accepted",
+    ]
+
+
+def test_a_second_copy_of_a_refused_publish_stays_refused():
+    # Story: a publish is refused for want of room and its author is told so.
+    # The log had stored it twice; in between room was made. The copy would
+    # come into force although its author has turned to something else.
+    log, fold, _ = _fold(FLEET, desk(share=2000))
+    log.append(publish("fleet", fleet_text(capacity=3000), base=0))
+    log.append(desk(share=2000), record_id="r1")
+    assert _codes(log.read(fold)) == ["accepted", registry.Skip.DUPLICATE]
+    assert fold.outcome_of("r1").code == "shares_do_not_fit"
+
+
+def test_a_trimmed_gap_is_told_and_closed_by_a_checkpoint_only():
+    log, fold, _ = _fold(FLEET, desk())
+    log.append(desk(base=1, share=200))
+    log.checkpoint(fold)
+    log.append(desk(base=2, share=300))
+    log.read(fold)
+    fresh = registry.Registry()
+    assert isinstance(fresh.readiness(), Failure)
+    log.earliest = 3
+    log.read(fresh)
+    assert "records 2 to 2 are trimmed" in fresh.readiness().failure().reason
+    assert fresh.accepted("desk").offset == 1
+    log.checkpoint(fold, "d")
+    log.append(desk(base=4, share=400))
+    log.read(fresh)
+    log.read(fold)
+    assert fresh.readiness() == Success(7)
+    assert fresh.snapshot() == fold.snapshot()
+
+
+def test_records_between_a_state_and_its_checkpoint_are_not_lost():
+    log, fold, _ = _fold(FLEET, desk())
+    log.append(desk(base=1, share=200), desk(base=1, share=300))
+    log.checkpoint(fold)
+    log.earliest = 2
+    fresh = registry.Registry()
+    codes = _codes(log.read(fresh))
+    log.read(fold)
+    assert codes.count(registry.Skip.RESTORED) == 1
+    assert fresh.snapshot() == fold.snapshot()
+    assert fresh.accepted("desk").offset == 2
+
+
+def test_snapshots_never_take_a_fold_back():
+    log, fold, _ = _fold(FLEET, desk())
+    old = fold.snapshot()
+    log.append(desk(base=1, share=200))
+    log.read(fold)
+    assert fold.restore_snapshot(old) == Success(3)
+    forged = publication.Snapshot(
+        next_offset=9, digest=old.digest, states=old.states
+    )
+    assert isinstance(fold.restore_snapshot(forged), Failure)
+    damaged = publication.Snapshot(next_offset=9, digest="0", states=())
+    assert isinstance(fold.restore_snapshot(damaged), Failure)
+    assert fold.accepted("desk").offset == 2
+
+
+def test_a_daemon_starts_from_a_peer_while_the_log_is_away():
+    _, fold, _ = _fold(FLEET, desk())
+    fresh = registry.Registry()
+    sent = publication.CODEC.serialize(fold.snapshot())
+    assert isinstance(fresh.readiness(), Failure)
+    fresh.restore_snapshot(publication.parse_message(sent).unwrap())
+    assert fresh.readiness() == Success(2)
+    assert fresh.digest() == fold.digest()
+
+
+def test_an_older_release_stops_at_rules_it_lacks_and_serves_on():
+    log = _Log()
+    log.append(
+        FLEET,
+        desk(),
+        desk(base=1, share=200, validation=2),
+        publish("fleet", fleet_text(newest=2), base=0),
+        desk(base=1, share=300, validation=2),
+        desk(base=4, share=400),
+    )
+    old = registry.Registry()
+    new = registry.Registry(rules={**acceptance.RULES, 2: acceptance.RULES[1]})
+    outcomes = log.read(old)
+    log.read(new)
+    assert outcomes[-1] == errors.UnjudgedRecord(offset=4, validation=2)
+    assert outcomes[2].code == "format_not_enabled"
+    assert old.accepted("desk").offset == 1
+    assert "newer than this release" in old.readiness().failure().reason
+    assert new.accepted("desk").offset == 5
+
+
+def test_strangers_do_not_push_out_an_owners_outcomes():
+    log, fold, _ = _fold(FLEET, desk())
+    many = publication.MAX_STRAY_VERDICTS + 5
+    log.append(*[desk(team="growers")] * many)
+    log.read(fold)
+    assert fold.outcome_of("r1").accepted
+    assert len(fold.history(publication.STRAY)) == many - 5
+    log.append(*[desk()] * 40)
+    log.read(fold)
+    assert len(fold.history("desk")) == publication.MAX_VERDICTS
+    assert fold.accepted("desk").offset == 1
+
+
+def test_a_checkpoint_of_another_state_is_told():
+    log, fold, _ = _fold(FLEET, desk())
+    _, other, _ = _fold(FLEET, desk(share=7))
+    log.checkpoint(fold)
+    log.checkpoint(other, "d")
+    assert _codes(log.read(fold)) == [
+        registry.Skip.CHECKPOINT,
+        registry.Skip.DIVERGED,
+    ]
+
+
+@hypothesis.given(body=strategies.binary(max_size=60))
+def test_no_body_raises(body):
+    fold = registry.Registry()
+    fold.apply(record.Record(offset=0, record_id="a", body=body))
+    assert fold.next_offset == 1
