--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/callers.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/callers.py
@@ -9,7 +9,7 @@
 from returns.result import Failure
 from twisted.internet import defer
 
-from bulrushgrade import catalog as catalog_module
+from bulrushgrade import offering as offering_module
 from bulrushgrade import demand
 from bulrushgrade import document
 from bulrushgrade import work as work_module
@@ -44,7 +44,7 @@
         timers: The timer service.
         relay: Carries model requests.
         plain: Carries requests for plain services.
-        catalog: Returns the accepted documents, or None before the first.
+        offering: Returns the accepted documents, or None before the first.
         ready: Returns None, or why this host can't serve yet.
         on_broken: Called with the reason of a broken invariant.
     """
@@ -52,7 +52,7 @@
     timers: Any
     relay: relay.Relay
     plain: plainrelay.PlainRelay
-    catalog: Callable[[], catalog_module.Catalog | None]
+    offering: Callable[[], offering_module.Offering | None]
     ready: Callable[[], str | None]
     on_broken: Callable[[str], None]
 
@@ -309,7 +309,7 @@
     def _find_model_service(
         self, name: str, wanted: str | None
     ) -> document.ServiceDocument | refusal.Refusal:
-        found = self._parts.catalog().find_model_services(wanted or name)
+        found = self._parts.offering().find_model_services(wanted or name)
         if not found:
             return refusal.bad_request(
                 f"no service offers the model {name!r}",
@@ -347,7 +347,7 @@
             request_id=request_id,
             service=service.service,
             team=service.team,
-            model=catalog_module.choose_model(service, asked.model),
+            model=offering_module.choose_model(service, asked.model),
             prompt_tokens=prompt_tokens,
             output_tokens=asked.max_tokens,
             prefix=work_module.prefix_blocks(asked.text),
@@ -382,7 +382,7 @@
             return refused
         uri = http_request.uri.decode("latin-1")
         name, _, rest = uri[len(SERVICES_PREFIX) :].partition("/")
-        service = self._parts.catalog().find_plain_service(name)
+        service = self._parts.offering().find_plain_service(name)
         if service is None:
             return refusal.bad_request(
                 f"there is no plain service {name!r}",
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/documents.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/documents.py
@@ -6,7 +6,7 @@
 
 from returns.result import Failure
 
-from bulrushgrade import catalog as catalog_module
+from bulrushgrade import offering as offering_module
 from bulrushgrade import publication
 from bulrushgrade import record
 from bulrushgrade import registry as registry_module
@@ -26,7 +26,7 @@
         timers: clock.TimerService,
         log: logclient.LogClient,
         rng: random.Random,
-        on_accepted: Callable[[catalog_module.Catalog], None],
+        on_accepted: Callable[[offering_module.Offering], None],
         on_broken: Callable[[str], None],
     ):
         """Makes the service.
@@ -35,14 +35,14 @@
             timers: The timer service.
             log: Reads the stream.
             rng: Source of jitter.
-            on_accepted: Called with the catalog whenever it has changed.
+            on_accepted: Called with the offering whenever it has changed.
             on_broken: Called with the reason of a broken invariant.
         """
         self._timers = timers
         self._log = log
         self._on_accepted = on_accepted
         self._registry = registry_module.Registry()
-        self._catalog: catalog_module.Catalog | None = None
+        self._offering: offering_module.Offering | None = None
         self._end_offset: int | None = None
         self._digest = ""
         self._changed_at: float | None = None
@@ -62,9 +62,9 @@
         return self._registry
 
     @property
-    def catalog(self) -> catalog_module.Catalog | None:
+    def offering(self) -> offering_module.Offering | None:
         """The accepted documents, or None before the host may serve."""
-        return self._catalog
+        return self._offering
 
     @property
     def not_ready(self) -> str | None:
@@ -72,7 +72,7 @@
         # Once it has served it goes on: accepted documents never revert, so
         # an older set is right for all but the newest changes, and refusing
         # for the time of an outage of the log would harm every caller.
-        if self._catalog is not None:
+        if self._offering is not None:
             return None
         state = self._registry.readiness(self._end_offset)
         return state.failure().reason if isinstance(state, Failure) else None
@@ -133,16 +133,16 @@
         self._refresh()
 
     def _refresh(self) -> None:
-        if self._catalog is None and isinstance(
+        if self._offering is None and isinstance(
             self._registry.readiness(self._end_offset), Failure
         ):
             return
         digest = self._registry.digest()
-        if self._catalog is not None and digest == self._digest:
+        if self._offering is not None and digest == self._digest:
             return
         self._digest = digest
         self._changed_at = self._timers.now
-        self._catalog = catalog_module.make_catalog(
+        self._offering = offering_module.make_offering(
             self._registry.documents.values(), self._registry.fleet
         )
-        self._on_accepted(self._catalog)
+        self._on_accepted(self._offering)
