Hash prompt prefixes in the engine stand-in as placement does

Cause: the wire page left the hash of cache events open and the stand-in's xxh64 over characters could never match the hashes that placement computes, so cache affinity would never have shown in a test of both. Ruled out: a mapping in the daemon's adapter (two hashes for one thing here). Change: xxh3_64 over blocks of 256 bytes on both sides, a test that compares them; a prompt token is four bytes; a prompt is counted once a sequence. Conclusion: cache events can be used as they come.

--- a/packages/bulrushgrade_standins/bulrushgrade_standins/batch.py
+++ b/packages/bulrushgrade_standins/bulrushgrade_standins/batch.py
@@ -14,8 +14,8 @@
 import attrs
 import xxhash
 
-# The characters of a prompt that count as one token.
-CHARACTERS_PER_TOKEN = 4
+# The bytes of a prompt's UTF-8 that count as one token.
+BYTES_PER_TOKEN = 4
 # Prefixes are cached and told of in blocks of so many tokens.
 BLOCK_TOKENS = 64
 _MAX_CACHE_EVENTS = 2000
@@ -64,6 +64,7 @@
         cached_tokens: Prompt tokens that the prefix cache spared.
         prefill_only: Ends once the prompt has been read.
         dropped: Taken out; yields no more.
+        prompt_tokens: The prompt's length.
     """
 
     prompt: str
@@ -74,10 +75,10 @@
     cached_tokens: int = 0
     prefill_only: bool = False
     dropped: bool = False
+    prompt_tokens: int = attrs.field(init=False)
 
-    @property
-    def prompt_tokens(self) -> int:
-        """The prompt's length in tokens."""
+    @prompt_tokens.default
+    def _count_prompt_tokens(self) -> int:
         return count_tokens(self.prompt)
 
     @property
@@ -96,20 +97,21 @@
 
 def count_tokens(prompt: str) -> int:
     """Returns how many tokens a prompt has."""
-    return max(1, -(-len(prompt) // CHARACTERS_PER_TOKEN))
+    return max(1, -(-len(prompt.encode()) // BYTES_PER_TOKEN))
 
 
 def hash_prefixes(prompt: str) -> list[str]:
     """Returns the hash of each whole block's prefix of a prompt.
 
-    The k-th is the xxh64 of the UTF-8 bytes of the first 256 * (k + 1)
-    characters, as docs/WIRE.md gives it.
+    The k-th is the xxh3_64 of the first 256 * (k + 1) bytes of its UTF-8, as
+    docs/WIRE.md gives it.
     """
-    size = BLOCK_TOKENS * CHARACTERS_PER_TOKEN
-    state = xxhash.xxh64()
+    size = BLOCK_TOKENS * BYTES_PER_TOKEN
+    raw = prompt.encode()
+    state = xxhash.xxh3_64()
     hashes = []
-    for start in range(0, len(prompt) - size + 1, size):
-        state.update(prompt[start : start + size].encode())
+    for start in range(0, len(raw) - size + 1, size):
+        state.update(raw[start : start + size])
         hashes.append(state.hexdigest())
     return hashes
 
--- a/packages/bulrushgrade_standins/tests/test_engine.py
+++ b/packages/bulrushgrade_standins/tests/test_engine.py
@@ -9,6 +9,8 @@
 import processes
 import pytest
 
+from bulrushgrade import work
+from bulrushgrade_standins import batch
 from bulrushgrade_standins import completion
 
 _PATH = "/v1/completions"
@@ -120,6 +122,12 @@
     assert processes.wait_for(told)[0]["kind"] == "stored"
 
 
+def test_prefix_hashes_are_those_that_placement_computes():
+    prompt = "ünder the eaves " * 40
+    hashes = [int(h, 16) for h in batch.hash_prefixes(prompt)]
+    assert tuple(hashes) == work.prefix_blocks(prompt)
+
+
 def test_cancel_ends_the_stream_without_its_end_marker(engine):
     _fault(engine.address, slow_factor=1000)
     answers = []
