Add failure tests with real processes, before the daemon they need

Ruled out: fakes inside the reactor (a SIGSTOP or a reset link needs processes) and fixed sleeps (waits are bound to events; one waits out a measured limit).

--- a/packages/bulrushgrade_daemon/tests/processes.py
+++ b/packages/bulrushgrade_daemon/tests/processes.py
@@ -24,30 +24,43 @@
 _POLL_S = 0.02
 
 
-@attrs.define(kw_only=True)
 class Process:
-    """A process that was started.
+    """A process that was started."""
 
-    Attributes:
-        popen: The process.
-        ready: What it printed once it listened.
-    """
+    def __init__(self, *, popen: subprocess.Popen):
+        self._popen = popen
+        self._ready: dict[str, Any] = {}
 
-    popen: subprocess.Popen
-    ready: dict[str, Any]
+    @property
+    def ready(self) -> dict[str, Any]:
+        """What it prints once it listens; waits for that.
+
+        Several processes started in a row thus come up at the same time.
+        """
+        if not self._ready:
+            self._ready = json.loads(_read_line(self._popen))
+        return self._ready
 
     @property
     def address(self) -> str:
-        """Where it listens, as ``IP:PORT``."""
+        """Where a stand-in listens, as ``IP:PORT``."""
         return self.ready["address"]
 
     def send(self, number: signal.Signals) -> None:
         """Sends a signal to the process."""
-        self.popen.send_signal(number)
+        self._popen.send_signal(number)
 
     def wait(self, limit_s: float = LIMIT_S) -> int:
         """Returns the exit code once the process has ended."""
-        return self.popen.wait(limit_s)
+        return self._popen.wait(limit_s)
+
+    def end(self) -> None:
+        """Kills the process if it still runs."""
+        if self._popen.poll() is None:
+            # A stopped process is killed too; it need not be continued.
+            self._popen.kill()
+        self._popen.wait(LIMIT_S)
+        self._popen.stdout.close()
 
 
 @attrs.frozen(kw_only=True)
@@ -77,29 +90,25 @@
         self._started: list[Process] = []
 
     def standin(self, name: str, *options: str) -> Process:
-        """Starts a stand-in and waits until it listens."""
+        """Starts a stand-in."""
         return self.start("bulrushgrade_standins", name, *options)
 
     def start(self, module: str, *arguments: str) -> Process:
-        """Runs a module and waits for its line of JSON."""
+        """Runs a module that prints a line of JSON once it listens."""
         env = dict(os.environ, PYTHONPATH=os.pathsep.join(sys.path))
         popen = subprocess.Popen(
             [sys.executable, "-m", module, *arguments],
             stdout=subprocess.PIPE,
             env=env,
         )
-        process = Process(popen=popen, ready={})
+        process = Process(popen=popen)
         self._started.append(process)
-        process.ready = json.loads(_read_line(popen))
         return process
 
     def stop(self) -> None:
         """Ends every process that still runs."""
         for process in self._started:
-            if process.popen.poll() is None:
-                process.popen.kill()
-            process.popen.wait(LIMIT_S)
-            process.popen.stdout.close()
+            process.end()
 
 
 @contextlib.contextmanager
@@ -117,7 +126,10 @@
         selector.register(popen.stdout, selectors.EVENT_READ)
         if not selector.select(LIMIT_S):
             raise TimeoutError(f"{popen.args} printed nothing")
-    return popen.stdout.readline()
+    line = popen.stdout.readline()
+    if not line:
+        raise RuntimeError(f"{popen.args} ended before it listened")
+    return line
 
 
 def call(
@@ -135,13 +147,13 @@
         OSError: The connection failed or was reset.
         http.client.HTTPException: The answer broke off.
     """
+    sent = {name.replace("_", "-"): text for name, text in headers.items()}
+    sent.setdefault("Content-Type", "application/json")
     request = urllib.request.Request(
         f"http://{address}{path}",
         method=method,
         data=None if value is None else json.dumps(value).encode(),
-        headers={
-            name.replace("_", "-"): text for name, text in headers.items()
-        },
+        headers=sent,
     )
     try:
         response = urllib.request.urlopen(request, timeout=limit_s)
--- /dev/null
+++ b/packages/bulrushgrade_daemon/tests/scene.py
@@ -0,0 +1,433 @@
+"""A small fleet with its daemons, for the tests of failures.
+
+One zone, one model service that may be repeated, one plain service whose
+posts may not, on stand-ins that run as processes of their own.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import concurrent.futures
+import http.client
+import itertools
+import json
+import pathlib
+import threading
+import time
+from typing import Any
+
+import attrs
+import processes
+
+from bulrushgrade import document
+from bulrushgrade import publication
+from bulrushgrade_standins import completion
+
+COMPLETIONS = "/v1/completions"
+
+_FLEET = """
+[fleet]
+format = 1
+name = ring
+team = operators
+
+[region coastal-plain]
+zones = metter-hall
+
+[team operators]
+services = assistant, ledger
+
+[engines all]
+zone = metter-hall
+count = 4
+token_s_per_s = 200000
+"""
+_ASSISTANT = """
+[document]
+format = 1
+service = assistant
+team = operators
+kind = model
+
+[model model]
+version = 1
+
+[deadline urgent]
+whole_answer_s = 4
+first_token_s = 2
+between_tokens_s = 0.05
+header = X-Urgent: yes
+
+[deadline usual]
+whole_answer_s = 20
+first_token_s = 10
+between_tokens_s = 0.05
+
+[share]
+guaranteed_fraction = 0.9
+
+[retry]
+max_attempts = 5
+budget_fraction = 0.5
+"""
+_LEDGER = """
+[document]
+format = 1
+service = ledger
+team = operators
+kind = plain
+
+[deadline usual]
+whole_answer_s = 2
+
+[route read]
+method = GET
+path = /**
+repeatable = yes
+
+[route book]
+method = POST
+path = /**
+repeatable = no
+"""
+_SETTINGS = """
+[host]
+name = {name}
+zone = metter-hall
+region = coastal-plain
+
+[listen]
+callers = 127.0.0.1:0
+admin = 127.0.0.1:0
+peers = 127.0.0.1:0
+
+[platform]
+log = {log}
+host_list = {hosts}
+weight_store = 127.0.0.1:9
+host_list_period_s = 0.1
+
+[limits]
+stop_grace_s = 1
+"""
+
+
+@attrs.frozen(kw_only=True)
+class Streamed:
+    """What a caller saw of one streamed answer.
+
+    Attributes:
+        request_id: The id that the caller gave.
+        code: The HTTP status; 0 where the connection broke before it.
+        tokens: The tokens in the order in which they came.
+        whole: Whether the end marker came.
+        error: The error object, or None.
+        took_s: Seconds until the answer ended.
+    """
+
+    request_id: str
+    code: int
+    tokens: tuple[str, ...] = ()
+    whole: bool = False
+    error: dict[str, Any] | None = None
+    took_s: float = 0.0
+
+    @property
+    def ran(self) -> str:
+        """What the caller was told of its run, or ``""``."""
+        return (self.error or {}).get("ran", "")
+
+
+class Scene:
+    """Stand-ins, documents and daemons of one test module."""
+
+    def __init__(
+        self, *, started: processes.Processes, directory: pathlib.Path
+    ):
+        self._started = started
+        self._directory = directory
+        self._log = started.standin("log")
+        self._hosts = started.standin("hosts")
+        self._numbers = itertools.count()
+        self._publish(document.FLEET, _FLEET)
+        self._publish("assistant", _ASSISTANT)
+        self._publish("ledger", _LEDGER)
+
+    @property
+    def started(self) -> processes.Processes:
+        """Starts further processes."""
+        return self._started
+
+    @property
+    def log(self) -> str:
+        """The log service's address."""
+        return self._log.address
+
+    @property
+    def hosts(self) -> str:
+        """The host list's address."""
+        return self._hosts.address
+
+    def list_hosts(
+        self,
+        engines: tuple[str, ...] = (),
+        plains: tuple[str, ...] = (),
+        *,
+        leaving: tuple[str, ...] = (),
+        lag_s: float = 0.0,
+    ) -> None:
+        """Sets the host list to these addresses."""
+        hosts = [
+            _host(address, kind, service, address in leaving)
+            for kind, service, addresses in (
+                ("engine", "assistant", engines),
+                ("plain", "ledger", plains),
+            )
+            for address in addresses
+        ]
+        value = {"hosts": hosts, "lag_s": lag_s}
+        answer = processes.call("PUT", self.hosts, "/hosts", value)
+        assert answer.code == 200
+
+    def start_daemon(self) -> processes.Process:
+        """Starts a daemon; see `wait_ready`."""
+        name = f"entry-{next(self._numbers)}"
+        text = _SETTINGS.format(name=name, log=self.log, hosts=self.hosts)
+        file = self._directory / f"{name}.ini"
+        file.write_text(text)
+        return self._started.start(
+            "bulrushgrade_daemon", "--settings", str(file)
+        )
+
+    def _publish(self, service: str, text: str) -> None:
+        message = publication.Publish(
+            service=service,
+            team="operators",
+            base_offset=None,
+            text=text,
+            validation=document.VALIDATION,
+        )
+        body = publication.CODEC.serialize(message).decode()
+        value = {"records": [{"id": f"first-{service}", "body": body}]}
+        path = f"/streams/{publication.STREAM}/records"
+        assert processes.call("POST", self.log, path, value).code == 200
+
+
+def _host(
+    address: str, kind: str, service: str, leaving: bool
+) -> dict[str, Any]:
+    return {
+        "address": address,
+        "kind": kind,
+        "service": service,
+        "zone": "metter-hall",
+        "region": "coastal-plain",
+        "state": "leaving" if leaving else "live",
+        "peer": "",
+        "fencing": True,
+    }
+
+
+def is_ready(daemon: processes.Process) -> bool:
+    """Asks a daemon as the platform's balancer does."""
+    try:
+        answer = processes.call("GET", daemon.ready["callers"], "/readyz")
+    except (OSError, http.client.HTTPException):
+        return False
+    return answer.code == 200
+
+
+def wait_ready(daemon: processes.Process, engines: int = 0) -> str:
+    """Waits until a daemon is ready and has seen so many engines.
+
+    Returns:
+        Its address for callers.
+    """
+    processes.wait_for(lambda: is_ready(daemon))
+    admin = daemon.ready["admin"]
+
+    def seen() -> bool:
+        dump = processes.call("GET", admin, "/dump/placing").json
+        return len(dump["reports"]) >= engines
+
+    processes.wait_for(seen)
+    return daemon.ready["callers"]
+
+
+def fault(address: str, **faults: Any) -> None:
+    """Sets the faults of a stand-in; none ends them all."""
+    answer = processes.call("POST", address, "/fault", faults)
+    assert answer.code == 200, answer.body
+
+
+def read_runs(*addresses: str) -> list[dict[str, Any]]:
+    """Returns the runs in the ledgers of endpoints."""
+    return [
+        run
+        for address in addresses
+        for run in processes.call("GET", address, "/ledger").json["runs"]
+    ]
+
+
+def expected(prompt: str, count: int) -> tuple[str, ...]:
+    """Returns the tokens of an answer that nothing cut."""
+    return tuple(completion.expected_tokens(prompt, count))
+
+
+def stream(
+    address: str,
+    request_id: str,
+    *,
+    max_tokens: int,
+    urgent: bool = False,
+    on_token: Callable[[int], None] = lambda count: None,
+    limit_s: float = processes.LIMIT_S,
+) -> Streamed:
+    """Asks for a streamed answer whose prompt is the request's id.
+
+    Args:
+        address: Where to.
+        request_id: The caller's id for the request.
+        max_tokens: Tokens of the answer.
+        urgent: Whether the shorter deadline holds.
+        on_token: Called with the number of tokens after each.
+        limit_s: How long the connection may be silent.
+    """
+    body = {"model": "model", "prompt": request_id, "max_tokens": max_tokens}
+    connection = http.client.HTTPConnection(address, timeout=limit_s)
+    headers = {
+        "Content-Type": "application/json",
+        "X-Request-Id": request_id,
+        "Connection": "close",
+        "X-Urgent": "yes" if urgent else "no",
+    }
+    start_s = time.monotonic()
+    try:
+        raw = json.dumps({**body, "stream": True})
+        connection.request("POST", COMPLETIONS, raw, headers)
+        response = connection.getresponse()
+        seen = _read_stream(response, request_id, on_token)
+        return attrs.evolve(seen, took_s=time.monotonic() - start_s)
+    except (OSError, http.client.HTTPException):
+        return Streamed(request_id=request_id, code=0)
+    finally:
+        connection.close()
+
+
+def _read_stream(
+    response: http.client.HTTPResponse,
+    request_id: str,
+    on_token: Callable[[int], None],
+) -> Streamed:
+    code = response.status
+    if code != 200:
+        error = json.loads(response.read())["error"]
+        return Streamed(request_id=request_id, code=code, error=error)
+    tokens: list[str] = []
+    error = None
+    for event in _read_events(response):
+        if event == "[DONE]":
+            return Streamed(
+                request_id=request_id,
+                code=code,
+                tokens=tuple(tokens),
+                whole=error is None,
+            )
+        value = json.loads(event)
+        error = value.get("error", error)
+        text = value["choices"][0]["text"] if "choices" in value else ""
+        if text:
+            assert value["index"] == len(tokens)
+            tokens.append(text)
+            on_token(len(tokens))
+    return Streamed(
+        request_id=request_id, code=code, tokens=tuple(tokens), error=error
+    )
+
+
+def _read_events(response: http.client.HTTPResponse) -> Iterator[str]:
+    while line := response.readline():
+        if line.startswith(b"data: "):
+            yield line[len(b"data: ") :].decode().strip()
+
+
+def stream_many(
+    address: str, request_ids: list[str], **options: Any
+) -> list[Streamed]:
+    """Asks for several streamed answers at once, each as `stream` does."""
+    with concurrent.futures.ThreadPoolExecutor(len(request_ids)) as pool:
+        asked = [
+            pool.submit(stream, address, request_id, **options)
+            for request_id in request_ids
+        ]
+        return [each.result() for each in asked]
+
+
+def assert_whole(answers: list[Streamed], max_tokens: int) -> None:
+    """Checks that every answer is the one that nothing cut."""
+    for answer in answers:
+        assert answer.whole, answer
+        assert answer.tokens == expected(answer.request_id, max_tokens)
+
+
+class Load:
+    """Callers that go on asking until they are stopped.
+
+    Each takes a daemon that says it is ready, as the platform's balancer
+    would, with a connection of its own for every request.
+    """
+
+    def __init__(
+        self,
+        *,
+        daemons: list[processes.Process],
+        callers: int,
+        max_tokens: int,
+        name: str,
+    ):
+        self._daemons = daemons
+        self._max_tokens = max_tokens
+        self._name = name
+        self._numbers = itertools.count()
+        self._stopping = threading.Event()
+        self._answers: list[Streamed] = []
+        self._threads = [
+            threading.Thread(target=self._ask) for _ in range(callers)
+        ]
+
+    @property
+    def answers(self) -> list[Streamed]:
+        """What has been answered so far."""
+        return list(self._answers)
+
+    def __enter__(self) -> "Load":
+        for thread in self._threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._stopping.set()
+        for thread in self._threads:
+            thread.join(processes.LIMIT_S)
+
+    def wait_answers(self, more: int) -> None:
+        """Waits until so many more requests have been answered."""
+        wanted = len(self._answers) + more
+        processes.wait_for(lambda: len(self._answers) >= wanted)
+
+    def _ask(self) -> None:
+        while not self._stopping.is_set():
+            daemon = self._choose()
+            if daemon is None:
+                time.sleep(0.02)
+                continue
+            number = next(self._numbers)
+            answer = stream(
+                daemon.ready["callers"],
+                f"{self._name}-{number}",
+                max_tokens=self._max_tokens,
+            )
+            self._answers.append(answer)
+
+    def _choose(self) -> processes.Process | None:
+        ready = [d for d in list(self._daemons) if is_ready(d)]
+        return ready[next(self._numbers) % len(ready)] if ready else None
--- a/packages/bulrushgrade_standins/bulrushgrade_standins/attempt.py
+++ b/packages/bulrushgrade_standins/bulrushgrade_standins/attempt.py
@@ -124,6 +124,7 @@
         if stop < self._sequence.max_tokens:
             return ""
         if self._wanted.stream:
+            self._send_late_end()
             self.finish(completion.DONE_EVENT)
         else:
             self.finish(self._make_whole())
@@ -188,6 +189,24 @@
             self._request.setHeader("Content-Type", "text/event-stream")
             self._request.write(b"".join(parts))
 
+    def _send_late_end(self) -> None:
+        """Sends the last event where the caller has had all tokens before.
+
+        Its last event was lost with an earlier attempt, and the reason for
+        finishing and the usage with it.
+        """
+        count = self._sequence.max_tokens
+        if self._first == count:
+            self._request.write(
+                completion.make_event(
+                    attempt=self._shown_id,
+                    chat=self._wanted.chat,
+                    index=count,
+                    token="",
+                    usage=self._make_usage(count),
+                )
+            )
+
     def _make_whole(self) -> bytes:
         count = self._sequence.max_tokens
         tokens = completion.make_tokens(self._seed, self._first, count)
--- a/packages/bulrushgrade_standins/tests/test_engine.py
+++ b/packages/bulrushgrade_standins/tests/test_engine.py
@@ -74,6 +74,14 @@
     assert message["content"] == "".join(expected)
 
 
+def test_resumed_after_the_last_token_gives_the_end(engine):
+    fields = {"prompt": "p", "max_tokens": 2, "resume_tokens": 2}
+    answer = _complete(engine.address, stream=True, **fields)
+    (event,), whole = _read_events(answer)
+    assert whole and event["choices"][0]["text"] == ""
+    assert event["usage"]["completion_tokens"] == 2
+
+
 @pytest.mark.parametrize("sent", [0, 1, 3])
 def test_death_in_mid_stream_breaks_the_answer(engine, sent):
     # A user would see an answer stop at any word. The engine dies after so
