Put the daemon's services together, with its binary

Cause: the parts had no process. Ruled out: a global registry of services; each finds others through the kernel or is handed what it needs. Conclusion: to be run end to end next.

--- /dev/null
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/__main__.py
@@ -0,0 +1,115 @@
+"""The binary ``bulrushgraded``: runs the daemon of one entry host."""
+
+import json
+import signal
+import sys
+from typing import Annotated
+
+from absl import logging
+from returns.result import Failure
+import typer
+
+from bulrushgrade_daemon import host
+from bulrushgrade_daemon import settings as settings_module
+from bulrushgrade_daemon import task
+
+EXIT_OK = 0
+EXIT_BROKEN = 1
+EXIT_BAD_SETTINGS = 2
+_LEVELS = {
+    "debug": logging.DEBUG,
+    "info": logging.INFO,
+    "warning": logging.WARNING,
+    "error": logging.ERROR,
+}
+
+
+class Process:
+    """The life of the daemon's process, from start to its exit code."""
+
+    def __init__(self, *, settings: settings_module.Settings, reactor):
+        self._settings = settings
+        self._reactor = reactor
+        self._exit_code = EXIT_OK
+        self._stopping = False
+        self._daemon = host.build(settings, reactor, on_broken=self._broken)
+
+    def run(self) -> int:
+        """Runs until it is told to stop; returns the exit code."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, self._on_signal)
+        self._reactor.callWhenRunning(self._start)
+        self._reactor.run(installSignalHandlers=False)
+        return self._exit_code
+
+    def _on_signal(self, number: int, frame: object) -> None:
+        self._reactor.callFromThread(self._stop)
+
+    def _start(self) -> None:
+        task.spawn(self._open(), name="start", on_broken=self._broken)
+
+    async def _open(self) -> None:
+        try:
+            await self._daemon.kernel.start()
+        except OSError as error:
+            self._broken(f"can't open an address: {error}")
+            return
+        addresses = {
+            "name": self._settings.host.name,
+            "callers": self._daemon.callers.address,
+            "admin": self._daemon.admin.address,
+        }
+        print(json.dumps(addresses), flush=True)
+        logging.info("started %s", addresses)
+
+    def _stop(self) -> None:
+        if self._stopping:
+            return
+        self._stopping = True
+        logging.info("stopping: open requests are finished first")
+        task.spawn(self._close(), name="stop", on_broken=self._broken)
+
+    async def _close(self) -> None:
+        await self._daemon.kernel.stop()
+        logging.info("stopped")
+        self._reactor.stop()
+
+    def _broken(self, reason: str) -> None:
+        logging.error("broken invariant, stopping: %s", reason)
+        self._exit_code = EXIT_BROKEN
+        if self._reactor.running:
+            self._reactor.callLater(0, self._reactor.crash)
+
+
+def run(
+    settings: Annotated[str, typer.Option(help="The INI file.")],
+    check: Annotated[
+        bool, typer.Option("--check", help="Check the file and exit.")
+    ] = False,
+) -> None:
+    """Runs the daemon of one entry host until SIGTERM."""
+    read = settings_module.read_settings(settings)
+    if isinstance(read, Failure):
+        for error in read.failure():
+            print(settings_module.format_error(error), file=sys.stderr)
+        raise typer.Exit(EXIT_BAD_SETTINGS)
+    if check:
+        print(f"{settings}: ok")
+        return
+    parsed = read.unwrap()
+    logging.use_absl_handler()
+    logging.set_verbosity(_LEVELS[parsed.logging.level])
+    logging.set_stderrthreshold("debug")
+    # Imported here so that a check opens nothing at all.
+    from twisted.internet import reactor
+
+    raise typer.Exit(Process(settings=parsed, reactor=reactor).run())
+
+
+def main() -> None:
+    """Runs the command line."""
+    typer.run(run)
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/placing.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/placing.py
@@ -197,8 +197,13 @@
         """Notes that an answer has so many tokens in all by now."""
         self._core.tokens(request_id, count, self.now)
 
-    def finished(self, request_id: str, outcome: work_module.Outcome) -> None:
-        """Notes that a request has ended; something may be free now."""
+    def finished(self, request_id: str, outcome: str) -> None:
+        """Notes that a request has ended; something may be free now.
+
+        Args:
+            request_id: The request.
+            outcome: `COMPLETE` or `FAILED`.
+        """
         self._core.finished(request_id, outcome, self.now)
         self._settle()
 
