Put the fold of documents through a failing log by a state machine

A gap closed by a checkpoint that does not reach past it passes everywhere, since the next read finds the gap again and until then the fold is behind, so nothing is served by it.

--- a/packages/bulrushgrade/bulrushgrade/checkpoint.py
+++ b/packages/bulrushgrade/bulrushgrade/checkpoint.py
@@ -27,14 +27,24 @@
 
 
 def serialize_checkpoint(
-    snapshot: publication.Snapshot, *, checkpoint_id: str
+    snapshot: publication.Snapshot,
+    *,
+    checkpoint_id: str,
+    part_bytes: int = PART_BYTES,
 ) -> tuple[bytes, ...]:
-    """Returns the bodies of the records that hold a snapshot."""
+    """Returns the bodies of the records that hold a snapshot.
+
+    Args:
+        snapshot: The state to write.
+        checkpoint_id: A unique id; the parts find each other by it.
+        part_bytes: How many bytes of states go into a part; a single larger
+            state has a part of its own.
+    """
     groups: list[list[publication.ServiceState]] = [[]]
     size = 0
     for state in snapshot.states:
         added = len(msgspec.json.encode(state))
-        if groups[-1] and size + added > PART_BYTES:
+        if groups[-1] and size + added > part_bytes:
             groups.append([])
             size = 0
         groups[-1].append(state)
--- /dev/null
+++ b/packages/bulrushgrade/tests/test_registry_machine.py
@@ -0,0 +1,302 @@
+"""A state machine of publishers, readers and a log that fails."""
+
+import attrs
+from hypothesis import stateful
+from hypothesis import strategies
+from returns.result import Success
+
+from bulrushgrade import checkpoint
+from bulrushgrade import demand
+from bulrushgrade import document
+from bulrushgrade import fleet
+from bulrushgrade import publication
+from bulrushgrade import record
+from bulrushgrade import registry
+
+OWNERS = {"desk": "office", "ledger": "office", "spray": "growers"}
+CAPACITY = 100.0
+READERS = 3
+# Puts a few services into a part, so that checkpoints have several parts.
+PART_BYTES = 2000
+
+
+def _fleet_text():
+    return fleet.serialize_fleet(
+        fleet.FleetDocument(
+            heading=fleet.FleetHeading(format=1, name="ring", team="office"),
+            regions=(fleet.Region(name="plain", zones=("hall",)),),
+            teams=tuple(
+                fleet.Team(
+                    name=team,
+                    services=tuple(s for s in OWNERS if OWNERS[s] == team),
+                )
+                for team in ("office", "growers")
+            ),
+            engines=(
+                fleet.Engines(
+                    name="all", zone="hall", count=1, token_s_per_s=CAPACITY
+                ),
+            ),
+        )
+    )
+
+
+def _service_text(service, team, share):
+    limits = {"first_token_s": 1.0, "between_tokens_s": 1.0}
+    return document.serialize_document(
+        document.ServiceDocument(
+            heading=demand.Heading(
+                format=1, service=service, team=team, kind="model"
+            ),
+            models=(demand.ModelUse(name="m", version="1"),),
+            deadlines=(
+                demand.DeadlineClass(name="all", whole_answer_s=9.0, **limits),
+            ),
+            share=demand.Share(guaranteed_token_s_per_s=share),
+        )
+    )
+
+
+@attrs.frozen(kw_only=True)
+class _State:
+    digest: str
+    accepted: dict
+
+
+class RegistryMachine(stateful.RuleBasedStateMachine):
+    """Publishers race, answers get lost, the log trims, readers lag."""
+
+    def __init__(self):
+        super().__init__()
+        self.records, self.earliest, self.away = [], 0, False
+        self.ids = 0
+        self.unsettled = {}
+        self.told = {}
+        self.parts = []
+        self.winners = set()
+        # Reads every record at once, before any is trimmed.
+        self.truth = registry.Registry()
+        self.states = [self._state()]
+        self.readers = [registry.Registry() for _ in range(READERS)]
+        self.highest = [{} for _ in range(READERS)]
+        self.saved = [self.truth.snapshot()]
+        self._append(*self._make("fleet", "office", None, 0.0))
+        assert self.truth.fleet is not None
+
+    def _state(self):
+        names = ("fleet", *OWNERS)
+        accepted = {name: self.truth.accepted(name) for name in names}
+        return _State(digest=self.truth.digest(), accepted=accepted)
+
+    def _make(self, service, team, base, share):
+        self.ids += 1
+        text = _fleet_text()
+        if service != "fleet":
+            text = _service_text(service, team, share)
+        body = publication.CODEC.serialize(
+            publication.Publish(
+                service=service,
+                team=team,
+                base_offset=base,
+                text=text,
+                validation=1,
+            )
+        )
+        return f"p{self.ids}", body
+
+    def _base(self, service, reader):
+        seen = self.readers[reader].accepted(service)
+        return seen.offset if seen else None
+
+    def _append(self, record_id, body):
+        offset = len(self.records)
+        made = record.Record(offset=offset, record_id=record_id, body=body)
+        self.records.append(made)
+        before = self.states[-1].accepted
+        outcome = self.truth.apply(made)
+        self.states.append(self._state())
+        if isinstance(outcome, publication.Verdict):
+            self._check_verdict(outcome, before)
+        else:
+            assert self.states[-1] == self.states[-2]
+
+    def _check_verdict(self, verdict, before):
+        assert self.told.setdefault(verdict.record_id, verdict) == verdict
+        after = self.states[-1].accepted
+        changed = {name for name in after if after[name] != before[name]}
+        assert changed == ({verdict.service} if verdict.accepted else set())
+        if not verdict.accepted:
+            return
+        race = (verdict.service, verdict.base_offset)
+        assert race not in self.winners
+        self.winners.add(race)
+        assert verdict.team == OWNERS.get(verdict.service, "office")
+        documents = self.truth.documents.values()
+        shares = [d.share.guaranteed_token_s_per_s for d in documents]
+        assert sum(shares) <= CAPACITY
+
+    @stateful.precondition(lambda self: not self.away)
+    @stateful.rule(
+        service=strategies.sampled_from(sorted(OWNERS)),
+        share=strategies.sampled_from([0.0, 30.0, 50.0]),
+        seen_by=strategies.integers(0, READERS - 1),
+        fate=strategies.sampled_from(["stored", "answer lost", "lost", "two"]),
+    )
+    def publish(self, service, share, seen_by, fate):
+        """An operator edits what one reader, perhaps lagging, has."""
+        team = OWNERS[service]
+        record_id, body = self._make(
+            service, team, self._base(service, seen_by), share
+        )
+        for _ in range({"lost": 0, "two": 2}.get(fate, 1)):
+            self._append(record_id, body)
+        if fate in ("lost", "answer lost"):
+            self.unsettled[record_id] = body
+
+    @stateful.precondition(lambda self: not self.away)
+    @stateful.rule(
+        service=strategies.sampled_from(sorted(OWNERS)),
+        team=strategies.sampled_from(["office", "growers"]),
+        share=strategies.sampled_from([30.0, 101.0]),
+        garbage=strategies.sampled_from([b"", b"{}", b'{"kind":[]}']),
+    )
+    def publish_badly(self, service, team, share, garbage):
+        """A greedy document, perhaps of a stranger, and a damaged record."""
+        base = self._base(service, 0)
+        self._append(*self._make(service, team, base, share))
+        self.ids += 1
+        self._append(f"p{self.ids}", garbage)
+
+    @stateful.precondition(lambda self: self.unsettled and not self.away)
+    @stateful.rule(data=strategies.data())
+    def append_again(self, data):
+        """A publisher without an answer sends the same record id again."""
+        names = strategies.sampled_from(sorted(self.unsettled))
+        record_id = data.draw(names)
+        self._append(record_id, self.unsettled[record_id])
+
+    @stateful.rule()
+    def change_log_state(self):
+        self.away = not self.away
+
+    @stateful.precondition(lambda self: not self.away)
+    @stateful.rule(
+        reader=strategies.integers(0, READERS - 1),
+        limit=strategies.integers(1, 8),
+    )
+    def read(self, reader, limit):
+        fold = self.readers[reader]
+        start = max(fold.read_offset, self.earliest)
+        found = tuple(self.records[start : start + limit])
+        fold.apply_page(
+            record.Page(
+                records=found,
+                next_offset=start + len(found),
+                earliest_offset=self.earliest,
+                end_offset=len(self.records),
+            )
+        )
+
+    @stateful.precondition(lambda self: not self.away)
+    @stateful.rule(reader=strategies.integers(0, READERS - 1))
+    def begin_checkpoint(self, reader):
+        """Takes the place of one whose appender died midway."""
+        self.read(reader, len(self.records))
+        if self.readers[reader].readiness() == Success(len(self.records)):
+            self.ids += 1
+            bodies = checkpoint.serialize_checkpoint(
+                self.readers[reader].snapshot(),
+                checkpoint_id=f"c{self.ids}",
+                part_bytes=PART_BYTES,
+            )
+            self.parts = list(bodies)
+
+    @stateful.precondition(lambda self: self.parts and not self.away)
+    @stateful.rule(count=strategies.integers(1, 5))
+    def append_parts(self, count):
+        for body in self.parts[:count]:
+            self.ids += 1
+            self._append(f"k{self.ids}", body)
+        del self.parts[:count]
+
+    @stateful.rule(kept=strategies.integers(0, 12))
+    def trim(self, kept):
+        self.earliest = max(self.earliest, len(self.records) - kept)
+
+    @stateful.precondition(lambda self: self.truth.last_checkpoint is not None)
+    @stateful.rule()
+    def trim_to_checkpoint(self):
+        first = self.truth.last_checkpoint.first_offset
+        self.earliest = max(self.earliest, first)
+
+    @stateful.rule(reader=strategies.integers(0, READERS - 1))
+    def save(self, reader):
+        self.saved.append(self.readers[reader].snapshot())
+
+    @stateful.rule(
+        reader=strategies.integers(0, READERS - 1), data=strategies.data()
+    )
+    def restart(self, reader, data):
+        """A new host gets a snapshot that may be older than the log."""
+        self.readers[reader] = registry.Registry()
+        self.highest[reader] = {}
+        self.hear(reader, data)
+
+    @stateful.rule(
+        reader=strategies.integers(0, READERS - 1), data=strategies.data()
+    )
+    def hear(self, reader, data):
+        """A peer's snapshot comes late."""
+        saved = data.draw(strategies.sampled_from(self.saved))
+        assert isinstance(self.readers[reader].restore_snapshot(saved), Success)
+
+    @stateful.invariant()
+    def folds_of_one_offset_are_equal(self):
+        for fold in self.readers:
+            state = self.states[fold.next_offset]
+            assert fold.digest() == state.digest
+            accepted = {name: fold.accepted(name) for name in state.accepted}
+            assert accepted == state.accepted
+            assert set(fold.documents) == {
+                name
+                for name, revision in accepted.items()
+                if revision is not None and name != "fleet"
+            }
+
+    @stateful.invariant()
+    def revisions_never_go_down(self):
+        for fold, highest in zip(self.readers, self.highest, strict=True):
+            for name in ("fleet", *OWNERS):
+                revision = fold.accepted(name)
+                offset = revision.offset if revision else -1
+                assert offset >= highest.get(name, -1)
+                highest[name] = offset
+
+    @stateful.invariant()
+    def a_told_outcome_stays(self):
+        for fold in (*self.readers, self.truth):
+            for record_id, verdict in self.told.items():
+                known = fold.outcome_of(record_id)
+                assert known is None or known == verdict
+                # Below the bound of the history none is forgotten.
+                if verdict.offset < fold.next_offset and self.ids < 32:
+                    assert known == verdict
+
+    def teardown(self):
+        """With the log back, every reader ends ready and equal."""
+        self.away = False
+        for body in checkpoint.serialize_checkpoint(
+            self.truth.snapshot(), checkpoint_id="last", part_bytes=PART_BYTES
+        ):
+            self._append("last", body)
+        for reader, fold in enumerate(self.readers):
+            for _ in range(2 * len(self.records)):
+                self.read(reader, 8)
+            assert fold.readiness() == Success(len(self.records))
+            assert fold.snapshot() == self.truth.snapshot()
+        for record_id in self.unsettled:
+            found = self.readers[0].outcome_of(record_id)
+            assert found == self.truth.outcome_of(record_id)
+
+
+TestRegistryMachine = RegistryMachine.TestCase
