--- a/packages/bulrushgrade/bulrushgrade/errors.py
+++ b/packages/bulrushgrade/bulrushgrade/errors.py
@@ -45,6 +45,62 @@
     names: tuple[str, ...]
 
 
+@attrs.frozen(kw_only=True)
+class SettingsError:
+    """One thing wrong in a daemon's settings file.
+
+    Attributes:
+        file: The file's path as it was given.
+        section: The section, or empty where the file as a whole is at fault.
+        key: The key, or empty where a section is at fault.
+        reason: What was found.
+        expected: What would have been right.
+    """
+
+    file: str
+    section: str
+    key: str
+    reason: str
+    expected: str
+
+
+@attrs.frozen(kw_only=True)
+class BadHostList:
+    """An answer of the host list that can't be used.
+
+    Attributes:
+        reason: What was wrong, for a person.
+    """
+
+    reason: str
+
+
+@attrs.frozen(kw_only=True)
+class StaleHostList:
+    """A host list older than one that is already in force.
+
+    Attributes:
+        version: The version of the older list.
+        current: The version in force.
+    """
+
+    version: int
+    current: int
+
+
+@attrs.frozen(kw_only=True)
+class StalePeerMessage:
+    """A peer's message that a newer one has overtaken.
+
+    Attributes:
+        sender: The peer.
+        sequence: The message's number.
+    """
+
+    sender: str
+    sequence: int
+
+
 @attrs.frozen(kw_only=True)
 class DocumentError:
     """One fault of a document, named so that its author can mend it.
@@ -72,6 +128,16 @@
         )
 
 
+@attrs.frozen(kw_only=True)
+class KeyConflict:
+    """An idempotency key was used before for another request."""
+
+
+@attrs.frozen(kw_only=True)
+class OnceNotReady:
+    """The stream of once-only requests has not been read to its end yet."""
+
+
 @attrs.frozen(kw_only=True)
 class UnjudgedRecord:
     """A publish that this release has no rules for.
