Let the registry's readiness take the stream's end from its reader

The daemon's documents service calls readiness(end_offset), which the registry took no argument for: it kept the end itself and only learned it by apply_page, which the daemon doesn't use, so the daemon would have stopped on a TypeError. The reader knows the end, so readiness takes it, and apply_page goes.

--- a/packages/bulrushgrade/bulrushgrade/registry.py
+++ b/packages/bulrushgrade/bulrushgrade/registry.py
@@ -68,7 +68,6 @@
         """
         self._catalog = catalog.Catalog(rules=rules)
         self._next_offset = 0
-        self._end_offset: int | None = None
         # Set while records before it are known to be missing; the reader then
         # scans on for a checkpoint.
         self._gap_end: int | None = None
@@ -134,16 +133,21 @@
         """Returns the digest of the state, equal on folds of equal offsets."""
         return self._catalog.digest
 
-    def readiness(self) -> Result[int, errors.RegistryNotReady]:
+    def readiness(
+        self, end_offset: int | None
+    ) -> Result[int, errors.RegistryNotReady]:
         """Whether a starting daemon may begin to serve from this state.
 
         A daemon that has begun goes on while the log is away or ahead: what
         it last accepted was right then, and refusing all callers helps none.
 
+        Args:
+            end_offset: The stream's end as last read, None before any read.
+
         Returns:
             The offset up to which the stream is folded, or why not to begin.
         """
-        reason = self._find_lack()
+        reason = self._find_lack(end_offset)
         if not reason:
             return Success(self._next_offset)
         return Failure(
@@ -152,26 +156,8 @@
             )
         )
 
-    def apply_page(self, page: record.Page) -> tuple[Outcome, ...]:
-        """Folds an answer of the log to a read from `read_offset`.
-
-        Returns:
-            An outcome for each record that was taken; the rest of the page is
-            left when a checkpoint sends the reader back.
-        """
-        self.note_earliest(page.earliest_offset)
-        self._end_offset = page.end_offset
-        outcomes = []
-        for record_ in page.records:
-            if record_.offset > self.read_offset:
-                break
-            outcomes.append(self.apply(record_))
-            if isinstance(outcomes[-1], errors.UnjudgedRecord):
-                break
-        return tuple(outcomes)
-
     def note_earliest(self, earliest_offset: int) -> None:
-        """Takes the oldest offset that the log still holds.
+        """Takes the oldest offset that the log still holds, before a page.
 
         A stream that was trimmed past the reader may hold nothing more to
         read, so the gap need not show in any record.
@@ -181,7 +167,11 @@
             self._collector.clear()
 
     def apply(self, record_: record.Record) -> Outcome:
-        """Folds the record at `read_offset`; others change nothing."""
+        """Folds the record at `read_offset`; others change nothing.
+
+        A page may be applied record by record to its end: when a checkpoint
+        sends the reader back, the rest of the page is passed over as ahead.
+        """
         offset = record_.offset
         if offset < self.read_offset:
             return Skipped(offset=offset, reason=Skip.STALE)
@@ -240,7 +230,7 @@
             self._gap_end = None
         return Success(self._next_offset)
 
-    def _find_lack(self) -> str:
+    def _find_lack(self, end_offset: int | None) -> str:
         if self._gap_end is not None:
             return (
                 f"records {self._next_offset} to {self._gap_end - 1} are "
@@ -251,11 +241,11 @@
                 f"record {self._unjudged.offset} needs rules "
                 f"{self._unjudged.validation}, newer than this release"
             )
-        if self._end_offset is None:
+        if end_offset is None:
             if self._restored:
                 return ""
-            return "the log is away and no peer has sent a snapshot"
-        behind = self._end_offset - self._next_offset
+            return "the log has not been read and no peer has sent a snapshot"
+        behind = end_offset - self._next_offset
         return f"{behind} records behind" if behind > 0 else ""
 
     def _pass(self, offset: int) -> None:
--- a/packages/bulrushgrade/tests/test_registry.py
+++ b/packages/bulrushgrade/tests/test_registry.py
@@ -98,14 +98,9 @@
         outcomes, before = [], None
         while before != fold.read_offset:
             before = fold.read_offset
-            start = max(before, self.earliest)
-            page = record.Page(
-                records=tuple(self.records[start : start + 3]),
-                next_offset=start + 3,
-                earliest_offset=self.earliest,
-                end_offset=len(self.records),
-            )
-            outcomes += fold.apply_page(page)
+            fold.note_earliest(self.earliest)
+            start = fold.read_offset
+            outcomes += [fold.apply(r) for r in self.records[start : start + 3]]
         return outcomes
 
 
@@ -205,16 +200,19 @@
     log.append(desk(base=2, share=300))
     log.read(fold)
     fresh = registry.Registry()
-    assert isinstance(fresh.readiness(), Failure)
+    assert isinstance(fresh.readiness(None), Failure)
     log.earliest = 3
     log.read(fresh)
-    assert "records 2 to 2 are trimmed" in fresh.readiness().failure().reason
+    assert (
+        "records 2 to 2 are trimmed"
+        in fresh.readiness(len(log.records)).failure().reason
+    )
     assert fresh.accepted("desk").offset == 1
     log.checkpoint(fold, "d")
     log.append(desk(base=4, share=400))
     log.read(fresh)
     log.read(fold)
-    assert fresh.readiness() == Success(7)
+    assert fresh.readiness(len(log.records)) == Success(7)
     assert fresh.snapshot() == fold.snapshot()
 
 
@@ -250,9 +248,9 @@
     _, fold, _ = _fold(FLEET, desk())
     fresh = registry.Registry()
     sent = publication.CODEC.serialize(fold.snapshot())
-    assert isinstance(fresh.readiness(), Failure)
+    assert isinstance(fresh.readiness(None), Failure)
     fresh.restore_snapshot(publication.parse_message(sent).unwrap())
-    assert fresh.readiness() == Success(2)
+    assert fresh.readiness(None) == Success(2)
     assert fresh.digest() == fold.digest()
 
 
@@ -270,10 +268,16 @@
     new = registry.Registry(rules={**acceptance.RULES, 2: acceptance.RULES[1]})
     outcomes = log.read(old)
     log.read(new)
-    assert outcomes[-1] == errors.UnjudgedRecord(offset=4, validation=2)
+    assert outcomes[-2:] == [
+        errors.UnjudgedRecord(offset=4, validation=2),
+        registry.Skipped(offset=5, reason=registry.Skip.AHEAD),
+    ]
     assert outcomes[2].code == "format_not_enabled"
     assert old.accepted("desk").offset == 1
-    assert "newer than this release" in old.readiness().failure().reason
+    assert (
+        "newer than this release"
+        in old.readiness(len(log.records)).failure().reason
+    )
     assert new.accepted("desk").offset == 5
 
 
--- a/packages/bulrushgrade/tests/test_registry_machine.py
+++ b/packages/bulrushgrade/tests/test_registry_machine.py
@@ -186,23 +186,19 @@
     )
     def read(self, reader, limit):
         fold = self.readers[reader]
-        start = max(fold.read_offset, self.earliest)
-        found = tuple(self.records[start : start + limit])
-        fold.apply_page(
-            record.Page(
-                records=found,
-                next_offset=start + len(found),
-                earliest_offset=self.earliest,
-                end_offset=len(self.records),
-            )
-        )
+        fold.note_earliest(self.earliest)
+        start = fold.read_offset
+        for record_ in self.records[start : start + limit]:
+            fold.apply(record_)
 
     @stateful.precondition(lambda self: not self.away)
     @stateful.rule(reader=strategies.integers(0, READERS - 1))
     def begin_checkpoint(self, reader):
         """Takes the place of one whose appender died midway."""
         self.read(reader, len(self.records))
-        if self.readers[reader].readiness() == Success(len(self.records)):
+        if self.readers[reader].readiness(len(self.records)) == Success(
+            len(self.records)
+        ):
             self.ids += 1
             bodies = checkpoint.serialize_checkpoint(
                 self.readers[reader].snapshot(),
@@ -292,7 +288,9 @@
         for reader, fold in enumerate(self.readers):
             for _ in range(2 * len(self.records)):
                 self.read(reader, 8)
-            assert fold.readiness() == Success(len(self.records))
+            assert fold.readiness(len(self.records)) == Success(
+                len(self.records)
+            )
             assert fold.snapshot() == self.truth.snapshot()
         for record_id in self.unsettled:
             found = self.readers[0].outcome_of(record_id)
