--- a/packages/bulrushgrade/bulrushgrade/errors.py
+++ b/packages/bulrushgrade/bulrushgrade/errors.py
@@ -72,3 +72,14 @@
 @attrs.frozen(kw_only=True)
 class OnceNotReady:
     """The stream of once-only requests has not been read to its end yet."""
+
+
+@attrs.frozen(kw_only=True)
+class OrderRefused:
+    """An order can't be made now.
+
+    Attributes:
+        reason: Why, for a person.
+    """
+
+    reason: str
--- a/packages/bulrushgrade/bulrushgrade/once.py
+++ b/packages/bulrushgrade/bulrushgrade/once.py
@@ -22,6 +22,11 @@
 from bulrushgrade import position
 from bulrushgrade import record
 
+# A duplicate is asked to come back this soon at the latest. The usual request
+# is over within seconds; waiting for the limit of the slowest would keep the
+# caller from an early answer.
+MAX_RETRY_AFTER_S = 1.0
+
 
 @attrs.define(kw_only=True)
 class _Own:
@@ -319,9 +324,7 @@
         )
 
     def _retry_after_s(self, at_most_s: float) -> float:
-        # The usual request is over within seconds; waiting for the limit of
-        # the slowest would keep a duplicate's caller from an early answer.
-        return min(max(at_most_s, self._limits.retry_s), 1.0)
+        return min(max(at_most_s, self._limits.retry_s), MAX_RETRY_AFTER_S)
 
     def _end(
         self, own: _Own, message: oncelog.Done | oncelog.Abandon, now: float
--- /dev/null
+++ b/packages/bulrushgrade/bulrushgrade/order.py
@@ -0,0 +1,372 @@
+"""What a holder may order of its engines, and when.
+
+`OrderBook` reads a control stream for its candidate's `lease.Lease` and for
+the orders on it, and tells the owner which records to append and which orders
+to write. An order is written only while the lease lasts, after its intent was
+read back, and for as long as the engine was not seen to be through with it.
+"""
+
+from collections.abc import Callable
+
+import attrs
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from bulrushgrade import engineorder
+from bulrushgrade import errors
+from bulrushgrade import lease
+from bulrushgrade import orderlog
+from bulrushgrade import position
+from bulrushgrade import record
+
+
+@attrs.frozen(kw_only=True)
+class OrderTimes:
+    """Times of orders, in seconds.
+
+    Attributes:
+        pause_allowance_s: How much longer a new holder waits before its first
+            order to an engine that ignores fencing numbers, and a holder
+            before another order after one whose answer was lost. It has to
+            outlast the engine's read timeout plus the longest time a segment
+            is under way, so that what a paused process writes later meets a
+            closed connection.
+        resend_s: Time between two writes of one order.
+        change_limit_s: Time for an engine to change once it took an order.
+            Only after it, or once the engine is seen down, the order is
+            written again: an engine whose report lags would change twice.
+        retry_s: Time between two appends of one record.
+        refresh_s: Age at which the intent of an unfinished order is appended
+            again, far below the log's retention, so that no fresh reader
+            misses it.
+    """
+
+    pause_allowance_s: float = 30.0
+    resend_s: float = 2.0
+    change_limit_s: float = 30.0
+    retry_s: float = 0.5
+    refresh_s: float = 600.0
+
+
+@attrs.define(kw_only=True)
+class _Engine:
+    """What this process knows of an engine.
+
+    Attributes:
+        fencing: Whether the engine refuses orders with old numbers.
+        seen: Its last report.
+        seen_at: When that was received.
+        open_writes: Orders written whose end is not known yet.
+        write_after: No order is to be written before this.
+        lost_at: When a write last ended without an answer.
+        append: An intent or outcome under way to the log.
+        append_term: The term it was written for.
+        append_at: When it was last handed out.
+        intent_at: When the own effective intent was read back.
+    """
+
+    fencing: bool
+    seen: engineorder.Seen | None = None
+    seen_at: float = 0.0
+    open_writes: int = 0
+    write_after: float = 0.0
+    lost_at: float | None = None
+    append: record.Append | None = None
+    append_term: int | None = None
+    append_at: float = 0.0
+    intent_at: float = 0.0
+
+
+class OrderBook:
+    """The orders of one group, as one candidate sees them."""
+
+    def __init__(
+        self,
+        *,
+        authority: lease.Lease,
+        times: OrderTimes,
+        new_id: Callable[[], str],
+    ):
+        """Makes an empty book.
+
+        Args:
+            authority: The candidate's lease; the book feeds it.
+            times: The times of orders.
+            new_id: Makes unique ids of records and orders.
+        """
+        self._lease = authority
+        self._times = times
+        self._new_id = new_id
+        self._position = position.Position()
+        self._fold = orderlog.OrderFold()
+        self._engines: dict[str, _Engine] = {}
+        self._engine_of: dict[str, str] = {}
+        self._held_term: int | None = None
+        self._held_since = 0.0
+
+    @property
+    def authority(self) -> lease.Lease:
+        """The candidate's lease."""
+        return self._lease
+
+    @property
+    def fold(self) -> orderlog.OrderFold:
+        """What all readers agree on."""
+        return self._fold
+
+    @property
+    def next_offset(self) -> int:
+        """The offset to read next."""
+        return self._position.next_offset
+
+    def set_engine(self, engine: str, *, fencing: bool) -> None:
+        """Adds an engine, or changes what is known of its checks."""
+        known = self._engines.setdefault(engine, _Engine(fencing=fencing))
+        known.fencing = fencing
+
+    def remove_engine(self, engine: str) -> None:
+        """Forgets an engine that left the fleet."""
+        known = self._engines.pop(engine, None)
+        if known is not None and known.append is not None:
+            del self._engine_of[known.append.record_id]
+
+    def observe(self, engine: str, seen: engineorder.Seen, now: float) -> None:
+        """Takes an engine's report of itself."""
+        known = self._engines.get(engine)
+        if known is None:
+            return
+        known.seen, known.seen_at = seen, now
+        if seen.state == "down":
+            known.write_after = min(
+                known.write_after, now + self._times.resend_s
+            )
+
+    def apply_page(self, page: record.Page, now: float) -> None:
+        """Takes a page of the control stream, for the lease as well."""
+        if self._position.open_page(page):
+            self._fold.skip_to(self._position.origin)
+        for item in page.records:
+            self.apply(item, now)
+        self._position.close_page(page)
+        self._lease.apply_page(attrs.evolve(page, records=()), now)
+
+    def apply(self, item: record.Record, now: float) -> None:
+        """Takes one record of the control stream, for the lease as well."""
+        arrival = self._position.take(item.offset)
+        if arrival is position.Arrival.REPEATED:
+            return
+        if arrival is position.Arrival.GAP:
+            self._fold.skip_to(self._position.origin)
+        self._lease.apply(item, now)
+        if self._lease.term != self._held_term:
+            self._held_term, self._held_since = self._lease.term, now
+        self._fold.apply(item, self._lease.fold.term)
+        known = self._engines.get(self._engine_of.pop(item.record_id, ""))
+        if known is not None:
+            known.append, known.intent_at = None, now
+
+    def placeable(self, engine: str) -> bool:
+        """Whether requests may be placed on an engine.
+
+        An engine that crashed partway through a change may be in either
+        state or none; it stays out until it is seen to serve and its order
+        is over.
+        """
+        known = self._engines.get(engine)
+        return (
+            known is not None
+            and known.seen is not None
+            and known.seen.state == "serving"
+            and engine not in self._fold.unfinished
+            and known.append is None
+        )
+
+    def propose(
+        self, engine: str, wanted: orderlog.Wanted, now: float
+    ) -> Result[record.Append, errors.OrderRefused]:
+        """Makes the intent of a new order.
+
+        Returns:
+            The intent to append, which `due` repeats until it is read back,
+            or why there can be no order now.
+        """
+        known = self._engines.get(engine)
+        if known is None:
+            return Failure(errors.OrderRefused(reason="unknown engine"))
+        if not self._lease.acting(now):
+            return Failure(errors.OrderRefused(reason="not the holder"))
+        if engine in self._fold.unfinished or known.append is not None:
+            return Failure(errors.OrderRefused(reason="order unfinished"))
+        if not self._is_seen_well(known):
+            return Failure(errors.OrderRefused(reason="engine not seen"))
+        order_id = self._new_id()
+        return Success(self._intend(engine, order_id, wanted, now))
+
+    def due(self, now: float) -> tuple[record.Append, ...]:
+        """Returns records to append; call it at each tick."""
+        found = []
+        for name, known in self._engines.items():
+            append = self._due_of(name, known, now)
+            if append is not None:
+                found.append(append)
+        return tuple(found)
+
+    def failed(self, record_id: str) -> None:
+        """Notes that an append certainly did not take effect."""
+        known = self._engines.get(self._engine_of.pop(record_id, ""))
+        if known is not None:
+            known.append = None
+
+    def sendable(self, now: float) -> tuple[engineorder.Order, ...]:
+        """Returns the orders to write now.
+
+        The owner opens a connection for each first, and asks `may_send` again
+        in the turn in which it writes.
+        """
+        orders = (
+            engineorder.Order(
+                engine=name,
+                order_id=order.order_id,
+                number=order.number,
+                wanted=order.wanted,
+            )
+            for name, order in self._fold.unfinished.items()
+        )
+        return tuple(o for o in orders if self.may_send(o, now))
+
+    def may_send(self, order: engineorder.Order, now: float) -> bool:
+        """Whether an order may be written in this very turn."""
+        known = self._engines.get(order.engine)
+        current = self._fold.unfinished.get(order.engine)
+        if known is None or current is None or not self._lease.acting(now):
+            return False
+        if current.number != order.number or current.term != self._lease.term:
+            return False
+        if self._is_through(known, current):
+            return False
+        if known.open_writes or now < known.write_after:
+            return False
+        return known.fencing or now >= self._safe_from()
+
+    def sent(self, order: engineorder.Order, now: float) -> None:
+        """Notes that an order's first byte is written in this turn.
+
+        Each call must be followed by one of `answered`, at the latest when
+        the owner gives up and closes the connection.
+        """
+        known = self._engines.get(order.engine)
+        if known is not None:
+            known.open_writes += 1
+            known.write_after = now + self._times.resend_s
+
+    def answered(
+        self, order: engineorder.Order, reply: engineorder.Reply, now: float
+    ) -> None:
+        """Notes how the write of an order ended."""
+        known = self._engines.get(order.engine)
+        if known is None:
+            return
+        known.open_writes = max(0, known.open_writes - 1)
+        if reply is engineorder.Reply.LOST:
+            known.lost_at = now
+        elif reply is engineorder.Reply.ACCEPTED:
+            known.write_after = now + self._times.change_limit_s
+
+    def _is_seen_well(self, known: _Engine) -> bool:
+        return (
+            known.seen is not None
+            and known.seen.state in ("serving", "draining")
+            and known.seen_at >= self._held_since
+        )
+
+    def _is_through(self, known: _Engine, order: orderlog.Unfinished) -> bool:
+        return (
+            known.seen is not None
+            and known.seen.state == "serving"
+            and known.seen.order_id == order.order_id
+        )
+
+    def _safe_from(self) -> float:
+        # An engine that ignores numbers would carry out what the last holder
+        # still has under way, when that was paused between its check and its
+        # write. Waiting longer than such a write can take is all there is.
+        return self._held_since + self._times.pause_allowance_s
+
+    def _due_of(
+        self, name: str, known: _Engine, now: float
+    ) -> record.Append | None:
+        if known.append is not None:
+            if known.append_term != self._lease.term:
+                # Written for a lost term: it has no effect behind the next
+                # claim, and was read by now if it stands before it.
+                self.failed(known.append.record_id)
+            elif now >= known.append_at + self._times.retry_s:
+                known.append_at = now
+                return known.append
+            return None
+        order = self._fold.unfinished.get(name)
+        if order is None or not self._lease.acting(now):
+            return None
+        if order.term != self._lease.term or (
+            now >= known.intent_at + self._times.refresh_s
+        ):
+            return self._intend(name, order.order_id, order.wanted, now)
+        if self._is_through(known, order) and self._is_quiet(known, now):
+            return self._end(name, order.order_id, known.seen.now, now)
+        return None
+
+    def _is_quiet(self, known: _Engine, now: float) -> bool:
+        # A write whose answer was lost may still be under way. An engine that
+        # ignores numbers would carry it out after the next order; one that
+        # checks them refuses it then.
+        if known.fencing:
+            return True
+        if known.open_writes:
+            return False
+        return known.lost_at is None or (
+            now >= known.lost_at + self._times.pause_allowance_s
+        )
+
+    def _intend(
+        self,
+        engine: str,
+        order_id: str,
+        wanted: orderlog.Wanted,
+        now: float,
+    ) -> record.Append:
+        message = orderlog.Intent(
+            engine=engine,
+            order_id=order_id,
+            wanted=wanted,
+            term=self._lease.term,
+            after_offset=self._position.next_offset - 1,
+        )
+        return self._hand_out(engine, message, now)
+
+    def _end(
+        self, engine: str, order_id: str, seen: orderlog.Wanted, now: float
+    ) -> record.Append:
+        message = orderlog.Outcome(
+            engine=engine,
+            order_id=order_id,
+            seen=seen,
+            term=self._lease.term,
+        )
+        return self._hand_out(engine, message, now)
+
+    def _hand_out(
+        self,
+        engine: str,
+        message: orderlog.Intent | orderlog.Outcome,
+        now: float,
+    ) -> record.Append:
+        known = self._engines[engine]
+        known.append = record.Append(
+            stream=self._lease.stream,
+            record_id=self._new_id(),
+            body=orderlog.CODEC.serialize(message),
+        )
+        known.append_term, known.append_at = message.term, now
+        self._engine_of[known.append.record_id] = engine
+        return known.append
