--- a/packages/bulrushgrade/bulrushgrade/cost.py
+++ b/packages/bulrushgrade/bulrushgrade/cost.py
@@ -56,7 +56,7 @@
         self._line = None
 
     def line(self) -> tuple[float, float]:
-        """Returns the intercept and slope, neither below zero."""
+        """Returns the intercept and slope; the slope is above zero."""
         if self._line is None:
             self._line = self._solve()
         return self._line
@@ -75,7 +75,7 @@
         xy = self._xy + self.span * far
         slope = (count * xy - x * y) / (count * xx - x * x)
         slope = max(slope, 0.0)
-        return max((y - slope * x) / count, 0.0), slope
+        return max((y - slope * x) / count, 0.0), max(slope, 1e-9)
 
 
 @attrs.define(kw_only=True)
--- a/packages/bulrushgrade/bulrushgrade/placement.py
+++ b/packages/bulrushgrade/bulrushgrade/placement.py
@@ -79,7 +79,9 @@
     finish_s: float
     score: float
 
-    def placed(self, item: work.Work, tokens_done: int) -> work.Placed:
+    def placed(
+        self, item: work.Work, tokens_done: int, priority: int
+    ) -> work.Placed:
         """Returns the decision that tells of this option."""
         split = self.decode is not self.endpoint
         cached = item.prompt_tokens + tokens_done - self.uncached_tokens
@@ -90,6 +92,7 @@
             first_token_s=self.first_token_s,
             finish_s=self.finish_s,
             cached_tokens=max(0, round(cached)),
+            priority=priority,
         )
 
 
--- a/packages/bulrushgrade/bulrushgrade/pools.py
+++ b/packages/bulrushgrade/bulrushgrade/pools.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from bulrushgrade import cost
 from bulrushgrade import ejection
 from bulrushgrade import load
 from bulrushgrade import placement
@@ -149,6 +150,12 @@
         item.health.observe(ratio)
         self._judge(item, now)
 
+    def capacity(self, model: str) -> tuple[float, float]:
+        """Returns the tokens a second that one engine reads and generates."""
+        state = self._pools.get(("model", model))
+        costs = state.pool.model if state else cost.CostModel()
+        return 1.0 / costs.prefill_s(1.0), 1.0 / costs.engine_s(0.0, 1.0)
+
     def dump(self) -> dict[str, Any]:
         """Returns the state for a person, ready for JSON."""
         return {
--- /dev/null
+++ b/packages/bulrushgrade/bulrushgrade/roleplan.py
@@ -0,0 +1,274 @@
+"""When an engine should change its role.
+
+Load: long reading and short chat trade places within minutes, on a fixed
+fleet whose engines are away for seconds when they change. Harm: roles that
+follow each swing cost engine time in every swing and arrive when it is over;
+roles that never change leave engines idle beside a queue. The plan weighs
+each possible change against the demand of the recent past, swings included:
+a fleet that serves what has been seen needs no change when it comes again.
+"""
+
+import collections
+from collections.abc import Iterable
+
+import attrs
+
+from bulrushgrade import work
+
+BUCKET_S = 10.0
+"""Demand is added up over so many seconds: about what a queue of long
+readings absorbs, so that a shorter burst is no reason for a change."""
+
+HISTORY_S = 240.0
+"""How far back demand counts: a few swings of the mix."""
+
+MIN_BUCKETS = 2
+"""Full buckets before the first change: one could be a burst."""
+
+SHORT_BUCKETS = 2
+"""Buckets of the short window: a change must help in it as well as in the
+long one, else it would come for a swing that is already over."""
+
+HORIZON_S = 120.0
+"""How long a change is trusted to help: past it the mix is anyone's guess."""
+
+UTILIZATION = 0.85
+"""Part of an engine's time that can be used while answers stay in time; the
+rest is waiting for work that has not arrived."""
+
+MIXED_PART = 0.8
+"""What a mixed engine gets done against two that keep to one kind: its
+reading goes in chunks beside its answers."""
+
+CHANGE_S = 8.0
+"""Seconds that an engine is away for a change, its drain included, until
+changes have been observed."""
+
+DWELL_S = 40.0
+"""An engine that has just changed stays: each change drops its cache."""
+
+GAP_S = 10.0
+"""Between two changes of a group: the effect of the first must show in the
+demand and loads before the next is judged."""
+
+STALE_S = 3.0
+"""A view that is older is not acted on: its engines may be gone, and a
+change would take one more from a fleet that already lost one."""
+
+
+@attrs.frozen(kw_only=True)
+class GroupView:
+    """A group of engines of one model, as the holder of its lease sees it.
+
+    Attributes:
+        at: When the view was last confirmed.
+        endpoints: All its engines, whatever their state.
+        running: Requests at each address, if known.
+        prefill_tokens_per_s: What one engine reads.
+        decode_tokens_per_s: What one engine generates.
+    """
+
+    at: float
+    endpoints: tuple[work.Endpoint, ...]
+    running: dict[str, float] = attrs.field(factory=dict)
+    prefill_tokens_per_s: float
+    decode_tokens_per_s: float
+
+
+@attrs.frozen(kw_only=True)
+class RoleChange:
+    """An order that the plan asks for.
+
+    Attributes:
+        endpoint: The engine's address.
+        role: The wanted role.
+        gain_s: Engine seconds that the change should save over the horizon.
+        cost_s: Its weighted price in engine seconds.
+    """
+
+    endpoint: str
+    role: work.Role
+    gain_s: float
+    cost_s: float
+
+
+@attrs.frozen
+class _Split:
+    """How many engines have each role."""
+
+    prefill: int
+    decode: int
+    mixed: int
+
+    def moved(self, old: work.Role, new: work.Role) -> "_Split":
+        counts = attrs.asdict(self)
+        counts[old.value] -= 1
+        counts[new.value] += 1
+        return _Split(**counts)
+
+    def loss(self, reading: float, answering: float) -> float:
+        """Returns the engines' worth of demand that is not served.
+
+        Args:
+            reading: Demand in engines that only read.
+            answering: Demand in engines that only answer.
+        """
+        over = max(0.0, reading - self.prefill)
+        over += max(0.0, answering - self.decode)
+        return max(0.0, over - self.mixed * MIXED_PART)
+
+
+class RolePlan:
+    """Decides on the role changes of one group.
+
+    Only the holder of the group's lease asks it; a new holder starts with an
+    empty history and so changes nothing for `MIN_BUCKETS` buckets.
+    """
+
+    def __init__(
+        self,
+        *,
+        goodput_weight: float = 1.0,
+        role_change_weight: float = 1.0,
+        floor: int = 1,
+    ):
+        """Makes a plan.
+
+        Args:
+            goodput_weight: Worth of an engine second of useful work.
+            role_change_weight: Price of an engine second spent on a change.
+            floor: Engines in service that can read, and that can answer, at
+                least.
+        """
+        self._price = role_change_weight / goodput_weight
+        self._floor = floor
+        self._seen: dict[str, work.Demand] = {}
+        self._buckets: collections.deque[list[float]] = collections.deque()
+        self._changed_at: dict[str, float] = {}
+        self._last_change = -1e9
+
+    def observe(self, host: str, demand: work.Demand, now: float) -> None:
+        """Takes in a host's demand so far.
+
+        Args:
+            host: The host.
+            demand: Its counters since its start; smaller ones than before
+                mean that it started anew.
+            now: The present time.
+        """
+        before = self._seen.get(host)
+        self._seen[host] = demand
+        if before is None or before.prefill_tokens > demand.prefill_tokens:
+            return
+        start = now // BUCKET_S * BUCKET_S
+        if not self._buckets or self._buckets[-1][0] < start:
+            self._buckets.append([start, 0.0, 0.0])
+        while self._buckets[0][0] < now - HISTORY_S:
+            self._buckets.popleft()
+        bucket = self._buckets[-1]
+        bucket[1] += demand.prefill_tokens - before.prefill_tokens
+        bucket[2] += demand.output_tokens - before.output_tokens
+
+    def propose(self, view: GroupView, now: float) -> RoleChange | None:
+        """Returns the change that pays best, or None.
+
+        Args:
+            view: The group; it is not acted on when it is stale.
+            now: The present time.
+        """
+        if now - view.at > STALE_S or now - self._last_change < GAP_S:
+            return None
+        demands = self._demands(view, now)
+        serving = [
+            e for e in view.endpoints if _in(e, work.EndpointState.SERVING)
+        ]
+        if len(demands) < MIN_BUCKETS or any(
+            _in(e, work.EndpointState.CHANGING, work.EndpointState.LEAVING)
+            for e in view.endpoints
+        ):
+            return None
+        split = _split(serving)
+        best = None
+        for old in work.Role:
+            for new in work.Role:
+                candidate = self._candidate(serving, old, view.running, now)
+                if old is new or candidate is None:
+                    continue
+                after = split.moved(old, new)
+                if self._under_floor(after):
+                    continue
+                gain = _gain_s(split, after, demands)
+                if best is None or gain > best.gain_s:
+                    best = RoleChange(
+                        endpoint=candidate,
+                        role=new,
+                        gain_s=gain,
+                        cost_s=CHANGE_S * self._price,
+                    )
+        if best is None or best.gain_s <= best.cost_s:
+            return None
+        return best
+
+    def note_change(self, change: RoleChange, now: float) -> None:
+        """Notes that a proposed change was ordered."""
+        self._last_change = now
+        self._changed_at[change.endpoint] = now
+
+    def _demands(
+        self, view: GroupView, now: float
+    ) -> list[tuple[float, float]]:
+        """Demand of the full buckets in engines, the newest last."""
+        found = []
+        for start, read, answered in self._buckets:
+            if start + BUCKET_S <= now:
+                per_s = 1.0 / (BUCKET_S * UTILIZATION)
+                found.append(
+                    (
+                        read * per_s / view.prefill_tokens_per_s,
+                        answered * per_s / view.decode_tokens_per_s,
+                    )
+                )
+        return found
+
+    def _candidate(
+        self,
+        serving: Iterable[work.Endpoint],
+        role: work.Role,
+        running: dict[str, float],
+        now: float,
+    ) -> str | None:
+        """The engine of a role that a change would disturb least."""
+        free = [
+            (running.get(e.address, 0.0), e.address)
+            for e in serving
+            if e.role is role
+            and now - self._changed_at.get(e.address, -1e9) >= DWELL_S
+        ]
+        return min(free)[1] if free else None
+
+    def _under_floor(self, split: _Split) -> bool:
+        readers = split.prefill + split.mixed
+        answerers = split.decode + split.mixed
+        return min(readers, answerers) < self._floor
+
+
+def _in(endpoint: work.Endpoint, *states: work.EndpointState) -> bool:
+    return endpoint.state in states
+
+
+def _split(endpoints: Iterable[work.Endpoint]) -> _Split:
+    counts = collections.Counter(e.role for e in endpoints)
+    return _Split(
+        counts[work.Role.PREFILL],
+        counts[work.Role.DECODE],
+        counts[work.Role.MIXED],
+    )
+
+
+def _gain_s(
+    before: _Split, after: _Split, demands: list[tuple[float, float]]
+) -> float:
+    gains = [before.loss(*d) - after.loss(*d) for d in demands]
+    short = gains[-SHORT_BUCKETS:]
+    mean = sum(gains) / len(gains)
+    return HORIZON_S * min(mean, sum(short) / len(short))
--- a/packages/bulrushgrade/bulrushgrade/scheduler.py
+++ b/packages/bulrushgrade/bulrushgrade/scheduler.py
@@ -79,6 +79,7 @@
             str, tuple[pools.PoolState, lane.LaneName, lane.Waiting]
         ] = {}
         self._outbox: dict[str, work.Placed | work.Refused] = {}
+        self._demand: dict[str, list[float]] = {}
         self._numbers = itertools.count()
         self._counts = {"placed": 0, "queued": 0, "refused": 0, "retried": 0}
 
@@ -116,6 +117,21 @@
         """Returns what this host has in flight, for its peers."""
         return self._fleet.own_loads()
 
+    def demand(self) -> tuple[work.Demand, ...]:
+        """Returns what was asked of this host, for the role plan."""
+        return tuple(
+            work.Demand(
+                model=model,
+                prefill_tokens=round(read),
+                output_tokens=round(answered),
+            )
+            for model, (read, answered) in self._demand.items()
+        )
+
+    def capacity(self, model: str) -> tuple[float, float]:
+        """Returns what one engine of a model reads and generates a second."""
+        return self._fleet.capacity(model)
+
     def cache_event(self, endpoint: str, prefix: int, stored: bool) -> None:
         """Takes in that an engine stored or evicted a prompt block."""
         self._fleet.cache_event(endpoint, prefix, stored)
@@ -268,6 +284,10 @@
             return self._refuse(item, code, NO_ENDPOINT_RETRY_S)
         uncached = state.pool.uncached_tokens(item, tokens_done)
         model = state.pool.model
+        if item.model and not attempt:
+            asked = self._demand.setdefault(item.model, [0.0, 0.0])
+            asked[0] += uncached
+            asked[1] += item.output_tokens
         waiting = lane.Waiting(
             work=item,
             engine_s=model.price_s(item, uncached, tokens_done),
@@ -346,7 +366,13 @@
         self._fleet.book(option.decode, placed.answering, now)
         state.pool.note_placed(item.work, option, now)
         self._counts["placed"] += 1
-        self._outbox[request_id] = option.placed(item.work, item.tokens_done)
+        # Inside an engine a chat goes before a reading of equal priority: a
+        # reading bears a second's wait, a chat's first token does not.
+        policy = self._policies[item.work.service]
+        priority = 2 * policy.priority + (name is lane.LaneName.LONG)
+        self._outbox[request_id] = option.placed(
+            item.work, item.tokens_done, priority
+        )
         return True
 
     def _refuse(
--- a/packages/bulrushgrade/bulrushgrade/work.py
+++ b/packages/bulrushgrade/bulrushgrade/work.py
@@ -150,6 +150,18 @@
     kv_tokens: int = 0
 
 
+@attrs.frozen(kw_only=True)
+class Demand:
+    """What callers have asked one host for since its start, one model.
+
+    Refused work counts as well: what is turned away is demand too.
+    """
+
+    model: str
+    prefill_tokens: int = 0
+    output_tokens: int = 0
+
+
 @attrs.frozen(kw_only=True)
 class Placed:
     """The work goes to an endpoint now.
@@ -163,6 +175,7 @@
         first_token_s: Predicted seconds until the first token.
         finish_s: Predicted seconds until the end of the answer.
         cached_tokens: Prompt tokens that the endpoint should have cached.
+        priority: Passed to the endpoint; smaller is sooner.
     """
 
     request_id: str
@@ -171,6 +184,7 @@
     first_token_s: float = 0.0
     finish_s: float = 0.0
     cached_tokens: int = 0
+    priority: int = 0
 
 
 @attrs.frozen(kw_only=True)
--- /dev/null
+++ b/packages/bulrushgrade_standins/bulrushgrade_standins/baseline.py
@@ -0,0 +1,172 @@
+"""Plain policies that the decisions under load are measured against.
+
+They place at once and refuse nothing; callers leave at their deadlines. They
+offer what the replay asks of a scheduler.
+"""
+
+from collections.abc import Callable
+import itertools
+import random
+
+from bulrushgrade import work
+
+MAX_ATTEMPTS = 3
+
+Pick = Callable[[list[work.Endpoint], dict[str, int]], work.Endpoint]
+"""Chooses among endpoints, given this host's outstanding requests."""
+
+
+def round_robin() -> Pick:
+    """Returns a choice that takes the endpoints in turn."""
+    turns = itertools.count()
+
+    def pick(endpoints, _outstanding):
+        return endpoints[next(turns) % len(endpoints)]
+
+    return pick
+
+
+def least_outstanding(rng: random.Random) -> Pick:
+    """Returns a choice of the endpoint with the fewest own requests."""
+
+    def pick(endpoints, outstanding):
+        return min(
+            endpoints,
+            key=lambda e: (outstanding.get(e.address, 0), rng.random()),
+        )
+
+    return pick
+
+
+class Baseline:
+    """A host that places each request at once."""
+
+    def __init__(self, *, read_pick: Pick, decode_pick: Pick):
+        self._read_pick = read_pick
+        self._decode_pick = decode_pick
+        self._endpoints: tuple[work.Endpoint, ...] = ()
+        self._outstanding: dict[str, int] = {}
+        self._placed: dict[str, tuple[work.Work, work.Placed, int]] = {}
+        self._asked = [0, 0]
+        self.retried = 0
+
+    def set_policies(self, policies: tuple[work.ServicePolicy, ...]) -> None:
+        """Has no use for policies."""
+
+    def set_endpoints(
+        self, endpoints: tuple[work.Endpoint, ...], now: float
+    ) -> None:
+        """Replaces the view of the endpoints."""
+        self._endpoints = endpoints
+
+    def report(self, report: work.LoadReport, now: float) -> None:
+        """Has no use for reports."""
+
+    def peer_load(
+        self, peer: str, loads: tuple[work.PeerLoad, ...], now: float
+    ) -> None:
+        """Has no use for peers."""
+
+    def own_loads(self) -> tuple[work.PeerLoad, ...]:
+        """Publishes nothing."""
+        return ()
+
+    def demand(self) -> tuple[work.Demand, ...]:
+        """Returns what was asked of this host, for the role plan."""
+        read, answered = self._asked
+        return (
+            work.Demand(
+                model="model", prefill_tokens=read, output_tokens=answered
+            ),
+        )
+
+    def offer(self, item: work.Work, now: float) -> work.Decision:
+        """Places a request."""
+        self._asked[0] += item.prompt_tokens
+        self._asked[1] += item.output_tokens
+        return self._place(item, 0, "")
+
+    def retry(
+        self,
+        request_id: str,
+        failed_endpoint: str,
+        tokens_done: int,
+        now: float,
+    ) -> work.Decision:
+        """Places a request again, a few times."""
+        item, _, attempt = self._placed[request_id]
+        self._forget(request_id)
+        if attempt + 1 >= MAX_ATTEMPTS:
+            return _refused(item)
+        self.retried += 1
+        return self._place(item, attempt + 1, failed_endpoint)
+
+    def poll(self, now: float) -> tuple[work.Placed | work.Refused, ...]:
+        """Has nothing waiting."""
+        return ()
+
+    def next_poll(self, now: float) -> float | None:
+        """Has nothing waiting."""
+        return None
+
+    def cancel(self, request_id: str, now: float) -> None:
+        """Forgets a request whose caller has gone."""
+        self._forget(request_id)
+
+    def prefill_done(self, request_id: str, now: float) -> None:
+        """Has no use for it."""
+
+    def first_token(self, request_id: str, now: float) -> None:
+        """Has no use for it."""
+
+    def tokens(self, request_id: str, count: int, now: float) -> None:
+        """Has no use for it."""
+
+    def finished(self, request_id: str, outcome: str, now: float) -> None:
+        """Notes the end of a request."""
+        self._forget(request_id)
+
+    def _place(
+        self, item: work.Work, attempt: int, avoid: str
+    ) -> work.Decision:
+        serving = [
+            e
+            for e in self._endpoints
+            if e.state is work.EndpointState.SERVING and e.address != avoid
+        ]
+        readers = [e for e in serving if e.role is not work.Role.DECODE]
+        decoders = [e for e in serving if e.role is not work.Role.PREFILL]
+        if not readers or not decoders:
+            return _refused(item)
+        reader = self._read_pick(readers, self._outstanding)
+        decoder = None
+        if reader.role is work.Role.PREFILL:
+            decoder = self._decode_pick(decoders, self._outstanding).address
+        placed = work.Placed(
+            request_id=item.request_id,
+            endpoint=reader.address,
+            decode_endpoint=decoder,
+        )
+        self._placed[item.request_id] = (item, placed, attempt)
+        self._count(placed, 1)
+        return placed
+
+    def _forget(self, request_id: str) -> None:
+        found = self._placed.pop(request_id, None)
+        if found is not None:
+            self._count(found[1], -1)
+
+    def _count(self, placed: work.Placed, step: int) -> None:
+        for address in {placed.endpoint, placed.decode_endpoint} - {None}:
+            self._outstanding[address] = (
+                self._outstanding.get(address, 0) + step
+            )
+
+
+def _refused(item: work.Work) -> work.Refused:
+    return work.Refused(
+        request_id=item.request_id,
+        code=work.RefusalCode.NO_ENDPOINT,
+        retry_after_s=1.0,
+        reason="no endpoint",
+    )
--- /dev/null
+++ b/packages/bulrushgrade_standins/bulrushgrade_standins/bound.py
@@ -0,0 +1,103 @@
+"""What no policy could beat on a trace, and the best fixed split of roles."""
+
+from collections.abc import Iterator
+
+from bulrushgrade import work
+from bulrushgrade_standins import enginemodel
+from bulrushgrade_standins import trace as traces
+
+BEST_BATCH = enginemodel.DECODE_SLOTS
+FLUID_WINDOW_S = 10.0
+
+
+def least_cost_s(request: traces.Request, cached: bool) -> float:
+    """Returns the least engine seconds that a request can take."""
+    shared = sum(tokens for _, tokens in request.prefix) if cached else 0
+    step = enginemodel.STEP_S + enginemodel.STEP_S_PER_REQUEST * BEST_BATCH
+    reading = request.prompt_tokens - shared
+    return (
+        reading / enginemodel.PREFILL_TOKENS_PER_S
+        + request.output_tokens * step / BEST_BATCH
+    )
+
+
+def capacity_bound(trace: traces.Trace) -> int:
+    """Returns how many scored requests could at most be answered in time.
+
+    Every engine is taken to serve from the first scored second until the
+    last deadline, at its best batch and with every prefix cached that has
+    been seen before, and the cheapest requests to come first. It is loose:
+    waiting, memory and the order of arrival are left out.
+    """
+    seen: set[tuple[str, int]] = set()
+    costs = []
+    start = trace.header.scored_from_s
+    longest = 0.0
+    for request in trace.requests:
+        cached = all(part in seen for part in request.prefix)
+        seen.update(request.prefix)
+        if request.at_s >= start:
+            costs.append(least_cost_s(request, cached))
+            longest = max(longest, request.deadline_s)
+    span = trace.header.duration_s - start + longest
+    left = len(trace.header.engines) * span
+    count = 0
+    for cost in sorted(costs):
+        left -= cost
+        if left < 0.0:
+            break
+        count += 1
+    return count
+
+
+def best_splits(trace: traces.Trace, count: int) -> list[tuple[work.Role, ...]]:
+    """Returns the fixed splits that lose least of a trace's known demand.
+
+    Args:
+        trace: The trace, known in advance.
+        count: How many splits to return, the best first.
+    """
+    demands = list(_windows(trace))
+    engines = len(trace.header.engines)
+    ranked = sorted(
+        (_loss(split, demands), split) for split in _splits(engines)
+    )
+    return [
+        (work.Role.PREFILL,) * p
+        + (work.Role.DECODE,) * d
+        + (work.Role.MIXED,) * (engines - p - d)
+        for _, (p, d) in ranked[:count]
+    ]
+
+
+def _splits(engines: int) -> Iterator[tuple[int, int]]:
+    for p in range(engines + 1):
+        for d in range(engines + 1 - p):
+            if p < engines and d < engines:
+                yield p, d
+
+
+def _windows(trace: traces.Trace) -> Iterator[tuple[float, float, int]]:
+    sums: dict[int, list[float]] = {}
+    step = enginemodel.STEP_S + enginemodel.STEP_S_PER_REQUEST * 24
+    for request in trace.requests:
+        window = sums.setdefault(int(request.at_s / FLUID_WINDOW_S), [0.0] * 2)
+        shared = sum(tokens for _, tokens in request.prefix)
+        reading = request.prompt_tokens - shared
+        window[0] += reading / enginemodel.PREFILL_TOKENS_PER_S
+        window[1] += request.output_tokens * step / 24
+    for reading, answering in sums.values():
+        yield (
+            reading / FLUID_WINDOW_S,
+            answering / FLUID_WINDOW_S,
+            len(trace.header.engines),
+        )
+
+
+def _loss(split: tuple[int, int], demands) -> float:
+    p, d = split
+    total = 0.0
+    for reading, answering, engines in demands:
+        over = max(0.0, reading / 0.8 - p) + max(0.0, answering / 0.8 - d)
+        total += max(0.0, over - 0.8 * (engines - p - d))
+    return total
--- /dev/null
+++ b/packages/bulrushgrade_standins/bulrushgrade_standins/greedyplan.py
@@ -0,0 +1,60 @@
+"""The greedy role plan that the real one is measured against.
+
+Every time it is asked it compares the demand of the last ten seconds with
+the roles, and changes the first engine that doesn't fit, at once.
+"""
+
+import collections
+
+from bulrushgrade import roleplan
+from bulrushgrade import work
+
+WINDOW_S = 10.0
+
+
+class GreedyPlan:
+    """Follows the mix with engines that either read or answer."""
+
+    def __init__(self):
+        self._seen: dict[str, work.Demand] = {}
+        self._samples: collections.deque[tuple[float, int, int]] = (
+            collections.deque()
+        )
+
+    def observe(self, host: str, demand: work.Demand, now: float) -> None:
+        """Takes in a host's demand so far."""
+        before = self._seen.get(host, demand)
+        self._seen[host] = demand
+        read = demand.prefill_tokens - before.prefill_tokens
+        answered = demand.output_tokens - before.output_tokens
+        self._samples.append((now, read, answered))
+        while self._samples[0][0] < now - WINDOW_S:
+            self._samples.popleft()
+
+    def propose(
+        self, view: roleplan.GroupView, now: float
+    ) -> roleplan.RoleChange | None:
+        """Returns a change towards the present mix."""
+        serving = [
+            e for e in view.endpoints if e.state is work.EndpointState.SERVING
+        ]
+        read = sum(s[1] for s in self._samples) / view.prefill_tokens_per_s
+        answered = sum(s[2] for s in self._samples) / view.decode_tokens_per_s
+        if len(serving) < 2 or read + answered <= 0.0:
+            return None
+        wanted = round(len(serving) * read / (read + answered))
+        wanted = min(max(wanted, 1), len(serving) - 1)
+        prefill, decode = work.Role.PREFILL, work.Role.DECODE
+        readers = [e for e in serving if e.role is prefill]
+        role = prefill if len(readers) < wanted else decode
+        others = [e for e in serving if e.role is not role]
+        if role is decode and len(readers) == wanted:
+            others = [e for e in others if e.role is work.Role.MIXED]
+        if not others:
+            return None
+        return roleplan.RoleChange(
+            endpoint=others[0].address, role=role, gain_s=0.0, cost_s=0.0
+        )
+
+    def note_change(self, change: roleplan.RoleChange, now: float) -> None:
+        """Waits for nothing."""
--- /dev/null
+++ b/packages/bulrushgrade_standins/bulrushgrade_standins/replay.py
@@ -0,0 +1,508 @@
+"""Replays a trace through the decision core against fake engines.
+
+Several hosts decide, each with its own view: the host list, the engines'
+reports and the peers' messages reach each of them at different times. All
+runs on simpy's virtual clock.
+"""
+
+from collections.abc import Callable
+import pathlib
+import random
+from typing import Any
+from typing import Protocol
+
+import attrs
+import msgspec
+import simpy
+
+from bulrushgrade import roleplan
+from bulrushgrade import scheduler
+from bulrushgrade import work
+from bulrushgrade_standins import enginemodel
+from bulrushgrade_standins import trace as traces
+
+PEER_EVERY_S = 0.5
+PEER_LAG_S = (0.01, 0.3)
+REPORT_EVERY_S = 1.0
+REPORT_LAG_S = (0.3, 1.2)
+HOST_LIST_LAG_S = (0.5, 2.0)
+"""How late a host learns that an engine is leaving, lost or back."""
+
+ORDER_LAG_S = (0.05, 0.4)
+"""How late a host learns of a role change, which is on the log."""
+
+PLAN_EVERY_S = 2.0
+GRACE_S = 60.0
+"""Seconds past the trace's end for what is still running."""
+
+Make = Callable[[random.Random], Any]
+"""Makes a host's scheduler, or a baseline in its place."""
+
+
+class Planner(Protocol):
+    """What decides on role changes."""
+
+    def observe(self, host: str, demand: work.Demand, now: float) -> None:
+        """Takes in a host's demand."""
+
+    def propose(
+        self, view: roleplan.GroupView, now: float
+    ) -> roleplan.RoleChange | None:
+        """Returns a change to order."""
+
+    def note_change(self, change: roleplan.RoleChange, now: float) -> None:
+        """Notes that it was ordered."""
+
+
+@attrs.define(kw_only=True, eq=False)
+class Call:
+    """One request on its way.
+
+    Attributes:
+        outcome: ``complete``, ``refused``, ``failed``, ``left`` (the caller
+            left at its deadline), or empty while it goes on.
+    """
+
+    request: traces.Request
+    host: "Host"
+    work: work.Work
+    job: enginemodel.Job | None = None
+    tokens_done: int = 0
+    attempts: int = 0
+    first_at: float | None = None
+    ended_at: float | None = None
+    outcome: str = ""
+
+    @property
+    def step_s(self) -> float | None:
+        """Mean seconds between tokens of a complete answer."""
+        if self.outcome != "complete" or self.request.output_tokens < 2:
+            return None
+        took = self.ended_at - self.first_at
+        return took / (self.request.output_tokens - 1)
+
+    @property
+    def on_time(self) -> bool:
+        """Whether the whole answer came, and all of it in time."""
+        if self.outcome != "complete":
+            return False
+        request = self.request
+        first = request.first_token_s
+        if first is not None and self.first_at - request.at_s > first:
+            return False
+        limit = request.between_tokens_s
+        if limit is not None and (self.step_s or 0.0) > limit:
+            return False
+        return self.ended_at <= request.at_s + request.deadline_s
+
+
+@attrs.define(kw_only=True, eq=False)
+class Host:
+    """An entry host: a scheduler and its own view of the fleet."""
+
+    name: str
+    decider: Any
+    view: dict[str, work.Endpoint]
+    calls: dict[str, Call] = attrs.field(factory=dict)
+    poll_at: float | None = None
+
+
+@attrs.frozen(kw_only=True)
+class Outcome:
+    """What a replay came to."""
+
+    trace: traces.Trace
+    calls: tuple[Call, ...]
+    role_changes: int
+    away_s: float
+    retries: int
+    dumps: tuple[dict[str, Any], ...]
+
+
+class Replay:
+    """One run of one trace."""
+
+    def __init__(
+        self,
+        *,
+        trace: traces.Trace,
+        make: Make,
+        planner: Planner | None,
+        seed: int,
+        roles: tuple[work.Role, ...] | None = None,
+    ):
+        self._trace = trace
+        self._env = simpy.Environment()
+        self._rng = random.Random(f"replay/{seed}")
+        self._planner = planner
+        specs = trace.header.engines
+        self._engines = {
+            spec.address: enginemodel.Engine(
+                env=self._env,
+                address=spec.address,
+                zone=spec.zone,
+                role=roles[index] if roles else spec.role,
+            )
+            for index, spec in enumerate(specs)
+        }
+        self._hosts = [
+            self._make_host(index, make) for index in range(trace.header.hosts)
+        ]
+        self._calls: list[Call] = []
+        self._retries = 0
+
+    def run(self) -> Outcome:
+        """Replays the trace to its end."""
+        self._env.process(self._feed())
+        self._env.process(self._exchange())
+        if self._planner is not None:
+            self._env.process(self._plan())
+        self._env.run(until=self._trace.header.duration_s + GRACE_S)
+        return Outcome(
+            trace=self._trace,
+            calls=tuple(self._calls),
+            role_changes=sum(e.changes for e in self._engines.values()),
+            away_s=sum(e.away_s for e in self._engines.values()),
+            retries=self._retries,
+            dumps=tuple(
+                host.decider.dump()
+                for host in self._hosts
+                if hasattr(host.decider, "dump")
+            ),
+        )
+
+    def _make_host(self, index: int, make: Make) -> Host:
+        decider = make(random.Random(self._rng.random()))
+        view = {
+            address: self._describe(engine)
+            for address, engine in self._engines.items()
+        }
+        decider.set_policies(self._trace.header.services)
+        decider.set_endpoints(tuple(view.values()), 0.0)
+        return Host(name=f"host-{index}", decider=decider, view=view)
+
+    def _describe(self, engine: enginemodel.Engine) -> work.Endpoint:
+        return work.Endpoint(
+            address=engine.address,
+            zone=engine.zone,
+            service="engines",
+            model="model",
+            role=engine.role,
+            state=engine.state,
+            slots=engine.slots,
+            kv_capacity_tokens=enginemodel.KV_CAPACITY_TOKENS,
+        )
+
+    def _later(self, delay_s: float, callback: Callable[[], None]) -> None:
+        event = self._env.timeout(delay_s)
+        event.callbacks.append(lambda _: callback())
+
+    # What arrives.
+
+    def _feed(self):
+        items = [*self._trace.requests, *self._trace.events]
+        for item in sorted(items, key=lambda i: i.at_s):
+            yield self._env.timeout(max(0.0, item.at_s - self._env.now))
+            if isinstance(item, traces.Event):
+                self._happen(item)
+            else:
+                self._arrive(item)
+
+    def _arrive(self, request: traces.Request) -> None:
+        host = self._rng.choice(self._hosts)
+        first = request.first_token_s
+        now = self._env.now
+        item = work.Work(
+            request_id=request.request_id,
+            service=request.service,
+            team=request.team,
+            model="model",
+            prompt_tokens=request.prompt_tokens,
+            output_tokens=request.expected_output_tokens,
+            prefix=traces.blocks_of(request.prefix),
+            deadline=now + request.deadline_s,
+            first_token_deadline=None if first is None else now + first,
+            between_tokens_s=request.between_tokens_s,
+        )
+        call = Call(request=request, host=host, work=item)
+        self._calls.append(call)
+        host.calls[request.request_id] = call
+        self._settle(call, host.decider.offer(item, now))
+        self._later(request.deadline_s, lambda: self._leave(call))
+
+    def _happen(self, event: traces.Event) -> None:
+        engine = self._engines[event.engine]
+        if event.what == "slow":
+            engine.set_slow(event.factor)
+            return
+        if event.what == "lose":
+            engine.lose()
+        elif event.what == "back":
+            engine.come_back()
+        elif event.what == "leave":
+            engine.leave()
+        self._tell(engine, HOST_LIST_LAG_S)
+
+    def _tell(self, engine, lag_s, *, state=None) -> None:
+        """Lets each host learn an engine's state, each at its own time."""
+        described = self._describe(engine)
+        if state is not None:
+            described = attrs.evolve(described, state=state)
+        for host in self._hosts:
+            delay = self._rng.uniform(*lag_s)
+            self._later(delay, lambda host=host: self._learn(host, described))
+
+    def _learn(self, host: Host, endpoint: work.Endpoint) -> None:
+        host.view[endpoint.address] = endpoint
+        host.decider.set_endpoints(tuple(host.view.values()), self._env.now)
+        self._poll(host)
+
+    # A call's way.
+
+    def _settle(self, call: Call, decision: work.Decision) -> None:
+        if isinstance(decision, work.Placed):
+            self._start(call, decision)
+        elif isinstance(decision, work.Refused):
+            self._end(call, "refused" if not call.attempts else "failed")
+        self._plan_poll(call.host)
+
+    def _start(self, call: Call, placed: work.Placed) -> None:
+        call.attempts += 1
+        engine = self._engines[placed.endpoint]
+        target = placed.decode_endpoint
+        decider, name = call.host.decider, call.request.request_id
+        job = enginemodel.Job(
+            request_id=name,
+            prompt_tokens=call.request.prompt_tokens + call.tokens_done,
+            output_tokens=call.request.output_tokens - call.tokens_done,
+            prefix=call.work.prefix,
+            priority=placed.priority,
+            decode_at=self._engines[target] if target else None,
+            on_read=lambda: decider.prefill_done(name, self._env.now),
+            on_first=lambda: self._first(call),
+            on_done=lambda: self._done(call),
+            on_failed=lambda: self._failed(call, job),
+        )
+        job.at = engine
+        call.job = job
+        if not engine.submit(job):
+            job.ended = True
+            self._later(0.002, lambda: self._failed(call, job))
+
+    def _first(self, call: Call) -> None:
+        if call.first_at is None:
+            call.first_at = self._env.now
+        call.host.decider.first_token(call.request.request_id, self._env.now)
+        self._poll_soon(call.host)
+
+    def _done(self, call: Call) -> None:
+        decider, name = call.host.decider, call.request.request_id
+        decider.tokens(name, call.job.output_tokens, self._env.now)
+        decider.finished(name, "complete", self._env.now)
+        self._end(call, "complete")
+        self._poll_soon(call.host)
+
+    def _failed(self, call: Call, job: enginemodel.Job) -> None:
+        if call.outcome or call.job is not job:
+            return
+        call.job = None
+        call.tokens_done += job.tokens_done
+        self._retries += 1
+        decision = call.host.decider.retry(
+            call.request.request_id,
+            job.at.address,
+            call.tokens_done,
+            self._env.now,
+        )
+        if isinstance(decision, work.Refused):
+            self._retries -= 1
+        self._settle(call, decision)
+
+    def _leave(self, call: Call) -> None:
+        if call.outcome:
+            return
+        call.host.decider.cancel(call.request.request_id, self._env.now)
+        if call.job is not None:
+            call.job.at.cancel(call.job)
+        self._end(call, "left")
+        self._poll_soon(call.host)
+
+    def _end(self, call: Call, outcome: str) -> None:
+        call.outcome = outcome
+        call.ended_at = self._env.now
+        call.host.calls.pop(call.request.request_id, None)
+
+    # Polls, peers, reports and roles.
+
+    def _poll_soon(self, host: Host) -> None:
+        if host.poll_at is not None:
+            self._later(0.0, lambda: self._poll(host))
+
+    def _poll(self, host: Host) -> None:
+        host.poll_at = None
+        for settled in host.decider.poll(self._env.now):
+            call = host.calls.get(settled.request_id)
+            if call is not None:
+                self._settle(call, settled)
+        self._plan_poll(host)
+
+    def _plan_poll(self, host: Host) -> None:
+        due = host.decider.next_poll(self._env.now)
+        if due is None or host.poll_at is not None:
+            return
+        host.poll_at = due
+        self._later(
+            max(0.0, due - self._env.now), lambda: self._poll_due(host, due)
+        )
+
+    def _poll_due(self, host: Host, due: float) -> None:
+        if host.poll_at == due:
+            self._poll(host)
+
+    def _exchange(self):
+        turns = 0
+        while True:
+            yield self._env.timeout(PEER_EVERY_S)
+            turns += 1
+            for host in self._hosts:
+                loads = host.decider.own_loads()
+                for other in self._hosts:
+                    if other is not host:
+                        self._publish(host.name, loads, other)
+            if turns % round(REPORT_EVERY_S / PEER_EVERY_S) == 0:
+                for engine in self._engines.values():
+                    self._report(engine)
+
+    def _publish(self, peer, loads, other: Host) -> None:
+        delay = self._rng.uniform(*PEER_LAG_S)
+        self._later(
+            delay,
+            lambda: other.decider.peer_load(peer, loads, self._env.now),
+        )
+
+    def _report(self, engine: enginemodel.Engine) -> None:
+        if engine.state is work.EndpointState.DOWN:
+            return
+        report = engine.load()
+        for host in self._hosts:
+            lag = self._rng.uniform(*REPORT_LAG_S)
+            late = attrs.evolve(report, age_s=lag)
+            self._later(
+                lag,
+                lambda host=host, late=late: host.decider.report(
+                    late, self._env.now
+                ),
+            )
+
+    def _plan(self):
+        holder = self._hosts[0]
+        while True:
+            yield self._env.timeout(PLAN_EVERY_S)
+            now = self._env.now
+            for host in self._hosts:
+                for demand in host.decider.demand():
+                    self._planner.observe(host.name, demand, now)
+            change = self._planner.propose(self._group_view(holder), now)
+            if change is not None:
+                self._planner.note_change(change, now)
+                self._order(change)
+
+    def _group_view(self, holder: Host) -> roleplan.GroupView:
+        if hasattr(holder.decider, "capacity"):
+            read, generate = holder.decider.capacity("model")
+        else:
+            read = enginemodel.PREFILL_TOKENS_PER_S
+            generate = 16 / (
+                enginemodel.STEP_S + 16 * enginemodel.STEP_S_PER_REQUEST
+            )
+        return roleplan.GroupView(
+            at=self._env.now,
+            endpoints=tuple(holder.view.values()),
+            running={a: e.jobs for a, e in self._engines.items()},
+            prefill_tokens_per_s=read,
+            decode_tokens_per_s=generate,
+        )
+
+    def _order(self, change: roleplan.RoleChange) -> None:
+        engine = self._engines[change.endpoint]
+        leaving = work.EndpointState.LEAVING
+        self._tell(engine, ORDER_LAG_S, state=leaving)
+        engine.on_changed = lambda: self._tell(engine, ORDER_LAG_S)
+        self._later(
+            ORDER_LAG_S[1] + 0.01, lambda: engine.change_role(change.role)
+        )
+
+
+def ours(rng: random.Random) -> scheduler.Scheduler:
+    """Makes a host with the decision core."""
+    return scheduler.Scheduler(zone="", rng=rng)
+
+
+def role_plan(trace: traces.Trace) -> roleplan.RolePlan:
+    """Makes the role plan with the weights of a trace's services."""
+    services = trace.header.services
+    return roleplan.RolePlan(
+        goodput_weight=max(s.goodput_weight for s in services),
+        role_change_weight=max(s.role_change_weight for s in services),
+    )
+
+
+def replay(trace: traces.Trace, *, seed: int = 0) -> Outcome:
+    """Replays a trace through the decision core.
+
+    Args:
+        trace: The trace.
+        seed: Of the lags and of the hosts' random choices.
+    """
+    return Replay(
+        trace=trace, make=ours, planner=role_plan(trace), seed=seed
+    ).run()
+
+
+def summarize(outcome: Outcome) -> dict[str, float]:
+    """Returns the figures of a run; times in seconds."""
+    start = outcome.trace.header.scored_from_s
+    calls = [c for c in outcome.calls if c.request.at_s >= start]
+    span = outcome.trace.header.duration_s - start
+    firsts = sorted(
+        c.first_at - c.request.at_s for c in calls if c.first_at is not None
+    )
+    steps = sorted(c.step_s for c in calls if c.step_s is not None)
+    good = sum(c.on_time for c in calls)
+    return {
+        "offered": len(calls),
+        "goodput_per_s": good / span,
+        "on_time": good / max(1, len(calls)),
+        "refused": sum(c.outcome == "refused" for c in calls),
+        "late": sum(
+            c.outcome in ("left", "failed")
+            or (c.outcome == "complete" and not c.on_time)
+            for c in calls
+        ),
+        "p95_first_s": _percentile(firsts, 0.95),
+        "p95_between_s": _percentile(steps, 0.95),
+        "role_changes": outcome.role_changes,
+        "retries": outcome.retries,
+    }
+
+
+def replay_file(path: pathlib.Path, *, json: bool = False) -> str:
+    """Replays a trace's file and returns the figures as text.
+
+    Args:
+        path: The trace, JSON lines.
+        json: Whether a program reads it.
+
+    Raises:
+        ValueError: The file is not a trace; names the line.
+    """
+    figures = summarize(replay(traces.read_trace(pathlib.Path(path))))
+    if json:
+        return msgspec.json.encode(figures).decode()
+    return "\n".join(f"{k:16} {v:.4g}" for k, v in figures.items())
+
+
+def _percentile(values: list[float], part: float) -> float:
+    if not values:
+        return 0.0
+    return values[min(len(values) - 1, int(part * len(values)))]
--- /dev/null
+++ b/packages/bulrushgrade_standins/bulrushgrade_standins/report.py
@@ -0,0 +1,250 @@
+"""The table of goodput and role changes, against baselines and a bound.
+
+Run with ``python -m bulrushgrade_standins.report``; docs/DECISIONS.md holds
+the table of the last run.
+"""
+
+import argparse
+from collections.abc import Callable
+from collections.abc import Iterable
+import concurrent.futures
+import random
+import statistics
+from typing import Any
+
+from bulrushgrade import lane
+from bulrushgrade import scheduler
+from bulrushgrade import work
+from bulrushgrade_standins import baseline
+from bulrushgrade_standins import bound
+from bulrushgrade_standins import greedyplan
+from bulrushgrade_standins import replay
+from bulrushgrade_standins import trace as traces
+
+POLICIES = ("ours", "round_robin", "least", "static", "greedy")
+STATIC_SPLITS = 3
+"""Fixed splits that are replayed to find the best, besides the trace's own and
+all mixed; a fluid estimate ranks them."""
+
+FORCED_PART = 0.05
+"""Part of the refused work that is queued all the same in a run of its own,
+to see whether it would have been in time."""
+
+Figures = dict[str, float]
+
+
+def _round_robin(_rng: random.Random) -> baseline.Baseline:
+    return baseline.Baseline(
+        read_pick=baseline.round_robin(), decode_pick=baseline.round_robin()
+    )
+
+
+def _least(rng: random.Random) -> baseline.Baseline:
+    pick = baseline.least_outstanding(rng)
+    return baseline.Baseline(read_pick=pick, decode_pick=pick)
+
+
+def run_policy(policy: str, trace: traces.Trace, seed: int) -> Figures:
+    """Replays a trace under one policy and returns its figures."""
+    if policy == "ours":
+        figures = _figures(
+            _run(trace, seed, replay.ours, replay.role_plan(trace))
+        )
+        figures["dishonest"] = _dishonest(trace, seed)
+        return figures
+    if policy == "greedy":
+        return _figures(_run(trace, seed, _least, greedyplan.GreedyPlan()))
+    if policy == "static":
+        splits = bound.best_splits(trace, STATIC_SPLITS)
+        splits += [None, (work.Role.MIXED,) * len(trace.header.engines)]
+        runs = [
+            _figures(_run(trace, seed, _least, None, roles)) for roles in splits
+        ]
+        return max(runs, key=lambda figures: figures["good"])
+    make = _round_robin if policy == "round_robin" else _least
+    return _figures(_run(trace, seed, make, None))
+
+
+def run_case(
+    deployment: str, case: str, seed: int, duration_s: float
+) -> dict[str, Figures]:
+    """Returns the figures of every policy on one trace."""
+    trace = traces.generate(
+        traces.DEPLOYMENTS[deployment], case, seed=seed, duration_s=duration_s
+    )
+    found = {policy: run_policy(policy, trace, seed) for policy in POLICIES}
+    most = bound.capacity_bound(trace)
+    for figures in found.values():
+        figures["of_bound"] = figures["good"] / max(1, most)
+    return found
+
+
+def run_all(
+    *,
+    deployments: Iterable[str],
+    cases: Iterable[str],
+    seeds: Iterable[int],
+    duration_s: float,
+    workers: int,
+) -> dict[tuple[str, str, str], list[Figures]]:
+    """Returns figures a seed by deployment, case and policy."""
+    keys = [(d, c, s) for d in deployments for c in cases for s in seeds]
+    found: dict[tuple[str, str, str], list[Figures]] = {}
+    with concurrent.futures.ProcessPoolExecutor(workers) as pool:
+        runs = [pool.submit(run_case, *key, duration_s) for key in keys]
+        for (deployment, case, _), run in zip(keys, runs, strict=True):
+            for policy, figures in run.result().items():
+                key = (deployment, case, policy)
+                found.setdefault(key, []).append(figures)
+    return found
+
+
+def render(found: dict[tuple[str, str, str], list[Figures]]) -> str:
+    """Returns the table as Markdown."""
+    lines = [
+        "| deployment | case | policy | goodput/s | of offered | of bound "
+        "| role changes | away s | p95 first s | p95 between ms | refused "
+        "| refused wrongly | late | worst team | retries |",
+        "|" + "---|" * 15,
+    ]
+    for (deployment, case, policy), runs in found.items():
+        cells = [
+            deployment,
+            case,
+            policy,
+            _spread(runs, "goodput_per_s", 2),
+            _spread(runs, "on_time", 3),
+            _spread(runs, "of_bound", 3),
+            _spread(runs, "role_changes", 1),
+            _mean(runs, "away_s", 0),
+            _mean(runs, "p95_first_s", 2),
+            _mean(runs, "p95_between_s", 1, 1e3),
+            _mean(runs, "refused_part", 3),
+            _mean(runs, "dishonest", 2),
+            _mean(runs, "late_part", 3),
+            _spread(runs, "worst_team", 2),
+            _mean(runs, "retries", 1),
+        ]
+        lines.append("| " + " | ".join(cells) + " |")
+    return "\n".join(lines)
+
+
+def _run(
+    trace: traces.Trace,
+    seed: int,
+    make: replay.Make,
+    planner: replay.Planner | None,
+    roles: tuple[work.Role, ...] | None = None,
+) -> replay.Outcome:
+    return replay.Replay(
+        trace=trace, make=make, planner=planner, seed=seed, roles=roles
+    ).run()
+
+
+def _figures(outcome: replay.Outcome) -> Figures:
+    figures = replay.summarize(outcome)
+    offered = max(1, figures["offered"])
+    figures["good"] = figures["on_time"] * offered
+    figures["refused_part"] = figures["refused"] / offered
+    figures["late_part"] = figures["late"] / offered
+    figures["away_s"] = outcome.away_s
+    figures["worst_team"] = _worst_team(outcome)
+    return figures
+
+
+def _worst_team(outcome: replay.Outcome) -> float:
+    """Least goodput of a team against what its share guarantees it.
+
+    Guaranteed is the lesser of what it asked for and its share of the fleet,
+    both in engine seconds.
+    """
+    header = outcome.trace.header
+    span = header.duration_s - header.scored_from_s
+    capacity = len(header.engines) * span
+    asked: dict[str, float] = {}
+    given: dict[str, float] = {}
+    for call in outcome.calls:
+        request = call.request
+        if request.at_s < header.scored_from_s:
+            continue
+        cost = bound.least_cost_s(request, True)
+        asked[request.service] = asked.get(request.service, 0.0) + cost
+        if call.on_time:
+            given[request.service] = given.get(request.service, 0.0) + cost
+    ratios = [
+        given.get(policy.service, 0.0)
+        / min(asked[policy.service], policy.share * capacity)
+        for policy in header.services
+        if asked.get(policy.service)
+    ]
+    return min(ratios, default=0.0)
+
+
+def _dishonest(trace: traces.Trace, seed: int) -> float:
+    """Part of refused work that would have been in time.
+
+    In a run of its own, a small part of what is to be refused is queued like
+    any other work; too small a part to change the load.
+    """
+    forced: set[str] = set()
+
+    def make(rng: random.Random) -> scheduler.Scheduler:
+        return scheduler.Scheduler(
+            zone="", rng=rng, judge=_forcing(forced, random.Random(seed))
+        )
+
+    outcome = _run(trace, seed, make, replay.role_plan(trace))
+    calls = [c for c in outcome.calls if c.request.request_id in forced]
+    return sum(c.on_time for c in calls) / max(1, len(calls))
+
+
+def _forcing(
+    forced: set[str], rng: random.Random
+) -> Callable[[lane.Waiting, float, float], float]:
+    def judge(item: lane.Waiting, wait_s: float, now: float) -> float:
+        late_s = scheduler.by_prediction(item, wait_s, now)
+        if late_s > 0.0 and rng.random() < FORCED_PART:
+            forced.add(item.work.request_id)
+            return 0.0
+        return late_s
+
+    return judge
+
+
+def _mean(
+    runs: list[Figures], name: str, digits: int, scale: float = 1.0
+) -> str:
+    values = [figures[name] * scale for figures in runs if name in figures]
+    return f"{statistics.fmean(values):.{digits}f}" if values else ""
+
+
+def _spread(runs: list[Figures], name: str, digits: int) -> str:
+    values = [figures[name] for figures in runs]
+    half = (max(values) - min(values)) / 2.0
+    return f"{statistics.fmean(values):.{digits}f} ±{half:.{digits}f}"
+
+
+def main(arguments: list[str] | None = None) -> dict[str, Any]:
+    """Runs what the command line asks for and prints the table."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument(
+        "--deployments", nargs="+", default=list(traces.DEPLOYMENTS)
+    )
+    parser.add_argument("--cases", nargs="+", default=list(traces.CASES))
+    parser.add_argument("--seeds", type=int, nargs="+", default=[1, 2, 3])
+    parser.add_argument("--duration", type=float, default=traces.DURATION_S)
+    parser.add_argument("--workers", type=int, default=2)
+    options = parser.parse_args(arguments)
+    found = run_all(
+        deployments=options.deployments,
+        cases=options.cases,
+        seeds=options.seeds,
+        duration_s=options.duration,
+        workers=options.workers,
+    )
+    print(render(found))
+    return found
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/bulrushgrade_standins/bulrushgrade_standins/trace.py
@@ -0,0 +1,465 @@
+"""Traces of requests as JSON lines, read, written and generated.
+
+The first line is the header, the others are requests and events in order of
+time. docs/DECISIONS.md has the schema.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import functools
+import math
+import pathlib
+import random
+from typing import Any
+
+import attrs
+import msgspec
+import xxhash
+
+from bulrushgrade import work
+
+SCHEMA = 1
+DURATION_S = 150.0
+
+
+@attrs.frozen(kw_only=True)
+class EngineSpec:
+    """An engine of the fleet at the start of a trace."""
+
+    address: str
+    zone: str
+    role: work.Role = work.Role.MIXED
+
+
+@attrs.frozen(kw_only=True)
+class Header:
+    """What a trace says of itself.
+
+    Attributes:
+        name: The trace's name.
+        generated: Whether it was made by a program and not recorded.
+        seed: The program's seed, or None.
+        parameters: The program's other parameters.
+        model: The model that all engines run.
+        engines: The fleet.
+        services: The services' policies.
+        hosts: How many entry hosts decide.
+        duration_s: Length of the trace.
+        scored_from_s: Requests that arrive sooner warm up and don't count.
+    """
+
+    name: str
+    generated: bool
+    seed: int | None = None
+    parameters: dict[str, Any] = attrs.field(factory=dict)
+    model: str = "model"
+    engines: tuple[EngineSpec, ...] = ()
+    services: tuple[work.ServicePolicy, ...] = ()
+    hosts: int = 6
+    duration_s: float = DURATION_S
+    scored_from_s: float = 0.0
+    schema: int = SCHEMA
+
+
+@attrs.frozen(kw_only=True)
+class Request:
+    """One request of a trace.
+
+    Attributes:
+        at_s: When it arrives, from the trace's start.
+        request_id: Unique in the trace.
+        service: The service that it belongs to.
+        team: The member team that owns the service.
+        prompt_tokens: Length of the prompt.
+        output_tokens: Length of the answer as it turns out.
+        expected_output_tokens: Length that is expected when it arrives.
+        prefix: Parts of the prompt that others share, as name and tokens.
+        deadline_s: Seconds in which the answer has to be complete.
+        first_token_s: Seconds in which its first token has to come, or None.
+        between_tokens_s: Longest mean time between tokens, or None.
+    """
+
+    at_s: float
+    request_id: str
+    service: str
+    team: str = ""
+    prompt_tokens: int
+    output_tokens: int
+    expected_output_tokens: int
+    prefix: tuple[tuple[str, int], ...] = ()
+    deadline_s: float
+    first_token_s: float | None = None
+    between_tokens_s: float | None = None
+
+
+@attrs.frozen(kw_only=True)
+class Event:
+    """Something that happens to an engine.
+
+    Attributes:
+        at_s: When, from the trace's start.
+        engine: The engine's address.
+        what: ``slow``, ``lose``, ``back`` or ``leave``.
+        factor: For ``slow``, how many times as long a step takes.
+    """
+
+    at_s: float
+    engine: str
+    what: str
+    factor: float = 1.0
+
+
+@attrs.frozen(kw_only=True)
+class Trace:
+    """A whole trace."""
+
+    header: Header
+    requests: tuple[Request, ...]
+    events: tuple[Event, ...] = ()
+
+
+_KINDS = {"header": Header, "request": Request, "event": Event}
+
+
+def write_trace(trace: Trace, path: pathlib.Path) -> None:
+    """Writes a trace as JSON lines."""
+    lines = [("header", trace.header)]
+    lines += [("request", request) for request in trace.requests]
+    lines += [("event", event) for event in trace.events]
+    encode = msgspec.json.Encoder().encode
+    raw = [
+        encode({"kind": kind, **msgspec.to_builtins(item)})
+        for kind, item in lines
+    ]
+    path.write_bytes(b"\n".join(raw) + b"\n")
+
+
+def read_trace(path: pathlib.Path) -> Trace:
+    """Reads a trace of JSON lines.
+
+    Raises:
+        ValueError: A line is not what the schema says; names the line.
+    """
+    found: dict[str, list[Any]] = {kind: [] for kind in _KINDS}
+    for number, line in enumerate(path.read_bytes().splitlines(), start=1):
+        try:
+            fields = msgspec.json.decode(line)
+            kind = fields.pop("kind")
+            found[kind].append(msgspec.convert(fields, _KINDS[kind]))
+        except (msgspec.MsgspecError, KeyError, AttributeError) as error:
+            raise ValueError(f"{path}, line {number}: {error}") from error
+    if len(found["header"]) != 1:
+        raise ValueError(f"{path}: it needs one header")
+    return Trace(
+        header=found["header"][0],
+        requests=tuple(sorted(found["request"], key=lambda r: r.at_s)),
+        events=tuple(sorted(found["event"], key=lambda e: e.at_s)),
+    )
+
+
+@functools.lru_cache(maxsize=50_000)
+def _segment(name: str, before: int, blocks: int) -> tuple[int, ...]:
+    digest = xxhash.xxh3_64_intdigest
+    return tuple(
+        digest(f"{before}/{name}/{index}".encode()) for index in range(blocks)
+    )
+
+
+def blocks_of(prefix: tuple[tuple[str, int], ...]) -> tuple[int, ...]:
+    """Returns the hashes of a prompt's shared leading blocks."""
+    found: tuple[int, ...] = ()
+    for name, tokens in prefix:
+        before = found[-1] if found else 0
+        found += _segment(name, before, tokens // work.BLOCK_TOKENS)
+    return found
+
+
+# Generators.
+
+
+@attrs.frozen(kw_only=True)
+class Kind:
+    """How requests of one service are drawn."""
+
+    service: str
+    team: str
+    prompt: tuple[int, int]
+    output: tuple[int, int]
+    shared: tuple[str, int, int]
+    deadline_s: float
+    first_token_s: float | None = None
+    between_tokens_s: float | None = None
+
+
+@attrs.frozen(kw_only=True)
+class Deployment:
+    """One deployment's fleet, services and kinds of requests.
+
+    Attributes:
+        rates: Requests a second of each kind in the steady mix at 1x.
+        reading: The kind that is long reading.
+    """
+
+    name: str
+    zones: tuple[str, ...]
+    roles: tuple[work.Role, ...]
+    hosts: int
+    services: tuple[work.ServicePolicy, ...]
+    kinds: tuple[Kind, ...]
+    rates: tuple[float, ...]
+    reading: str
+
+
+_P, _D, _M = work.Role.PREFILL, work.Role.DECODE, work.Role.MIXED
+
+ORTAK = Deployment(
+    name="ortak",
+    zones=("gebze-a", "gebze-b", "tuzla", "esenyurt"),
+    roles=(_P, _P, _M, _D, _D),
+    hosts=6,
+    services=(
+        work.ServicePolicy(
+            service="grade", team="a", share=0.5, goodput_weight=3.0
+        ),
+        work.ServicePolicy(
+            service="portal", team="b", share=0.35, goodput_weight=3.0
+        ),
+        work.ServicePolicy(
+            service="tag", team="c", share=0.15, goodput_weight=3.0
+        ),
+    ),
+    kinds=(
+        Kind(
+            service="grade", team="a", prompt=(5000, 12000),
+            output=(150, 400), shared=("lease", 400, 3072),
+            deadline_s=30.0, first_token_s=12.0,
+        ),
+        Kind(
+            service="portal", team="b", prompt=(700, 1800),
+            output=(80, 300), shared=("portal", 30, 512),
+            deadline_s=16.0, first_token_s=1.2, between_tokens_s=0.05,
+        ),
+        Kind(
+            service="tag", team="c", prompt=(600, 1000), output=(15, 50),
+            shared=("tag", 4, 320), deadline_s=4.0, first_token_s=1.5,
+        ),
+    ),
+    rates=(1.1, 4.5, 3.0),
+    reading="grade",
+)  # fmt: skip
+
+OGEECHEE = Deployment(
+    name="ogeechee",
+    zones=("statesboro-hall", "metter-hall", "sylvania-hall", "claxton-hall"),
+    roles=(_P, _P, _P, _M, _M, _D, _D, _D, _D),
+    hosts=9,
+    services=(
+        work.ServicePolicy(
+            service="turns", team="combines", share=0.6,
+            role_change_weight=3.0,
+        ),
+        work.ServicePolicy(
+            service="slots", team="sprayers", share=0.4,
+            role_change_weight=3.0,
+        ),
+    ),
+    kinds=(
+        Kind(
+            service="turns", team="combines", prompt=(8000, 16000),
+            output=(150, 350), shared=("field", 300, 6144),
+            deadline_s=40.0, first_token_s=15.0,
+        ),
+        Kind(
+            service="slots", team="sprayers", prompt=(600, 1500),
+            output=(60, 250), shared=("slots", 40, 512),
+            deadline_s=14.0, first_token_s=1.2, between_tokens_s=0.05,
+        ),
+    ),
+    rates=(2.0, 13.0),
+    reading="turns",
+)  # fmt: skip
+
+DEPLOYMENTS = {item.name: item for item in (ORTAK, OGEECHEE)}
+
+Shape = Callable[[float, Kind], float]
+"""Factor on a kind's rate at a time of the trace."""
+
+
+def _steady(_at: float, _kind: Kind) -> float:
+    return 1.0
+
+
+def _scaled(factor: float) -> Shape:
+    return lambda _at, _kind: factor
+
+
+def _flips(deployment: Deployment, period_s: float) -> Shape:
+    """Reading and chat trade places: one high while the other is low."""
+
+    def shape(at: float, kind: Kind) -> float:
+        reading_high = int(at / period_s) % 2 == 0
+        is_reading = kind.service == deployment.reading
+        if is_reading == reading_high:
+            return 1.7 if is_reading else 1.9
+        return 0.35
+
+    return shape
+
+
+def _bursts(at: float, kind: Kind) -> float:
+    return 3.0 if at % 30.0 < 4.0 else 0.75
+
+
+def _outage(at: float, _kind: Kind) -> float:
+    """Callers that were turned away come back together for 15 s."""
+    if 50.0 <= at < 70.0:
+        return 0.0
+    return 2.5 if 70.0 <= at < 85.0 else 0.85
+
+
+CASES = (
+    "steady", "flips", "bursts", "skew", "slow", "lost", "mix", "full2x",
+    "full4x", "outage",
+)  # fmt: skip
+
+
+def generate(
+    deployment: Deployment,
+    case: str,
+    *,
+    seed: int,
+    duration_s: float = DURATION_S,
+) -> Trace:
+    """Makes a trace of one case.
+
+    Args:
+        deployment: Whose fleet and services.
+        case: One of `CASES`.
+        seed: Of every random draw.
+        duration_s: Length of the trace.
+    """
+    rng = random.Random(f"{deployment.name}/{case}/{seed}")
+    engines = tuple(
+        EngineSpec(
+            address=f"127.0.1.{index + 1}:8000",
+            zone=deployment.zones[index % len(deployment.zones)],
+            role=role,
+        )
+        for index, role in enumerate(deployment.roles)
+    )
+    shapes: dict[str, Shape] = {
+        "flips": _flips(deployment, 40.0),
+        "bursts": _bursts,
+        "full2x": _scaled(2.0),
+        "full4x": _scaled(4.0),
+        "outage": _outage,
+    }
+    shape = shapes.get(case, _steady)
+    if case == "mix":
+        shape = _long_and_short(deployment)
+    skew = 1.6 if case == "skew" else 0.6
+    requests = _draw(deployment, shape, skew, rng, duration_s)
+    return Trace(
+        header=Header(
+            name=f"{deployment.name}-{case}",
+            generated=True,
+            seed=seed,
+            parameters={"deployment": deployment.name, "case": case},
+            engines=engines,
+            services=deployment.services,
+            hosts=deployment.hosts,
+            duration_s=duration_s,
+            scored_from_s=10.0,
+        ),
+        requests=requests,
+        events=_events(case, engines, duration_s),
+    )
+
+
+def _long_and_short(deployment: Deployment) -> Shape:
+    """A team floods with readings while the others go on as always."""
+
+    def shape(at: float, kind: Kind) -> float:
+        if kind.service == deployment.reading:
+            return 2.2 if int(at / 25.0) % 2 else 1.2
+        return 0.8
+
+    return shape
+
+
+def _events(
+    case: str, engines: tuple[EngineSpec, ...], duration_s: float
+) -> tuple[Event, ...]:
+    first, last = engines[0].address, engines[-1].address
+    third = duration_s / 3.0
+    if case == "slow":
+        return (
+            Event(at_s=third, engine=last, what="slow", factor=4.0),
+            Event(at_s=2.2 * third, engine=last, what="slow", factor=1.0),
+        )
+    if case == "lost":
+        return (
+            Event(at_s=third, engine=last, what="lose"),
+            Event(at_s=1.5 * third, engine=first, what="leave"),
+            Event(at_s=2.0 * third, engine=last, what="back"),
+        )
+    return ()
+
+
+def _draw(
+    deployment: Deployment,
+    shape: Shape,
+    skew: float,
+    rng: random.Random,
+    duration_s: float,
+) -> tuple[Request, ...]:
+    found: list[Request] = []
+    for kind, rate in zip(deployment.kinds, deployment.rates, strict=True):
+        weights = _zipf(kind.shared[1], skew)
+        at = 0.0
+        peak = rate * 4.0
+        while (at := at + rng.expovariate(peak)) < duration_s:
+            if rng.random() * 4.0 < shape(at, kind):
+                number = f"{kind.service}-{len(found)}"
+                found.append(_request(kind, weights, at, number, rng))
+    return tuple(sorted(found, key=lambda request: request.at_s))
+
+
+def _request(
+    kind: Kind,
+    weights: list[float],
+    at: float,
+    number: str,
+    rng: random.Random,
+) -> Request:
+    output = rng.randint(*kind.output)
+    low, high = kind.output
+    expected = round(math.sqrt(output * (low + high) / 2.0))
+    name, _, tokens = kind.shared
+    which = rng.choices(range(len(weights)), cum_weights=weights)[0]
+    return Request(
+        at_s=round(at, 4),
+        request_id=number,
+        service=kind.service,
+        team=kind.team,
+        prompt_tokens=rng.randint(*kind.prompt),
+        output_tokens=output,
+        expected_output_tokens=expected,
+        prefix=((f"{name}-{which}", tokens),),
+        deadline_s=kind.deadline_s,
+        first_token_s=kind.first_token_s,
+        between_tokens_s=kind.between_tokens_s,
+    )
+
+
+def _zipf(count: int, skew: float) -> list[float]:
+    total, cumulative = 0.0, []
+    for rank in range(1, count + 1):
+        total += 1.0 / rank**skew
+        cumulative.append(total)
+    return cumulative
+
+
+def total_output(requests: Iterable[Request]) -> int:
+    """Returns the tokens of all answers."""
+    return sum(request.output_tokens for request in requests)
