Learn reading speed from clean samples and count peers once

Cause, found by trace of full saturation: the line of first-token times went through stale backlogs and came out three times too flat, so that the role plan left one reader; and a report was compared with what peers had told by its time, which counted their newest work twice. Change: learn only from work that met nothing before it, compare with what is known now of that time, keep short and long backlogs apart.

--- a/packages/bulrushgrade/bulrushgrade/lane.py
+++ b/packages/bulrushgrade/bulrushgrade/lane.py
@@ -34,6 +34,7 @@
         work: The work.
         engine_s: Its price in engine seconds.
         latest_start: When it has to be placed to be in time.
+        lane: The lane that it waits in.
         number: Grows with each arrival; breaks ties in favour of the first.
         not_before: When it may be placed first, for a retry.
         avoid: Endpoints that failed it.
@@ -44,6 +45,7 @@
     work: work.Work
     engine_s: float
     latest_start: float
+    lane: LaneName
     number: int = 0
     not_before: float = 0.0
     avoid: frozenset[str] = frozenset()
@@ -106,28 +108,30 @@
     def __len__(self) -> int:
         return sum(len(lane) for lane in self.lanes.values())
 
-    def add(self, item: Waiting, name: LaneName) -> None:
+    def add(self, item: Waiting) -> None:
         """Queues an item; a lane that was empty is owed nothing."""
-        lane = self.lanes[name]
+        lane = self.lanes[item.lane]
         if not len(lane):
             others = [o.used_s for o in self.lanes.values() if len(o)]
             lane.used_s = max([lane.used_s, *others[:1]])
         lane.add(item)
 
-    def turns(self) -> list[tuple[LaneName, Lane]]:
+    def turns(self) -> list[Lane]:
         """Returns the lanes with work, the one that used least first."""
-        waiting = [(n, lane) for n, lane in self.lanes.items() if len(lane)]
-        return sorted(waiting, key=lambda pair: pair[1].used_s)
+        waiting = [lane for lane in self.lanes.values() if len(lane)]
+        return sorted(waiting, key=lambda lane: lane.used_s)
 
-    def ahead_s(self, name: LaneName, latest_start: float) -> float:
+    def ahead_s(self, item: Waiting) -> float:
         """Returns engine seconds that go before a new item of a lane.
 
         The other lane takes turns, so as much of it as this lane's own part
         goes before too, but never more than it has.
         """
-        own = self.lanes[name].ahead_s(latest_start)
+        own = self.lanes[item.lane].ahead_s(item.latest_start)
         other = sum(
-            lane.engine_s for n, lane in self.lanes.items() if n != name
+            lane.engine_s
+            for name, lane in self.lanes.items()
+            if name is not item.lane
         )
         return own + min(other, own)
 
--- a/packages/bulrushgrade/bulrushgrade/load.py
+++ b/packages/bulrushgrade/bulrushgrade/load.py
@@ -4,8 +4,8 @@
 lags. Counting a request in two of them would make a busy engine look twice as
 busy; believing the report alone would make an engine look idle that this host
 has just filled. So: what is known is own plus peers' now, and the report
-only adds what it shows beyond what was known at the time it speaks of (work
-of hosts that are not heard).
+only adds what it shows beyond what is known of the time it speaks of (work of
+hosts that are not heard).
 """
 
 import collections
@@ -27,17 +27,26 @@
 
 @attrs.frozen
 class Amount:
-    """Requests, prompt tokens yet to be read, and KV tokens held."""
+    """Work at an endpoint.
+
+    Attributes:
+        running: Requests, waiting ones included.
+        prefill_tokens: Prompt tokens yet to be read.
+        kv_tokens: KV memory taken or promised.
+        short_tokens: Those of `prefill_tokens` that go before long readings.
+    """
 
     running: float = 0.0
     prefill_tokens: float = 0.0
     kv_tokens: float = 0.0
+    short_tokens: float = 0.0
 
     def __add__(self, other: "Amount") -> "Amount":
         return Amount(
             self.running + other.running,
             self.prefill_tokens + other.prefill_tokens,
             self.kv_tokens + other.kv_tokens,
+            self.short_tokens + other.short_tokens,
         )
 
     def times(self, factor: float) -> "Amount":
@@ -46,6 +55,7 @@
             self.running * factor,
             self.prefill_tokens * factor,
             self.kv_tokens * factor,
+            self.short_tokens * factor,
         )
 
     def beyond(self, other: "Amount") -> "Amount":
@@ -54,8 +64,13 @@
             max(0.0, self.running - other.running),
             max(0.0, self.prefill_tokens - other.prefill_tokens),
             max(0.0, self.kv_tokens - other.kv_tokens),
+            max(0.0, self.short_tokens - other.short_tokens),
         )
 
+    def most(self, other: "Amount") -> "Amount":
+        """Returns the larger figure of each kind."""
+        return self + other.beyond(self)
+
 
 NOTHING = Amount()
 
@@ -74,7 +89,7 @@
         self._peers: dict[str, Amount] = {}
         self._peer_sum = NOTHING
         self._unknown = NOTHING
-        self._history: collections.deque[tuple[float, Amount]] = (
+        self._history: collections.deque[tuple[float, Amount, Amount]] = (
             collections.deque()
         )
         self.total = NOTHING
@@ -138,8 +153,7 @@
             float(report.prefill_backlog_tokens),
             float(report.kv_used_tokens),
         )
-        known = self._known_at(now - report.age_s)
-        self._unknown = shown.beyond(known)
+        self._unknown = shown.beyond(self._known_of(now - report.age_s))
         # Cached prefixes that no request uses are part of the engine's KV
         # figure and are evicted on demand: they are no load.
         self._unknown = attrs.evolve(self._unknown, kv_tokens=0.0)
@@ -160,18 +174,27 @@
         }
 
     def _changed(self, now: float) -> None:
-        known = self._own + self._peer_sum
-        self.total = known + self._unknown
+        self.total = self._own + self._peer_sum + self._unknown
         if self._history and self._history[-1][0] == now:
             self._history.pop()
-        self._history.append((now, known))
+        self._history.append((now, self._own, self._peer_sum))
         while len(self._history) > 2 and (
             self._history[1][0] < now - HISTORY_S
         ):
             self._history.popleft()
 
-    def _known_at(self, when: float) -> Amount:
-        for at, known in reversed(self._history):
+    def _known_of(self, when: float) -> Amount:
+        """What is known now of an earlier time.
+
+        Own work is known exactly. A peer's message arrives after the report's
+        time though it speaks of it: comparing the report with what had been
+        heard by then would take the peer's work for a stranger's and count
+        it twice, once as such and once as the peer's. So the most that peers
+        told of since then is taken.
+        """
+        peers = NOTHING
+        for at, own, heard in reversed(self._history):
+            peers = peers.most(heard)
             if at <= when:
-                return known
-        return NOTHING
+                return own + peers
+        return peers
--- /dev/null
+++ b/packages/bulrushgrade/bulrushgrade/pool.py
@@ -0,0 +1,136 @@
+"""The endpoints that can do the same work, in order of their load.
+
+The orders are kept sorted and the candidates for one placement are few, so
+that a placement costs the logarithm of the number of endpoints.
+"""
+
+import bisect
+import random
+
+import sortedcontainers
+import xxhash
+
+from bulrushgrade import cost
+from bulrushgrade import ejection
+from bulrushgrade import load
+from bulrushgrade import prefix
+from bulrushgrade import work
+
+SAMPLES = 4
+"""Least loaded engines looked at, drawn from `POOL_PART` of them."""
+
+POOL_PART = 4
+"""One in so many endpoints counts as least loaded. Many hosts see the same
+order on stale data: if all took its first, they would herd onto it."""
+
+RING_POINTS = 16
+"""Points of each endpoint on the hash ring."""
+
+
+class Pool:
+    """The endpoints that can do the same work."""
+
+    def __init__(self, *, rng: random.Random):
+        self._rng = rng
+        self.loads: dict[str, load.EndpointLoad] = {}
+        self.model = cost.CostModel()
+        self.prefixes = prefix.PrefixIndex()
+        self._keys: dict[str, tuple[float, float]] = {}
+        self._readers = sortedcontainers.SortedList()
+        self._decoders = sortedcontainers.SortedList()
+        self._ring: list[tuple[int, str]] = []
+
+    def __len__(self) -> int:
+        return len(self.loads)
+
+    def put(self, item: load.EndpointLoad) -> None:
+        """Adds an endpoint or takes in that its description changed."""
+        address = item.endpoint.address
+        if address not in self.loads:
+            for point in range(RING_POINTS):
+                seed = f"{address}/{point}".encode()
+                bisect.insort(
+                    self._ring, (xxhash.xxh3_64_intdigest(seed), address)
+                )
+        self.loads[address] = item
+        self.refresh(address)
+
+    def drop(self, address: str) -> None:
+        """Takes an endpoint out."""
+        self._unsort(address)
+        del self.loads[address]
+        self._ring = [point for point in self._ring if point[1] != address]
+
+    def refresh(self, address: str) -> None:
+        """Sorts an endpoint anew after its load changed."""
+        self._unsort(address)
+        item = self.loads[address]
+        if item.endpoint.state is not work.EndpointState.SERVING:
+            return
+        total = item.total
+        reading = total.prefill_tokens * item.first_ratio + total.running
+        running = (total.running + 1.0) * item.step_ratio
+        self._keys[address] = (reading, running)
+        if item.endpoint.role is not work.Role.DECODE:
+            self._readers.add((reading, address))
+        if item.endpoint.role is not work.Role.PREFILL:
+            self._decoders.add((running, address))
+
+    def serving(self) -> int:
+        """Returns how many endpoints are in service."""
+        return len(self._keys)
+
+    def fellows(self, role: work.Role) -> list[ejection.Health]:
+        """Returns the health of all endpoints in service with this role."""
+        return [
+            item.health
+            for item in self.loads.values()
+            if item.endpoint.role is role
+            and item.endpoint.state is work.EndpointState.SERVING
+        ]
+
+    def uncached_tokens(self, item: work.Work, tokens_done: int) -> int:
+        """Returns what the best holder of its prefix would have to read."""
+        hits = self.prefixes.find(item.prefix)
+        cached = max(hits.values(), default=0) * work.BLOCK_TOKENS
+        return max(0, item.prompt_tokens + tokens_done - cached)
+
+    def readers(
+        self, item: work.Work, hits: dict[str, int]
+    ) -> list[load.EndpointLoad]:
+        """Returns candidates for reading a prompt.
+
+        They are the holders of its prefix, the endpoint on which all hosts
+        agree for a prefix that none has seen, and some of the least loaded.
+
+        Args:
+            item: The work.
+            hits: Blocks of its prefix that endpoints hold.
+        """
+        found = dict.fromkeys(a for a in hits if a in self.loads)
+        if item.prefix and self._ring:
+            index = bisect.bisect(self._ring, (item.prefix[0], ""))
+            found[self._ring[index % len(self._ring)][1]] = None
+        found.update(dict.fromkeys(self._sample(self._readers)))
+        return [
+            self.loads[address]
+            for address in found
+            if self.loads[address].endpoint.role is not work.Role.DECODE
+        ]
+
+    def decoders(self) -> list[load.EndpointLoad]:
+        """Returns candidates for generating an answer read elsewhere."""
+        return [self.loads[a] for a in self._sample(self._decoders)]
+
+    def _sample(self, order) -> list[str]:
+        part = min(len(order), max(SAMPLES, len(order) // POOL_PART))
+        if part <= SAMPLES:
+            return [address for _, address in order[:part]]
+        picked = self._rng.sample(range(part), SAMPLES)
+        return [order[index][1] for index in picked]
+
+    def _unsort(self, address: str) -> None:
+        keys = self._keys.pop(address, None)
+        if keys is not None:
+            self._readers.discard((keys[0], address))
+            self._decoders.discard((keys[1], address))
--- a/packages/bulrushgrade/bulrushgrade/pools.py
+++ b/packages/bulrushgrade/bulrushgrade/pools.py
@@ -8,7 +8,7 @@
 from bulrushgrade import cost
 from bulrushgrade import ejection
 from bulrushgrade import load
-from bulrushgrade import placement
+from bulrushgrade import pool
 from bulrushgrade import queueing
 from bulrushgrade import work
 
@@ -20,7 +20,7 @@
 class PoolState:
     """A pool of endpoints and what waits for it."""
 
-    pool: placement.Pool
+    pool: pool.Pool
     queue: queueing.PoolQueue
 
 
@@ -89,6 +89,7 @@
                     float(theirs.running),
                     float(theirs.prefill_backlog_tokens),
                     float(theirs.kv_tokens),
+                    float(theirs.short_backlog_tokens),
                 )
             if item.set_peer(peer, amount, now):
                 self._refresh(address)
@@ -115,6 +116,7 @@
                 running=round(item.own.running),
                 prefill_backlog_tokens=round(item.own.prefill_tokens),
                 kv_tokens=round(item.own.kv_tokens),
+                short_backlog_tokens=round(item.own.short_tokens),
             )
             for address, item in self._loads.items()
             if item.own != load.NOTHING
@@ -199,7 +201,7 @@
         state = self._pools.get(key)
         if state is None:
             state = PoolState(
-                pool=placement.Pool(rng=self._rng),
+                pool=pool.Pool(rng=self._rng),
                 queue=queueing.PoolQueue(),
             )
             self._set_shares(state)
--- /dev/null
+++ b/packages/bulrushgrade/bulrushgrade/prefix.py
@@ -0,0 +1,45 @@
+"""Which engines should have which prompt blocks in their caches."""
+
+import collections
+
+MAX_HOLDERS = 3
+"""Engines looked at because they hold a prefix."""
+
+PREFIX_LIMIT = 60_000
+"""Blocks remembered a pool, about 100 bytes each."""
+
+
+class PrefixIndex:
+    """Which endpoints should have which prompt blocks in their caches."""
+
+    def __init__(self):
+        self._holders: collections.OrderedDict[int, dict[str, None]] = (
+            collections.OrderedDict()
+        )
+
+    def __len__(self) -> int:
+        return len(self._holders)
+
+    def add(self, prefix: tuple[int, ...], address: str) -> None:
+        """Notes that an endpoint reads these blocks."""
+        for block in prefix:
+            holders = self._holders.setdefault(block, {})
+            holders.pop(address, None)
+            holders[address] = None
+            self._holders.move_to_end(block)
+        while len(self._holders) > PREFIX_LIMIT:
+            self._holders.popitem(last=False)
+
+    def discard(self, block: int, address: str) -> None:
+        """Notes that an endpoint has evicted a block."""
+        self._holders.get(block, {}).pop(address, None)
+
+    def find(self, prefix: tuple[int, ...]) -> dict[str, int]:
+        """Returns how many leading blocks the best holders have."""
+        found: dict[str, int] = {}
+        for index in range(len(prefix) - 1, -1, -1):
+            for address in reversed(self._holders.get(prefix[index], {})):
+                found.setdefault(address, index + 1)
+                if len(found) >= MAX_HOLDERS:
+                    return found
+        return found
--- a/packages/bulrushgrade/bulrushgrade/progress.py
+++ b/packages/bulrushgrade/bulrushgrade/progress.py
@@ -5,6 +5,7 @@
 from bulrushgrade import lane
 from bulrushgrade import load
 from bulrushgrade import placement
+from bulrushgrade import pool
 
 LATE_START_FACTOR = 2.0
 LATE_START_S = 0.3
@@ -12,6 +13,11 @@
 these seconds, counts as queueing inside the engine: below, it is within what
 the prediction itself gets wrong."""
 
+CLEAN_PART = 1.1
+"""Reading speed is learned only from work that met little before it. What
+waits at an engine is known from stale messages: a line through such points
+is too flat (errors in x), and reading looks three times as cheap as it is."""
+
 RATIO_WEIGHT = 0.1
 """Weight of one answer in an endpoint's speed: about ten answers to follow a
 change, while one odd answer moves it little."""
@@ -39,7 +45,7 @@
     """
 
     item: lane.Waiting
-    pool: placement.Pool
+    pool: pool.Pool
     option: placement.Option
     placed_at: float
     ahead_tokens: float
@@ -53,23 +59,26 @@
 
 def start(
     item: lane.Waiting,
-    pool: placement.Pool,
+    pool: pool.Pool,
     option: placement.Option,
     now: float,
 ) -> Progress:
     """Describes a request that is placed now, before it is booked."""
     split = option.decode is not option.endpoint
     prompt = float(item.work.prompt_tokens)
+    tokens = option.uncached_tokens
     reading = load.Amount(
-        1.0 if split else 0.0, option.uncached_tokens, prompt if split else 0.0
+        1.0 if split else 0.0,
+        tokens,
+        prompt if split else 0.0,
+        tokens if item.lane is lane.LaneName.SHORT else 0.0,
     )
-    ahead = option.endpoint.total.prefill_tokens + option.uncached_tokens
     return Progress(
         item=item,
         pool=pool,
         option=option,
         placed_at=now,
-        ahead_tokens=ahead,
+        ahead_tokens=option.ahead_tokens,
         running=option.decode.total.running + 1.0,
         reading=reading,
         answering=load.Amount(1.0, 0.0, prompt + item.work.output_tokens),
@@ -84,7 +93,9 @@
     model = progress.pool.model
     waited = now - progress.placed_at
     predicted = model.first_token_s(progress.ahead_tokens)
-    model.first.learn(progress.ahead_tokens, waited)
+    own_tokens = progress.option.uncached_tokens
+    if progress.ahead_tokens <= CLEAN_PART * own_tokens:
+        model.first.learn(progress.ahead_tokens, waited)
     ratio = _ratio(waited, predicted)
     reader.first_ratio += RATIO_WEIGHT * (ratio - reader.first_ratio)
     late = waited > max(LATE_START_FACTOR * predicted, LATE_START_S)
--- a/packages/bulrushgrade/bulrushgrade/queueing.py
+++ b/packages/bulrushgrade/bulrushgrade/queueing.py
@@ -39,35 +39,33 @@
         """Returns the services that have work waiting."""
         return [name for name, queue in self._queues.items() if len(queue)]
 
-    def add(self, item: lane.Waiting, name: lane.LaneName) -> None:
+    def add(self, item: lane.Waiting) -> None:
         """Queues an item."""
         service = item.work.service
         queue = self._queues.setdefault(service, lane.ServiceQueue())
         if not len(queue):
             self.shares.activate(service, self.active())
-        queue.add(item, name)
+        queue.add(item)
 
-    def remove(self, item: lane.Waiting, name: lane.LaneName) -> None:
+    def remove(self, item: lane.Waiting) -> None:
         """Takes an item out."""
-        self._queues[item.work.service].lanes[name].remove(item)
+        self._queues[item.work.service].lanes[item.lane].remove(item)
 
-    def charge(
-        self, item: lane.Waiting, name: lane.LaneName, now: float
-    ) -> None:
+    def charge(self, item: lane.Waiting, now: float) -> None:
         """Books an item that was placed."""
         service = item.work.service
         self.shares.charge(service, item.engine_s)
         queue = self._queues.setdefault(service, lane.ServiceQueue())
-        queue.lanes[name].used_s += item.engine_s
+        queue.lanes[item.lane].used_s += item.engine_s
         self.drain.add(item.engine_s, now)
 
-    def heads(self) -> Iterator[tuple[lane.LaneName, lane.Waiting]]:
+    def heads(self) -> Iterator[lane.Waiting]:
         """Yields the next item of each lane, in the order of turns."""
         for service in self.shares.order(self.active()):
-            for name, waiting in self._queues[service].turns():
+            for waiting in self._queues[service].turns():
                 head = waiting.head()
                 if head is not None:
-                    yield name, head
+                    yield head
 
     def take_expired(self, now: float) -> Iterator[lane.Waiting]:
         """Removes and yields the items that can't be in time any more."""
@@ -77,15 +75,9 @@
                     waiting.remove(head)
                     yield head
 
-    def next_expiry(self) -> float | None:
-        """Returns when the next item can't be in time any more."""
-        starts = [head.latest_start for _, head in self.heads()]
-        return min(starts) if starts else None
-
     def wait_s(
         self,
         item: lane.Waiting,
-        name: lane.LaneName,
         *,
         floor: float,
         now: float,
@@ -94,7 +86,6 @@
 
         Args:
             item: The item, not queued yet.
-            name: Its lane.
             floor: Drain rate to assume while none was observed.
             now: The present time.
         """
@@ -102,7 +93,7 @@
         queue = self._queues.get(service)
         if queue is None or not len(queue):
             return 0.0
-        ahead = queue.ahead_s(name, item.latest_start)
+        ahead = queue.ahead_s(item)
         shares = {n: self.shares.share(n) for n in self.active()}
         part = self.shares.share(service) / sum(shares.values())
         rate = self.drain.rate(floor, now) * part
@@ -116,7 +107,7 @@
         }
 
 
-Try = Callable[[lane.LaneName, lane.Waiting], bool]
+Try = Callable[[lane.Waiting], bool]
 
 
 def dispatch(queue: PoolQueue, attempt: Try, now: float) -> None:
@@ -134,9 +125,9 @@
     placed = True
     while placed:
         placed = False
-        for name, head in list(queue.heads()):
+        for head in list(queue.heads()):
             if head.not_before > now:
                 continue
-            if attempt(name, head):
+            if attempt(head):
                 placed = True
                 break
--- a/packages/bulrushgrade/bulrushgrade/scheduler.py
+++ b/packages/bulrushgrade/bulrushgrade/scheduler.py
@@ -13,6 +13,7 @@
 from bulrushgrade import admission
 from bulrushgrade import lane
 from bulrushgrade import placement
+from bulrushgrade import pool
 from bulrushgrade import pools
 from bulrushgrade import progress
 from bulrushgrade import queueing
@@ -75,9 +76,7 @@
         self._policies: dict[str, work.ServicePolicy] = {}
         self._budgets: dict[str, retry.RetryBudget] = {}
         self._progress: dict[str, progress.Progress] = {}
-        self._waiting: dict[
-            str, tuple[pools.PoolState, lane.LaneName, lane.Waiting]
-        ] = {}
+        self._waiting: dict[str, tuple[pools.PoolState, lane.Waiting]] = {}
         self._outbox: dict[str, work.Placed | work.Refused] = {}
         self._demand: dict[str, list[float]] = {}
         self._numbers = itertools.count()
@@ -211,8 +210,8 @@
         """Forgets a request whose caller has gone."""
         self._outbox.pop(request_id, None)
         if request_id in self._waiting:
-            state, name, item = self._waiting.pop(request_id)
-            state.queue.remove(item, name)
+            state, item = self._waiting.pop(request_id)
+            state.queue.remove(item)
         elif request_id in self._progress:
             self._release(self._progress.pop(request_id), now)
 
@@ -282,29 +281,29 @@
         if state is None:
             code = work.RefusalCode.NO_ENDPOINT
             return self._refuse(item, code, NO_ENDPOINT_RETRY_S)
-        uncached = state.pool.uncached_tokens(item, tokens_done)
+        uncached = placement.uncached_tokens(state.pool, item, tokens_done)
         model = state.pool.model
         if item.model and not attempt:
             asked = self._demand.setdefault(item.model, [0.0, 0.0])
             asked[0] += uncached
             asked[1] += item.output_tokens
+        reading_s = model.prefill_s(uncached) if item.model else 0.0
         waiting = lane.Waiting(
             work=item,
             engine_s=model.price_s(item, uncached, tokens_done),
             latest_start=admission.latest_start(item, model, uncached),
+            lane=lane.lane_of(reading_s),
             number=next(self._numbers),
             not_before=not_before,
             avoid=avoid,
             attempt=attempt,
             tokens_done=tokens_done,
         )
-        reading_s = model.prefill_s(uncached) if item.model else 0.0
-        return self._queue(state, lane.lane_of(reading_s), waiting, now)
+        return self._queue(state, waiting, now)
 
     def _queue(
         self,
         state: pools.PoolState,
-        name: lane.LaneName,
         item: lane.Waiting,
         now: float,
     ) -> work.Decision:
@@ -314,12 +313,12 @@
             code = work.RefusalCode.QUEUE_FULL
             return self._refuse(wanted, code, QUEUE_FULL_RETRY_S)
         floor = self._engines(state.pool, now)
-        wait_s = queue.wait_s(item, name, floor=floor, now=now)
+        wait_s = queue.wait_s(item, floor=floor, now=now)
         late_s = self._judge(item, wait_s, now)
         if late_s > 0.0:
             return self._refuse(wanted, work.RefusalCode.OVERLOADED, late_s)
-        queue.add(item, name)
-        self._waiting[wanted.request_id] = (state, name, item)
+        queue.add(item)
+        self._waiting[wanted.request_id] = (state, item)
         self._dispatch(state, now)
         settled = self._outbox.pop(wanted.request_id, None)
         if settled is not None:
@@ -336,40 +335,43 @@
             )
         engines = self._engines(state.pool, now)
 
-        def attempt(name: lane.LaneName, item: lane.Waiting) -> bool:
+        def attempt(item: lane.Waiting) -> bool:
             shares = state.queue.shares
             if not shares.may_run(item.work.service, engines, now):
                 return False
-            return self._place(state, name, item, now)
+            return self._place(state, item, now)
 
         queueing.dispatch(state.queue, attempt, now)
 
     def _place(
         self,
         state: pools.PoolState,
-        name: lane.LaneName,
         item: lane.Waiting,
         now: float,
     ) -> bool:
-        option = state.pool.choose(
-            item.work, avoid=item.avoid, tokens_done=item.tokens_done, now=now
+        ask = placement.Ask(
+            work=item.work,
+            short=item.lane is lane.LaneName.SHORT,
+            avoid=item.avoid,
+            tokens_done=item.tokens_done,
         )
+        option = placement.choose(state.pool, ask, rng=self._rng, now=now)
         if option is None:
             return False
         request_id = item.work.request_id
-        state.queue.remove(item, name)
+        state.queue.remove(item)
         del self._waiting[request_id]
-        state.queue.charge(item, name, now)
+        state.queue.charge(item, now)
         placed = progress.start(item, state.pool, option, now)
         self._progress[request_id] = placed
         self._fleet.book(option.endpoint, placed.reading, now)
         self._fleet.book(option.decode, placed.answering, now)
-        state.pool.note_placed(item.work, option, now)
+        placement.note_placed(state.pool, item.work, option, now)
         self._counts["placed"] += 1
         # Inside an engine a chat goes before a reading of equal priority: a
         # reading bears a second's wait, a chat's first token does not.
         policy = self._policies[item.work.service]
-        priority = 2 * policy.priority + (name is lane.LaneName.LONG)
+        priority = 2 * policy.priority + (item.lane is lane.LaneName.LONG)
         self._outbox[request_id] = option.placed(
             item.work, item.tokens_done, priority
         )
@@ -397,6 +399,6 @@
         ended = current.answering.times(-1.0)
         self._fleet.book(current.option.decode, ended, now)
 
-    def _engines(self, pool: placement.Pool, now: float) -> float:
+    def _engines(self, pool: pool.Pool, now: float) -> float:
         """This host's part of a pool, if all hosts get equal traffic."""
         return pool.serving() / (1.0 + self._fleet.fresh_peers(now))
--- a/packages/bulrushgrade/bulrushgrade/work.py
+++ b/packages/bulrushgrade/bulrushgrade/work.py
@@ -142,12 +142,16 @@
 
 @attrs.frozen(kw_only=True)
 class PeerLoad:
-    """What one host has in flight at one endpoint."""
+    """What one host has in flight at one endpoint.
+
+    `short_backlog_tokens` are those of the backlog that are read first.
+    """
 
     endpoint: str
     running: int = 0
     prefill_backlog_tokens: int = 0
     kv_tokens: int = 0
+    short_backlog_tokens: int = 0
 
 
 @attrs.frozen(kw_only=True)
