Generate traces against the fleet's capacity

Cause: the first rates filled the fleet to about three fifths, so that 2x of them was no saturation. Rates are now those at which the fleet is just full, the ordinary hour is 0.8 of them, and full1x, full2x and full4x multiply them.

--- a/packages/bulrushgrade_standins/bulrushgrade_standins/trace.py
+++ b/packages/bulrushgrade_standins/bulrushgrade_standins/trace.py
@@ -196,7 +196,7 @@
     """One deployment's fleet, services and kinds of requests.
 
     Attributes:
-        rates: Requests a second of each kind in the steady mix at 1x.
+        rates: Requests a second of each kind at which the fleet is just full.
         reading: The kind that is long reading.
     """
 
@@ -244,7 +244,7 @@
             shared=("tag", 4, 320), deadline_s=4.0, first_token_s=1.5,
         ),
     ),
-    rates=(1.1, 4.5, 3.0),
+    rates=(1.75, 7.2, 4.8),
     reading="grade",
 )  # fmt: skip
 
@@ -275,7 +275,7 @@
             deadline_s=14.0, first_token_s=1.2, between_tokens_s=0.05,
         ),
     ),
-    rates=(2.0, 13.0),
+    rates=(2.9, 18.8),
     reading="turns",
 )  # fmt: skip
 
@@ -285,8 +285,12 @@
 """Factor on a kind's rate at a time of the trace."""
 
 
+USUAL = 0.8
+"""Load of an ordinary hour, as a part of capacity."""
+
+
 def _steady(_at: float, _kind: Kind) -> float:
-    return 1.0
+    return USUAL
 
 
 def _scaled(factor: float) -> Shape:
@@ -300,26 +304,26 @@
         reading_high = int(at / period_s) % 2 == 0
         is_reading = kind.service == deployment.reading
         if is_reading == reading_high:
-            return 1.7 if is_reading else 1.9
-        return 0.35
+            return 1.35 if is_reading else 1.5
+        return 0.3
 
     return shape
 
 
 def _bursts(at: float, kind: Kind) -> float:
-    return 3.0 if at % 30.0 < 4.0 else 0.75
+    return 2.4 if at % 30.0 < 4.0 else 0.6
 
 
 def _outage(at: float, _kind: Kind) -> float:
     """Callers that were turned away come back together for 15 s."""
     if 50.0 <= at < 70.0:
         return 0.0
-    return 2.5 if 70.0 <= at < 85.0 else 0.85
+    return 2.0 if 70.0 <= at < 85.0 else 0.7
 
 
 CASES = (
-    "steady", "flips", "bursts", "skew", "slow", "lost", "mix", "full2x",
-    "full4x", "outage",
+    "steady", "flips", "bursts", "skew", "slow", "lost", "mix", "outage",
+    "full1x", "full2x", "full4x",
 )  # fmt: skip
 
 
@@ -350,6 +354,7 @@
     shapes: dict[str, Shape] = {
         "flips": _flips(deployment, 40.0),
         "bursts": _bursts,
+        "full1x": _scaled(1.0),
         "full2x": _scaled(2.0),
         "full4x": _scaled(4.0),
         "outage": _outage,
@@ -381,8 +386,8 @@
 
     def shape(at: float, kind: Kind) -> float:
         if kind.service == deployment.reading:
-            return 2.2 if int(at / 25.0) % 2 else 1.2
-        return 0.8
+            return 1.8 if int(at / 25.0) % 2 else 0.9
+        return 0.6
 
     return shape
 
