Plan roles by memory as well as by tokens, learn from quick samples

Cause, found by trace of flips and of a lost engine: the plan left one decode engine whose memory was full at a third of its time, and after the loss of it none; a withdrawn engine blocked the plan for good; reading cost came out at twice the truth as waits for unseen work were taken for reading.

--- a/packages/bulrushgrade/bulrushgrade/cost.py
+++ b/packages/bulrushgrade/bulrushgrade/cost.py
@@ -14,6 +14,14 @@
 """Completions that a line remembers: a few minutes of a busy host, so that a
 new model version is learned within one shift of the mix."""
 
+SLOW_SAMPLE_WEIGHT = 0.15
+CUT_FACTOR = 2.0
+"""How samples above the line are taken by `LinearFit.learn_least`."""
+
+PLAN_BATCH = 32
+"""Requests that share a decode step on an engine that is well used: a half
+of its slots, at which chats still get their tokens in time."""
+
 TYPICAL_BATCH = 16
 """Requests that are assumed to share a decode step when work is priced."""
 
@@ -45,16 +53,27 @@
     _xy: float = 0.0
     _line: tuple[float, float] | None = None
 
-    def learn(self, x: float, y: float) -> None:
-        """Takes in one sample."""
-        keep = 1.0 - 1.0 / MEMORY_SAMPLES
-        self._count = self._count * keep + 1.0
-        self._x = self._x * keep + x
-        self._y = self._y * keep + y
-        self._xx = self._xx * keep + x * x
-        self._xy = self._xy * keep + x * y
+    def learn(self, x: float, y: float, weight: float = 1.0) -> None:
+        """Takes in one sample, a light one also forgetting less."""
+        keep = 1.0 - weight / MEMORY_SAMPLES
+        self._count = self._count * keep + weight
+        self._x = self._x * keep + weight * x
+        self._y = self._y * keep + weight * y
+        self._xx = self._xx * keep + weight * x * x
+        self._xy = self._xy * keep + weight * x * y
         self._line = None
 
+    def learn_least(self, x: float, y: float) -> None:
+        """Takes in a sample that may have waited for what was not seen.
+
+        What lies above the line counts little and is cut off at twice the
+        line: the line then follows the quick samples (an expectile), which
+        met least that other hosts had placed and not told of yet.
+        """
+        most = CUT_FACTOR * self.at(x)
+        weight = 1.0 if y <= self.at(x) else SLOW_SAMPLE_WEIGHT
+        self.learn(x, min(y, most), weight)
+
     def line(self) -> tuple[float, float]:
         """Returns the intercept and slope; the slope is above zero."""
         if self._line is None:
@@ -113,6 +132,11 @@
         decode_s = self.step_s(TYPICAL_BATCH) / TYPICAL_BATCH
         return self.prefill_s(prefill_tokens) + output_tokens * decode_s
 
+    def kv_token_s(self, item: work.Work) -> float:
+        """Returns the KV memory of an answer times how long it holds it."""
+        held_s = item.output_tokens * self.step_s(PLAN_BATCH)
+        return (item.prompt_tokens + item.output_tokens) * held_s
+
     def price_s(
         self, item: work.Work, uncached_tokens: float, tokens_done: int
     ) -> float:
--- a/packages/bulrushgrade/bulrushgrade/pools.py
+++ b/packages/bulrushgrade/bulrushgrade/pools.py
@@ -156,7 +156,8 @@
         """Returns the tokens a second that one engine reads and generates."""
         state = self._pools.get(("model", model))
         costs = state.pool.model if state else cost.CostModel()
-        return 1.0 / costs.prefill_s(1.0), 1.0 / costs.engine_s(0.0, 1.0)
+        batch = cost.PLAN_BATCH
+        return 1.0 / costs.prefill_s(1.0), batch / costs.step_s(batch)
 
     def dump(self) -> dict[str, Any]:
         """Returns the state for a person, ready for JSON."""
--- a/packages/bulrushgrade/bulrushgrade/progress.py
+++ b/packages/bulrushgrade/bulrushgrade/progress.py
@@ -95,7 +95,7 @@
     predicted = model.first_token_s(progress.ahead_tokens)
     own_tokens = progress.option.uncached_tokens
     if progress.ahead_tokens <= CLEAN_PART * own_tokens:
-        model.first.learn(progress.ahead_tokens, waited)
+        model.first.learn_least(progress.ahead_tokens, waited)
     ratio = _ratio(waited, predicted)
     reader.first_ratio += RATIO_WEIGHT * (ratio - reader.first_ratio)
     late = waited > max(LATE_START_FACTOR * predicted, LATE_START_S)
--- a/packages/bulrushgrade/bulrushgrade/roleplan.py
+++ b/packages/bulrushgrade/bulrushgrade/roleplan.py
@@ -51,6 +51,9 @@
 """Between two changes of a group: the effect of the first must show in the
 demand and loads before the next is judged."""
 
+LONGEST_S = 90.0
+"""A change that takes longer than this, drain included, has failed."""
+
 STALE_S = 3.0
 """A view that is older is not acted on: its engines may be gone, and a
 change would take one more from a fleet that already lost one."""
@@ -130,7 +133,7 @@
         *,
         goodput_weight: float = 1.0,
         role_change_weight: float = 1.0,
-        floor: int = 1,
+        floor: int = 2,
     ):
         """Makes a plan.
 
@@ -138,7 +141,8 @@
             goodput_weight: Worth of an engine second of useful work.
             role_change_weight: Price of an engine second spent on a change.
             floor: Engines in service that can read, and that can answer, at
-                least.
+                least; half the engines in a smaller group. With two, the
+                loss of one leaves callers slow and not without an answer.
         """
         self._price = role_change_weight / goodput_weight
         self._floor = floor
@@ -162,12 +166,13 @@
             return
         start = now // BUCKET_S * BUCKET_S
         if not self._buckets or self._buckets[-1][0] < start:
-            self._buckets.append([start, 0.0, 0.0])
+            self._buckets.append([start, 0.0, 0.0, 0.0])
         while self._buckets[0][0] < now - HISTORY_S:
             self._buckets.popleft()
         bucket = self._buckets[-1]
         bucket[1] += demand.prefill_tokens - before.prefill_tokens
         bucket[2] += demand.output_tokens - before.output_tokens
+        bucket[3] += demand.kv_token_s - before.kv_token_s
 
     def propose(self, view: GroupView, now: float) -> RoleChange | None:
         """Returns the change that pays best, or None.
@@ -182,10 +187,7 @@
         serving = [
             e for e in view.endpoints if _in(e, work.EndpointState.SERVING)
         ]
-        if len(demands) < MIN_BUCKETS or any(
-            _in(e, work.EndpointState.CHANGING, work.EndpointState.LEAVING)
-            for e in view.endpoints
-        ):
+        if len(demands) < MIN_BUCKETS or self._under_way(view, now):
             return None
         split = _split(serving)
         best = None
@@ -195,7 +197,7 @@
                 if old is new or candidate is None:
                     continue
                 after = split.moved(old, new)
-                if self._under_floor(after):
+                if self._under_floor(after) and not self._under_floor(split):
                     continue
                 gain = _gain_s(split, after, demands)
                 if best is None or gain > best.gain_s:
@@ -219,15 +221,18 @@
     ) -> list[tuple[float, float]]:
         """Demand of the full buckets in engines, the newest last."""
         found = []
-        for start, read, answered in self._buckets:
-            if start + BUCKET_S <= now:
-                per_s = 1.0 / (BUCKET_S * UTILIZATION)
-                found.append(
-                    (
-                        read * per_s / view.prefill_tokens_per_s,
-                        answered * per_s / view.decode_tokens_per_s,
-                    )
-                )
+        per_s = 1.0 / (BUCKET_S * UTILIZATION)
+        memory = min((e.kv_capacity_tokens for e in view.endpoints), default=0)
+        for start, read, answered, held in self._buckets:
+            if start + BUCKET_S > now:
+                continue
+            reading = read * per_s / view.prefill_tokens_per_s
+            answering = answered * per_s / view.decode_tokens_per_s
+            # Answers to long prompts fill an engine's memory long before its
+            # time: by tokens alone one engine would seem to be enough.
+            if memory:
+                answering = max(answering, held * per_s / memory)
+            found.append((reading, answering))
         return found
 
     def _candidate(
@@ -249,7 +254,25 @@
     def _under_floor(self, split: _Split) -> bool:
         readers = split.prefill + split.mixed
         answerers = split.decode + split.mixed
-        return min(readers, answerers) < self._floor
+        engines = split.prefill + answerers
+        floor = max(1, min(self._floor, engines // 2))
+        return min(readers, answerers) < floor
+
+    def _under_way(self, view: GroupView, now: float) -> bool:
+        """Whether an engine is still away for a change.
+
+        An engine that is leaving for good must not hold up the plan until
+        the host list forgets it: only those that were ordered to change, or
+        say that they are changing, count.
+        """
+        return any(
+            _in(e, work.EndpointState.CHANGING)
+            or (
+                _in(e, work.EndpointState.LEAVING)
+                and now - self._changed_at.get(e.address, -1e9) < LONGEST_S
+            )
+            for e in view.endpoints
+        )
 
 
 def _in(endpoint: work.Endpoint, *states: work.EndpointState) -> bool:
--- a/packages/bulrushgrade/bulrushgrade/scheduler.py
+++ b/packages/bulrushgrade/bulrushgrade/scheduler.py
@@ -123,8 +123,9 @@
                 model=model,
                 prefill_tokens=round(read),
                 output_tokens=round(answered),
+                kv_token_s=round(held),
             )
-            for model, (read, answered) in self._demand.items()
+            for model, (read, answered, held) in self._demand.items()
         )
 
     def capacity(self, model: str) -> tuple[float, float]:
@@ -284,9 +285,10 @@
         uncached = placement.uncached_tokens(state.pool, item, tokens_done)
         model = state.pool.model
         if item.model and not attempt:
-            asked = self._demand.setdefault(item.model, [0.0, 0.0])
+            asked = self._demand.setdefault(item.model, [0.0, 0.0, 0.0])
             asked[0] += uncached
             asked[1] += item.output_tokens
+            asked[2] += model.kv_token_s(item)
         reading_s = model.prefill_s(uncached) if item.model else 0.0
         waiting = lane.Waiting(
             work=item,
--- a/packages/bulrushgrade/bulrushgrade/work.py
+++ b/packages/bulrushgrade/bulrushgrade/work.py
@@ -159,11 +159,18 @@
     """What callers have asked one host for since its start, one model.
 
     Refused work counts as well: what is turned away is demand too.
+
+    Attributes:
+        model: The model.
+        prefill_tokens: Prompt tokens that were not cached.
+        output_tokens: Tokens of the answers, as expected.
+        kv_token_s: KV memory of the answers times how long they hold it.
     """
 
     model: str
     prefill_tokens: int = 0
     output_tokens: int = 0
+    kv_token_s: int = 0
 
 
 @attrs.frozen(kw_only=True)
