Bound a role change's gain by the loss that callers met

Cause, found by trace: the plan changed roles while nothing was lost, as the fluid model knows neither queues nor cold caches, and read 6500 tokens/s for 8000. Change: engines' own cached-token counts correct demand and speed, the gain is at most the refused work, engine seconds of a change count for all.

--- a/packages/bulrushgrade/bulrushgrade/cost.py
+++ b/packages/bulrushgrade/bulrushgrade/cost.py
@@ -14,7 +14,7 @@
 """Completions that a line remembers: a few minutes of a busy host, so that a
 new model version is learned within one shift of the mix."""
 
-SLOW_SAMPLE_WEIGHT = 0.15
+SLOW_SAMPLE_WEIGHT = 0.03
 CUT_FACTOR = 2.0
 """How samples above the line are taken by `LinearFit.learn_least`."""
 
--- a/packages/bulrushgrade/bulrushgrade/progress.py
+++ b/packages/bulrushgrade/bulrushgrade/progress.py
@@ -13,7 +13,7 @@
 these seconds, counts as queueing inside the engine: below, it is within what
 the prediction itself gets wrong."""
 
-CLEAN_PART = 1.1
+CLEAN_PART = 0.1
 """Reading speed is learned only from work that met little before it. What
 waits at an engine is known from stale messages: a line through such points
 is too flat (errors in x), and reading looks three times as cheap as it is."""
@@ -40,6 +40,7 @@
         reading: What is booked on its endpoint until the prompt is read.
         answering: What is booked on its decode endpoint until its end.
         reading_done: Whether the prompt has been read.
+        read_s: Seconds until the prompt was read.
         first_at: When its first token came.
         tokens: Tokens that came by now.
     """
@@ -53,6 +54,7 @@
     reading: load.Amount
     answering: load.Amount
     reading_done: bool = False
+    read_s: float | None = None
     first_at: float | None = None
     tokens: int = 0
 
@@ -93,15 +95,33 @@
     model = progress.pool.model
     waited = now - progress.placed_at
     predicted = model.first_token_s(progress.ahead_tokens)
-    own_tokens = progress.option.uncached_tokens
-    if progress.ahead_tokens <= CLEAN_PART * own_tokens:
-        model.first.learn_least(progress.ahead_tokens, waited)
+    progress.read_s = waited
     ratio = _ratio(waited, predicted)
     reader.first_ratio += RATIO_WEIGHT * (ratio - reader.first_ratio)
     late = waited > max(LATE_START_FACTOR * predicted, LATE_START_S)
     reader.limit.observe(late=late, running=reader.total.running, now=now)
 
 
+def learn_reading(progress: Progress, cached_tokens: int) -> float:
+    """Learns the reading speed, once it is known what was cached.
+
+    Args:
+        progress: A complete request.
+        cached_tokens: Prompt tokens that the engine had cached.
+
+    Returns:
+        Tokens read beyond what was expected, or below zero fewer.
+    """
+    item = progress.item
+    whole = item.work.prompt_tokens + item.tokens_done
+    read = max(1.0, float(whole - cached_tokens))
+    expected = progress.option.uncached_tokens
+    ahead = progress.ahead_tokens - expected
+    if progress.read_s is not None and ahead <= CLEAN_PART * read:
+        progress.pool.model.first.learn_least(ahead + read, progress.read_s)
+    return read - expected
+
+
 def learn_rest(
     progress: Progress, now: float
 ) -> tuple[load.EndpointLoad, float] | None:
--- a/packages/bulrushgrade/bulrushgrade/roleplan.py
+++ b/packages/bulrushgrade/bulrushgrade/roleplan.py
@@ -22,8 +22,9 @@
 HISTORY_S = 240.0
 """How far back demand counts: a few swings of the mix."""
 
-MIN_BUCKETS = 2
-"""Full buckets before the first change: one could be a burst."""
+MIN_BUCKETS = 3
+"""Full buckets before the first change: one could be a burst, and caches that
+are still cold make reading look dearer than it will be."""
 
 SHORT_BUCKETS = 2
 """Buckets of the short window: a change must help in it as well as in the
@@ -32,17 +33,21 @@
 HORIZON_S = 120.0
 """How long a change is trusted to help: past it the mix is anyone's guess."""
 
-UTILIZATION = 0.85
+UTILIZATION = 0.95
 """Part of an engine's time that can be used while answers stay in time; the
 rest is waiting for work that has not arrived."""
 
-MIXED_PART = 0.8
+MEMORY_PART = 0.7
+"""Part of the KV memory that can be used: it is given out in pieces of whole
+prompts, and promised while a prompt is still being read elsewhere."""
+
+MIXED_PART = 0.9
 """What a mixed engine gets done against two that keep to one kind: its
 reading goes in chunks beside its answers."""
 
-CHANGE_S = 8.0
-"""Seconds that an engine is away for a change, its drain included, until
-changes have been observed."""
+CHANGE_S = 15.0
+"""Seconds of an engine that a change takes: its drain, in which it empties,
+the change itself, and the refilling of its prefix cache."""
 
 DWELL_S = 40.0
 """An engine that has just changed stays: each change drops its cache."""
@@ -144,7 +149,9 @@
                 least; half the engines in a smaller group. With two, the
                 loss of one leaves callers slow and not without an answer.
         """
-        self._price = role_change_weight / goodput_weight
+        # The engine seconds of a change are lost work whoever weighs them;
+        # the document's weight for role changes comes on top.
+        self._cost_s = CHANGE_S * (1.0 + role_change_weight / goodput_weight)
         self._floor = floor
         self._seen: dict[str, work.Demand] = {}
         self._buckets: collections.deque[list[float]] = collections.deque()
@@ -162,17 +169,18 @@
         """
         before = self._seen.get(host)
         self._seen[host] = demand
-        if before is None or before.prefill_tokens > demand.prefill_tokens:
+        if before is None or before.output_tokens > demand.output_tokens:
             return
         start = now // BUCKET_S * BUCKET_S
         if not self._buckets or self._buckets[-1][0] < start:
-            self._buckets.append([start, 0.0, 0.0, 0.0])
+            self._buckets.append([start, 0.0, 0.0, 0.0, 0.0])
         while self._buckets[0][0] < now - HISTORY_S:
             self._buckets.popleft()
         bucket = self._buckets[-1]
         bucket[1] += demand.prefill_tokens - before.prefill_tokens
         bucket[2] += demand.output_tokens - before.output_tokens
         bucket[3] += demand.kv_token_s - before.kv_token_s
+        bucket[4] += demand.lost_s - before.lost_s
 
     def propose(self, view: GroupView, now: float) -> RoleChange | None:
         """Returns the change that pays best, or None.
@@ -205,7 +213,7 @@
                         endpoint=candidate,
                         role=new,
                         gain_s=gain,
-                        cost_s=CHANGE_S * self._price,
+                        cost_s=self._cost_s,
                     )
         if best is None or best.gain_s <= best.cost_s:
             return None
@@ -218,12 +226,12 @@
 
     def _demands(
         self, view: GroupView, now: float
-    ) -> list[tuple[float, float]]:
-        """Demand of the full buckets in engines, the newest last."""
+    ) -> list[tuple[float, float, float]]:
+        """Demand and loss of the full buckets in engines, the newest last."""
         found = []
         per_s = 1.0 / (BUCKET_S * UTILIZATION)
         memory = min((e.kv_capacity_tokens for e in view.endpoints), default=0)
-        for start, read, answered, held in self._buckets:
+        for start, read, answered, held, lost in self._buckets:
             if start + BUCKET_S > now:
                 continue
             reading = read * per_s / view.prefill_tokens_per_s
@@ -231,8 +239,9 @@
             # Answers to long prompts fill an engine's memory long before its
             # time: by tokens alone one engine would seem to be enough.
             if memory:
-                answering = max(answering, held * per_s / memory)
-            found.append((reading, answering))
+                held_part = held / BUCKET_S / (MEMORY_PART * memory)
+                answering = max(answering, held_part)
+            found.append((reading, answering, lost / BUCKET_S))
         return found
 
     def _candidate(
@@ -289,9 +298,19 @@
 
 
 def _gain_s(
-    before: _Split, after: _Split, demands: list[tuple[float, float]]
+    before: _Split,
+    after: _Split,
+    demands: list[tuple[float, float, float]],
 ) -> float:
-    gains = [before.loss(*d) - after.loss(*d) for d in demands]
+    # What was not lost can't be regained: the loss that callers met bounds
+    # what the model of the fleet says, which knows no queues and no caches.
+    gains = [
+        min(
+            before.loss(reading, answering) - after.loss(reading, answering),
+            lost,
+        )
+        for reading, answering, lost in demands
+    ]
     short = gains[-SHORT_BUCKETS:]
     mean = sum(gains) / len(gains)
     return HORIZON_S * min(mean, sum(short) / len(short))
--- a/packages/bulrushgrade/bulrushgrade/scheduler.py
+++ b/packages/bulrushgrade/bulrushgrade/scheduler.py
@@ -124,8 +124,9 @@
                 prefill_tokens=round(read),
                 output_tokens=round(answered),
                 kv_token_s=round(held),
+                lost_s=lost,
             )
-            for model, (read, answered, held) in self._demand.items()
+            for model, (read, answered, held, lost) in self._demand.items()
         )
 
     def capacity(self, model: str) -> tuple[float, float]:
@@ -237,13 +238,20 @@
         if current is not None:
             current.tokens = count
 
-    def finished(self, request_id: str, outcome: str, now: float) -> None:
+    def finished(
+        self,
+        request_id: str,
+        outcome: str,
+        now: float,
+        cached_tokens: int | None = None,
+    ) -> None:
         """Notes the end of a placed request.
 
         Args:
             request_id: The request.
             outcome: ``complete``, or ``failed`` when it ends without a retry.
             now: The present time.
+            cached_tokens: Prompt tokens that were cached, if the engine says.
         """
         current = self._progress.pop(request_id, None)
         if current is None:
@@ -253,6 +261,9 @@
             address = current.option.endpoint.endpoint.address
             self._fleet.observe_failure(address, now)
             return
+        if cached_tokens is not None and current.item.work.model:
+            more = progress.learn_reading(current, cached_tokens)
+            self._demand[current.item.work.model][0] += more
         learned = progress.learn_rest(current, now)
         if learned is not None:
             endpoint, ratio = learned
@@ -285,7 +296,7 @@
         uncached = placement.uncached_tokens(state.pool, item, tokens_done)
         model = state.pool.model
         if item.model and not attempt:
-            asked = self._demand.setdefault(item.model, [0.0, 0.0, 0.0])
+            asked = self._demand.setdefault(item.model, [0.0] * 4)
             asked[0] += uncached
             asked[1] += item.output_tokens
             asked[2] += model.kv_token_s(item)
@@ -318,6 +329,7 @@
         wait_s = queue.wait_s(item, floor=floor, now=now)
         late_s = self._judge(item, wait_s, now)
         if late_s > 0.0:
+            self._note_lost(item)
             return self._refuse(wanted, work.RefusalCode.OVERLOADED, late_s)
         queue.add(item)
         self._waiting[wanted.request_id] = (state, item)
@@ -332,6 +344,7 @@
         for item in state.queue.take_expired(now):
             del self._waiting[item.work.request_id]
             late_s = now - item.latest_start
+            self._note_lost(item)
             self._outbox[item.work.request_id] = self._refuse(
                 item.work, work.RefusalCode.LATE, late_s
             )
@@ -390,6 +403,10 @@
             reason=_REASONS[code],
         )
 
+    def _note_lost(self, item: lane.Waiting) -> None:
+        if item.work.model:
+            self._demand[item.work.model][3] += item.engine_s
+
     def _end_reading(self, current: progress.Progress, now: float) -> None:
         if not current.reading_done:
             current.reading_done = True
--- a/packages/bulrushgrade/bulrushgrade/work.py
+++ b/packages/bulrushgrade/bulrushgrade/work.py
@@ -165,12 +165,14 @@
         prefill_tokens: Prompt tokens that were not cached.
         output_tokens: Tokens of the answers, as expected.
         kv_token_s: KV memory of the answers times how long they hold it.
+        lost_s: Engine seconds of the work that was refused for load.
     """
 
     model: str
     prefill_tokens: int = 0
     output_tokens: int = 0
     kv_token_s: int = 0
+    lost_s: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/bulrushgrade_standins/bulrushgrade_standins/baseline.py
+++ b/packages/bulrushgrade_standins/bulrushgrade_standins/baseline.py
@@ -122,8 +122,15 @@
     def tokens(self, request_id: str, count: int, now: float) -> None:
         """Has no use for it."""
 
-    def finished(self, request_id: str, outcome: str, now: float) -> None:
+    def finished(
+        self,
+        request_id: str,
+        outcome: str,
+        now: float,
+        cached_tokens: int | None = None,
+    ) -> None:
         """Notes the end of a request."""
+        self._asked[0] -= cached_tokens or 0
         self._forget(request_id)
 
     def _place(
--- a/packages/bulrushgrade_standins/bulrushgrade_standins/enginemodel.py
+++ b/packages/bulrushgrade_standins/bulrushgrade_standins/enginemodel.py
@@ -69,6 +69,7 @@
     at: "Engine | None" = None
     ended: bool = False
     tokens_done: int = 0
+    cached_tokens: int = 0
 
     @property
     def kv_tokens(self) -> int:
@@ -330,7 +331,8 @@
             heapq.heappop(self._queue)
             if job not in self._holding:
                 self._hold(job)
-                job.unread = max(1.0, job.prompt_tokens - self._cached(job))
+                job.cached_tokens = self._cached(job)
+                job.unread = max(1.0, job.prompt_tokens - job.cached_tokens)
             self._reading = job
 
     def _preempt(self) -> None:
--- a/packages/bulrushgrade_standins/bulrushgrade_standins/replay.py
+++ b/packages/bulrushgrade_standins/bulrushgrade_standins/replay.py
@@ -298,7 +298,9 @@
     def _done(self, call: Call) -> None:
         decider, name = call.host.decider, call.request.request_id
         decider.tokens(name, call.job.output_tokens, self._env.now)
-        decider.finished(name, "complete", self._env.now)
+        decider.finished(
+            name, "complete", self._env.now, call.job.cached_tokens
+        )
         self._end(call, "complete")
         self._poll_soon(call.host)
 
--- a/packages/bulrushgrade_standins/bulrushgrade_standins/trace.py
+++ b/packages/bulrushgrade_standins/bulrushgrade_standins/trace.py
@@ -310,6 +310,17 @@
     return shape
 
 
+def _shift(deployment: Deployment) -> Shape:
+    """The mix moves to chat in a third of the trace, and stays there."""
+
+    def shape(at: float, kind: Kind) -> float:
+        if at < DURATION_S / 3.0:
+            return USUAL
+        return 0.25 if kind.service == deployment.reading else 1.9
+
+    return shape
+
+
 def _bursts(at: float, kind: Kind) -> float:
     return 2.4 if at % 30.0 < 4.0 else 0.6
 
@@ -322,8 +333,8 @@
 
 
 CASES = (
-    "steady", "flips", "bursts", "skew", "slow", "lost", "mix", "outage",
-    "full1x", "full2x", "full4x",
+    "steady", "flips", "shift", "bursts", "skew", "slow", "lost", "mix",
+    "outage", "full1x", "full2x", "full4x",
 )  # fmt: skip
 
 
@@ -353,6 +364,7 @@
     )
     shapes: dict[str, Shape] = {
         "flips": _flips(deployment, 40.0),
+        "shift": _shift(deployment),
         "bursts": _bursts,
         "full1x": _scaled(1.0),
         "full2x": _scaled(2.0),
