--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/keys.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/keys.py
@@ -24,6 +24,11 @@
     host: str
     port: int
 
+    @property
+    def is_unspecified(self) -> bool:
+        """Whether it stands for all addresses of the host."""
+        return ipaddress.ip_address(self.host).is_unspecified
+
     def __str__(self) -> str:
         if ":" in self.host:
             return f"[{self.host}]:{self.port}"
--- /dev/null
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/peermessages.py
@@ -0,0 +1,115 @@
+"""Messages between the peers service and other services of a daemon."""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+
+import attrs
+
+from bulrushgrade import membership
+from bulrushgrade import peerview
+from bulrushgrade import subset
+
+# How many daemons one that is not listed yet turns to.
+PEERS_TO_ASK = 8
+
+
+@attrs.frozen(kw_only=True)
+class Peer:
+    """Another daemon that shares endpoints with this one.
+
+    Attributes:
+        address: Its address for daemons, IP:PORT.
+        shared: Addresses of the endpoints that both are tied to.
+    """
+
+    address: str
+    shared: frozenset[str]
+
+
+@attrs.frozen(kw_only=True)
+class SetPeers:
+    """Replaces the peers, after a newer host list.
+
+    Attributes:
+        peers: All of them.
+    """
+
+    peers: tuple[Peer, ...]
+
+
+@attrs.frozen(kw_only=True)
+class ShareLoads:
+    """Tells peers what this daemon has in flight.
+
+    Attributes:
+        loads: Loads by endpoint address.
+    """
+
+    loads: Mapping[str, peerview.Load]
+
+
+@attrs.frozen(kw_only=True)
+class ShareWithdrawn:
+    """Tells peers which endpoints this daemon places no new work on.
+
+    Attributes:
+        endpoints: All of them, as addresses.
+    """
+
+    endpoints: frozenset[str]
+
+
+@attrs.frozen(kw_only=True)
+class AskSnapshot:
+    """Asks peers for the accepted documents until one answers."""
+
+
+@attrs.frozen(kw_only=True)
+class AnswerSnapshot:
+    """Answers a peer that asked for the accepted documents.
+
+    Attributes:
+        reply_to: As it came in `Heard`.
+        offset: The offset of the documents stream that the state is at.
+        body: The serialized state.
+    """
+
+    reply_to: bytes
+    offset: int
+    body: str
+
+
+@attrs.frozen(kw_only=True)
+class Heard:
+    """A peer's message, sent on to the service that its kind is for.
+
+    Attributes:
+        message: The message.
+        reply_to: Where an answer goes.
+    """
+
+    message: peerview.Message
+    reply_to: bytes
+
+
+def list_peers(
+    ties: subset.Ties, hosts: Iterable[membership.Host], own: str
+) -> tuple[Peer, ...]:
+    """Returns the peers of a daemon by the present ties.
+
+    Args:
+        ties: The ties, updated with the same hosts.
+        hosts: The listed hosts.
+        own: The address of this daemon as the list shows it.
+    """
+    peer_addresses = {host.address: host.peer for host in hosts if host.peer}
+    if own not in peer_addresses:
+        # The list lags: a daemon that has just started is not on it, but has
+        # to ask somebody for the accepted documents.
+        chosen = subset.rank(own, peer_addresses.values(), PEERS_TO_ASK)
+        return tuple(Peer(address=a, shared=frozenset()) for a in chosen)
+    return tuple(
+        Peer(address=peer_addresses[address], shared=shared)
+        for address, shared in sorted(ties.find_peers(own).items())
+        if address in peer_addresses
+    )
--- /dev/null
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/peers.py
@@ -0,0 +1,351 @@
+"""The service that talks to other daemons.
+
+Each daemon binds one ROUTER and connects one DEALER to each of its peers. A
+publisher with subscribers was weighed: it saves the copies for peers that
+share the same endpoints, but it drops without saying so, filters by prefix
+and not by the endpoints shared, and would need a second pair of sockets for
+snapshots. A DEALER a peer gives a bounded queue a peer, and counts drops.
+
+What is sent here is advisory. Nothing waits for a peer, and a message that
+can't be sent at once is dropped: each message carries whole state, so the
+next one mends the loss.
+"""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+import random
+from typing import Any
+
+from returns.result import Failure
+import zmq
+
+from bulrushgrade import errors
+from bulrushgrade import kernel as kernels
+from bulrushgrade import peerview
+from bulrushgrade import timer
+from bulrushgrade_daemon import keys
+from bulrushgrade_daemon import metrics as metrics_module
+from bulrushgrade_daemon import peermessages
+from bulrushgrade_daemon import zmqreactor
+
+# A connection can go silent for good when something between the two ends has
+# lost track of it; sends then vanish without an error. Heartbeats find that
+# out, and ZeroMQ opens a new connection. The timeout allows for two lost
+# heartbeats; a shorter interval would cost a large mesh more than its loads.
+HEARTBEAT_INTERVAL_S = 2.0
+HEARTBEAT_TIMEOUT_S = 6.0
+# A peer that accepts but never speaks, such as a stopped process.
+HANDSHAKE_TIMEOUT_S = 5.0
+RECONNECT_S = 0.1
+# A host that is gone for good is left out by the host list; until then tries
+# are spaced out to this.
+RECONNECT_LIMIT_S = 5.0
+# The largest message taken: a snapshot of some hundreds of documents of a few
+# kilobytes, with room. A larger one has its connection dropped by ZeroMQ.
+MESSAGE_LIMIT_BYTES = 8 * 1024 * 1024
+# How often withdrawn endpoints are told again although nothing changed, so
+# that a peer that missed the change learns it within seconds.
+REPEAT_S = 5.0
+# How often and how many peers a starting daemon asks for a snapshot until one
+# answers. One answer would do; three make it likely that one is up to date.
+ASK_PERIOD_S = 0.5
+ASKED_PEERS = 3
+# Loads that may be sent after a quiet time, as a multiple of a second's part.
+BURST_S = 2.0
+
+
+class Peers:
+    """Sends this daemon's state to its peers and hands on theirs."""
+
+    name = "peers"
+    requires = ("metrics",)
+
+    def __init__(
+        self,
+        *,
+        kernel: kernels.Kernel,
+        reactor: Any,
+        timers: timer.Timers,
+        listen: keys.Address,
+        queue_messages: int,
+        loads_bytes_per_s: float,
+        receivers: Mapping[type, str],
+        rng: random.Random,
+    ):
+        """Makes the service; `start` opens its sockets.
+
+        Args:
+            kernel: Where receivers and metrics are found.
+            reactor: Twisted's reactor.
+            timers: Advanced with the clock by their owner.
+            listen: Where to bind; with port 0 a free port is taken.
+            queue_messages: Messages held for one peer.
+            loads_bytes_per_s: What loads may use in all. Beyond it, loads
+                are sent less often, not cut short.
+            receivers: The service that gets messages of a kind, by kind; a
+                kind without one is dropped.
+            rng: Draws the incarnation and which peers are asked.
+        """
+        self._kernel = kernel
+        self._reactor = reactor
+        self._timers = timers
+        self._listen = listen
+        self._queue_messages = queue_messages
+        self._loads_bytes_per_s = loads_bytes_per_s
+        self._receivers = dict(receivers)
+        self._rng = rng
+        self._incarnation = rng.getrandbits(53)
+        self._sequence = 0
+        self._address = ""
+        self._context: zmq.Context | None = None
+        self._router: zmqreactor.Connection | None = None
+        self._dealers: dict[str, zmqreactor.Connection] = {}
+        self._shared: dict[str, frozenset[str]] = {}
+        self._withdrawn: frozenset[str] = frozenset()
+        self._asking = False
+        self._subscriptions: list[timer.Subscription] = []
+        self._loads_allowance = loads_bytes_per_s * BURST_S
+        self._loads_at = timers.now
+
+    @property
+    def address(self) -> str:
+        """The bound address, IP:PORT; empty before the start."""
+        return self._address
+
+    async def start(self) -> None:
+        """Binds the socket that peers send to."""
+        metrics = self._kernel.find("metrics")
+        self._make_counters(metrics)
+        self._context = zmq.Context(io_threads=1)
+        socket = self._make_socket(zmq.ROUTER)
+        socket.bind(f"tcp://{self._listen}")
+        endpoint = socket.getsockopt_string(zmq.LAST_ENDPOINT)
+        self._address = endpoint.removeprefix("tcp://")
+        self._router = self._open(socket)
+        self._subscriptions = [
+            self._timers.every(REPEAT_S, self._send_withdrawn),
+            self._timers.every(ASK_PERIOD_S, self._ask),
+        ]
+
+    async def stop(self) -> None:
+        """Closes every socket."""
+        for subscription in self._subscriptions:
+            subscription.cancel()
+        for dealer in self._dealers.values():
+            dealer.close()
+        self._dealers = {}
+        self._shared = {}
+        if self._router is not None:
+            self._router.close()
+            self._router = None
+        if self._context is not None:
+            self._context.term()
+
+    def receive(self, message: Any) -> None:
+        """Takes a message of another service of this daemon."""
+        if self._router is None:
+            # Stopped, or not started yet: there is nobody to tell.
+            return
+        handlers: dict[type, Callable[[Any], None]] = {
+            peermessages.SetPeers: self._set_peers,
+            peermessages.ShareLoads: self._share_loads,
+            peermessages.ShareWithdrawn: self._share_withdrawn,
+            peermessages.AskSnapshot: self._start_asking,
+            peermessages.AnswerSnapshot: self._answer,
+        }
+        handler = handlers.get(type(message))
+        if handler is None:
+            raise errors.BrokenInvariantError(
+                f"peers got a {type(message).__name__}"
+            )
+        handler(message)
+
+    def dump(self) -> dict[str, Any]:
+        """Returns the service's state for a person, ready for JSON."""
+        return {
+            "address": self._address,
+            "incarnation": self._incarnation,
+            "sequence": self._sequence,
+            "peers": {
+                address: {"shared_endpoints": len(shared)}
+                for address, shared in sorted(self._shared.items())
+            },
+            "withdrawn": sorted(self._withdrawn),
+            "asking_for_snapshot": self._asking,
+        }
+
+    def _make_counters(self, metrics: metrics_module.Metrics) -> None:
+        self._sent = metrics.counter(
+            "peer_messages_sent_total", "Messages queued for peers."
+        )
+        self._sent_bytes = metrics.counter(
+            "peer_sent_bytes_total", "Bytes of messages queued for peers."
+        )
+        self._dropped = metrics.counter(
+            "peer_messages_dropped_total",
+            "Messages not sent: queue full or peer not connected.",
+        )
+        self._paced = metrics.counter(
+            "peer_loads_paced_total",
+            "Rounds of loads left out to keep within the bytes allowed.",
+        )
+        self._received = metrics.counter(
+            "peer_messages_received_total", "Messages of peers."
+        )
+        self._refused = metrics.counter(
+            "peer_messages_refused_total",
+            "Messages that could not be read or came from no known peer.",
+        )
+        metrics.gauge(
+            "peers", "Daemons that loads are sent to.", read=self._count_peers
+        )
+
+    def _count_peers(self) -> int:
+        return len(self._dealers)
+
+    def _make_socket(self, kind: int) -> zmq.Socket:
+        socket = self._context.socket(kind)
+        socket.setsockopt(zmq.LINGER, 0)
+        socket.setsockopt(zmq.SNDHWM, self._queue_messages)
+        socket.setsockopt(zmq.RCVHWM, self._queue_messages)
+        socket.setsockopt(zmq.MAXMSGSIZE, MESSAGE_LIMIT_BYTES)
+        interval_ms = int(HEARTBEAT_INTERVAL_S * 1000)
+        timeout_ms = int(HEARTBEAT_TIMEOUT_S * 1000)
+        socket.setsockopt(zmq.HEARTBEAT_IVL, interval_ms)
+        socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, timeout_ms)
+        socket.setsockopt(zmq.HEARTBEAT_TTL, timeout_ms)
+        socket.setsockopt(zmq.HANDSHAKE_IVL, int(HANDSHAKE_TIMEOUT_S * 1000))
+        socket.setsockopt(zmq.RECONNECT_IVL, int(RECONNECT_S * 1000))
+        limit_ms = int(RECONNECT_LIMIT_S * 1000)
+        socket.setsockopt(zmq.RECONNECT_IVL_MAX, limit_ms)
+        socket.setsockopt(zmq.IPV6, 1)
+        # Without a connection a message is refused, not queued: a peer that
+        # comes back must not be told minutes of old loads.
+        socket.setsockopt(zmq.IMMEDIATE, 1)
+        return socket
+
+    def _open(self, socket: zmq.Socket) -> zmqreactor.Connection:
+        return zmqreactor.Connection(
+            socket=socket,
+            reactor=self._reactor,
+            receive=self._take,
+            on_broken=self._kernel.fail,
+        )
+
+    def _set_peers(self, message: peermessages.SetPeers) -> None:
+        wanted = {
+            peer.address: peer.shared
+            for peer in message.peers
+            if peer.address != self._address
+        }
+        for address in self._dealers.keys() - wanted.keys():
+            self._dealers.pop(address).close()
+        for address in wanted.keys() - self._dealers.keys():
+            socket = self._make_socket(zmq.DEALER)
+            socket.connect(f"tcp://{address}")
+            self._dealers[address] = self._open(socket)
+        self._shared = wanted
+
+    def _share_loads(self, message: peermessages.ShareLoads) -> None:
+        now = self._timers.now
+        limit = self._loads_bytes_per_s * BURST_S
+        earned = (now - self._loads_at) * self._loads_bytes_per_s
+        self._loads_allowance = min(limit, self._loads_allowance + earned)
+        self._loads_at = now
+        # The allowance may go below zero by one round, and the next rounds
+        # are left out until it is paid back: with many peers loads grow
+        # older, while the bytes a second stay within what the host allows.
+        if self._loads_allowance < 0:
+            self._paced.add()
+            return
+        header = self._make_header()
+        # At small sizes all peers share the same endpoints; the message is
+        # then serialized once and not once a peer.
+        ready: dict[frozenset[str], bytes] = {}
+        for address, shared in self._shared.items():
+            if shared not in ready:
+                loads = {e: x for e, x in message.loads.items() if e in shared}
+                ready[shared] = peerview.serialize_message(
+                    peerview.make_loads(header, loads)
+                )
+            self._send(address, ready[shared])
+            self._loads_allowance -= len(ready[shared])
+
+    def _share_withdrawn(self, message: peermessages.ShareWithdrawn) -> None:
+        if message.endpoints != self._withdrawn:
+            self._withdrawn = message.endpoints
+            self._send_withdrawn()
+
+    def _send_withdrawn(self) -> None:
+        raw = peerview.serialize_message(
+            peerview.Withdrawn(
+                header=self._make_header(),
+                endpoints=tuple(sorted(self._withdrawn)),
+            )
+        )
+        for address in self._dealers:
+            self._send(address, raw)
+
+    def _start_asking(self, message: peermessages.AskSnapshot) -> None:
+        self._asking = True
+        self._ask()
+
+    def _ask(self) -> None:
+        if not self._asking or not self._dealers:
+            return
+        raw = peerview.serialize_message(
+            peerview.SnapshotRequest(header=self._make_header())
+        )
+        addresses = sorted(self._dealers)
+        count = min(ASKED_PEERS, len(addresses))
+        for address in self._rng.sample(addresses, count):
+            self._send(address, raw)
+
+    def _answer(self, message: peermessages.AnswerSnapshot) -> None:
+        raw = peerview.serialize_message(
+            peerview.SnapshotReply(
+                header=self._make_header(),
+                offset=message.offset,
+                body=message.body,
+            )
+        )
+        if self._router.send([message.reply_to, raw]):
+            self._sent.add()
+            self._sent_bytes.add(len(raw))
+        else:
+            self._dropped.add()
+
+    def _send(self, address: str, raw: bytes) -> None:
+        if self._dealers[address].send([raw]):
+            self._sent.add()
+            self._sent_bytes.add(len(raw))
+        else:
+            self._dropped.add()
+
+    def _take(self, frames: list[bytes]) -> None:
+        parsed = peerview.parse_message(frames[-1])
+        if isinstance(parsed, Failure):
+            self._refused.add()
+            return
+        message = parsed.unwrap()
+        # Loads are only believed from daemons that the host list names. A
+        # daemon that has just started is not on it yet, and may well ask.
+        is_state = isinstance(message, peerview.Loads | peerview.Withdrawn)
+        if is_state and message.header.sender not in self._shared:
+            self._refused.add()
+            return
+        self._received.add()
+        if isinstance(message, peerview.SnapshotReply):
+            self._asking = False
+        receiver = self._receivers.get(type(message))
+        if receiver is not None:
+            heard = peermessages.Heard(message=message, reply_to=frames[0])
+            self._kernel.send(receiver, heard)
+
+    def _make_header(self) -> peerview.Header:
+        self._sequence += 1
+        return peerview.Header(
+            sender=self._address,
+            incarnation=self._incarnation,
+            sequence=self._sequence,
+        )
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/settings.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/settings.py
@@ -96,7 +96,10 @@
         drain_limit_s: How long a stop waits for requests in flight. It must
             exceed the longest deadline of any service, or a stop cuts them.
         peer_queue_messages: Messages held for one peer that does not take
-            them; the newest are dropped beyond that.
+            them; the newest are dropped beyond that. Few, since loads are
+            out of date by the time that a long queue has been sent.
+        peer_bytes_per_s: What loads for all peers may use together; with
+            more peers they are sent less often.
     """
 
     max_body_bytes: int = _key(
@@ -122,7 +125,10 @@
     stop_grace_s: float = _key(keys.number(float, 0, 600, "seconds"), 10.0)
     drain_limit_s: float = _key(keys.number(float, 0, 86400, "seconds"), 900.0)
     peer_queue_messages: int = _key(
-        keys.number(int, 1, 100_000, "messages"), 1000
+        keys.number(int, 1, 100_000, "messages"), 100
+    )
+    peer_bytes_per_s: float = _key(
+        keys.number(float, 100, 1e9, "bytes a second"), 65536.0
     )
 
 
@@ -244,6 +250,17 @@
                 f" {authority.lease_ttl_s}",
             )
         )
+    # Peers know each other by this address; the host list shows it as well.
+    if settings.listen.peers.is_unspecified:
+        found.append(
+            errors.SettingsError(
+                file=file,
+                section="listen",
+                key="peers",
+                reason=f"{settings.listen.peers}: stands for every address",
+                expected="the one address that the host list shows as peer",
+            )
+        )
     return found
 
 
--- a/packages/bulrushgrade_daemon/tests/test_settings.py
+++ b/packages/bulrushgrade_daemon/tests/test_settings.py
@@ -78,6 +78,7 @@
             "authority",
             "lease_guard_s",
         ),
+        ("[::1]:0", "0.0.0.0:7070", "listen", "peers"),
         ("[host]", "[host", "", ""),
         ("zone =", "zone = a\nzone =", "", ""),
     ],
