--- a/packages/bulrushgrade/bulrushgrade/peerview.py
+++ b/packages/bulrushgrade/bulrushgrade/peerview.py
@@ -6,7 +6,6 @@
 """
 
 from collections.abc import Iterable
-import math
 
 import attrs
 from returns.result import Failure
@@ -15,10 +14,9 @@
 
 from bulrushgrade import codec
 from bulrushgrade import errors
+from bulrushgrade import publication
+from bulrushgrade import work
 
-# Loads older than this are left out. An engine's own report covers them by
-# then, and counting both would count the same work twice.
-MAX_AGE_S = 3.0
 # How many earlier incarnations of a peer are remembered, to drop messages of
 # a process that has been replaced. Late messages come within seconds, and no
 # host restarts eight times in that.
@@ -50,16 +48,16 @@
     Attributes:
         header: The place among the sender's messages.
         endpoints: Addresses of endpoints.
-        requests: Requests in flight on each.
-        prefill_tokens: Prompt tokens not yet known to be read by each.
-        decode_tokens: Expected tokens of answer still to come from each.
+        running: Requests in flight on each.
+        prefill_backlog_tokens: Prompt tokens that each has yet to read.
+        kv_tokens: Tokens of KV cache that the requests take up on each.
     """
 
     header: Header
     endpoints: tuple[str, ...]
-    requests: tuple[int, ...]
-    prefill_tokens: tuple[int, ...]
-    decode_tokens: tuple[int, ...]
+    running: tuple[int, ...]
+    prefill_backlog_tokens: tuple[int, ...]
+    kv_tokens: tuple[int, ...]
 
 
 @attrs.frozen(kw_only=True)
@@ -92,13 +90,11 @@
 
     Attributes:
         header: The place among the sender's messages.
-        offset: The offset of the documents stream that the state is at.
-        body: The serialized state, as its fold writes it.
+        snapshot: The state of its fold of the documents stream.
     """
 
     header: Header
-    offset: int
-    body: str
+    snapshot: publication.Snapshot
 
 
 Message = Loads | Withdrawn | SnapshotRequest | SnapshotReply
@@ -106,30 +102,35 @@
 CODEC = codec.Codec(kinds=(Loads, Withdrawn, SnapshotRequest, SnapshotReply))
 
 
-@attrs.frozen(kw_only=True)
-class Load:
-    """Work in flight on one endpoint.
-
-    Attributes:
-        requests: Requests.
-        prefill_tokens: Prompt tokens not yet known to be read.
-        decode_tokens: Expected tokens of answer still to come.
-    """
-
-    requests: int = 0
-    prefill_tokens: int = 0
-    decode_tokens: int = 0
-
-
-def make_loads(header: Header, loads: dict[str, Load]) -> Loads:
-    """Returns the message of some loads by endpoint, zero loads left out."""
-    rows = [(e, x) for e, x in sorted(loads.items()) if x != Load()]
+def make_loads(header: Header, loads: Iterable[work.PeerLoad]) -> Loads:
+    """Returns the message of some loads; idle endpoints are left out."""
+    busy = [x for x in loads if x != work.PeerLoad(endpoint=x.endpoint)]
     return Loads(
         header=header,
-        endpoints=tuple(endpoint for endpoint, _ in rows),
-        requests=tuple(load.requests for _, load in rows),
-        prefill_tokens=tuple(load.prefill_tokens for _, load in rows),
-        decode_tokens=tuple(load.decode_tokens for _, load in rows),
+        endpoints=tuple(load.endpoint for load in busy),
+        running=tuple(load.running for load in busy),
+        prefill_backlog_tokens=tuple(x.prefill_backlog_tokens for x in busy),
+        kv_tokens=tuple(load.kv_tokens for load in busy),
+    )
+
+
+def read_loads(message: Loads) -> tuple[work.PeerLoad, ...]:
+    """Returns the loads in a message, one an endpoint."""
+    columns = zip(
+        message.endpoints,
+        message.running,
+        message.prefill_backlog_tokens,
+        message.kv_tokens,
+        strict=True,
+    )
+    return tuple(
+        work.PeerLoad(
+            endpoint=endpoint,
+            running=running,
+            prefill_backlog_tokens=prefill_backlog_tokens,
+            kv_tokens=kv_tokens,
+        )
+        for endpoint, running, prefill_backlog_tokens, kv_tokens in columns
     )
 
 
@@ -147,9 +148,9 @@
     if isinstance(message, Loads):
         lengths = {
             len(message.endpoints),
-            len(message.requests),
-            len(message.prefill_tokens),
-            len(message.decode_tokens),
+            len(message.running),
+            len(message.prefill_backlog_tokens),
+            len(message.kv_tokens),
         }
         if len(lengths) != 1:
             reason = "columns of unequal length"
@@ -164,13 +165,11 @@
     incarnation: int
     retired: tuple[int, ...] = ()
     sequences: dict[type, int] = attrs.field(factory=dict)
-    loads: dict[str, Load] = attrs.field(factory=dict)
-    loads_at: float = -math.inf
     withdrawn: frozenset[str] = frozenset()
 
 
 class PeerView:
-    """The newest word of each peer."""
+    """How far each peer has been heard, and what it has withdrawn."""
 
     def __init__(self):
         self._peers: dict[str, _Peer] = {}
@@ -181,7 +180,7 @@
         return tuple(sorted(self._peers))
 
     def accept(
-        self, message: Loads | Withdrawn, *, now: float
+        self, message: Loads | Withdrawn
     ) -> Result[None, errors.StalePeerMessage]:
         """Takes a message, unless a newer one has overtaken it.
 
@@ -215,9 +214,6 @@
         peer.sequences[type(message)] = header.sequence
         if isinstance(message, Withdrawn):
             peer.withdrawn = frozenset(message.endpoints)
-        else:
-            peer.loads = _tabulate(message)
-            peer.loads_at = now
         return Success(None)
 
     def keep(self, senders: Iterable[str]) -> None:
@@ -225,22 +221,6 @@
         kept = set(senders)
         self._peers = {s: p for s, p in self._peers.items() if s in kept}
 
-    def sum_load(self, endpoint: str, *, now: float) -> Load:
-        """Returns what fresh messages say is in flight on an endpoint."""
-        requests = prefill_tokens = decode_tokens = 0
-        for peer in self._peers.values():
-            load = peer.loads.get(endpoint)
-            if load is None or now - peer.loads_at > MAX_AGE_S:
-                continue
-            requests += load.requests
-            prefill_tokens += load.prefill_tokens
-            decode_tokens += load.decode_tokens
-        return Load(
-            requests=requests,
-            prefill_tokens=prefill_tokens,
-            decode_tokens=decode_tokens,
-        )
-
     def find_unconfirmed(
         self, endpoint: str, peers: Iterable[str]
     ) -> tuple[str, ...]:
@@ -259,32 +239,13 @@
             )
         )
 
-    def dump(self, *, now: float) -> dict[str, object]:
+    def dump(self) -> dict[str, object]:
         """Returns the view for a person, ready for JSON."""
         return {
             sender: {
                 "incarnation": peer.incarnation,
                 "sequence": max(peer.sequences.values(), default=None),
-                "loads_age_s": now - peer.loads_at if peer.loads else None,
-                "loads": {e: attrs.asdict(x) for e, x in peer.loads.items()},
                 "withdrawn": sorted(peer.withdrawn),
             }
             for sender, peer in sorted(self._peers.items())
         }
-
-
-def _tabulate(message: Loads) -> dict[str, Load]:
-    return {
-        endpoint: Load(
-            requests=requests,
-            prefill_tokens=prefill_tokens,
-            decode_tokens=decode_tokens,
-        )
-        for endpoint, requests, prefill_tokens, decode_tokens in zip(
-            message.endpoints,
-            message.requests,
-            message.prefill_tokens,
-            message.decode_tokens,
-            strict=True,
-        )
-    }
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/callers.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/callers.py
@@ -9,9 +9,9 @@
 from returns.result import Failure
 from twisted.internet import defer
 
-from bulrushgrade import offering as offering_module
 from bulrushgrade import demand
 from bulrushgrade import document
+from bulrushgrade import offering as offering_module
 from bulrushgrade import work as work_module
 from bulrushgrade_daemon import plain
 from bulrushgrade_daemon import plainrelay
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/peermessages.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/peermessages.py
@@ -1,13 +1,14 @@
 """Messages between the peers service and other services of a daemon."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
-from collections.abc import Mapping
 
 import attrs
 
 from bulrushgrade import membership
-from bulrushgrade import peerview
+from bulrushgrade import publication
 from bulrushgrade import subset
+from bulrushgrade import work
 
 # How many daemons one that is not listed yet turns to.
 PEERS_TO_ASK = 8
@@ -37,17 +38,6 @@
     peers: tuple[Peer, ...]
 
 
-@attrs.frozen(kw_only=True)
-class ShareLoads:
-    """Tells peers what this daemon has in flight.
-
-    Attributes:
-        loads: Loads by endpoint address.
-    """
-
-    loads: Mapping[str, peerview.Load]
-
-
 @attrs.frozen(kw_only=True)
 class ShareWithdrawn:
     """Tells peers which endpoints this daemon places no new work on.
@@ -69,27 +59,28 @@
     """Answers a peer that asked for the accepted documents.
 
     Attributes:
-        reply_to: As it came in `Heard`.
-        offset: The offset of the documents stream that the state is at.
-        body: The serialized state.
+        reply_to: As it came with the request.
+        snapshot: The state of the fold of the documents stream.
     """
 
     reply_to: bytes
-    offset: int
-    body: str
+    snapshot: publication.Snapshot
 
 
 @attrs.frozen(kw_only=True)
-class Heard:
-    """A peer's message, sent on to the service that its kind is for.
+class Listeners:
+    """Who hears what peers say.
 
     Attributes:
-        message: The message.
-        reply_to: Where an answer goes.
+        on_loads: Called with a peer's address and all that it has in flight.
+        on_snapshot_request: Called with where the answer goes; it is sent as
+            `AnswerSnapshot`.
+        on_snapshot: Called with each snapshot that peers answer.
     """
 
-    message: peerview.Message
-    reply_to: bytes
+    on_loads: Callable[[str, tuple[work.PeerLoad, ...]], None]
+    on_snapshot_request: Callable[[bytes], None]
+    on_snapshot: Callable[[publication.Snapshot], None]
 
 
 def list_peers(
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/peers.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/peers.py
@@ -12,7 +12,6 @@
 """
 
 from collections.abc import Callable
-from collections.abc import Mapping
 import random
 from typing import Any
 
@@ -23,6 +22,7 @@
 from bulrushgrade import kernel as kernels
 from bulrushgrade import peerview
 from bulrushgrade import timer
+from bulrushgrade import work
 from bulrushgrade_daemon import keys
 from bulrushgrade_daemon import metrics as metrics_module
 from bulrushgrade_daemon import peermessages
@@ -43,6 +43,9 @@
 # The largest message taken: a snapshot of some hundreds of documents of a few
 # kilobytes, with room. A larger one has its connection dropped by ZeroMQ.
 MESSAGE_LIMIT_BYTES = 8 * 1024 * 1024
+# How often loads are told. Placement counts a peer out that has been silent
+# for 3 s, so that several rounds may be lost or left out before that.
+LOADS_PERIOD_S = 0.5
 # How often withdrawn endpoints are told again although nothing changed, so
 # that a peer that missed the change learns it within seconds.
 REPEAT_S = 5.0
@@ -58,18 +61,19 @@
     """Sends this daemon's state to its peers and hands on theirs."""
 
     name = "peers"
-    requires = ("metrics",)
+    requires = ("metrics", "timer")
 
     def __init__(
         self,
         *,
         kernel: kernels.Kernel,
         reactor: Any,
-        timers: timer.Timers,
+        timers: Any,
         listen: keys.Address,
         queue_messages: int,
         loads_bytes_per_s: float,
-        receivers: Mapping[type, str],
+        read_loads: Callable[[], tuple[work.PeerLoad, ...]],
+        listeners: peermessages.Listeners,
         rng: random.Random,
     ):
         """Makes the service; `start` opens its sockets.
@@ -77,13 +81,13 @@
         Args:
             kernel: Where receivers and metrics are found.
             reactor: Twisted's reactor.
-            timers: Advanced with the clock by their owner.
+            timers: The timer service.
             listen: Where to bind; with port 0 a free port is taken.
             queue_messages: Messages held for one peer.
             loads_bytes_per_s: What loads may use in all. Beyond it, loads
                 are sent less often, not cut short.
-            receivers: The service that gets messages of a kind, by kind; a
-                kind without one is dropped.
+            read_loads: Returns what this daemon has in flight.
+            listeners: Called with what peers say.
             rng: Draws the incarnation and which peers are asked.
         """
         self._kernel = kernel
@@ -92,7 +96,9 @@
         self._listen = listen
         self._queue_messages = queue_messages
         self._loads_bytes_per_s = loads_bytes_per_s
-        self._receivers = dict(receivers)
+        self._read_loads = read_loads
+        self._listeners = listeners
+        self._view = peerview.PeerView()
         self._rng = rng
         self._incarnation = rng.getrandbits(53)
         self._sequence = 0
@@ -112,6 +118,17 @@
         """The bound address, IP:PORT; empty before the start."""
         return self._address
 
+    def find_unconfirmed(self, endpoint: str) -> tuple[str, ...]:
+        """Returns the peers that may still place work on an endpoint.
+
+        Args:
+            endpoint: The endpoint's address; only peers that share it count.
+        """
+        sharing = [
+            a for a, shared in self._shared.items() if endpoint in shared
+        ]
+        return self._view.find_unconfirmed(endpoint, sharing)
+
     async def start(self) -> None:
         """Binds the socket that peers send to."""
         metrics = self._kernel.find("metrics")
@@ -123,6 +140,7 @@
         self._address = endpoint.removeprefix("tcp://")
         self._router = self._open(socket)
         self._subscriptions = [
+            self._timers.every(LOADS_PERIOD_S, self._share_loads),
             self._timers.every(REPEAT_S, self._send_withdrawn),
             self._timers.every(ASK_PERIOD_S, self._ask),
         ]
@@ -148,7 +166,6 @@
             return
         handlers: dict[type, Callable[[Any], None]] = {
             peermessages.SetPeers: self._set_peers,
-            peermessages.ShareLoads: self._share_loads,
             peermessages.ShareWithdrawn: self._share_withdrawn,
             peermessages.AskSnapshot: self._start_asking,
             peermessages.AnswerSnapshot: self._answer,
@@ -171,6 +188,7 @@
                 for address, shared in sorted(self._shared.items())
             },
             "withdrawn": sorted(self._withdrawn),
+            "heard": self._view.dump(),
             "asking_for_snapshot": self._asking,
         }
 
@@ -194,7 +212,7 @@
         )
         self._refused = metrics.counter(
             "peer_messages_refused_total",
-            "Messages that could not be read or came from no known peer.",
+            "Messages unreadable, overtaken or from a sender not listed.",
         )
         metrics.gauge(
             "peers", "Daemons that loads are sent to.", read=self._count_peers
@@ -245,8 +263,9 @@
             socket.connect(f"tcp://{address}")
             self._dealers[address] = self._open(socket)
         self._shared = wanted
+        self._view.keep(wanted)
 
-    def _share_loads(self, message: peermessages.ShareLoads) -> None:
+    def _share_loads(self) -> None:
         now = self._timers.now
         limit = self._loads_bytes_per_s * BURST_S
         earned = (now - self._loads_at) * self._loads_bytes_per_s
@@ -259,14 +278,15 @@
             self._paced.add()
             return
         header = self._make_header()
+        loads = self._read_loads()
         # At small sizes all peers share the same endpoints; the message is
         # then serialized once and not once a peer.
         ready: dict[frozenset[str], bytes] = {}
         for address, shared in self._shared.items():
             if shared not in ready:
-                loads = {e: x for e, x in message.loads.items() if e in shared}
+                told = [load for load in loads if load.endpoint in shared]
                 ready[shared] = peerview.serialize_message(
-                    peerview.make_loads(header, loads)
+                    peerview.make_loads(header, told)
                 )
             self._send(address, ready[shared])
             self._loads_allowance -= len(ready[shared])
@@ -305,8 +325,7 @@
         raw = peerview.serialize_message(
             peerview.SnapshotReply(
                 header=self._make_header(),
-                offset=message.offset,
-                body=message.body,
+                snapshot=message.snapshot,
             )
         )
         if self._router.send([message.reply_to, raw]):
@@ -328,19 +347,27 @@
             self._refused.add()
             return
         message = parsed.unwrap()
-        # Loads are only believed from daemons that the host list names. A
-        # daemon that has just started is not on it yet, and may well ask.
-        is_state = isinstance(message, peerview.Loads | peerview.Withdrawn)
-        if is_state and message.header.sender not in self._shared:
+        if isinstance(message, peerview.SnapshotRequest):
+            self._listeners.on_snapshot_request(frames[0])
+        elif isinstance(message, peerview.SnapshotReply):
+            self._asking = False
+            self._listeners.on_snapshot(message.snapshot)
+        elif not self._take_state(message):
             self._refused.add()
             return
         self._received.add()
-        if isinstance(message, peerview.SnapshotReply):
-            self._asking = False
-        receiver = self._receivers.get(type(message))
-        if receiver is not None:
-            heard = peermessages.Heard(message=message, reply_to=frames[0])
-            self._kernel.send(receiver, heard)
+
+    def _take_state(self, message: peerview.Loads | peerview.Withdrawn) -> bool:
+        # Loads are only believed from daemons that the host list names. A
+        # daemon that has just started is not on it yet, and may only ask.
+        sender = message.header.sender
+        if sender not in self._shared:
+            return False
+        if isinstance(self._view.accept(message), Failure):
+            return False
+        if isinstance(message, peerview.Loads):
+            self._listeners.on_loads(sender, peerview.read_loads(message))
+        return True
 
     def _make_header(self) -> peerview.Header:
         self._sequence += 1
--- a/packages/bulrushgrade_daemon/tests/test_peers.py
+++ b/packages/bulrushgrade_daemon/tests/test_peers.py
@@ -11,73 +11,73 @@
 from bulrushgrade import kernel
 from bulrushgrade import membership
 from bulrushgrade import peerview
+from bulrushgrade import publication
 from bulrushgrade import subset
 from bulrushgrade import timer
+from bulrushgrade import work
 from bulrushgrade_daemon import keys
 from bulrushgrade_daemon import metrics
 from bulrushgrade_daemon import peermessages
 from bulrushgrade_daemon import peers
 
 LOCAL = keys.Address(host="127.0.0.1", port=0)
-LOADS = {"e1": peerview.Load(requests=1), "e2": peerview.Load(requests=2)}
+LOADS = (
+    work.PeerLoad(endpoint="e1", running=1, kv_tokens=10),
+    work.PeerLoad(endpoint="e2", running=2, prefill_backlog_tokens=300),
+)
 
 
-class Inbox:
-    """A service that keeps what it gets."""
+class Timers(timer.Timers):
+    """Timers as a service, moved on by the node."""
 
-    name = "inbox"
+    name = "timer"
     requires = ()
 
-    def __init__(self):
-        self.heard = []
-
     async def start(self):
-        pass
+        self.ticks = task.LoopingCall(lambda: self.advance(reactor.seconds()))
+        self.ticks.start(0.01)
 
     async def stop(self):
-        pass
+        self.ticks.stop()
 
     def receive(self, message):
-        self.heard.append(message)
+        pass
 
     def dump(self):
         return {}
 
-    def select(self, kind):
-        return [x.message for x in self.heard if isinstance(x.message, kind)]
-
 
 class Node:
     """One daemon's peers service with what it needs around it."""
 
     def __init__(self, listen=LOCAL, seed=1, loads_bytes_per_s=1e6):
         self.broken = []
+        self.loads = LOADS
+        self.heard = []
+        self.asked = []
+        self.snapshots = []
         self.kernel = kernel.Kernel(
             call_soon=lambda call: reactor.callLater(0, call),
             on_broken=self.broken.append,
         )
-        self.timers = timer.Timers(now=reactor.seconds())
-        self.inbox = Inbox()
         self.metrics = metrics.Metrics()
+        timers = Timers(now=reactor.seconds())
         self.peers = peers.Peers(
             kernel=self.kernel,
             reactor=reactor,
-            timers=self.timers,
+            timers=timers,
             listen=listen,
             queue_messages=100,
             loads_bytes_per_s=loads_bytes_per_s,
-            receivers={
-                kind: "inbox"
-                for kind in (
-                    peerview.Loads,
-                    peerview.Withdrawn,
-                    peerview.SnapshotRequest,
-                    peerview.SnapshotReply,
-                )
-            },
+            read_loads=lambda: self.loads,
+            listeners=peermessages.Listeners(
+                on_loads=lambda peer, loads: self.heard.append((peer, loads)),
+                on_snapshot_request=self.asked.append,
+                on_snapshot=self.snapshots.append,
+            ),
             rng=random.Random(seed),
         )
-        for service in (self.inbox, self.metrics, self.peers):
+        for service in (timers, self.metrics, self.peers):
             self.kernel.register(service)
 
     @property
@@ -94,9 +94,12 @@
             )
         )
 
-    def share(self, loads=None):
-        loads = LOADS if loads is None else loads
-        self.peers.receive(peermessages.ShareLoads(loads=loads))
+    def withdraw(self, *endpoints):
+        message = peermessages.ShareWithdrawn(endpoints=frozenset(endpoints))
+        self.peers.receive(message)
+
+    def count(self, name):
+        return self.metrics.counter(f"peer_{name}_total", "").value
 
 
 class BlackHole(protocol.Protocol):
@@ -132,15 +135,15 @@
 
     timeout = 30
 
+    def setUp(self):
+        self.patch(peers, "LOADS_PERIOD_S", 0.02)
+        self.patch(peers, "REPEAT_S", 0.1)
+
     async def make_node(self, **kwargs):
         node = Node(**kwargs)
         await node.kernel.start()
-        ticks = task.LoopingCall(lambda: node.timers.advance(reactor.seconds()))
-        ticks.start(0.01)
 
         async def stop():
-            if ticks.running:
-                ticks.stop()
             await node.kernel.stop()
             self.assertEqual(node.broken, [])
 
@@ -148,6 +151,12 @@
         self.addCleanup(lambda: defer.ensureDeferred(stop()))
         return node
 
+    async def make_pair(self, **kwargs):
+        one, two = await self.make_node(**kwargs), await self.make_node(seed=2)
+        one.know(two.address)
+        two.know(one.address)
+        return one, two
+
     async def wait_for(self, condition, each_turn=lambda: None):
         """Waits until a condition holds; the test's timeout bounds it."""
         while not condition():
@@ -155,26 +164,19 @@
             await task.deferLater(reactor, 0.01, lambda: None)
 
     async def test_loads_reach_peers_cut_to_what_they_share(self):
-        one, two = await self.make_node(), await self.make_node(seed=2)
+        one, two = await self.make_pair()
         one.know(two.address, shared=["e2"])
-        two.know(one.address)
-        loads = peerview.Loads
-        await self.wait_for(lambda: two.inbox.select(loads), one.share)
-        message = two.inbox.select(loads)[0]
-        self.assertEqual(message.endpoints, ("e2",))
-        self.assertEqual(message.requests, (2,))
-        self.assertEqual(message.header.sender, one.address)
-
-    async def test_withdrawn_reaches_a_peer_without_being_sent_again(self):
-        self.patch(peers, "REPEAT_S", 0.1)
+        await self.wait_for(lambda: two.heard)
+        self.assertEqual(two.heard[0], (one.address, LOADS[1:]))
+
+    async def test_withdrawn_reaches_a_peer_that_connects_later(self):
         one, two = await self.make_node(), await self.make_node(seed=2)
+        one.withdraw("e1")
         two.know(one.address)
-        message = peermessages.ShareWithdrawn(endpoints=frozenset(["e1"]))
-        one.peers.receive(message)
+        self.assertEqual(two.peers.find_unconfirmed("e1"), (one.address,))
+        self.assertEqual(two.peers.find_unconfirmed("not shared"), ())
         one.know(two.address)
-        await self.wait_for(lambda: two.inbox.select(peerview.Withdrawn))
-        heard = two.inbox.select(peerview.Withdrawn)[-1]
-        self.assertEqual(heard.endpoints, ("e1",))
+        await self.wait_for(lambda: not two.peers.find_unconfirmed("e1"))
 
     async def test_daemon_that_is_not_listed_gets_a_snapshot(self):
         # A daemon starts before the host list shows it. Its peers drop its
@@ -183,40 +185,33 @@
         old, new = await self.make_node(), await self.make_node(seed=2)
         new.know(old.address)
         new.peers.receive(peermessages.AskSnapshot())
-        await self.wait_for(lambda: old.inbox.heard)
+        await self.wait_for(lambda: old.asked)
+        snapshot = publication.Snapshot(next_offset=41, digest="0", states=())
         old.peers.receive(
             peermessages.AnswerSnapshot(
-                reply_to=old.inbox.heard[0].reply_to, offset=41, body="{}"
+                reply_to=old.asked[0], snapshot=snapshot
             )
         )
-        reply = peerview.SnapshotReply
-        await self.wait_for(lambda: new.inbox.select(reply))
-        self.assertEqual(new.inbox.select(reply)[0].offset, 41)
+        await self.wait_for(lambda: new.snapshots)
+        self.assertEqual(new.snapshots, [snapshot])
         self.assertFalse(new.peers.dump()["asking_for_snapshot"])
-        refused = old.metrics.counter("peer_messages_refused_total", "")
-        await self.wait_for(lambda: refused.value, new.share)
-        self.assertEqual(old.inbox.select(peerview.Loads), [])
+        await self.wait_for(lambda: old.count("messages_refused"))
+        self.assertEqual(old.heard, [])
 
     async def test_replaced_peer_hears_no_old_loads(self):
         # Placement would avoid idle engines after a peer came back. It was
         # away for a while, its loads queued up here, and all of them reached
         # the new process in order, the oldest first.
-        one, two = await self.make_node(), await self.make_node(seed=2)
-        one.know(two.address)
-        two.know(one.address)
-        loads = peerview.Loads
-        await self.wait_for(lambda: two.inbox.select(loads), one.share)
+        one, two = await self.make_pair()
+        await self.wait_for(lambda: two.heard)
         listen = keys.parse_address(two.address)
         await two.stop()
-        dropped = one.metrics.counter("peer_messages_dropped_total", "")
-        await self.wait_for(lambda: dropped.value > 20, one.share)
+        await self.wait_for(lambda: one.count("messages_dropped") > 20)
+        one.loads = (work.PeerLoad(endpoint="e1", running=9),)
         again = await self.make_node(listen=listen, seed=3)
         again.know(one.address)
-        newest = {"e1": peerview.Load(requests=9)}
-        await self.wait_for(
-            lambda: again.inbox.select(loads), lambda: one.share(newest)
-        )
-        self.assertEqual(again.inbox.select(loads)[0].requests, (9,))
+        await self.wait_for(lambda: again.heard)
+        self.assertEqual(again.heard[0][1], one.loads)
 
     async def test_connection_that_went_silent_is_replaced(self):
         # A peer's loads would be missing for good. A firewall between the two
@@ -231,15 +226,11 @@
         factory.target = two.address
         port = reactor.listenTCP(0, factory, interface="127.0.0.1")
         one.know(f"127.0.0.1:{port.getHost().port}")
-        loads = peerview.Loads
-        await self.wait_for(lambda: two.inbox.select(loads), one.share)
+        await self.wait_for(lambda: two.heard)
         factory.links[0].lost = True
-        await self.wait_for(lambda: len(factory.links) > 1, one.share)
-        last = {"e1": peerview.Load(requests=9)}
-        await self.wait_for(
-            lambda: two.inbox.select(loads)[-1].requests == (9,),
-            lambda: one.share(last),
-        )
+        await self.wait_for(lambda: len(factory.links) > 1)
+        one.loads = (work.PeerLoad(endpoint="e1", running=9),)
+        await self.wait_for(lambda: two.heard[-1][1] == one.loads)
         await one.stop()
         await port.stopListening()
         await self.wait_for(
@@ -247,34 +238,33 @@
         )
 
     async def test_loads_keep_within_the_bytes_allowed(self):
-        one = await self.make_node(loads_bytes_per_s=300.0)
-        two = await self.make_node(seed=2)
-        two.know(one.address)
-        one.know(two.address)
-        # Withdrawn endpoints are told whatever the allowance.
-        one.peers.receive(
-            peermessages.ShareWithdrawn(endpoints=frozenset(["e1"]))
-        )
+        one, two = await self.make_pair(loads_bytes_per_s=300.0)
         started_at = reactor.seconds()
-        loads = peerview.Loads
-        await self.wait_for(lambda: len(two.inbox.select(loads)) > 7, one.share)
+        await self.wait_for(lambda: len(two.heard) > 7)
         spent_s = reactor.seconds() - started_at
-        raw = peerview.serialize_message(two.inbox.select(loads)[0])
-        # The burst of 2 s, what came in since, and one round of overdraft.
-        self.assertLessEqual(8 * len(raw), 300.0 * (2 + spent_s) + len(raw) + 8)
-        paced = one.metrics.counter("peer_loads_paced_total", "")
-        self.assertGreater(paced.value, 0)
+        header = peerview.Header(
+            sender=one.address, incarnation=2**52, sequence=100
+        )
+        message = peerview.make_loads(header, LOADS)
+        size = len(peerview.serialize_message(message))
+        # The burst of 2 s, what came in since, and one round of overdraft;
+        # the numbers in a header are up to 18 characters shorter.
+        allowed = 300.0 * (peers.BURST_S + spent_s) + size
+        self.assertLessEqual(8 * (size - 18), allowed)
+        self.assertGreater(one.count("loads_paced"), 0)
+        # Withdrawn endpoints are told whatever the allowance.
+        one.withdraw("e1")
+        await self.wait_for(lambda: not two.peers.find_unconfirmed("e1"))
 
     async def test_garbage_is_counted_and_dropped(self):
         one, two = await self.make_node(), await self.make_node(seed=2)
         one.know(two.address)
         dealer = one.peers._dealers[two.address]
-        refused = two.metrics.counter("peer_messages_refused_total", "")
         await self.wait_for(
-            lambda: refused.value >= 2,
+            lambda: two.count("messages_refused") >= 2,
             lambda: dealer.send([b"\xff"]) and dealer.send([b"", b""]),
         )
-        self.assertEqual(two.inbox.heard, [])
+        self.assertEqual(two.heard, [])
 
 
 def make_entry(number):
