Add the operators' commands

check, publish, show, history, status, dump, replay and demo, thin over plain functions. publish folds the stream with the registry that daemons use, sends one record under one id, reads back its verdict and sends again only once a read to the end has not shown it; a lost answer with the log away is told as unknown, exit 3, and the same document published again appends nothing.

--- /dev/null
+++ b/packages/bulrushgrade_cli/bulrushgrade_cli/__main__.py
@@ -0,0 +1,191 @@
+"""The binary ``bulrushgrade``: the operators' commands.
+
+Exit codes: 0 done, 1 refused with the reason, 2 usage, 3 outcome unknown.
+"""
+
+from typing import Annotated
+
+from returns.result import Failure
+import typer
+
+from bulrushgrade_cli import checking
+from bulrushgrade_cli import outcome
+from bulrushgrade_cli import publishing
+from bulrushgrade_cli import reading
+from bulrushgrade_cli import running
+from bulrushgrade_cli import status as status_module
+from bulrushgrade_daemon import keys
+from bulrushgrade_daemon import logclient
+
+LOG_VARIABLE = "BULRUSHGRADE_LOG"
+ADMIN_VARIABLE = "BULRUSHGRADE_ADMIN"
+
+app = typer.Typer(
+    add_completion=False,
+    no_args_is_help=True,
+    pretty_exceptions_enable=False,
+    help="Publishes service documents and shows what daemons do.",
+)
+
+
+def _take_address(text: str, *, lowest_port: int = 1) -> str:
+    try:
+        return str(keys.parse_address(text, lowest_port=lowest_port))
+    except ValueError as error:
+        raise typer.BadParameter(
+            f"{text!r}: {error}; expected IP:PORT"
+        ) from None
+
+
+def _take_listen(text: str) -> str:
+    return _take_address(text, lowest_port=0)
+
+
+Log = Annotated[
+    str,
+    typer.Option(
+        "--log",
+        envvar=LOG_VARIABLE,
+        parser=_take_address,
+        metavar="IP:PORT",
+        help="The log service.",
+    ),
+]
+Json = Annotated[bool, typer.Option("--json", help="For a program to read.")]
+File = Annotated[str, typer.Argument(metavar="FILE.ini")]
+Service = Annotated[
+    str, typer.Argument(help="A service, or 'fleet' for the fleet's document.")
+]
+
+
+def _end(end: outcome.Outcome, json: bool) -> None:
+    if json:
+        typer.echo(outcome.serialize_value(end.value))
+    else:
+        if end.note:
+            typer.echo(end.note, err=True)
+        typer.echo(end.text, err=end.code in (outcome.REFUSED, outcome.USAGE))
+    raise typer.Exit(end.code)
+
+
+@app.command()
+def check(file: File, json: Json = False) -> None:
+    """Checks a service's or the fleet's document and names every error."""
+    _end(checking.check(file), json)
+
+
+@app.command()
+def publish(
+    file: File,
+    log: Log,
+    base: Annotated[
+        int | None,
+        typer.Option(
+            min=0,
+            help="The revision that the file was edited from, as 'show' "
+            "gives it; by default the one accepted now.",
+        ),
+    ] = None,
+    json: Json = False,
+) -> None:
+    """Publishes a document and reads back whether it was accepted."""
+    read = checking.read_draft(file)
+    if isinstance(read, Failure):
+        _end(read.failure(), json)
+    draft = read.unwrap()
+
+    async def command(reactor):
+        client = logclient.LogClient(reactor=reactor, address=log)
+        return await publishing.publish(reactor, client, draft, base=base)
+
+    _end(running.run(command), json)
+
+
+@app.command()
+def show(service: Service, log: Log, json: Json = False) -> None:
+    """Shows the accepted document of a service."""
+
+    async def command(reactor):
+        client = logclient.LogClient(reactor=reactor, address=log)
+        return await reading.show(client, service)
+
+    _end(running.run(command), json)
+
+
+@app.command()
+def history(service: Service, log: Log, json: Json = False) -> None:
+    """Shows the newest publishes of a service and what became of them."""
+
+    async def command(reactor):
+        client = logclient.LogClient(reactor=reactor, address=log)
+        return await reading.list_history(client, service)
+
+    _end(running.run(command), json)
+
+
+@app.command()
+def status(
+    admin: Annotated[
+        list[str],
+        typer.Option(
+            "--admin",
+            envvar=ADMIN_VARIABLE,
+            parser=_take_address,
+            metavar="IP:PORT",
+            help="A daemon's admin address; may be given repeatedly.",
+        ),
+    ],
+    json: Json = False,
+) -> None:
+    """Shows a line for each daemon."""
+    _end(running.run(lambda r: status_module.show_status(r, admin)), json)
+
+
+@app.command()
+def dump(
+    address: Annotated[
+        str, typer.Argument(metavar="IP:PORT", parser=_take_address)
+    ],
+    service: Annotated[
+        str | None, typer.Argument(help="One service of the daemon.")
+    ] = None,
+    json: Json = False,
+) -> None:
+    """Shows the state of a daemon, by its admin address."""
+    _end(running.run(lambda r: status_module.dump(r, address, service)), json)
+
+
+@app.command()
+def replay(trace: str, json: Json = False) -> None:
+    """Replays a recorded trace and shows what came of it."""
+    # The replay brings in the simulated engines, which no other command needs.
+    from bulrushgrade_cli import replaying
+
+    _end(replaying.replay_trace(trace), json)
+
+
+@app.command()
+def demo(
+    listen: Annotated[
+        str,
+        typer.Option(
+            parser=_take_listen,
+            metavar="IP:PORT",
+            help="Where callers reach the daemon; port 0 takes a free one.",
+        ),
+    ] = "127.0.0.1:8080",
+) -> None:
+    """Runs the whole system in this process until Ctrl-C."""
+    # The demo brings in the daemon and every stand-in.
+    from bulrushgrade_cli import demo as demo_module
+
+    _end(demo_module.run_demo(listen), json=False)
+
+
+def main() -> None:
+    """Runs the command line."""
+    app(prog_name="bulrushgrade")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/bulrushgrade_cli/bulrushgrade_cli/demo.py
@@ -0,0 +1,196 @@
+"""Runs the whole system in one process, on embedded stand-ins.
+
+Log service, host list, weight store, two engines, a plain service and one
+daemon share a reactor; they talk over loopback as separate processes would.
+"""
+
+import json
+from typing import Any
+
+import attrs
+from twisted.internet import defer
+
+from bulrushgrade_cli import checking
+from bulrushgrade_cli import demodocuments
+from bulrushgrade_cli import outcome
+from bulrushgrade_cli import publishing
+from bulrushgrade_cli import running
+from bulrushgrade_daemon import host
+from bulrushgrade_daemon import keys
+from bulrushgrade_daemon import logclient
+from bulrushgrade_daemon import settings as settings_module
+from bulrushgrade_standins import change
+from bulrushgrade_standins import engine
+from bulrushgrade_standins import hostlist
+from bulrushgrade_standins import log
+from bulrushgrade_standins import plain
+from bulrushgrade_standins import server
+from bulrushgrade_standins import weights
+
+ZONE = "gebze-a"
+REGION = "tr-marmara"
+MODEL_SERVICE = "pack-llm"
+PLAIN_SERVICE = "portal-app"
+ROLES = ("prefill", "mixed")
+ANY_PORT = "127.0.0.1:0"
+
+
+@attrs.define(kw_only=True)
+class _System:
+    """What the demo has opened.
+
+    Attributes:
+        listeners: The stand-ins by name; engines carry their roles.
+        daemon: The daemon.
+        ended: Fires with the reason when the daemon breaks.
+    """
+
+    listeners: dict[str, server.Listener]
+    daemon: host.Daemon
+    ended: defer.Deferred
+
+    async def stop(self) -> None:
+        """Stops the daemon, which finishes its requests, then the rest."""
+        await self.daemon.kernel.stop()
+        for listener in self.listeners.values():
+            await listener.stop()
+
+
+def run_demo(listen: str) -> outcome.Outcome:
+    """Runs the demo until Ctrl-C.
+
+    Args:
+        listen: Where callers reach the daemon, IP:PORT.
+    """
+    return running.run(lambda reactor: _run(reactor, listen))
+
+
+async def _run(reactor: Any, listen: str) -> outcome.Outcome:
+    system = _build(reactor, listen)
+    try:
+        await system.daemon.kernel.start()
+    except OSError as error:
+        return outcome.refuse(f"{listen} can't be opened: {error}")
+
+    # Ctrl-C stops the reactor; the requests in flight are finished first.
+    reactor.addSystemEventTrigger(
+        "before",
+        "shutdown",
+        lambda: defer.Deferred.fromCoroutine(system.stop()),
+    )
+    client = logclient.LogClient(
+        reactor=reactor, address=system.listeners["log"].address
+    )
+    for text in demodocuments.ALL:
+        draft = checking.parse_draft(text, source="demo").unwrap()
+        end = await publishing.publish(reactor, client, draft)
+        if end.code != outcome.DONE:
+            return end
+    await client.stop()
+    print(describe(system.daemon, system.listeners), flush=True)
+    reason = await system.ended
+    return outcome.refuse(f"the daemon stopped: {reason}")
+
+
+def _serve(
+    reactor: Any,
+) -> dict[str, server.Listener]:
+    """Starts the stand-ins; the host list is empty yet."""
+    hosts = hostlist.HostList()
+    listeners = {
+        "log": server.serve(app=log.LogService().app),
+        "hosts": server.serve(app=hosts.app),
+        "weights": server.serve(app=weights.WeightStore().app),
+        "plain": server.serve(app=plain.PlainService().app),
+    }
+    changes = change.Settings(weights=listeners["weights"].address)
+    for role in ROLES:
+        start = change.Wanted(
+            role=role,
+            model=demodocuments.MODEL,
+            version=demodocuments.VERSION,
+        )
+        made = engine.Engine(
+            settings=engine.EngineSettings(start=start, changes=changes)
+        )
+        listeners[role] = server.serve(app=made.app)
+    entries = [_list_host(listeners["plain"], "plain", PLAIN_SERVICE)]
+    for role in ROLES:
+        entries.append(_list_host(listeners[role], "engine", MODEL_SERVICE))
+    hosts.set_hosts(entries)
+    return listeners
+
+
+def _list_host(
+    listener: server.Listener, kind: str, service: str
+) -> dict[str, Any]:
+    return {
+        "address": listener.address,
+        "kind": kind,
+        "service": service,
+        "zone": ZONE,
+        "region": REGION,
+        "state": "live",
+        "peer": "",
+        "fencing": kind == "engine",
+    }
+
+
+def _build(reactor: Any, listen: str) -> _System:
+    listeners = _serve(reactor)
+    ended: defer.Deferred = defer.Deferred()
+    local = keys.parse_address(ANY_PORT, lowest_port=0)
+    settings = settings_module.Settings(
+        host=settings_module.Host(name="demo", zone=ZONE, region=REGION),
+        listen=settings_module.Listen(
+            callers=keys.parse_address(listen, lowest_port=0),
+            admin=local,
+            peers=local,
+        ),
+        platform=settings_module.Platform(
+            log=keys.parse_address(listeners["log"].address),
+            host_list=keys.parse_address(listeners["hosts"].address),
+            weight_store=keys.parse_address(listeners["weights"].address),
+        ),
+        # No balancer stands before the demo, so none lags.
+        limits=settings_module.Limits(stop_grace_s=0.0, drain_limit_s=30.0),
+    )
+    daemon = host.build(
+        settings, reactor, on_broken=lambda reason: ended.callback(reason)
+    )
+    return _System(listeners=listeners, daemon=daemon, ended=ended)
+
+
+def describe(daemon: host.Daemon, listeners: dict[str, server.Listener]) -> str:
+    """Returns what to try, for a person.
+
+    Args:
+        daemon: The daemon, started.
+        listeners: The stand-ins by name.
+    """
+    callers, admin = daemon.callers.address, daemon.admin.address
+    body = json.dumps(
+        {
+            "model": MODEL_SERVICE,
+            "messages": [{"role": "user", "content": "Which pack grade?"}],
+            "max_tokens": 12,
+            "stream": True,
+        }
+    )
+    lines = [
+        f"callers   http://{callers}",
+        f"operators http://{admin}/dump and /metrics",
+        f"log       {listeners['log'].address}",
+        "",
+        "Try a streamed answer:",
+        f"  curl -N http://{callers}/v1/chat/completions"
+        f" -H 'Content-Type: application/json' -d '{body}'",
+        "A call to the plain service:",
+        f"  curl http://{callers}/services/{PLAIN_SERVICE}/rooms",
+        "What the daemon sees, and a document:",
+        f"  bulrushgrade status --admin {admin}",
+        f"  bulrushgrade show {MODEL_SERVICE} --log {listeners['log'].address}",
+        "",
+        "Ctrl-C stops it.",
+    ]
+    return "\n".join(lines)
--- /dev/null
+++ b/packages/bulrushgrade_cli/bulrushgrade_cli/publishing.py
@@ -0,0 +1,197 @@
+"""Publishes a document and reads back what became of it.
+
+The log may be slow or away, and an append can take effect while its answer is
+lost. Nothing is guessed from a lost answer: the stream is read back until it
+shows the record, and the record is sent again under the same id, of which the
+fold ignores a second copy.
+"""
+
+import random
+from typing import Any
+import uuid
+
+import attrs
+from returns.result import Failure
+from twisted.internet import task
+
+from bulrushgrade import publication
+from bulrushgrade import record
+from bulrushgrade import registry
+from bulrushgrade_cli import checking
+from bulrushgrade_cli import outcome
+from bulrushgrade_cli import reading
+from bulrushgrade_daemon import logclient
+
+# How long the outcome is sought. The log's short outages pass in this time,
+# and an operator still waits for it in front of the screen.
+LIMIT_S = 20.0
+PAUSE_S = (0.1, 0.5)
+
+
+@attrs.define(kw_only=True)
+class _Attempt:
+    """One publish on its way.
+
+    Attributes:
+        draft: The document.
+        append: The record, the same each time that it is sent.
+        base: The revision that the document was edited from.
+        maybe_stored: Whether some append may have taken effect.
+        reason: Why the last step did not go through.
+    """
+
+    draft: checking.Draft
+    append: record.Append
+    base: int | None
+    maybe_stored: bool = False
+    reason: str = ""
+
+
+async def publish(
+    reactor: Any,
+    log: logclient.LogClient,
+    draft: checking.Draft,
+    *,
+    base: int | None = None,
+    limit_s: float = LIMIT_S,
+) -> outcome.Outcome:
+    """Publishes a document, unless it is in force already.
+
+    Args:
+        reactor: For pauses between tries.
+        log: The log service.
+        draft: The document.
+        base: The revision that it was edited from; None takes the one that
+            is accepted now.
+        limit_s: How long the outcome is sought.
+    """
+    found = registry.Registry()
+    read = await reading.catch_up(log, found)
+    if isinstance(read, Failure):
+        return outcome.refuse(f"nothing published: {read.failure()}")
+    if _is_in_force(found, draft):
+        return _tell_done(found, draft, "is in force already")
+    accepted = found.accepted(draft.service)
+    current = None if accepted is None else accepted.offset
+    if base is not None and base != current:
+        # Accepted revisions only go up, so the base can't come back.
+        shown = "none" if current is None else current
+        reason = f"edited from {base}, accepted is {shown}"
+        return outcome.refuse(
+            f"{draft.service}: {reason}",
+            code="base_replaced",
+            beaten_by=current,
+        )
+    attempt = _Attempt(
+        draft=draft, append=_make_append(draft, current), base=current
+    )
+    return await _settle(reactor, log, found, attempt, limit_s)
+
+
+def _make_append(draft: checking.Draft, base: int | None) -> record.Append:
+    body = publication.CODEC.serialize(
+        publication.Publish(
+            service=draft.service,
+            team=draft.team,
+            base_offset=base,
+            text=draft.text,
+            validation=draft.validation,
+        )
+    )
+    return record.Append(
+        stream=publication.STREAM,
+        record_id=f"publish-{uuid.uuid4().hex}",
+        body=body,
+    )
+
+
+async def _settle(
+    reactor: Any,
+    log: logclient.LogClient,
+    found: registry.Registry,
+    attempt: _Attempt,
+    limit_s: float,
+) -> outcome.Outcome:
+    """Appends and reads back until the verdict is known or time is up."""
+    give_up_at = reactor.seconds() + limit_s
+    send = True
+    while True:
+        if send:
+            await _append(log, attempt)
+        read = await reading.catch_up(log, found)
+        end = _find_end(found, attempt)
+        if end is not None:
+            return end
+        # Sent again only once a read to the end has not shown the record: a
+        # copy does no harm, but a log that is only slow needs no more load.
+        send = not isinstance(read, Failure)
+        attempt.reason = "the record is not on the log"
+        if isinstance(read, Failure):
+            attempt.reason = read.failure()
+        if reactor.seconds() >= give_up_at:
+            break
+        pause_s = random.uniform(*PAUSE_S)
+        await task.deferLater(reactor, pause_s, lambda: None)
+    record_id = attempt.append.record_id
+    if attempt.maybe_stored:
+        return outcome.leave_unknown(
+            f"{attempt.draft.service}: it is not known whether the log took "
+            f"the document ({attempt.reason}); look at its history, or "
+            "publish again, which is harmless",
+            record_id=record_id,
+        )
+    return outcome.refuse(
+        f"nothing published: {attempt.reason}", record_id=record_id
+    )
+
+
+async def _append(log: logclient.LogClient, attempt: _Attempt) -> None:
+    stored = await log.append(publication.STREAM, [attempt.append])
+    if not isinstance(stored, Failure):
+        attempt.maybe_stored = True
+        return
+    error = stored.failure()
+    if isinstance(error, logclient.OutcomeUnknown):
+        attempt.maybe_stored = True
+
+
+def _find_end(
+    found: registry.Registry, attempt: _Attempt
+) -> outcome.Outcome | None:
+    verdict = found.outcome_of(attempt.append.record_id)
+    if verdict is None:
+        return None
+    if verdict.accepted:
+        return _tell_done(found, attempt.draft, "is accepted")
+    if _is_in_force(found, attempt.draft):
+        return _tell_done(found, attempt.draft, "was published meanwhile")
+    return outcome.refuse(
+        f"{attempt.draft.service}: {verdict.message}",
+        code=verdict.code,
+        beaten_by=verdict.beaten_by,
+    )
+
+
+def _is_in_force(found: registry.Registry, draft: checking.Draft) -> bool:
+    accepted = found.accepted(draft.service)
+    if accepted is None:
+        return False
+    return (accepted.text, accepted.team) == (draft.text, draft.team)
+
+
+def _tell_done(
+    found: registry.Registry, draft: checking.Draft, how: str
+) -> outcome.Outcome:
+    accepted = found.accepted(draft.service)
+    # By now a later publish may have replaced it; the verdict still stands.
+    revision = None if accepted is None else accepted.offset
+    return outcome.Outcome(
+        code=outcome.DONE,
+        text=f"{draft.service} {how}, revision {revision}",
+        value={
+            "done": True,
+            "service": draft.service,
+            "revision": revision,
+            "how": how,
+        },
+    )
--- /dev/null
+++ b/packages/bulrushgrade_cli/bulrushgrade_cli/reading.py
@@ -0,0 +1,94 @@
+"""Reads the accepted documents off the log and shows them."""
+
+from typing import Any
+
+import attrs
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from bulrushgrade import publication
+from bulrushgrade import registry
+from bulrushgrade_cli import outcome
+from bulrushgrade_daemon import logclient
+
+
+async def catch_up(
+    log: logclient.LogClient, found: registry.Registry
+) -> Result[registry.Registry, str]:
+    """Folds all that is on the log into a registry.
+
+    Args:
+        log: The log service.
+        found: The registry, empty or folded in part.
+
+    Returns:
+        The registry, or why it can't be told what is accepted.
+    """
+    while True:
+        offset = found.read_offset
+        read = await log.read(publication.STREAM, offset)
+        if isinstance(read, Failure):
+            return Failure(f"the log does not answer: {read.failure().reason}")
+        page = read.unwrap()
+        found.apply_page(page)
+        # A record that this release can't judge holds the fold where it is.
+        stuck = found.read_offset == offset
+        if stuck or found.read_offset >= page.end_offset:
+            break
+    state = found.readiness()
+    if isinstance(state, Failure):
+        return Failure(f"the log can't be followed: {state.failure().reason}")
+    return Success(found)
+
+
+async def show(log: logclient.LogClient, service: str) -> outcome.Outcome:
+    """Returns the accepted document of a service, or of the fleet."""
+    read = await catch_up(log, registry.Registry())
+    if isinstance(read, Failure):
+        return outcome.leave_unknown(read.failure())
+    revision = read.unwrap().accepted(service)
+    if revision is None:
+        return outcome.refuse(f"{service} has no accepted document")
+    return outcome.Outcome(
+        code=outcome.DONE,
+        text=revision.text,
+        note=f"{service}, revision {revision.offset} of {revision.team}",
+        value={
+            "service": service,
+            "revision": revision.offset,
+            "team": revision.team,
+            "text": revision.text,
+        },
+    )
+
+
+async def list_history(
+    log: logclient.LogClient, service: str
+) -> outcome.Outcome:
+    """Returns the newest publishes of a service and what became of them."""
+    read = await catch_up(log, registry.Registry())
+    if isinstance(read, Failure):
+        return outcome.leave_unknown(read.failure())
+    verdicts = read.unwrap().history(service)
+    if not verdicts:
+        return outcome.refuse(f"nothing has been published for {service}")
+    return outcome.Outcome(
+        code=outcome.DONE,
+        text="\n".join(_format_verdict(verdict) for verdict in verdicts),
+        value={
+            "service": service,
+            "verdicts": [_to_value(verdict) for verdict in verdicts],
+        },
+    )
+
+
+def _format_verdict(verdict: publication.Verdict) -> str:
+    base = "none" if verdict.base_offset is None else verdict.base_offset
+    line = f"{verdict.offset:>8}  {verdict.code:<20} base {base}"
+    line += f"  by {verdict.team}"
+    return f"{line}: {verdict.message}" if verdict.message else line
+
+
+def _to_value(verdict: publication.Verdict) -> dict[str, Any]:
+    return attrs.asdict(verdict)
--- /dev/null
+++ b/packages/bulrushgrade_cli/bulrushgrade_cli/running.py
@@ -0,0 +1,40 @@
+"""Runs one command in the reactor, to its end or to Ctrl-C."""
+
+from collections.abc import Callable
+from collections.abc import Coroutine
+from typing import Any
+
+from twisted.internet import defer
+from twisted.python import failure
+
+from bulrushgrade_cli import outcome
+
+
+def run(
+    command: Callable[[Any], Coroutine[Any, Any, outcome.Outcome]],
+) -> outcome.Outcome:
+    """Returns what a command came to.
+
+    Args:
+        command: Started with the reactor once that runs.
+
+    Raises:
+        Exception: Whatever the command raised, a fault of the program.
+    """
+    # Imported late: commands that need no reactor don't install one.
+    from twisted.internet import reactor
+
+    ends: list[Any] = []
+
+    def start() -> None:
+        ending = defer.Deferred.fromCoroutine(command(reactor))
+        ending.addBoth(ends.append)
+        ending.addBoth(lambda _: reactor.running and reactor.stop())
+
+    reactor.callWhenRunning(start)
+    reactor.run()
+    if not ends:
+        return outcome.leave_unknown("interrupted before the end was known")
+    if isinstance(ends[0], failure.Failure):
+        ends[0].raiseException()
+    return ends[0]
--- /dev/null
+++ b/packages/bulrushgrade_cli/bulrushgrade_cli/status.py
@@ -0,0 +1,151 @@
+"""Asks daemons for their state, and sums it up for a person."""
+
+from collections.abc import Sequence
+from typing import Any
+
+import attrs
+import msgspec
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+import treq
+from twisted.internet import defer
+
+from bulrushgrade_cli import outcome
+from bulrushgrade_daemon import httpclient
+
+TIMEOUT_S = 5.0
+
+_COLUMNS = (
+    "admin",
+    "ready",
+    "open",
+    "queued",
+    "documents",
+    "engines",
+    "peers",
+    "log",
+)
+
+
+@attrs.frozen(kw_only=True)
+class Answer:
+    """What a daemon answered.
+
+    Attributes:
+        code: The HTTP status.
+        value: The JSON in it.
+    """
+
+    code: int
+    value: Any
+
+
+async def ask(reactor: Any, address: str, path: str) -> Result[Answer, str]:
+    """Returns a daemon's answer on its admin address, or why there is none."""
+    client = httpclient.open_client(reactor, persistent=False)
+
+    async def get() -> Answer:
+        response = await client.http.get(f"http://{address}{path}")
+        raw = await treq.content(response)
+        return Answer(code=response.code, value=msgspec.json.decode(raw))
+
+    asked = defer.Deferred.fromCoroutine(get())
+    try:
+        return Success(await asked.addTimeout(TIMEOUT_S, reactor))
+    except Exception as error:
+        reason = str(error) or type(error).__name__
+        return Failure(f"{address} does not answer: {reason}")
+
+
+async def dump(
+    reactor: Any, address: str, service: str | None
+) -> outcome.Outcome:
+    """Returns the state of a daemon, or of one of its services."""
+    path = "/dump" if service is None else f"/dump/{service}"
+    asked = await ask(reactor, address, path)
+    if isinstance(asked, Failure):
+        return outcome.leave_unknown(asked.failure())
+    answer = asked.unwrap()
+    if answer.code != 200:
+        reason = f"{address} answered {answer.code}: {answer.value}"
+        return outcome.refuse(reason)
+    return outcome.Outcome(
+        code=outcome.DONE,
+        text=outcome.serialize_value(answer.value),
+        value=answer.value,
+    )
+
+
+async def show_status(
+    reactor: Any, addresses: Sequence[str]
+) -> outcome.Outcome:
+    """Returns a line for each daemon.
+
+    Args:
+        reactor: The reactor.
+        addresses: The daemons' admin addresses.
+
+    Returns:
+        Done when all are ready, refused when one says that it is not, and
+        unknown when one did not answer.
+    """
+    asked = await defer.gatherResults(
+        [
+            defer.Deferred.fromCoroutine(ask(reactor, address, "/dump"))
+            for address in addresses
+        ]
+    )
+    rows = [
+        _sum_up(address, answer)
+        for address, answer in zip(addresses, asked, strict=True)
+    ]
+    code = outcome.DONE
+    if any(row["ready"] != "yes" for row in rows):
+        code = outcome.REFUSED
+    if any(isinstance(answer, Failure) for answer in asked):
+        code = outcome.UNKNOWN
+    return outcome.Outcome(
+        code=code, text=_format_rows(rows), value={"daemons": rows}
+    )
+
+
+def _sum_up(address: str, asked: Result[Answer, str]) -> dict[str, Any]:
+    row: dict[str, Any] = dict.fromkeys(_COLUMNS, "-")
+    row["admin"] = address
+    if isinstance(asked, Failure):
+        return {**row, "ready": "no answer", "reason": asked.failure()}
+    state = asked.unwrap().value
+    # A daemon of another release may lack a part; its column stays empty.
+    callers = state.get("callers", {})
+    documents = state.get("documents", {})
+    placing = state.get("placing", {})
+    reason = callers.get("not_ready")
+    row["ready"] = "yes" if reason is None else reason
+    row["open"] = callers.get("open", "-")
+    row["queued"] = placing.get("queued", "-")
+    row["documents"] = str(documents.get("digest", "-"))[:8]
+    row["engines"] = _count_engines(placing.get("reports", {}))
+    row["peers"] = len(state.get("peers", {}).get("peers", {}))
+    reachable = state.get("log", {}).get("reachable")
+    row["log"] = {True: "answers", False: "away"}.get(reachable, "-")
+    return row
+
+
+def _count_engines(reports: dict[str, Any]) -> str:
+    counts: dict[str, int] = {}
+    for report in reports.values():
+        state = report.get("state", "-")
+        counts[state] = counts.get(state, 0) + 1
+    return ", ".join(f"{n} {state}" for state, n in sorted(counts.items()))
+
+
+def _format_rows(rows: list[dict[str, Any]]) -> str:
+    lines = [_COLUMNS, *(tuple(str(row[c]) for c in _COLUMNS) for row in rows)]
+    widths = [max(map(len, column)) for column in zip(*lines, strict=True)]
+    return "\n".join(
+        "  ".join(
+            text.ljust(width) for text, width in zip(line, widths, strict=True)
+        ).rstrip()
+        for line in lines
+    )
--- /dev/null
+++ b/packages/bulrushgrade_cli/tests/test_publishing.py
@@ -0,0 +1,148 @@
+"""Tests of publishing against the log stand-in."""
+
+from twisted.internet import defer
+from twisted.internet import reactor
+from twisted.trial import unittest
+
+from bulrushgrade import publication
+from bulrushgrade_cli import checking
+from bulrushgrade_cli import demodocuments
+from bulrushgrade_cli import outcome
+from bulrushgrade_cli import publishing
+from bulrushgrade_cli import reading
+from bulrushgrade_daemon import logclient
+from bulrushgrade_standins import log as log_standin
+from bulrushgrade_standins import server
+
+FLEET, SERVICE, PLAIN = (
+    checking.parse_draft(text, source="x").unwrap()
+    for text in demodocuments.ALL
+)
+
+
+def edit(draft, old, new):
+    text = draft.text.replace(old, new)
+    assert text != draft.text
+    return checking.parse_draft(text, source="x").unwrap()
+
+
+FASTER = edit(SERVICE, "whole_answer_s = 60", "whole_answer_s = 50")
+
+
+class PublishingTest(unittest.TestCase):
+    """One log service in the process."""
+
+    timeout = 30
+
+    def setUp(self):
+        self.service = log_standin.LogService()
+        listener = server.serve(app=self.service.app)
+        self.addCleanup(listener.stop)
+        self.log = logclient.LogClient(
+            reactor=reactor, address=listener.address
+        )
+        self.addCleanup(lambda: defer.ensureDeferred(self.log.stop()))
+
+    def publish(self, draft, **options):
+        return publishing.publish(reactor, self.log, draft, **options)
+
+    async def publish_all(self):
+        for draft in (FLEET, SERVICE, PLAIN):
+            end = await self.publish(draft)
+            self.assertEqual(end.code, outcome.DONE, end.text)
+
+    async def count_records(self):
+        page = await self.log.read(publication.STREAM, 0)
+        return page.unwrap().end_offset
+
+    async def test_accepted_document_is_shown_with_its_history(self):
+        await self.publish_all()
+        shown = await reading.show(self.log, "pack-llm")
+        self.assertEqual(shown.text, SERVICE.text)
+        self.assertEqual(shown.value["revision"], 1)
+        history = await reading.list_history(self.log, "pack-llm")
+        self.assertEqual(history.code, outcome.DONE)
+        self.assertIn("accepted", history.text)
+        for command in (reading.show, reading.list_history):
+            missing = await command(self.log, "no-such")
+            self.assertEqual(missing.code, outcome.REFUSED)
+
+    async def test_second_publish_of_the_same_appends_nothing(self):
+        await self.publish_all()
+        end = await self.publish(SERVICE, base=0)
+        self.assertEqual(end.code, outcome.DONE)
+        self.assertEqual(await self.count_records(), 3)
+
+    async def test_old_base_is_refused_with_what_beat_it(self):
+        await self.publish_all()
+        end = await self.publish(FASTER, base=1)
+        self.assertEqual(end.code, outcome.DONE, end.text)
+        slower = edit(SERVICE, "whole_answer_s = 60", "whole_answer_s = 70")
+        late = await self.publish(slower, base=1)
+        self.assertEqual(late.code, outcome.REFUSED)
+        self.assertEqual(late.value["beaten_by"], 3)
+
+    async def test_of_two_at_once_one_wins_and_both_know(self):
+        await self.publish_all()
+        slower = edit(SERVICE, "whole_answer_s = 60", "whole_answer_s = 70")
+        ends = await defer.gatherResults(
+            [
+                defer.ensureDeferred(self.publish(draft))
+                for draft in (FASTER, slower)
+            ]
+        )
+        codes = sorted(end.code for end in ends)
+        self.assertEqual(codes, [outcome.DONE, outcome.REFUSED])
+        (loser,) = (end for end in ends if end.code == outcome.REFUSED)
+        self.assertEqual(loser.value["code"], "base_replaced")
+        self.assertEqual(loser.value["beaten_by"], 3)
+
+    async def test_document_of_another_team_is_refused(self):
+        await self.publish_all()
+        foreign = edit(SERVICE, "team = platform", "team = rival")
+        end = await self.publish(foreign)
+        self.assertEqual(end.code, outcome.REFUSED)
+        self.assertEqual(end.value["code"], "wrong_team")
+
+    async def test_lost_answer_is_settled_by_reading_back(self):
+        # An operator would publish once more, or believe a change missing
+        # that is in force. The log took the record and its connection broke
+        # before the answer; only the stream tells what happened.
+        await self.publish_all()
+        self.service.set_faults(log_standin.LogFaults(lose_answers=1))
+        end = await self.publish(FASTER)
+        self.assertEqual(end.code, outcome.DONE, end.text)
+        self.assertEqual(await self.count_records(), 4)
+
+    async def test_lost_request_is_sent_again(self):
+        await self.publish_all()
+        self.service.set_faults(log_standin.LogFaults(lose_requests=2))
+        end = await self.publish(FASTER)
+        self.assertEqual(end.code, outcome.DONE, end.text)
+        self.assertEqual(await self.count_records(), 4)
+
+    async def test_outage_before_the_append_leaves_nothing_published(self):
+        self.service.set_faults(log_standin.LogFaults(outage=True))
+        end = await self.publish(FLEET)
+        self.assertEqual(end.code, outcome.REFUSED)
+        shown = await reading.show(self.log, "fleet")
+        self.assertEqual(shown.code, outcome.UNKNOWN)
+
+    async def test_outage_after_the_append_is_told_as_unknown(self):
+        # The log takes the record, goes away before it answers, and stays
+        # away: neither "published" nor "not published" would be honest.
+        append = self.log.append
+
+        async def append_and_lose(stream, appends):
+            await append(stream, appends)
+            self.service.set_faults(log_standin.LogFaults(outage=True))
+            reason = "the connection was lost"
+            return logclient.Failure(logclient.OutcomeUnknown(reason=reason))
+
+        self.patch(self.log, "append", append_and_lose)
+        end = await self.publish(FLEET, limit_s=0.3)
+        self.assertEqual(end.code, outcome.UNKNOWN)
+        self.service.set_faults(log_standin.LogFaults())
+        again = await self.publish(FLEET)
+        self.assertEqual(again.code, outcome.DONE)
+        self.assertEqual(await self.count_records(), 1)
--- /dev/null
+++ b/packages/bulrushgrade_cli/tests/test_status.py
@@ -0,0 +1,76 @@
+"""Tests of asking daemons for their state."""
+
+from twisted.internet import defer
+from twisted.internet import reactor
+from twisted.trial import unittest
+
+from bulrushgrade_cli import outcome
+from bulrushgrade_cli import status
+from bulrushgrade_daemon import admin
+from bulrushgrade_daemon import keys
+
+STATE = {
+    "callers": {"not_ready": None, "open": 3},
+    "documents": {"digest": "0123456789abcdef"},
+    "placing": {
+        "queued": 1,
+        "reports": {"a": {"state": "serving"}, "b": {"state": "changing"}},
+    },
+    "peers": {"peers": {"10.0.0.1:70": {}}},
+    "log": {"reachable": True},
+}
+
+
+class StatusTest(unittest.TestCase):
+    """The admin service of daemons, with made-up state."""
+
+    timeout = 30
+
+    async def open_admin(self, state):
+        service = admin.Admin(
+            reactor=reactor,
+            listen=keys.Address(host="127.0.0.1", port=0),
+            dump=lambda: state,
+            render_metrics=lambda: b"",
+        )
+        await service.start()
+        self.addCleanup(lambda: defer.ensureDeferred(service.stop()))
+        return service.address
+
+    async def find_silent_address(self):
+        address = await self.open_admin({})
+        await defer.maybeDeferred(self._cleanups.pop()[0])
+        return address
+
+    async def test_status_has_a_line_for_each_daemon(self):
+        ready = await self.open_admin(STATE)
+        end = await status.show_status(reactor, [ready])
+        self.assertEqual(end.code, outcome.DONE)
+        heading, line = end.text.splitlines()
+        self.assertEqual(heading.split()[:3], ["admin", "ready", "open"])
+        self.assertIn("1 changing, 1 serving", line)
+        self.assertIn("01234567 ", line)
+        self.assertIn("answers", line)
+
+    async def test_status_of_unready_and_silent_daemons(self):
+        reason = "no host list has been read"
+        unready = await self.open_admin({"callers": {"not_ready": reason}})
+        end = await status.show_status(reactor, [unready])
+        self.assertEqual(end.code, outcome.REFUSED)
+        self.assertIn(reason, end.text)
+        silent = await self.find_silent_address()
+        end = await status.show_status(reactor, [unready, silent])
+        self.assertEqual(end.code, outcome.UNKNOWN)
+        self.assertEqual(len(end.value["daemons"]), 2)
+
+    async def test_dump_of_all_of_one_and_of_no_service(self):
+        address = await self.open_admin(STATE)
+        whole = await status.dump(reactor, address, None)
+        self.assertEqual(whole.value, STATE)
+        one = await status.dump(reactor, address, "log")
+        self.assertEqual(one.value, {"reachable": True})
+        none = await status.dump(reactor, address, "no-such")
+        self.assertEqual(none.code, outcome.REFUSED)
+        silent = await self.find_silent_address()
+        end = await status.dump(reactor, silent, None)
+        self.assertEqual(end.code, outcome.UNKNOWN)
