Say nothing to peers again and again while idle

Every daemon told every peer its loads twice a second, also when it had none: about 120 bytes a message, which at 82 peers is some 20 KB/s for nothing (worked out, not measured). One empty message now ends a busy time; if it is lost, the peer drops the old loads by their age of 3 s. Ruled out: leaving out unchanged loads as well, since their age is what shows that a peer lives.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/peers.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/peers.py
@@ -107,6 +107,7 @@
         self._router: zmqreactor.Connection | None = None
         self._dealers: dict[str, zmqreactor.Connection] = {}
         self._shared: dict[str, frozenset[str]] = {}
+        self._told_idle: set[str] = set()
         self._withdrawn: frozenset[str] = frozenset()
         self._asking = False
         self._subscriptions: list[timer.Subscription] = []
@@ -263,6 +264,7 @@
             socket.connect(f"tcp://{address}")
             self._dealers[address] = self._open(socket)
         self._shared = wanted
+        self._told_idle &= wanted.keys()
         self._view.keep(wanted)
 
     def _share_loads(self) -> None:
@@ -281,15 +283,22 @@
         loads = self._read_loads()
         # At small sizes all peers share the same endpoints; the message is
         # then serialized once and not once a peer.
-        ready: dict[frozenset[str], bytes] = {}
+        ready: dict[frozenset[str], tuple[bool, bytes]] = {}
         for address, shared in self._shared.items():
             if shared not in ready:
                 told = [load for load in loads if load.endpoint in shared]
-                ready[shared] = peerview.serialize_message(
-                    peerview.make_loads(header, told)
-                )
-            self._send(address, ready[shared])
-            self._loads_allowance -= len(ready[shared])
+                message = peerview.make_loads(header, told)
+                raw = peerview.serialize_message(message)
+                ready[shared] = (not message.endpoints, raw)
+            idle, raw = ready[shared]
+            # Saying "nothing" again and again would make up most of what a
+            # large mesh sends at night. Should the first one be lost, the
+            # peer forgets the old loads by their age.
+            if idle and address in self._told_idle:
+                continue
+            (self._told_idle.add if idle else self._told_idle.discard)(address)
+            self._send(address, raw)
+            self._loads_allowance -= len(raw)
 
     def _share_withdrawn(self, message: peermessages.ShareWithdrawn) -> None:
         if message.endpoints != self._withdrawn:
--- a/packages/bulrushgrade_daemon/tests/test_peers.py
+++ b/packages/bulrushgrade_daemon/tests/test_peers.py
@@ -169,6 +169,20 @@
         await self.wait_for(lambda: two.heard)
         self.assertEqual(two.heard[0], (one.address, LOADS[1:]))
 
+    async def test_idle_daemon_says_so_once(self):
+        one, two = await self.make_pair()
+        await self.wait_for(lambda: two.heard)
+        one.loads = ()
+        await self.wait_for(lambda: two.heard[-1][1] == ())
+        count = len(two.heard)
+        one.withdraw("e1")
+        await self.wait_for(lambda: not two.peers.find_unconfirmed("e1"))
+        one.withdraw()
+        await self.wait_for(lambda: two.peers.find_unconfirmed("e1"))
+        self.assertEqual(len(two.heard), count)
+        one.loads = LOADS
+        await self.wait_for(lambda: two.heard[-1][1] == LOADS)
+
     async def test_withdrawn_reaches_a_peer_that_connects_later(self):
         one, two = await self.make_node(), await self.make_node(seed=2)
         one.withdraw("e1")
