Measure the slopes that the capacity page is worked out from

Ruled out: running 330 daemons in one process, which would measure the machine's scheduler and not the daemon.

--- /dev/null
+++ b/tools/meshslopes.py
@@ -0,0 +1,307 @@
+"""Slopes of membership, subsets and what peers tell each other."""
+
+import collections
+import random
+
+import attrs
+import slope
+
+from bulrushgrade import membership
+from bulrushgrade import peerview
+from bulrushgrade import subset
+from bulrushgrade import work
+from bulrushgrade_daemon import peers
+
+
+@attrs.frozen(kw_only=True)
+class Size:
+    """The size of a deployment.
+
+    Attributes:
+        daemons: Entry hosts.
+        engines: Model engines.
+        models: Model services, engines dealt out among them.
+        zones: Availability zones.
+        regions: Regions, zones dealt out among them.
+    """
+
+    daemons: int
+    engines: int
+    models: int
+    zones: int
+    regions: int
+
+
+SIZES = (
+    Size(daemons=9, engines=9, models=1, zones=4, regions=1),
+    Size(daemons=50, engines=270, models=9, zones=12, regions=4),
+    Size(daemons=330, engines=1800, models=9, zones=12, regions=4),
+)
+# Requests that a daemon has in flight at the target: 2,900 requests/s over
+# 330 daemons, each some 10 s long.
+IN_FLIGHT = 88
+
+
+def make_hosts(size: Size) -> list[membership.Host]:
+    """Returns the host list of a deployment, dealt out evenly."""
+    hosts = [
+        _make_host(number, number, size, membership.Kind.ENTRY, "")
+        for number in range(size.daemons)
+    ]
+    hosts += [
+        _make_host(
+            size.daemons + number,
+            number // size.models,
+            size,
+            membership.Kind.ENGINE,
+            f"model-{number % size.models}",
+        )
+        for number in range(size.engines)
+    ]
+    return hosts
+
+
+def _make_host(
+    number: int, place: int, size: Size, kind: membership.Kind, service: str
+) -> membership.Host:
+    zone = place % size.zones
+    ip = f"10.{number // 62500}.{number // 250 % 250}.{number % 250}"
+    is_entry = kind is membership.Kind.ENTRY
+    return membership.Host(
+        address=f"{ip}:8080",
+        kind=kind,
+        service=service,
+        zone=f"zone-{zone:02}",
+        region=f"region-{zone * size.regions // size.zones}",
+        state=membership.ListedState.LIVE,
+        peer=f"{ip}:7070" if is_entry else "",
+    )
+
+
+def _serialize_list(hosts: list[membership.Host]) -> bytes:
+    host_list = membership.HostList(version=1, hosts=tuple(hosts))
+    return membership.msgspec.json.encode(host_list)
+
+
+def measure_host_lists() -> list[slope.Slope]:
+    """Measures the cost of a host list by its hosts."""
+    sizes, parses, keeps = [], [], []
+    for engines in (100, 700, 1800):
+        hosts = make_hosts(attrs.evolve(SIZES[2], engines=engines))
+        raw = _serialize_list(hosts)
+        count = len(hosts)
+        sizes.append((count, len(raw)))
+        us = slope.time_us(lambda raw=raw: _accept(raw))
+        parses.append((count, us))
+        keeps.append((count, slope.count_bytes(lambda raw=raw: _accept(raw))))
+    return [
+        slope.Slope(
+            name="host list on the wire", unit="bytes a host", points=(*sizes,)
+        ),
+        slope.Slope(
+            name="host list parsed and put in force",
+            unit="us a host",
+            points=(*parses,),
+        ),
+        slope.Slope(
+            name="host list in memory", unit="bytes a host", points=(*keeps,)
+        ),
+    ]
+
+
+def _accept(raw: bytes) -> membership.Membership:
+    view = membership.Membership()
+    view.accept(membership.parse_host_list(raw).unwrap(), now=0.0)
+    return view
+
+
+def measure_meshes() -> list[dict[str, object]]:
+    """Measures ties, balance, churn, coverage and bytes at each size."""
+    return [_measure_mesh(size) for size in SIZES]
+
+
+def measure_subsets() -> list[dict[str, object]]:
+    """Measures other sizes of subsets at the target."""
+    kept = subset.OWN_ZONE_TIES, subset.SPARE_TIES
+    rows = []
+    for own, spare in ((4, 2), (8, 2), (8, 4), kept):
+        subset.OWN_ZONE_TIES, subset.SPARE_TIES = own, spare
+        found = _measure_mesh(SIZES[2])
+        wanted = (
+            "ties a daemon",
+            "peers a daemon",
+            "daemons an engine",
+            "loads bytes/s",
+        )
+        rows.append(
+            {"own zone": own, "spare": spare, **{k: found[k] for k in wanted}}
+        )
+    return rows
+
+
+def _measure_mesh(size: Size) -> dict[str, object]:
+    hosts = make_hosts(size)
+    ties = subset.Ties()
+    own = hosts[0].address
+
+    def follow(listed: list[membership.Host]) -> None:
+        ties.update(listed)
+        ties.find_peers(own)
+
+    first_us = slope.time_us(lambda: _follow_anew(hosts, own))
+    follow(hosts)
+    daemons = [h.address for h in hosts if h.kind is membership.Kind.ENTRY]
+    before = {daemon: ties.get_endpoints(daemon) for daemon in daemons}
+    peer_counts = [len(ties.find_peers(daemon)) for daemon in daemons]
+    tied = collections.Counter(e for x in before.values() for e in x)
+    change_us = slope.time_us(lambda: (follow(hosts[:-1]), follow(hosts)))
+    return {
+        "daemons": size.daemons,
+        "engines": size.engines,
+        "ties a daemon": len(before[own]),
+        "peers a daemon": f"{min(peer_counts)}-{max(peer_counts)}",
+        "daemons an engine": (
+            f"{min(tied.values())}-{max(tied.values())}"
+            f" of {len(tied)} engines tied"
+        ),
+        **_measure_churn(hosts, ties, before),
+        **_measure_loss(hosts, before),
+        "ms for the first list": round(first_us / 1000, 2),
+        "ms for a change of one host": round(change_us / 2000, 2),
+        "loads bytes/s": round(_count_loads_bytes(own, ties)),
+    }
+
+
+def _follow_anew(hosts: list[membership.Host], own: str) -> None:
+    ties = subset.Ties()
+    ties.update(hosts)
+    ties.find_peers(own)
+
+
+def _measure_churn(
+    hosts: list[membership.Host],
+    ties: subset.Ties,
+    before: dict[str, frozenset[str]],
+) -> dict[str, object]:
+    """Counts the ties that are new after one host is gone."""
+    rng = random.Random(1)
+    moved = {}
+    for kind in (membership.Kind.ENGINE, membership.Kind.ENTRY):
+        gone = rng.choice([host for host in hosts if host.kind is kind])
+        ties.update([host for host in hosts if host is not gone])
+        moved[kind] = sum(
+            len(ties.get_endpoints(daemon) - tied)
+            for daemon, tied in before.items()
+            if daemon != gone.address
+        )
+    ties.update(hosts)
+    return {
+        "new ties for a lost engine": moved[membership.Kind.ENGINE],
+        "for a lost daemon": moved[membership.Kind.ENTRY],
+        "of": sum(map(len, before.values())),
+    }
+
+
+def _measure_loss(
+    hosts: list[membership.Host], before: dict[str, frozenset[str]]
+) -> dict[str, object]:
+    """Counts what daemons elsewhere have left when one zone is lost."""
+    lost = hosts[0].zone
+    left = [host for host in hosts if host.zone != lost]
+    service_of = {h.address: h.service for h in left if h.service}
+    services = set(service_of.values())
+    after = subset.Ties()
+    after.update(left)
+    fewest = {"before": [], "after": []}
+    for host in left:
+        if host.kind is not membership.Kind.ENTRY:
+            continue
+        for name, tied in (
+            ("before", before[host.address]),
+            ("after", after.get_endpoints(host.address)),
+        ):
+            counts = collections.Counter(
+                service_of[e] for e in tied if e in service_of
+            )
+            fewest[name].append(min(counts[s] for s in services))
+    return {
+        "zone lost: engines a model left at once": min(fewest["before"]),
+        "after the list": min(fewest["after"]),
+    }
+
+
+def make_loads(endpoints: list[str]) -> peerview.Loads:
+    """Returns a message with typical figures for some endpoints."""
+    header = peerview.Header(
+        sender="10.0.0.1:7070", incarnation=2**52, sequence=100_000
+    )
+    return peerview.make_loads(
+        header,
+        [
+            work.PeerLoad(
+                endpoint=endpoint,
+                running=2,
+                prefill_backlog_tokens=1800,
+                kv_tokens=5200,
+            )
+            for endpoint in endpoints
+        ],
+    )
+
+
+def _count_loads_bytes(own: str, ties: subset.Ties) -> float:
+    """Returns the bytes a second of one busy daemon's unpaced loads."""
+    rng = random.Random(1)
+    endpoints = sorted(ties.get_endpoints(own))
+    busy = set(rng.choices(endpoints, k=IN_FLIGHT))
+    sizes = (
+        len(peerview.serialize_message(make_loads(sorted(busy & shared))))
+        for shared in ties.find_peers(own).values()
+    )
+    return sum(sizes) / peers.LOADS_PERIOD_S
+
+
+def measure_messages() -> list[slope.Slope]:
+    """Measures the cost of a message of loads by its endpoints."""
+    sizes, sends, takes = [], [], []
+    for count in (10, 50, 144):
+        endpoints = [f"10.0.{n // 250}.{n % 250}:8080" for n in range(count)]
+        message = make_loads(endpoints)
+        raw = peerview.serialize_message(message)
+        sizes.append((count, len(raw)))
+        sends.append((count, slope.time_us(_repeat_send(endpoints), count=100)))
+        takes.append((count, slope.time_us(_repeat_take(raw), count=100)))
+    return [
+        slope.Slope(
+            name="message of loads", unit="bytes an endpoint", points=(*sizes,)
+        ),
+        slope.Slope(
+            name="loads made and serialized",
+            unit="us an endpoint",
+            points=(*sends,),
+        ),
+        slope.Slope(
+            name="loads parsed and judged",
+            unit="us an endpoint",
+            points=(*takes,),
+        ),
+    ]
+
+
+def _repeat_send(endpoints: list[str]):
+    def send() -> None:
+        for _ in range(100):
+            peerview.serialize_message(make_loads(endpoints))
+
+    return send
+
+
+def _repeat_take(raw: bytes):
+    def take() -> None:
+        view = peerview.PeerView()
+        for _ in range(100):
+            message = peerview.parse_message(raw).unwrap()
+            view.accept(message)
+            peerview.read_loads(message)
+
+    return take
--- /dev/null
+++ b/tools/slopes.py
@@ -0,0 +1,59 @@
+"""Prints the slopes that docs/CAPACITY.md is worked out from.
+
+Run it from the root of the repository, with the packages installed:
+``python tools/slopes.py``. It takes about two minutes, most of them waiting,
+opens sockets on loopback only and ends by itself. Figures of time depend on
+the machine; figures of bytes do not.
+"""
+
+from collections.abc import Sequence
+import platform
+
+import decisionslopes
+import logslopes
+import meshslopes
+import processslopes
+import slope
+
+
+def print_slopes(slopes: Sequence[slope.Slope]) -> None:
+    """Prints a line for each slope: what it costs more, base and points."""
+    for found in slopes:
+        base, rise = slope.fit(found.points)
+        points = "  ".join(f"{x:g}: {y:.4g}" for x, y in found.points)
+        print(f"{found.name}")
+        print(f"    {rise:.4g} {found.unit}, base {base:.4g}   ({points})")
+
+
+def print_rows(heading: str, rows: Sequence[dict[str, object]]) -> None:
+    """Prints rows of figures under a heading."""
+    print(f"\n{heading}")
+    for row in rows:
+        print(
+            "    " + ", ".join(f"{key} {value}" for key, value in row.items())
+        )
+
+
+def main() -> None:
+    """Measures and prints everything."""
+    print(f"Python {platform.python_version()} on {platform.machine()}")
+    print_rows("A process at rest", processslopes.measure_processes())
+    print("\nMembership and subsets")
+    print_slopes(meshslopes.measure_host_lists())
+    print_rows("The mesh by size", meshslopes.measure_meshes())
+    print_rows("Other subsets at the target", meshslopes.measure_subsets())
+    print("\nPeers")
+    print_slopes(meshslopes.measure_messages())
+    print_slopes(processslopes.measure_sockets())
+    print("\nDocuments")
+    print_slopes(logslopes.measure_documents())
+    print("\nAuthority and once-only claims")
+    print_slopes(logslopes.measure_leases())
+    print_slopes(logslopes.measure_claims())
+    print("\nDecisions and metrics")
+    print_slopes(decisionslopes.measure_decisions())
+    print_slopes(decisionslopes.measure_metrics())
+
+
+if __name__ == "__main__":
+    main()
