--- a/packages/bulrushgrade_daemon/tests/test_settings.py
+++ b/packages/bulrushgrade_daemon/tests/test_settings.py
@@ -48,6 +48,14 @@
     assert settings.parse_settings(text, file="x").unwrap() == read
 
 
+def test_every_key_is_in_the_reference():
+    text = (EXAMPLES.parents[1] / "docs" / "SETTINGS.md").read_text()
+    for section in attrs.fields(settings.Settings):
+        assert f"## [{section.name}]" in text
+        for key in attrs.fields(section.type):
+            assert f"| `{key.name}` |" in text, key.name
+
+
 def test_both_deployments_have_an_example():
     zones = {
         settings.read_settings(str(path)).unwrap().host.zone
