Serve the first requests end to end through the daemon

Ruled out: a wire mismatch with the engine stand-in; its events parsed at once. Change: the fits; the answer is ended on its marker.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/callers.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/callers.py
@@ -406,7 +406,7 @@
         self,
         http_request: Any,
         service: document.ServiceDocument,
-        route: document.Route | None,
+        route: demand.Route | None,
         path: str,
         repeatable: bool,
         key: str | None,
@@ -471,7 +471,7 @@
 
 
 def _read_key(
-    http_request: Any, route: document.Route | None
+    http_request: Any, route: demand.Route | None
 ) -> str | None | refusal.Refusal:
     header = DEFAULT_KEY_HEADER
     if route is not None and route.idempotency_header is not None:
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/relay.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/relay.py
@@ -8,7 +8,8 @@
 from returns.result import Failure
 from twisted.internet import defer
 
-from bulrushgrade import answer
+from bulrushgrade import answer as answer_module
+from bulrushgrade import demand
 from bulrushgrade import document
 from bulrushgrade import work as work_module
 from bulrushgrade_daemon import engine
@@ -53,11 +54,11 @@
     asked: request.Completion
     service: document.ServiceDocument
     model: str
-    limits: document.DeadlineClass
+    limits: demand.DeadlineClass
     work: work_module.Work
     arrived_s: float
     on_event: Callable[[engine.Event], None]
-    answer: answer.Answer = attrs.field(factory=answer.Answer)
+    answer: answer_module.Answer = attrs.field(factory=answer_module.Answer)
     stream: engine.EngineStream | None = None
     endpoint: str = ""
     attempt_id: str = ""
@@ -179,7 +180,7 @@
         placed = await self._placing.offer(job.work)
         while isinstance(placed, work_module.Placed):
             outcome = await self._attempt(job, placed, next(attempts))
-            if isinstance(outcome, engine.Ended) and job.answer.whole:
+            if isinstance(outcome, engine.Ended) and job.answer.end():
                 self._finish(job, placing.COMPLETE)
                 return None
             final = self._judge(job, outcome)
@@ -311,8 +312,8 @@
             has_token=event.text is not None,
             finish=finish,
         )
-        if step is not answer.Step.DELIVER:
-            return step is answer.Step.DROP
+        if step is not answer_module.Step.DELIVER:
+            return step is answer_module.Step.DROP
         job.watch.progress()
         tokens = job.answer.tokens
         if tokens == 1 and event.text is not None:
@@ -328,7 +329,8 @@
         if job.stream is not None:
             job.stream.end(engine.Lost(reason="deadline"))
 
-    def _finish(self, job: ModelJob, outcome: work_module.Outcome) -> None:
+    def _finish(self, job: ModelJob, outcome: str) -> None:
+        self._placing.tokens(job.request_id, job.answer.tokens)
         self._placing.finished(job.request_id, outcome)
 
 
