Schedule checkpoints by turns, and by their age as peers tell it

The log trims records, so a checkpoint must be appended anew before the last one goes; were every daemon to do it at once, nine hosts would append nine times some MB. Daemons wait their turn in rendezvous order, 5 s apart, and stop waiting when another's checkpoint shows up. Clocks of hosts can't be compared, so a daemon measures the age since it read a checkpoint as new, and peers tell ages (CheckpointAge). Ruled out: a time in the checkpoint (clocks), and taking an unknown age as young (hosts that are replaced sooner than a third of the retention would let the last one be trimmed).

--- a/packages/bulrushgrade/bulrushgrade/publication.py
+++ b/packages/bulrushgrade/bulrushgrade/publication.py
@@ -155,9 +155,24 @@
     states: tuple[ServiceState, ...]
 
 
+@attrs.frozen(kw_only=True)
+class CheckpointAge:
+    """What daemons tell each other of the last checkpoint.
+
+    Attributes:
+        first_offset: The offset of its earliest part.
+        next_offset: Up to where its state goes.
+        age_s: Seconds since the teller read it as new, or more.
+    """
+
+    first_offset: int
+    next_offset: int
+    age_s: float
+
+
 _ENCODER = msgspec.json.Encoder()
 
-CODEC = codec.Codec(kinds=[Publish, Checkpoint, Snapshot])
+CODEC = codec.Codec(kinds=[Publish, Checkpoint, Snapshot, CheckpointAge])
 
 
 def parse_message(body: bytes) -> Result[Any, errors.BadRecord]:
--- /dev/null
+++ b/packages/bulrushgrade/tests/test_checkpoint.py
@@ -0,0 +1,187 @@
+"""Tests of checkpoints' parts and of their schedule."""
+
+import random
+
+from bulrushgrade import checkpoint
+from bulrushgrade import publication
+
+HOSTS = [f"10.0.0.{n}:8080" for n in range(9)]
+RETENTION_S = 3600.0
+
+
+def _whole(first_offset, *, next_offset=None):
+    return checkpoint.Collected(
+        first_offset=first_offset,
+        snapshot=publication.Snapshot(
+            next_offset=first_offset if next_offset is None else next_offset,
+            digest="",
+            states=(),
+        ),
+    )
+
+
+def _due(schedule, now, *, next_offset=20, earliest=0):
+    return schedule.find_due(
+        now=now,
+        hosts=HOSTS,
+        next_offset=next_offset,
+        earliest_offset=earliest,
+    )
+
+
+def _schedules(now=0.0):
+    return [
+        checkpoint.Schedule(address=host, retention_s=RETENTION_S, now=now)
+        for host in HOSTS
+    ]
+
+
+def test_parts_come_together_in_any_order_and_doubled():
+    states = tuple(publication.ServiceState(service=f"s{n}") for n in range(10))
+    digests = map(publication.digest_state, states)
+    snapshot = publication.Snapshot(
+        next_offset=7,
+        digest=publication.digest_states(digests),
+        states=states,
+    )
+    bodies = checkpoint.serialize_checkpoint(
+        snapshot, checkpoint_id="c", part_bytes=100
+    )
+    parts = [publication.parse_message(body).unwrap() for body in bodies]
+    assert len(parts) > 3
+    random.Random(1).shuffle(parts)
+    collector = checkpoint.Collector()
+    found = [
+        collector.add(part, offset=offset)
+        for offset, part in enumerate([parts[0], *parts])
+    ]
+    assert found[:-1] == [None] * len(parts)
+    assert found[-1] == checkpoint.Collected(first_offset=0, snapshot=snapshot)
+    assert checkpoint.check_snapshot(found[-1].snapshot).unwrap() == snapshot
+
+
+def test_unfinished_checkpoints_do_not_pile_up():
+    collector = checkpoint.Collector()
+
+    def add(name, number):
+        return collector.add(
+            publication.Checkpoint(
+                checkpoint_id=name,
+                part=number,
+                parts=2,
+                next_offset=1,
+                digest="",
+                states=(),
+            ),
+            offset=0,
+        )
+
+    for n in range(checkpoint.MAX_COLLECTED + 1):
+        assert add(f"c{n}", 0) is None
+    assert add("c0", 1) is None
+    assert add("c4", 1) is not None
+
+
+def _run(schedules, *, until, dead=(), step=1.0, lag_s=2.0, earliest=0):
+    """Steps daemons that read each other's checkpoints after a lag."""
+    offset, appended, arriving, now = 20, [], [], 0.0
+    while now < until:
+        for whole in [w for at, w in arriving if at <= now]:
+            for schedule in schedules:
+                schedule.note_checkpoint(whole, now=now, fresh=True)
+        arriving = [(at, w) for at, w in arriving if at > now]
+        for host, schedule in zip(HOSTS, schedules, strict=True):
+            reason = _due(schedule, now, next_offset=offset, earliest=earliest)
+            if host in dead or reason is None:
+                continue
+            schedule.note_append(now)
+            appended.append((now, host, reason))
+            arriving.append((now + lag_s, _whole(offset)))
+            offset += 1
+        now += step
+    return appended
+
+
+def test_one_daemon_appends_a_third_of_the_retention_apart():
+    appended = _run(_schedules(), until=2.5 * RETENTION_S)
+    assert [reason for _, _, reason in appended] == [
+        "no checkpoint is known",
+        *["the last checkpoint is old"] * 7,
+    ]
+    times = [at for at, _, _ in appended]
+    gaps = [b - a for a, b in zip(times, times[1:], strict=False)]
+    assert min(gaps) > RETENTION_S / 3
+    assert max(gaps) < RETENTION_S / 3 + 10
+    assert len({host for _, host, _ in appended}) > 3
+
+
+def test_the_next_in_turn_steps_in_for_a_dead_daemon():
+    # Story: the daemon whose turn it is was killed and the host list still
+    # has it. Without a next turn the last checkpoint would be trimmed, and
+    # every daemon that starts later would never become ready. Two turns of
+    # 5 s follow the 15 s in which a first checkpoint may be heard of.
+    order = sorted(HOSTS, key=lambda h: checkpoint.find_turn(h, HOSTS, -1))
+    appended = _run(_schedules(), until=60.0, dead=order[:2])
+    assert [(at, host) for at, host, _ in appended] == [(25.0, order[2])]
+
+
+def test_a_daemon_that_can_not_read_its_own_does_not_flood_the_log():
+    appended = _run(_schedules(), until=600.0, lag_s=1e9)
+    for host in HOSTS:
+        times = [at for at, found, _ in appended if found == host]
+        assert len(times) <= 10
+        assert all(
+            b - a >= checkpoint.MIN_PERIOD_S
+            for a, b in zip(times, times[1:], strict=False)
+        )
+
+
+def test_a_restarted_daemon_takes_its_peers_word_for_the_age():
+    schedule = checkpoint.Schedule(
+        address=HOSTS[0], retention_s=RETENTION_S, now=0.0
+    )
+    peer = checkpoint.Schedule(
+        address=HOSTS[1], retention_s=RETENTION_S, now=-100.0
+    )
+    peer.note_checkpoint(_whole(5), now=-98.0, fresh=True)
+    schedule.note_checkpoint(_whole(4), now=0.0, fresh=False)
+    assert schedule.tell_age(1.0) is None
+    assert _due(schedule, 1.0) is None
+    schedule.note_age(peer.tell_age(2.0), now=2.0)
+    assert schedule.tell_age(3.0) == publication.CheckpointAge(
+        first_offset=5, next_offset=5, age_s=101.0
+    )
+    old = publication.CheckpointAge(first_offset=4, next_offset=4, age_s=9e9)
+    schedule.note_age(old, now=4.0)
+    assert _due(schedule, 1000.0) is None
+    assert _due(schedule, 1200.0) is None  # Its turn may be a later one.
+    assert _due(schedule, 1250.0) == "the last checkpoint is old"
+
+
+def test_after_a_full_restart_an_unknown_age_counts_as_old():
+    schedules = _schedules()
+    for schedule in schedules:
+        schedule.note_checkpoint(_whole(5), now=0.0, fresh=False)
+    appended = _run(schedules, until=300.0)
+    assert [(at, reason) for at, _, reason in appended] == [
+        (checkpoint.GRACE_S, "the last checkpoint may be old")
+    ]
+
+
+def test_a_trimmed_checkpoint_and_a_long_tail_are_due():
+    for options, reason in (
+        ({"earliest": 6}, "the last checkpoint is trimmed"),
+        ({"next_offset": 1006}, "many records since the last checkpoint"),
+        ({}, None),
+    ):
+        schedule = checkpoint.Schedule(
+            address="a", retention_s=RETENTION_S, now=0.0
+        )
+        schedule.note_checkpoint(_whole(5), now=0.0, fresh=True)
+        found = schedule.find_due(
+            now=1.0,
+            hosts=["a"],
+            next_offset=options.get("next_offset", 9),
+            earliest_offset=options.get("earliest", 0),
+        )
+        assert found == reason
