--- a/packages/bulrushgrade/bulrushgrade/errors.py
+++ b/packages/bulrushgrade/bulrushgrade/errors.py
@@ -173,3 +173,14 @@
     """
 
     reason: str
+
+
+@attrs.frozen(kw_only=True)
+class OrderRefused:
+    """An order can't be made now.
+
+    Attributes:
+        reason: Why, for a person.
+    """
+
+    reason: str
--- a/packages/bulrushgrade/bulrushgrade/scheduler.py
+++ b/packages/bulrushgrade/bulrushgrade/scheduler.py
@@ -13,6 +13,7 @@
 from bulrushgrade import admission
 from bulrushgrade import lane
 from bulrushgrade import placement
+from bulrushgrade import pool
 from bulrushgrade import pools
 from bulrushgrade import progress
 from bulrushgrade import queueing
@@ -75,10 +76,9 @@
         self._policies: dict[str, work.ServicePolicy] = {}
         self._budgets: dict[str, retry.RetryBudget] = {}
         self._progress: dict[str, progress.Progress] = {}
-        self._waiting: dict[
-            str, tuple[pools.PoolState, lane.LaneName, lane.Waiting]
-        ] = {}
+        self._waiting: dict[str, tuple[pools.PoolState, lane.Waiting]] = {}
         self._outbox: dict[str, work.Placed | work.Refused] = {}
+        self._demand: dict[str, list[float]] = {}
         self._numbers = itertools.count()
         self._counts = {"placed": 0, "queued": 0, "refused": 0, "retried": 0}
 
@@ -116,6 +116,23 @@
         """Returns what this host has in flight, for its peers."""
         return self._fleet.own_loads()
 
+    def demand(self) -> tuple[work.Demand, ...]:
+        """Returns what was asked of this host, for the role plan."""
+        return tuple(
+            work.Demand(
+                model=model,
+                prefill_tokens=round(read),
+                output_tokens=round(answered),
+                kv_token_s=round(held),
+                lost_s=lost,
+            )
+            for model, (read, answered, held, lost) in self._demand.items()
+        )
+
+    def capacity(self, model: str) -> tuple[float, float]:
+        """Returns what one engine of a model reads and generates a second."""
+        return self._fleet.capacity(model)
+
     def cache_event(self, endpoint: str, prefix: int, stored: bool) -> None:
         """Takes in that an engine stored or evicted a prompt block."""
         self._fleet.cache_event(endpoint, prefix, stored)
@@ -201,8 +218,8 @@
         """Forgets a request whose caller has gone."""
         self._outbox.pop(request_id, None)
         if request_id in self._waiting:
-            state, name, item = self._waiting.pop(request_id)
-            state.queue.remove(item, name)
+            state, item = self._waiting.pop(request_id)
+            state.queue.remove(item)
         elif request_id in self._progress:
             self._release(self._progress.pop(request_id), now)
 
@@ -227,13 +244,20 @@
         if current is not None:
             current.tokens = count
 
-    def finished(self, request_id: str, outcome: str, now: float) -> None:
+    def finished(
+        self,
+        request_id: str,
+        outcome: str,
+        now: float,
+        cached_tokens: int | None = None,
+    ) -> None:
         """Notes the end of a placed request.
 
         Args:
             request_id: The request.
             outcome: ``complete``, or ``failed`` when it ends without a retry.
             now: The present time.
+            cached_tokens: Prompt tokens that were cached, if the engine says.
         """
         current = self._progress.pop(request_id, None)
         if current is None:
@@ -243,6 +267,9 @@
             address = current.option.endpoint.endpoint.address
             self._fleet.observe_failure(address, now)
             return
+        if cached_tokens is not None and current.item.work.model:
+            more = progress.learn_reading(current, cached_tokens)
+            self._demand[current.item.work.model][0] += more
         learned = progress.learn_rest(current, now)
         if learned is not None:
             endpoint, ratio = learned
@@ -272,25 +299,30 @@
         if state is None:
             code = work.RefusalCode.NO_ENDPOINT
             return self._refuse(item, code, NO_ENDPOINT_RETRY_S)
-        uncached = state.pool.uncached_tokens(item, tokens_done)
+        uncached = placement.uncached_tokens(state.pool, item, tokens_done)
         model = state.pool.model
+        if item.model and not attempt:
+            asked = self._demand.setdefault(item.model, [0.0] * 4)
+            asked[0] += uncached
+            asked[1] += item.output_tokens
+            asked[2] += model.kv_token_s(item)
+        reading_s = model.prefill_s(uncached) if item.model else 0.0
         waiting = lane.Waiting(
             work=item,
             engine_s=model.price_s(item, uncached, tokens_done),
             latest_start=admission.latest_start(item, model, uncached),
+            lane=lane.lane_of(reading_s),
             number=next(self._numbers),
             not_before=not_before,
             avoid=avoid,
             attempt=attempt,
             tokens_done=tokens_done,
         )
-        reading_s = model.prefill_s(uncached) if item.model else 0.0
-        return self._queue(state, lane.lane_of(reading_s), waiting, now)
+        return self._queue(state, waiting, now)
 
     def _queue(
         self,
         state: pools.PoolState,
-        name: lane.LaneName,
         item: lane.Waiting,
         now: float,
     ) -> work.Decision:
@@ -300,12 +332,13 @@
             code = work.RefusalCode.QUEUE_FULL
             return self._refuse(wanted, code, QUEUE_FULL_RETRY_S)
         floor = self._engines(state.pool, now)
-        wait_s = queue.wait_s(item, name, floor=floor, now=now)
+        wait_s = queue.wait_s(item, floor=floor, now=now)
         late_s = self._judge(item, wait_s, now)
         if late_s > 0.0:
+            self._note_lost(item)
             return self._refuse(wanted, work.RefusalCode.OVERLOADED, late_s)
-        queue.add(item, name)
-        self._waiting[wanted.request_id] = (state, name, item)
+        queue.add(item)
+        self._waiting[wanted.request_id] = (state, item)
         self._dispatch(state, now)
         settled = self._outbox.pop(wanted.request_id, None)
         if settled is not None:
@@ -317,42 +350,52 @@
         for item in state.queue.take_expired(now):
             del self._waiting[item.work.request_id]
             late_s = now - item.latest_start
+            self._note_lost(item)
             self._outbox[item.work.request_id] = self._refuse(
                 item.work, work.RefusalCode.LATE, late_s
             )
         engines = self._engines(state.pool, now)
 
-        def attempt(name: lane.LaneName, item: lane.Waiting) -> bool:
+        def attempt(item: lane.Waiting) -> bool:
             shares = state.queue.shares
             if not shares.may_run(item.work.service, engines, now):
                 return False
-            return self._place(state, name, item, now)
+            return self._place(state, item, now)
 
         queueing.dispatch(state.queue, attempt, now)
 
     def _place(
         self,
         state: pools.PoolState,
-        name: lane.LaneName,
         item: lane.Waiting,
         now: float,
     ) -> bool:
-        option = state.pool.choose(
-            item.work, avoid=item.avoid, tokens_done=item.tokens_done, now=now
+        ask = placement.Ask(
+            work=item.work,
+            short=item.lane is lane.LaneName.SHORT,
+            avoid=item.avoid,
+            tokens_done=item.tokens_done,
         )
+        option = placement.choose(state.pool, ask, rng=self._rng, now=now)
         if option is None:
             return False
         request_id = item.work.request_id
-        state.queue.remove(item, name)
+        state.queue.remove(item)
         del self._waiting[request_id]
-        state.queue.charge(item, name, now)
+        state.queue.charge(item, now)
         placed = progress.start(item, state.pool, option, now)
         self._progress[request_id] = placed
         self._fleet.book(option.endpoint, placed.reading, now)
         self._fleet.book(option.decode, placed.answering, now)
-        state.pool.note_placed(item.work, option, now)
+        placement.note_placed(state.pool, item.work, option, now)
         self._counts["placed"] += 1
-        self._outbox[request_id] = option.placed(item.work, item.tokens_done)
+        # Inside an engine a chat goes before a reading of equal priority: a
+        # reading bears a second's wait, a chat's first token does not.
+        policy = self._policies[item.work.service]
+        priority = 2 * policy.priority + (item.lane is lane.LaneName.LONG)
+        self._outbox[request_id] = option.placed(
+            item.work, item.tokens_done, priority
+        )
         return True
 
     def _refuse(
@@ -366,6 +409,10 @@
             reason=_REASONS[code],
         )
 
+    def _note_lost(self, item: lane.Waiting) -> None:
+        if item.work.model:
+            self._demand[item.work.model][3] += item.engine_s
+
     def _end_reading(self, current: progress.Progress, now: float) -> None:
         if not current.reading_done:
             current.reading_done = True
@@ -377,6 +424,6 @@
         ended = current.answering.times(-1.0)
         self._fleet.book(current.option.decode, ended, now)
 
-    def _engines(self, pool: placement.Pool, now: float) -> float:
+    def _engines(self, pool: pool.Pool, now: float) -> float:
         """This host's part of a pool, if all hosts get equal traffic."""
         return pool.serving() / (1.0 + self._fleet.fresh_peers(now))
