End the demo with exit 0 on Ctrl-C

Ctrl-C during the demo came out as an unknown outcome, exit 3, since every command that is interrupted did; the demo now names its own end. Ruled out: a signal handler of its own beside the reactor's.

--- a/packages/bulrushgrade_cli/bulrushgrade_cli/demo.py
+++ b/packages/bulrushgrade_cli/bulrushgrade_cli/demo.py
@@ -62,7 +62,12 @@
     Args:
         listen: Where callers reach the daemon, IP:PORT.
     """
-    return running.run(lambda reactor: _run(reactor, listen))
+    stopped = outcome.Outcome(
+        code=outcome.DONE, text="stopped", value={"done": True}
+    )
+    return running.run(
+        lambda reactor: _run(reactor, listen), interrupted=stopped
+    )
 
 
 async def _run(reactor: Any, listen: str) -> outcome.Outcome:
--- a/packages/bulrushgrade_cli/bulrushgrade_cli/running.py
+++ b/packages/bulrushgrade_cli/bulrushgrade_cli/running.py
@@ -9,14 +9,19 @@
 
 from bulrushgrade_cli import outcome
 
+INTERRUPTED = outcome.leave_unknown("interrupted before the end was known")
+
 
 def run(
     command: Callable[[Any], Coroutine[Any, Any, outcome.Outcome]],
+    *,
+    interrupted: outcome.Outcome = INTERRUPTED,
 ) -> outcome.Outcome:
     """Returns what a command came to.
 
     Args:
         command: Started with the reactor once that runs.
+        interrupted: What Ctrl-C or SIGTERM comes to.
 
     Raises:
         Exception: Whatever the command raised, a fault of the program.
@@ -34,7 +39,7 @@
     reactor.callWhenRunning(start)
     reactor.run()
     if not ends:
-        return outcome.leave_unknown("interrupted before the end was known")
+        return interrupted
     if isinstance(ends[0], failure.Failure):
         ends[0].raiseException()
     return ends[0]
