--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/__main__.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/__main__.py
@@ -81,6 +81,10 @@
             self._reactor.callLater(0, self._reactor.crash)
 
 
+app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
+
+
+@app.command()
 def run(
     settings: Annotated[str, typer.Option(help="The INI file.")],
     check: Annotated[
@@ -108,7 +112,7 @@
 
 def main() -> None:
     """Runs the command line."""
-    typer.run(run)
+    app()
 
 
 if __name__ == "__main__":
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/fleet.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/fleet.py
@@ -4,8 +4,8 @@
 
 from returns.result import Success
 
+from bulrushgrade import membership
 from bulrushgrade_daemon import engine
-from bulrushgrade_daemon import hostlist
 from bulrushgrade_daemon import placing
 from bulrushgrade_daemon import task
 
@@ -41,9 +41,11 @@
 
     def receive(self, message: Any) -> None:
         """Takes lists of hosts."""
-        if isinstance(message, hostlist.HostsRead):
+        if isinstance(message, membership.HostList):
             self._addresses = tuple(
-                h.address for h in message.hosts if h.kind == "engine"
+                h.address
+                for h in message.hosts
+                if h.kind is membership.Kind.ENGINE
             )
             self._missed = {a: self._missed.get(a, 0) for a in self._addresses}
             self._poll()
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/host.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/host.py
@@ -7,8 +7,10 @@
 import attrs
 
 from bulrushgrade import kernel as kernel_module
+from bulrushgrade import membership
 from bulrushgrade import offering as offering_module
 from bulrushgrade import scheduler
+from bulrushgrade import work
 from bulrushgrade_daemon import admin
 from bulrushgrade_daemon import callers
 from bulrushgrade_daemon import clock
@@ -17,7 +19,10 @@
 from bulrushgrade_daemon import fleet
 from bulrushgrade_daemon import hostlist
 from bulrushgrade_daemon import logclient
+from bulrushgrade_daemon import mesh
 from bulrushgrade_daemon import metrics
+from bulrushgrade_daemon import peermessages
+from bulrushgrade_daemon import peers
 from bulrushgrade_daemon import placing
 from bulrushgrade_daemon import plain
 from bulrushgrade_daemon import plainrelay
@@ -83,6 +88,7 @@
         self._add_platform()
         self._add_placing()
         self._add_documents()
+        self._add_peers()
         front = self._add_callers()
         operators = self._add_admin()
         return Daemon(kernel=self._kernel, callers=front, admin=operators)
@@ -101,7 +107,7 @@
             )
         )
         self._hosts = self._add(
-            hostlist.HostList(
+            hostlist.HostListReader(
                 reactor=self._reactor,
                 timers=self._timers,
                 address=str(platform.host_list),
@@ -157,7 +163,7 @@
             ready=self._not_ready,
             on_broken=self._kernel.fail,
         )
-        return self._add(
+        self._front = self._add(
             callers.Callers(
                 reactor=self._reactor,
                 settings=self._settings,
@@ -165,6 +171,7 @@
                 parts=parts,
             )
         )
+        return self._front
 
     def _add_admin(self) -> admin.Admin:
         return self._add(
@@ -176,9 +183,56 @@
             )
         )
 
-    def _on_hosts(self, hosts: hostlist.HostsRead) -> None:
-        for name in ("placing", "fleet"):
-            self._kernel.send(name, hosts)
+    def _add_peers(self) -> None:
+        listeners = peermessages.Listeners(
+            on_loads=self._on_peer_loads,
+            on_snapshot_request=self._on_snapshot_request,
+            on_snapshot=self._documents.restore,
+        )
+        limits = self._settings.limits
+        self._peers = self._add(
+            peers.Peers(
+                kernel=self._kernel,
+                reactor=self._reactor,
+                timers=self._timers,
+                listen=self._settings.listen.peers,
+                queue_messages=limits.peer_queue_messages,
+                loads_bytes_per_s=limits.peer_bytes_per_s,
+                read_loads=self._placing.own_loads,
+                listeners=listeners,
+                rng=self._rng,
+            )
+        )
+        self._add(
+            mesh.Mesh(
+                kernel=self._kernel,
+                zone=self._settings.host.zone,
+                region=self._settings.host.region,
+                own_address=lambda: self._front.address,
+                own_peer_address=lambda: self._peers.address,
+            )
+        )
+
+    def _on_peer_loads(
+        self, peer: str, loads: tuple[work.PeerLoad, ...]
+    ) -> None:
+        message = placing.PeerLoads(peer=peer, loads=loads)
+        self._kernel.send("placing", message)
+
+    def _on_snapshot_request(self, reply_to: bytes) -> None:
+        # A host that is not ready itself would hand on what it can't vouch
+        # for; others will answer.
+        if self._documents.offering is None:
+            return
+        answer = peermessages.AnswerSnapshot(
+            reply_to=reply_to, snapshot=self._documents.registry.snapshot()
+        )
+        self._kernel.send("peers", answer)
+
+    def _on_hosts(self, hosts: membership.HostList) -> None:
+        self._kernel.send("mesh", hosts)
+        if self._documents.offering is None:
+            self._kernel.send("peers", peermessages.AskSnapshot())
 
     def _on_accepted(self, offering: offering_module.Offering) -> None:
         self._placing.set_policies(offering.policies())
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/hostlist.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/hostlist.py
@@ -3,66 +3,18 @@
 from collections.abc import Callable
 from typing import Any
 
-import attrs
-import msgspec
 from returns.result import Failure
-from returns.result import Result
 from returns.result import Success
 import treq
 from twisted.internet import defer
 
+from bulrushgrade import membership
 from bulrushgrade_daemon import httpclient
 
 TIMEOUT_S = 2.0
 
 
-@attrs.frozen
-class Host:
-    """One line of the host list.
-
-    Attributes:
-        address: ``IP:PORT``.
-        kind: ``entry``, ``engine`` or ``plain``.
-        service: The service that it serves, empty for entry hosts.
-        zone: Its availability zone.
-        region: Its region.
-        state: ``live`` or ``leaving``.
-        peer: Where an entry host hears other daemons, or empty.
-        fencing: Whether an engine refuses an order with an old number.
-    """
-
-    address: str
-    kind: str
-    service: str
-    zone: str
-    region: str = ""
-    state: str = "live"
-    peer: str = ""
-    fencing: bool = False
-
-
-@attrs.frozen
-class HostsRead:
-    """A version of the host list, as a message to other services.
-
-    Attributes:
-        version: Counts up with each change of the list.
-        hosts: Its lines.
-    """
-
-    version: int
-    hosts: list[Host]
-
-
-def parse_hosts(raw: bytes) -> Result[HostsRead, str]:
-    """Parses an answer of the host list."""
-    try:
-        return Success(msgspec.json.decode(raw, type=HostsRead))
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return Failure(str(error))
-
-
-class HostList:
+class HostListReader:
     """Reads the host list again and again and tells of new versions."""
 
     name = "hostlist"
@@ -75,7 +27,7 @@
         timers: Any,
         address: str,
         period_s: float,
-        on_hosts: Callable[[HostsRead], None],
+        on_hosts: Callable[[membership.HostList], None],
     ):
         """Makes a reader.
 
@@ -95,14 +47,14 @@
         self._period_s = period_s
         self._client = httpclient.open_client(reactor)
         self._reading = False
-        self._last: HostsRead | None = None
+        self._members = membership.Membership()
         self._failures = 0
         self._subscription: Any = None
 
     @property
     def known(self) -> bool:
         """Whether a list has been read once."""
-        return self._last is not None
+        return self._members.version is not None
 
     async def start(self) -> None:
         """Reads the list once and then again and again."""
@@ -118,10 +70,10 @@
         """Takes no messages."""
 
     def dump(self) -> dict[str, Any]:
-        """Returns the last list and how many reads failed since."""
+        """Returns the list in force and how many reads failed since."""
         return {
             "failures_in_a_row": self._failures,
-            "last": None if self._last is None else attrs.asdict(self._last),
+            **self._members.dump(now=self._timers.now),
         }
 
     def _poll(self) -> None:
@@ -135,7 +87,7 @@
         call = self._client.http.get(self._url).addCallback(treq.content)
         raw = await call.addTimeout(TIMEOUT_S, self._reactor)
         self._reading = False
-        parsed = parse_hosts(raw)
+        parsed = membership.parse_host_list(raw)
         if isinstance(parsed, Failure):
             self._failures += 1
             return
@@ -148,8 +100,8 @@
         self._reading = False
         self._failures += 1
 
-    def _take(self, hosts: HostsRead) -> None:
-        if self._last is not None and hosts.version <= self._last.version:
-            return
-        self._last = hosts
-        self._on_hosts(hosts)
+    def _take(self, hosts: membership.HostList) -> None:
+        before = self._members.version
+        accepted = self._members.accept(hosts, now=self._timers.now)
+        if isinstance(accepted, Success) and hosts.version != before:
+            self._on_hosts(hosts)
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/placing.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/placing.py
@@ -11,10 +11,10 @@
 import attrs
 from twisted.internet import defer
 
+from bulrushgrade import membership
 from bulrushgrade import scheduler
 from bulrushgrade import work as work_module
 from bulrushgrade_daemon import engine
-from bulrushgrade_daemon import hostlist
 
 # Queued work is looked at again this often at the least, so that a request
 # whose deadline has become hopeless is told so at once.
@@ -83,13 +83,13 @@
         self._core = core
         self._on_changed = on_changed
         self._waiting: dict[str, defer.Deferred] = {}
-        self._hosts: dict[str, hostlist.Host] = {}
+        self._hosts: dict[str, membership.Host] = {}
         self._loads: dict[str, engine.EngineLoad] = {}
         self._held: set[str] = set()
         self._poll: Any = None
 
     @property
-    def hosts(self) -> dict[str, hostlist.Host]:
+    def hosts(self) -> dict[str, membership.Host]:
         """The endpoints on the host list, by address."""
         return self._hosts
 
@@ -113,7 +113,7 @@
 
     def receive(self, message: Any) -> None:
         """Takes lists of hosts, engines' reports and peers' loads."""
-        if isinstance(message, hostlist.HostsRead):
+        if isinstance(message, membership.HostList):
             self._take_hosts(message.hosts)
         elif isinstance(message, EngineSeen):
             self._take_report(message)
@@ -232,8 +232,10 @@
             if waiting is not None:
                 waiting.callback(decision)
 
-    def _take_hosts(self, hosts: Iterable[hostlist.Host]) -> None:
-        self._hosts = {h.address: h for h in hosts if h.kind != "entry"}
+    def _take_hosts(self, hosts: Iterable[membership.Host]) -> None:
+        self._hosts = {
+            h.address: h for h in hosts if h.kind is not membership.Kind.ENTRY
+        }
         for address in set(self._loads) - set(self._hosts):
             del self._loads[address]
         self._update_endpoints()
@@ -268,19 +270,22 @@
         endpoints = tuple(
             self._endpoint(host)
             for host in self._hosts.values()
-            if host.kind == "plain" or host.address in self._loads
+            if host.kind is membership.Kind.PLAIN or host.address in self._loads
         )
         self._core.set_endpoints(endpoints, self.now)
         self._settle()
 
-    def _endpoint(self, host: hostlist.Host) -> work_module.Endpoint:
+    def _endpoint(self, host: membership.Host) -> work_module.Endpoint:
         load = self._loads.get(host.address)
         state = work_module.EndpointState.SERVING
         if load is not None:
             state = _ENGINE_STATES.get(
                 load.state, work_module.EndpointState.DOWN
             )
-        if host.state != "live" or host.address in self._held:
+        if (
+            host.state is not membership.ListedState.LIVE
+            or host.address in self._held
+        ):
             state = work_module.EndpointState.LEAVING
         if load is None:
             return work_module.Endpoint(
