--- a/packages/bulrushgrade/bulrushgrade/pools.py
+++ b/packages/bulrushgrade/bulrushgrade/pools.py
@@ -5,9 +5,10 @@
 
 import attrs
 
+from bulrushgrade import cost
 from bulrushgrade import ejection
 from bulrushgrade import load
-from bulrushgrade import placement
+from bulrushgrade import pool
 from bulrushgrade import queueing
 from bulrushgrade import work
 
@@ -19,7 +20,7 @@
 class PoolState:
     """A pool of endpoints and what waits for it."""
 
-    pool: placement.Pool
+    pool: pool.Pool
     queue: queueing.PoolQueue
 
 
@@ -88,6 +89,7 @@
                     float(theirs.running),
                     float(theirs.prefill_backlog_tokens),
                     float(theirs.kv_tokens),
+                    float(theirs.short_backlog_tokens),
                 )
             if item.set_peer(peer, amount, now):
                 self._refresh(address)
@@ -114,6 +116,7 @@
                 running=round(item.own.running),
                 prefill_backlog_tokens=round(item.own.prefill_tokens),
                 kv_tokens=round(item.own.kv_tokens),
+                short_backlog_tokens=round(item.own.short_tokens),
             )
             for address, item in self._loads.items()
             if item.own != load.NOTHING
@@ -149,6 +152,13 @@
         item.health.observe(ratio)
         self._judge(item, now)
 
+    def capacity(self, model: str) -> tuple[float, float]:
+        """Returns the tokens a second that one engine reads and generates."""
+        state = self._pools.get(("model", model))
+        costs = state.pool.model if state else cost.CostModel()
+        batch = cost.PLAN_BATCH
+        return 1.0 / costs.prefill_s(1.0), batch / costs.step_s(batch)
+
     def dump(self) -> dict[str, Any]:
         """Returns the state for a person, ready for JSON."""
         return {
@@ -192,7 +202,7 @@
         state = self._pools.get(key)
         if state is None:
             state = PoolState(
-                pool=placement.Pool(rng=self._rng),
+                pool=pool.Pool(rng=self._rng),
                 queue=queueing.PoolQueue(),
             )
             self._set_shares(state)
--- a/packages/bulrushgrade/bulrushgrade/work.py
+++ b/packages/bulrushgrade/bulrushgrade/work.py
@@ -142,12 +142,37 @@
 
 @attrs.frozen(kw_only=True)
 class PeerLoad:
-    """What one host has in flight at one endpoint."""
+    """What one host has in flight at one endpoint.
+
+    `short_backlog_tokens` are those of the backlog that are read first.
+    """
 
     endpoint: str
     running: int = 0
     prefill_backlog_tokens: int = 0
     kv_tokens: int = 0
+    short_backlog_tokens: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class Demand:
+    """What callers have asked one host for since its start, one model.
+
+    Refused work counts as well: what is turned away is demand too.
+
+    Attributes:
+        model: The model.
+        prefill_tokens: Prompt tokens that were not cached.
+        output_tokens: Tokens of the answers, as expected.
+        kv_token_s: KV memory of the answers times how long they hold it.
+        lost_s: Engine seconds of the work that was refused for load.
+    """
+
+    model: str
+    prefill_tokens: int = 0
+    output_tokens: int = 0
+    kv_token_s: int = 0
+    lost_s: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
@@ -163,6 +188,7 @@
         first_token_s: Predicted seconds until the first token.
         finish_s: Predicted seconds until the end of the answer.
         cached_tokens: Prompt tokens that the endpoint should have cached.
+        priority: Passed to the endpoint; smaller is sooner.
     """
 
     request_id: str
@@ -171,6 +197,7 @@
     first_token_s: float = 0.0
     finish_s: float = 0.0
     cached_tokens: int = 0
+    priority: int = 0
 
 
 @attrs.frozen(kw_only=True)
--- /dev/null
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/host.py
@@ -0,0 +1,243 @@
+"""Puts the services of one daemon together."""
+
+import random
+import secrets
+from typing import Any
+
+import attrs
+
+from bulrushgrade import kernel as kernel_module
+from bulrushgrade import membership
+from bulrushgrade import offering as offering_module
+from bulrushgrade import scheduler
+from bulrushgrade import work
+from bulrushgrade_daemon import admin
+from bulrushgrade_daemon import callers
+from bulrushgrade_daemon import clock
+from bulrushgrade_daemon import documents
+from bulrushgrade_daemon import engine
+from bulrushgrade_daemon import fleet
+from bulrushgrade_daemon import hostlist
+from bulrushgrade_daemon import logclient
+from bulrushgrade_daemon import mesh
+from bulrushgrade_daemon import metrics
+from bulrushgrade_daemon import peermessages
+from bulrushgrade_daemon import peers
+from bulrushgrade_daemon import placing
+from bulrushgrade_daemon import plain
+from bulrushgrade_daemon import plainrelay
+from bulrushgrade_daemon import relay
+from bulrushgrade_daemon import settings as settings_module
+
+INCARNATION_BYTES = 4
+
+
+@attrs.frozen(kw_only=True)
+class Daemon:
+    """A daemon that has been put together.
+
+    Attributes:
+        kernel: Starts, stops and dumps its services.
+        callers: Its address for callers.
+        admin: Its address for operators.
+    """
+
+    kernel: kernel_module.Kernel
+    callers: callers.Callers
+    admin: admin.Admin
+
+
+def build(
+    settings: settings_module.Settings,
+    reactor: Any,
+    *,
+    on_broken: Any,
+    rng: random.Random | None = None,
+) -> Daemon:
+    """Returns a daemon that has not been started.
+
+    Args:
+        settings: Its settings.
+        reactor: The reactor that it runs in.
+        on_broken: Called with the reason when an invariant is broken; must
+            stop the process.
+        rng: Source of every random choice; seeded by the system by default.
+    """
+    rng = rng or random.Random(secrets.randbits(64))
+    kernel = kernel_module.Kernel(
+        call_soon=lambda work: reactor.callLater(0, work),
+        on_broken=on_broken,
+    )
+    builder = _Builder(
+        settings=settings, reactor=reactor, kernel=kernel, rng=rng
+    )
+    return builder.build()
+
+
+class _Builder:
+    """Makes the services in order and registers them."""
+
+    def __init__(self, *, settings, reactor, kernel, rng):
+        self._settings = settings
+        self._reactor = reactor
+        self._kernel = kernel
+        self._rng = rng
+        self._incarnation = secrets.token_hex(INCARNATION_BYTES)
+
+    def build(self) -> Daemon:
+        self._add_platform()
+        self._add_placing()
+        self._add_documents()
+        self._add_peers()
+        front = self._add_callers()
+        operators = self._add_admin()
+        return Daemon(kernel=self._kernel, callers=front, admin=operators)
+
+    def _add(self, service: Any) -> Any:
+        self._kernel.register(service)
+        return service
+
+    def _add_platform(self) -> None:
+        platform = self._settings.platform
+        self._add(metrics.Metrics())
+        self._timers = self._add(clock.TimerService(reactor=self._reactor))
+        self._log = self._add(
+            logclient.LogClient(
+                reactor=self._reactor, address=str(platform.log)
+            )
+        )
+        self._hosts = self._add(
+            hostlist.HostListReader(
+                reactor=self._reactor,
+                timers=self._timers,
+                address=str(platform.host_list),
+                period_s=platform.host_list_period_s,
+                on_hosts=self._on_hosts,
+            )
+        )
+
+    def _add_placing(self) -> None:
+        self._engines = self._add(engine.EngineClient(reactor=self._reactor))
+        self._plain = self._add(plain.PlainClient(reactor=self._reactor))
+        core = scheduler.Scheduler(zone=self._settings.host.zone, rng=self._rng)
+        self._placing = self._add(
+            placing.Placing(timers=self._timers, core=core)
+        )
+        self._add(
+            fleet.Fleet(
+                timers=self._timers,
+                engines=self._engines,
+                kernel=self._kernel,
+            )
+        )
+
+    def _add_documents(self) -> None:
+        self._documents = self._add(
+            documents.Documents(
+                timers=self._timers,
+                log=self._log,
+                rng=self._rng,
+                on_accepted=self._on_accepted,
+                on_broken=self._kernel.fail,
+            )
+        )
+
+    def _add_callers(self) -> callers.Callers:
+        model_relay = self._add(
+            relay.Relay(
+                timers=self._timers,
+                engines=self._engines,
+                place=self._placing,
+            )
+        )
+        plain_relay = self._add(
+            plainrelay.PlainRelay(
+                timers=self._timers, client=self._plain, place=self._placing
+            )
+        )
+        parts = callers.Parts(
+            timers=self._timers,
+            relay=model_relay,
+            plain=plain_relay,
+            offering=lambda: self._documents.offering,
+            ready=self._not_ready,
+            on_broken=self._kernel.fail,
+        )
+        self._front = self._add(
+            callers.Callers(
+                reactor=self._reactor,
+                settings=self._settings,
+                incarnation=self._incarnation,
+                parts=parts,
+            )
+        )
+        return self._front
+
+    def _add_admin(self) -> admin.Admin:
+        return self._add(
+            admin.Admin(
+                reactor=self._reactor,
+                listen=self._settings.listen.admin,
+                dump=self._kernel.dump,
+                render_metrics=self._kernel.find("metrics").render,
+            )
+        )
+
+    def _add_peers(self) -> None:
+        listeners = peermessages.Listeners(
+            on_loads=self._on_peer_loads,
+            on_snapshot_request=self._on_snapshot_request,
+            on_snapshot=self._documents.restore,
+        )
+        limits = self._settings.limits
+        self._peers = self._add(
+            peers.Peers(
+                kernel=self._kernel,
+                reactor=self._reactor,
+                timers=self._timers,
+                listen=self._settings.listen.peers,
+                queue_messages=limits.peer_queue_messages,
+                loads_bytes_per_s=limits.peer_bytes_per_s,
+                read_loads=self._placing.own_loads,
+                listeners=listeners,
+                rng=self._rng,
+            )
+        )
+        self._add(
+            mesh.Mesh(
+                kernel=self._kernel,
+                zone=self._settings.host.zone,
+                region=self._settings.host.region,
+                own_address=lambda: self._front.address,
+                own_peer_address=lambda: self._peers.address,
+            )
+        )
+
+    def _on_peer_loads(
+        self, peer: str, loads: tuple[work.PeerLoad, ...]
+    ) -> None:
+        message = placing.PeerLoads(peer=peer, loads=loads)
+        self._kernel.send("placing", message)
+
+    def _on_snapshot_request(self, reply_to: bytes) -> None:
+        # A host that is not ready itself would hand on what it can't vouch
+        # for; others will answer.
+        if self._documents.offering is None:
+            return
+        answer = peermessages.AnswerSnapshot(
+            reply_to=reply_to, snapshot=self._documents.registry.snapshot()
+        )
+        self._kernel.send("peers", answer)
+
+    def _on_hosts(self, hosts: membership.HostList) -> None:
+        self._kernel.send("mesh", hosts)
+        if self._documents.offering is None:
+            self._kernel.send("peers", peermessages.AskSnapshot())
+
+    def _on_accepted(self, offering: offering_module.Offering) -> None:
+        self._placing.set_policies(offering.policies())
+
+    def _not_ready(self) -> str | None:
+        if self._documents.not_ready is not None:
+            return self._documents.not_ready
+        return None if self._hosts.known else "no host list has been read"
--- /dev/null
+++ b/packages/bulrushgrade_daemon/tests/test_peers.py
@@ -0,0 +1,303 @@
+"""Tests of the peers service, with its real sockets on loopback."""
+
+import random
+
+from twisted.internet import defer
+from twisted.internet import protocol
+from twisted.internet import reactor
+from twisted.internet import task
+from twisted.trial import unittest
+
+from bulrushgrade import kernel
+from bulrushgrade import membership
+from bulrushgrade import peerview
+from bulrushgrade import publication
+from bulrushgrade import subset
+from bulrushgrade import timer
+from bulrushgrade import work
+from bulrushgrade_daemon import keys
+from bulrushgrade_daemon import metrics
+from bulrushgrade_daemon import peermessages
+from bulrushgrade_daemon import peers
+
+LOCAL = keys.Address(host="127.0.0.1", port=0)
+LOADS = (
+    work.PeerLoad(endpoint="e1", running=1, kv_tokens=10),
+    work.PeerLoad(endpoint="e2", running=2, prefill_backlog_tokens=300),
+)
+
+
+class Timers(timer.Timers):
+    """Timers as a service, moved on by the node."""
+
+    name = "timer"
+    requires = ()
+
+    async def start(self):
+        self.ticks = task.LoopingCall(lambda: self.advance(reactor.seconds()))
+        self.ticks.start(0.01)
+
+    async def stop(self):
+        self.ticks.stop()
+
+    def receive(self, message):
+        pass
+
+    def dump(self):
+        return {}
+
+
+class Node:
+    """One daemon's peers service with what it needs around it."""
+
+    def __init__(self, listen=LOCAL, seed=1, loads_bytes_per_s=1e6):
+        self.broken = []
+        self.loads = LOADS
+        self.heard = []
+        self.asked = []
+        self.snapshots = []
+        self.kernel = kernel.Kernel(
+            call_soon=lambda call: reactor.callLater(0, call),
+            on_broken=self.broken.append,
+        )
+        self.metrics = metrics.Metrics()
+        timers = Timers(now=reactor.seconds())
+        self.peers = peers.Peers(
+            kernel=self.kernel,
+            reactor=reactor,
+            timers=timers,
+            listen=listen,
+            queue_messages=100,
+            loads_bytes_per_s=loads_bytes_per_s,
+            read_loads=lambda: self.loads,
+            listeners=peermessages.Listeners(
+                on_loads=lambda peer, loads: self.heard.append((peer, loads)),
+                on_snapshot_request=self.asked.append,
+                on_snapshot=self.snapshots.append,
+            ),
+            rng=random.Random(seed),
+        )
+        for service in (timers, self.metrics, self.peers):
+            self.kernel.register(service)
+
+    @property
+    def address(self):
+        return self.peers.address
+
+    def know(self, *addresses, shared=("e1", "e2")):
+        self.peers.receive(
+            peermessages.SetPeers(
+                peers=tuple(
+                    peermessages.Peer(address=a, shared=frozenset(shared))
+                    for a in addresses
+                )
+            )
+        )
+
+    def withdraw(self, *endpoints):
+        message = peermessages.ShareWithdrawn(endpoints=frozenset(endpoints))
+        self.peers.receive(message)
+
+    def count(self, name):
+        return self.metrics.counter(f"peer_{name}_total", "").value
+
+
+class BlackHole(protocol.Protocol):
+    """Passes bytes between a peer and a daemon until told to lose them."""
+
+    def connectionMade(self):  # noqa: N802
+        self.factory.links.append(self)
+        self.lost = False
+        self.waiting = []
+        self.far = None
+        address = keys.parse_address(self.factory.target)
+        creator = protocol.ClientCreator(reactor, protocol.Protocol)
+        creator.connectTCP(address.host, address.port).addCallback(self.join)
+
+    def join(self, far):
+        self.far = far.transport
+        far.dataReceived = lambda d: self.lost or self.transport.write(d)
+        self.dataReceived(b"".join(self.waiting))
+
+    def dataReceived(self, data):  # noqa: N802
+        if self.far is None:
+            self.waiting.append(data)
+        elif not self.lost:
+            self.far.write(data)
+
+    def connectionLost(self, reason):  # noqa: N802
+        if self.far is not None:
+            self.far.loseConnection()
+
+
+class PeersTest(unittest.TestCase):
+    """Nodes in one process."""
+
+    timeout = 30
+
+    def setUp(self):
+        self.patch(peers, "LOADS_PERIOD_S", 0.02)
+        self.patch(peers, "REPEAT_S", 0.1)
+
+    async def make_node(self, **kwargs):
+        node = Node(**kwargs)
+        await node.kernel.start()
+
+        async def stop():
+            await node.kernel.stop()
+            self.assertEqual(node.broken, [])
+
+        node.stop = stop
+        self.addCleanup(lambda: defer.ensureDeferred(stop()))
+        return node
+
+    async def make_pair(self, **kwargs):
+        one, two = await self.make_node(**kwargs), await self.make_node(seed=2)
+        one.know(two.address)
+        two.know(one.address)
+        return one, two
+
+    async def wait_for(self, condition, each_turn=lambda: None):
+        """Waits until a condition holds; the test's timeout bounds it."""
+        while not condition():
+            each_turn()
+            await task.deferLater(reactor, 0.01, lambda: None)
+
+    async def test_loads_reach_peers_cut_to_what_they_share(self):
+        one, two = await self.make_pair()
+        one.know(two.address, shared=["e2"])
+        await self.wait_for(lambda: two.heard)
+        self.assertEqual(two.heard[0], (one.address, LOADS[1:]))
+
+    async def test_idle_daemon_says_so_once(self):
+        one, two = await self.make_pair()
+        await self.wait_for(lambda: two.heard)
+        one.loads = ()
+        await self.wait_for(lambda: two.heard[-1][1] == ())
+        count = len(two.heard)
+        one.withdraw("e1")
+        await self.wait_for(lambda: not two.peers.find_unconfirmed("e1"))
+        one.withdraw()
+        await self.wait_for(lambda: two.peers.find_unconfirmed("e1"))
+        self.assertEqual(len(two.heard), count)
+        one.loads = LOADS
+        await self.wait_for(lambda: two.heard[-1][1] == LOADS)
+
+    async def test_withdrawn_reaches_a_peer_that_connects_later(self):
+        one, two = await self.make_node(), await self.make_node(seed=2)
+        one.withdraw("e1")
+        two.know(one.address)
+        self.assertEqual(two.peers.find_unconfirmed("e1"), (one.address,))
+        self.assertEqual(two.peers.find_unconfirmed("not shared"), ())
+        one.know(two.address)
+        await self.wait_for(lambda: not two.peers.find_unconfirmed("e1"))
+
+    async def test_daemon_that_is_not_listed_gets_a_snapshot(self):
+        # A daemon starts before the host list shows it. Its peers drop its
+        # loads, as from anyone unlisted, but must answer its request, or it
+        # would not become ready until the list catches up.
+        old, new = await self.make_node(), await self.make_node(seed=2)
+        new.know(old.address)
+        new.peers.receive(peermessages.AskSnapshot())
+        await self.wait_for(lambda: old.asked)
+        snapshot = publication.Snapshot(next_offset=41, digest="0", states=())
+        old.peers.receive(
+            peermessages.AnswerSnapshot(
+                reply_to=old.asked[0], snapshot=snapshot
+            )
+        )
+        await self.wait_for(lambda: new.snapshots)
+        self.assertEqual(new.snapshots, [snapshot])
+        self.assertFalse(new.peers.dump()["asking_for_snapshot"])
+        await self.wait_for(lambda: old.count("messages_refused"))
+        self.assertEqual(old.heard, [])
+
+    async def test_replaced_peer_hears_no_old_loads(self):
+        # Placement would avoid idle engines after a peer came back. It was
+        # away for a while, its loads queued up here, and all of them reached
+        # the new process in order, the oldest first.
+        one, two = await self.make_pair()
+        await self.wait_for(lambda: two.heard)
+        listen = keys.parse_address(two.address)
+        await two.stop()
+        await self.wait_for(lambda: one.count("messages_dropped") > 20)
+        one.loads = (work.PeerLoad(endpoint="e1", running=9),)
+        again = await self.make_node(listen=listen, seed=3)
+        again.know(one.address)
+        await self.wait_for(lambda: again.heard)
+        self.assertEqual(again.heard[0][1], one.loads)
+
+    async def test_connection_that_went_silent_is_replaced(self):
+        # A peer's loads would be missing for good. A firewall between the two
+        # forgot their connection: bytes vanish without an error, while a new
+        # connection passes. Heartbeats go unanswered, and ZeroMQ reconnects.
+        self.patch(peers, "HEARTBEAT_INTERVAL_S", 0.1)
+        self.patch(peers, "HEARTBEAT_TIMEOUT_S", 0.3)
+        one, two = await self.make_node(), await self.make_node(seed=2)
+        two.know(one.address)
+        factory = protocol.Factory.forProtocol(BlackHole)
+        factory.links = []
+        factory.target = two.address
+        port = reactor.listenTCP(0, factory, interface="127.0.0.1")
+        one.know(f"127.0.0.1:{port.getHost().port}")
+        await self.wait_for(lambda: two.heard)
+        factory.links[0].lost = True
+        await self.wait_for(lambda: len(factory.links) > 1)
+        one.loads = (work.PeerLoad(endpoint="e1", running=9),)
+        await self.wait_for(lambda: two.heard[-1][1] == one.loads)
+        await one.stop()
+        await port.stopListening()
+        await self.wait_for(
+            lambda: not any(x.transport.connected for x in factory.links)
+        )
+
+    async def test_loads_keep_within_the_bytes_allowed(self):
+        one, two = await self.make_pair(loads_bytes_per_s=300.0)
+        started_at = reactor.seconds()
+        await self.wait_for(lambda: len(two.heard) > 7)
+        spent_s = reactor.seconds() - started_at
+        header = peerview.Header(
+            sender=one.address, incarnation=2**52, sequence=100
+        )
+        message = peerview.make_loads(header, LOADS)
+        size = len(peerview.serialize_message(message))
+        # The burst of 2 s, what came in since, and one round of overdraft;
+        # the numbers in a header are up to 18 characters shorter.
+        allowed = 300.0 * (peers.BURST_S + spent_s) + size
+        self.assertLessEqual(8 * (size - 18), allowed)
+        self.assertGreater(one.count("loads_paced"), 0)
+        # Withdrawn endpoints are told whatever the allowance.
+        one.withdraw("e1")
+        await self.wait_for(lambda: not two.peers.find_unconfirmed("e1"))
+
+    async def test_garbage_is_counted_and_dropped(self):
+        one, two = await self.make_node(), await self.make_node(seed=2)
+        one.know(two.address)
+        dealer = one.peers._dealers[two.address]
+        await self.wait_for(
+            lambda: two.count("messages_refused") >= 2,
+            lambda: dealer.send([b"\xff"]) and dealer.send([b"", b""]),
+        )
+        self.assertEqual(two.heard, [])
+
+
+def make_entry(number):
+    return membership.Host(
+        address=f"10.0.0.{number}:80",
+        kind=membership.Kind.ENTRY,
+        service="",
+        zone="tuzla",
+        region="tr-marmara",
+        state=membership.ListedState.LIVE,
+        peer=f"10.0.0.{number}:70",
+    )
+
+
+def test_unlisted_daemon_turns_to_a_few_others():
+    hosts = [make_entry(number) for number in range(20)]
+    ties = subset.Ties()
+    ties.update(hosts)
+    found = peermessages.list_peers(ties, hosts, "10.0.0.99:80")
+    assert len(found) == peermessages.PEERS_TO_ASK
+    assert all(peer.address.endswith(":70") for peer in found)
+    assert peermessages.list_peers(ties, hosts, "10.0.0.1:80") == ()
