--- a/packages/bulrushgrade_standins/bulrushgrade_standins/attempt.py
+++ b/packages/bulrushgrade_standins/bulrushgrade_standins/attempt.py
@@ -28,7 +28,7 @@
         truncate_after: Tokens after which the answer ends, without its end
             marker but as a whole HTTP message.
         duplicate_at: The token of the attempt whose event is sent twice.
-        wrong_attempt: Answers carry the id of another attempt.
+        wrong_attempt: The answers of other attempts come, with their ids.
         attempts: How many attempts these apply to, or None for all.
     """
 
@@ -71,7 +71,9 @@
         self._seed = completion.make_seed(sequence.prompt)
         self._shown_id = run.attempt
         if faults.wrong_attempt:
+            # A crossed answer is another caller's in id and in content.
             self._shown_id = f"{run.attempt}-other"
+            self._seed = completion.make_seed(self._shown_id)
             request.setHeader("X-Attempt-Id", self._shown_id)
         self._done: defer.Deferred = defer.Deferred()
         self._silent = False
--- a/packages/bulrushgrade_standins/bulrushgrade_standins/plain.py
+++ b/packages/bulrushgrade_standins/bulrushgrade_standins/plain.py
@@ -22,7 +22,7 @@
         silent: Requests run and are never answered.
         die_before: The connection is reset before the request has run.
         die_after: The connection is reset after the request has run.
-        wrong_attempt: Answers carry the id of another attempt.
+        wrong_attempt: The answers of other attempts come, with their ids.
         slow_s: Seconds by which each run takes longer.
         times: How many requests the faults but `slow_s` apply to, or None
             for all.
@@ -134,7 +134,9 @@
         if faults.die_after:
             return server.abort(request)
         body = request.content.read().decode("utf-8", "replace")
-        echo = {"method": run.method, "path": run.path, "body": body}
+        # A crossed answer is another caller's in id and in content.
+        path = f"{run.path}-other" if faults.wrong_attempt else run.path
+        echo = {"method": run.method, "path": path, "body": body}
         return server.answer(request, echo)
 
     def _get_ledger(self, request: Any) -> bytes:
