--- /dev/null
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/claims.py
@@ -0,0 +1,351 @@
+"""Requests with an idempotency key: claimed on the log, run at most once."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import random
+import secrets
+from typing import Any
+
+from returns.result import Failure
+from twisted.internet import defer
+
+from bulrushgrade import errors
+from bulrushgrade import once
+from bulrushgrade import oncedecision
+from bulrushgrade import oncelog
+from bulrushgrade import record
+from bulrushgrade_daemon import logclient
+from bulrushgrade_daemon import logwriter
+from bulrushgrade_daemon import plain
+from bulrushgrade_daemon import plainrelay
+from bulrushgrade_daemon import refusal
+
+# Equal on all hosts and releases for as long as a key lives, see
+# `oncelog.shard_of`. Today's sizes need one; with more, a host can leave
+# some unread once the target's size asks for that.
+SHARDS = 4
+TICK_S = 0.25
+# The log is away: tries to reach it again take about this long.
+LOG_AWAY_RETRY_S = 2.0
+# An append whose answer was lost shows within this time on a log that is up;
+# on one that is away the caller is told so instead of being held.
+READ_BACK_S = 1.0
+# How long a stop waits for outcomes to reach the log. Past it, duplicates of
+# those keys are told that the outcome is unknown, which is true.
+STOP_LIMIT_S = 5.0
+REPLAY_HEADER = "X-Idempotent-Replay"
+
+Outcome = plain.PlainAnswer | refusal.Refusal
+Attempt = Callable[[plainrelay.PlainJob], Awaitable[Outcome]]
+
+
+class _Shard:
+    """One shard with its reader and those who wait for news."""
+
+    def __init__(self, *, view: once.Once):
+        self.view = view
+        self.tail: logclient.LogTail | None = None
+        self._waiters: list[defer.Deferred] = []
+
+    def wake(self) -> None:
+        """Has every waiter look again."""
+        waiters, self._waiters = self._waiters, []
+        for waiter in waiters:
+            waiter.callback(None)
+
+    def wait(self) -> defer.Deferred:
+        """Fires with the next news."""
+        waiter: defer.Deferred = defer.Deferred()
+        self._waiters.append(waiter)
+        return waiter
+
+
+class Claims:
+    """Runs requests with a key on whichever host claims the key first."""
+
+    name = "claims"
+    requires = ("timer", "log", "logwriter")
+
+    def __init__(
+        self,
+        *,
+        timers: Any,
+        log: logclient.LogClient,
+        writer: logwriter.LogWriter,
+        runner: str,
+        rng: random.Random,
+        on_broken: Callable[[str], None],
+    ):
+        """Makes the service.
+
+        Args:
+            timers: The timer service.
+            log: Reads the shards.
+            writer: Appends claims and outcomes.
+            runner: This run of the daemon, for people.
+            rng: Source of jitter.
+            on_broken: Called with the reason of a broken invariant.
+        """
+        self._timers = timers
+        self._log = log
+        self._writer = writer
+        self._limits = oncelog.OnceLimits()
+        self._counts = dict.fromkeys(
+            ("claimed", "ran", "duplicate", "running", "unknown", "log_away"),
+            0,
+        )
+        self._shards = [
+            self._make_shard(number, runner, rng, on_broken)
+            for number in range(SHARDS)
+        ]
+        self._tick: Any = None
+
+    @property
+    def counts(self) -> dict[str, int]:
+        """The counters, by name."""
+        return self._counts
+
+    async def start(self) -> None:
+        """Begins to follow the shards."""
+        for shard in self._shards:
+            shard.tail.start()
+        self._tick = self._timers.every(TICK_S, self._repeat_outcomes)
+
+    async def stop(self) -> None:
+        """Waits for outcomes to reach the log, then follows no more."""
+        give_up = self._timers.now + STOP_LIMIT_S
+        while self._unsettled() and self._timers.now < give_up:
+            await self._sleep(TICK_S)
+        self._tick.cancel()
+        for shard in self._shards:
+            shard.tail.stop()
+
+    def receive(self, message: Any) -> None:
+        """Takes no messages."""
+
+    def dump(self) -> dict[str, Any]:
+        """Returns the counters and how far each shard is read."""
+        return {
+            "counts": dict(self._counts),
+            "shards": [
+                {
+                    "caught_up": shard.view.caught_up,
+                    "keys": len(shard.view.fold),
+                    "unsettled": shard.view.unsettled,
+                    "reader": shard.tail.dump(),
+                }
+                for shard in self._shards
+            ],
+        }
+
+    async def run(self, job: plainrelay.PlainJob, attempt: Attempt) -> Outcome:
+        """Returns the answer to the key, run here or elsewhere, or why not.
+
+        Args:
+            job: The request, with its key.
+            attempt: Runs it, asking `job.may_write` in the turn of the write.
+        """
+        key = oncelog.scoped_key(
+            service=job.service.service, idempotency_key=job.key
+        )
+        digest = oncelog.digest_of(
+            method=job.method, path=job.path, body=job.body
+        )
+        shard = self._shards[oncelog.shard_of(key, shards=SHARDS)]
+        now = self._timers.now
+        known = shard.view.decide(key=key, digest=digest, now=now)
+        if not isinstance(known, oncedecision.Free):
+            return self._tell(known)
+        # With the log away nobody can claim; the caller is told at once that
+        # nothing ran, instead of being held until the claim gives up.
+        if not self._log.reachable:
+            return self._log_away("the log does not answer")
+        claimed = shard.view.claim(key=key, digest=digest, now=now)
+        if isinstance(claimed, Failure):
+            return self._tell(claimed.failure())
+        return await self._run_claim(shard, job, attempt, claimed.unwrap())
+
+    async def _run_claim(
+        self,
+        shard: _Shard,
+        job: plainrelay.PlainJob,
+        attempt: Attempt,
+        claim: record.Append,
+    ) -> Outcome:
+        view, claim_id = shard.view, claim.record_id
+        self._counts["claimed"] += 1
+        stored = await self._writer.append(claim)
+        not_stored = isinstance(stored, Failure) and isinstance(
+            stored.failure(), logclient.NotStored
+        )
+        if not_stored:
+            view.failed(claim_id)
+            return self._log_away(stored.failure().reason)
+        give_up = job.work.deadline
+        if isinstance(stored, Failure):
+            give_up = min(give_up, self._timers.now + READ_BACK_S)
+        decision = await self._settle(shard, job, claim_id, give_up)
+        if isinstance(decision, oncedecision.Pending | oncedecision.Late):
+            # The claim may yet turn up on the log, but it can't start any
+            # more, so "not run" is and stays true.
+            self._append(view.abandon(claim_id, self._timers.now))
+            return self._log_away("the claim could not be read back in time")
+        if not isinstance(decision, oncedecision.Run):
+            self._append(view.abandon(claim_id, self._timers.now))
+            return self._tell(decision)
+        job.may_write = lambda: view.start(claim_id, self._timers.now)
+        job.may_retry = lambda: view.may_start(claim_id, self._timers.now)
+        outcome = await attempt(job)
+        self._end(view, claim_id, outcome)
+        return outcome
+
+    async def _settle(
+        self,
+        shard: _Shard,
+        job: plainrelay.PlainJob,
+        claim_id: str,
+        give_up: float,
+    ) -> oncedecision.Decision:
+        """Waits until the log has decided on a claim, or it is too late."""
+        key = oncelog.scoped_key(
+            service=job.service.service, idempotency_key=job.key
+        )
+        digest = oncelog.digest_of(
+            method=job.method, path=job.path, body=job.body
+        )
+        while True:
+            now = self._timers.now
+            decision = shard.view.decide(
+                key=key, digest=digest, now=now, claim_id=claim_id
+            )
+            if not isinstance(decision, oncedecision.Pending):
+                return decision
+            if now >= give_up or job.gone:
+                return decision
+            await shard.wait()
+
+    def _end(self, view: once.Once, claim_id: str, outcome: Outcome) -> None:
+        now = self._timers.now
+        if isinstance(outcome, plain.PlainAnswer):
+            self._counts["ran"] += 1
+            answer = oncelog.Answer(
+                status=outcome.status,
+                content_type=_content_type(outcome),
+                body=outcome.body,
+            )
+            ended = view.finish(claim_id, answer=answer, known=True, now=now)
+        elif outcome.ran is refusal.Ran.NOT_RUN:
+            ended = view.abandon(claim_id, now)
+        else:
+            ended = view.finish(claim_id, answer=None, known=False, now=now)
+        self._append(ended)
+
+    def _tell(self, decision: oncedecision.Decision) -> Outcome:
+        if isinstance(decision, oncedecision.Duplicate):
+            self._counts["duplicate"] += 1
+            return _replay(decision)
+        if isinstance(decision, oncedecision.Running):
+            self._counts["running"] += 1
+            return refusal.Refusal(
+                status=409,
+                code="running",
+                message="a request with this key is under way",
+                ran=refusal.Ran.UNKNOWN,
+                retry_after_s=decision.retry_after_s,
+            )
+        if isinstance(decision, oncedecision.Unknown):
+            self._counts["unknown"] += 1
+            return refusal.Refusal(
+                status=409,
+                code="outcome_unknown",
+                message="the host that ran this key did not say how it ended",
+                ran=refusal.Ran.UNKNOWN,
+            )
+        if isinstance(decision, errors.KeyConflict):
+            return refusal.bad_request(
+                "this key was used for another request",
+                status=422,
+                code="key_conflict",
+            )
+        return self._log_away("this host has not read all claims yet")
+
+    def _log_away(self, reason: str) -> refusal.Refusal:
+        self._counts["log_away"] += 1
+        return refusal.Refusal(
+            status=503,
+            code="log_away",
+            message=f"the request can't be claimed now: {reason}",
+            retry_after_s=LOG_AWAY_RETRY_S,
+        )
+
+    def _make_shard(
+        self,
+        number: int,
+        runner: str,
+        rng: random.Random,
+        on_broken: Callable[[str], None],
+    ) -> _Shard:
+        view = once.Once(
+            shard=number,
+            runner=runner,
+            limits=self._limits,
+            new_id=lambda: secrets.token_hex(16),
+        )
+        shard = _Shard(view=view)
+
+        def take(page: record.Page) -> None:
+            view.apply_page(page, self._timers.now)
+            shard.wake()
+
+        shard.tail = logclient.LogTail(
+            log=self._log,
+            timers=self._timers,
+            stream=view.stream,
+            on_page=take,
+            on_broken=on_broken,
+            rng=rng,
+        )
+        return shard
+
+    def _repeat_outcomes(self) -> None:
+        for shard in self._shards:
+            for append in shard.view.due(self._timers.now):
+                self._append(append)
+            shard.wake()
+
+    def _append(self, append: record.Append | None) -> None:
+        if append is not None:
+            self._writer.append(append)
+
+    def _unsettled(self) -> int:
+        return sum(shard.view.unsettled for shard in self._shards)
+
+    async def _sleep(self, delay_s: float) -> None:
+        done: defer.Deferred = defer.Deferred()
+        self._timers.after(delay_s, lambda: done.callback(None))
+        await done
+
+
+def _content_type(answer: plain.PlainAnswer) -> str:
+    for name, value in answer.headers:
+        if name.lower() == "content-type":
+            return value
+    return ""
+
+
+def _replay(decision: oncedecision.Duplicate) -> Outcome:
+    if decision.answer is None:
+        return refusal.Refusal(
+            status=409,
+            code="already_ran",
+            message="the request with this key ran; its answer is not kept",
+            ran=refusal.Ran.RAN,
+        )
+    headers = [(REPLAY_HEADER, "true")]
+    if decision.answer.content_type:
+        headers.append(("Content-Type", decision.answer.content_type))
+    return plain.PlainAnswer(
+        status=decision.answer.status,
+        headers=tuple(headers),
+        body=decision.answer.body,
+    )
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/host.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/host.py
@@ -13,12 +13,14 @@
 from bulrushgrade import work
 from bulrushgrade_daemon import admin
 from bulrushgrade_daemon import callers
+from bulrushgrade_daemon import claims
 from bulrushgrade_daemon import clock
 from bulrushgrade_daemon import documents
 from bulrushgrade_daemon import engine
 from bulrushgrade_daemon import fleet
 from bulrushgrade_daemon import hostlist
 from bulrushgrade_daemon import logclient
+from bulrushgrade_daemon import logwriter
 from bulrushgrade_daemon import mesh
 from bulrushgrade_daemon import metrics
 from bulrushgrade_daemon import peermessages
@@ -88,6 +90,7 @@
         self._add_platform()
         self._add_placing()
         self._add_documents()
+        self._add_claims()
         self._add_peers()
         front = self._add_callers()
         operators = self._add_admin()
@@ -152,7 +155,10 @@
         )
         plain_relay = self._add(
             plainrelay.PlainRelay(
-                timers=self._timers, client=self._plain, place=self._placing
+                timers=self._timers,
+                client=self._plain,
+                place=self._placing,
+                claims=self._claims,
             )
         )
         parts = callers.Parts(
@@ -183,6 +189,21 @@
             )
         )
 
+    def _add_claims(self) -> None:
+        writer = self._add(
+            logwriter.LogWriter(log=self._log, kernel=self._kernel)
+        )
+        self._claims = self._add(
+            claims.Claims(
+                timers=self._timers,
+                log=self._log,
+                writer=writer,
+                runner=f"{self._settings.host.name}-{self._incarnation}",
+                rng=self._rng,
+                on_broken=self._kernel.fail,
+            )
+        )
+
     def _add_peers(self) -> None:
         listeners = peermessages.Listeners(
             on_loads=self._on_peer_loads,
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/plainrelay.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/plainrelay.py
@@ -32,8 +32,9 @@
         work: The request as decisions see it.
         gone: Whether the caller has left.
         maybe_ran: Whether an attempt may have run at an endpoint.
-        may_write: Asked in the turn of the write of a request that must not
-            be repeated.
+        may_write: Takes the permission to run a claimed request, in the
+            turn of its write; it is given once.
+        may_retry: Whether that permission is still to be had.
     """
 
     request_id: str
@@ -48,13 +49,14 @@
     gone: bool = False
     maybe_ran: bool = False
     may_write: Callable[[], bool] | None = None
+    may_retry: Callable[[], bool] | None = None
 
 
 class PlainRelay:
     """Runs attempts at plain services."""
 
     name = "plainrelay"
-    requires = ("timer", "plain", "placing")
+    requires = ("timer", "plain", "placing", "claims")
 
     def __init__(
         self,
@@ -62,7 +64,7 @@
         timers: Any,
         client: plain.PlainClient,
         place: placing.Placing,
-        claims: Any = None,
+        claims: Any,
     ):
         """Makes the relay.
 
@@ -71,7 +73,7 @@
             client: Sends attempts.
             place: Places requests.
             claims: Decides which host runs a request with an idempotency
-                key, or None where nothing is claimed.
+                key.
         """
         self._timers = timers
         self._client = client
@@ -104,7 +106,7 @@
         """Returns the whole answer or a refusal."""
         self._open += 1
         try:
-            if job.work.repeatable or job.key is None or self._claims is None:
+            if job.work.repeatable or job.key is None:
                 outcome = await self.attempt(job)
             else:
                 outcome = await self._claims.run(job, self.attempt)
@@ -191,7 +193,7 @@
                 ran=ran,
                 retry_after_s=LATE_RETRY_S,
             )
-        if job.may_write is not None and not job.may_write():
+        if job.may_retry is not None and not job.may_retry():
             return refusal.Refusal(
                 status=503,
                 code="not_started_in_time",
