--- a/packages/bulrushgrade_cli/bulrushgrade_cli/reading.py
+++ b/packages/bulrushgrade_cli/bulrushgrade_cli/reading.py
@@ -31,12 +31,14 @@
         if isinstance(read, Failure):
             return Failure(f"the log does not answer: {read.failure().reason}")
         page = read.unwrap()
-        found.apply_page(page)
+        found.note_earliest(page.earliest_offset)
+        for item in page.records:
+            found.apply(item)
         # A record that this release can't judge holds the fold where it is.
         stuck = found.read_offset == offset
         if stuck or found.read_offset >= page.end_offset:
             break
-    state = found.readiness()
+    state = found.readiness(page.end_offset)
     if isinstance(state, Failure):
         return Failure(f"the log can't be followed: {state.failure().reason}")
     return Success(found)
