Replay a trace once for its one reader

The replay command ran each trace twice, once for the text and once for JSON, and a replay takes seconds; it now makes the figures for whoever reads them.

--- a/packages/bulrushgrade_cli/bulrushgrade_cli/__main__.py
+++ b/packages/bulrushgrade_cli/bulrushgrade_cli/__main__.py
@@ -161,7 +161,7 @@
     # The replay brings in the simulated engines, which no other command needs.
     from bulrushgrade_cli import replaying
 
-    _end(replaying.replay_trace(trace), json)
+    _end(replaying.replay_trace(trace, json=json), json)
 
 
 @app.command()
--- a/packages/bulrushgrade_cli/bulrushgrade_cli/replaying.py
+++ b/packages/bulrushgrade_cli/bulrushgrade_cli/replaying.py
@@ -8,14 +8,19 @@
 from bulrushgrade_standins import replay
 
 
-def replay_trace(path: str) -> outcome.Outcome:
-    """Returns the figures of a replayed trace."""
-    trace = pathlib.Path(path)
+def replay_trace(path: str, *, json: bool = False) -> outcome.Outcome:
+    """Returns the figures of a replayed trace.
+
+    Args:
+        path: The trace's file.
+        json: Whether they are for a program; a replay takes seconds, so the
+            figures are made for one reader only.
+    """
     try:
-        text = replay.replay_file(trace)
-        value = msgspec.json.decode(replay.replay_file(trace, json=True))
+        text = replay.replay_file(pathlib.Path(path), json=json)
     except (OSError, ValueError) as error:
         reason = f"{path}: {error}"
         value = {"done": False, "reason": reason}
         return outcome.Outcome(code=outcome.USAGE, text=reason, value=value)
+    value = msgspec.json.decode(text) if json else None
     return outcome.Outcome(code=outcome.DONE, text=text, value=value)
