Test that Ctrl-C in the demo finishes the answer under way

The demo's daemon and stand-ins stop from one signal, and an answer that is being streamed must still end with its marker. The test starts the demo as a process, calls the plain service, interrupts a stream after its first event and reads it to its end; exit code 0.

--- /dev/null
+++ b/packages/bulrushgrade_cli/tests/test_demo.py
@@ -0,0 +1,73 @@
+"""Tests of the demo as a process of its own."""
+
+import http.client
+import json
+import os
+import signal
+import subprocess
+import sys
+
+import processes
+import pytest
+
+from bulrushgrade_daemon import keys
+
+QUESTION = {
+    "model": "pack-llm",
+    "messages": [{"role": "user", "content": "Which pack grade?"}],
+    "max_tokens": 60,
+    "stream": True,
+}
+
+
+@pytest.fixture
+def demo():
+    command = [sys.executable, "-m", "bulrushgrade_cli", "demo"]
+    popen = subprocess.Popen(
+        [*command, "--listen", "127.0.0.1:0"],
+        env=dict(os.environ, PYTHONPATH=os.pathsep.join(sys.path)),
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    try:
+        yield popen
+    finally:
+        popen.kill()
+        popen.wait(processes.LIMIT_S)
+        popen.stdout.close()
+
+
+def read_until(stream, last):
+    lines = []
+    for line in stream:
+        lines.append(line)
+        if last in line:
+            return lines
+    raise AssertionError(f"the demo ended early: {lines}")
+
+
+def test_ctrl_c_finishes_the_answer_under_way_and_exits_0(demo):
+    # A first-time user would see a broken answer and an error. Ctrl-C came
+    # while an answer was streamed, and the stand-ins stopped before it ended.
+    lines = read_until(demo.stdout, "Ctrl-C")
+    (callers,) = (x.split("//")[1] for x in lines if x.startswith("callers"))
+    plain = processes.call("GET", callers.strip(), "/services/portal-app/rooms")
+    assert plain.json["path"] == "/rooms"
+    address = keys.parse_address(callers.strip())
+    caller = http.client.HTTPConnection(
+        address.host, address.port, timeout=processes.LIMIT_S
+    )
+    caller.request(
+        "POST",
+        "/v1/chat/completions",
+        body=json.dumps(QUESTION),
+        headers={"Content-Type": "application/json"},
+    )
+    answer = caller.getresponse()
+    assert answer.status == 200
+    assert answer.readline().startswith(b"data: ")
+    demo.send_signal(signal.SIGINT)
+    assert answer.read().endswith(b"data: [DONE]\n\n")
+    caller.close()
+    assert demo.wait(processes.LIMIT_S) == 0
+    assert demo.stdout.read().strip() == "stopped"
