Hold authority over groups of engines and carry orders out

Cause: the lease, the order book and the role plan had no process around them. Ruled out: one lease an engine (more appends a second than groups) and telling every host of a change by peers; hosts learn from the engine that it refuses. Change: authority, group and orders services; demand passes between peers. Conclusion: authority under failure is tested next.

--- a/packages/bulrushgrade/bulrushgrade/peerview.py
+++ b/packages/bulrushgrade/bulrushgrade/peerview.py
@@ -73,6 +73,19 @@
     endpoints: tuple[str, ...]
 
 
+@attrs.frozen(kw_only=True)
+class Demands:
+    """What callers have asked the sender for, for the plan of roles.
+
+    Attributes:
+        header: The place among the sender's messages.
+        demands: Counters since the sender's start, one entry a model.
+    """
+
+    header: Header
+    demands: tuple[work.Demand, ...]
+
+
 @attrs.frozen(kw_only=True)
 class SnapshotRequest:
     """A starting daemon asks for the accepted documents.
@@ -97,9 +110,12 @@
     snapshot: publication.Snapshot
 
 
-Message = Loads | Withdrawn | SnapshotRequest | SnapshotReply
+State = Loads | Withdrawn | Demands
+Message = State | SnapshotRequest | SnapshotReply
 
-CODEC = codec.Codec(kinds=(Loads, Withdrawn, SnapshotRequest, SnapshotReply))
+CODEC = codec.Codec(
+    kinds=(Loads, Withdrawn, Demands, SnapshotRequest, SnapshotReply)
+)
 
 
 def make_loads(header: Header, loads: Iterable[work.PeerLoad]) -> Loads:
@@ -179,9 +195,7 @@
         """The peers that have been heard, sorted."""
         return tuple(sorted(self._peers))
 
-    def accept(
-        self, message: Loads | Withdrawn
-    ) -> Result[None, errors.StalePeerMessage]:
+    def accept(self, message: State) -> Result[None, errors.StalePeerMessage]:
         """Takes a message, unless a newer one has overtaken it.
 
         Clocks of two hosts are never compared, so incarnations have no order
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/fleet.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/fleet.py
@@ -73,6 +73,6 @@
         missed = 0 if load is not None else self._missed.get(address, 0) + 1
         if address in self._missed:
             self._missed[address] = missed
-        self._kernel.send(
-            "placing", placing.EngineSeen(address=address, load=load)
-        )
+        seen = placing.EngineSeen(address=address, load=load)
+        for name in ("placing", "authority"):
+            self._kernel.send(name, seen)
--- /dev/null
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/group.py
@@ -0,0 +1,277 @@
+"""One group of engines: its lease, its orders and its plan of roles.
+
+A group is the engines of one service in one zone or region, named
+``SERVICE.PLACE``. Everything here runs in turns of the authority service.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+from returns.result import Success
+
+from bulrushgrade import engineorder
+from bulrushgrade import lease
+from bulrushgrade import order
+from bulrushgrade import orderlog
+from bulrushgrade import record
+from bulrushgrade import rolechange
+from bulrushgrade import roleplan
+from bulrushgrade import work
+from bulrushgrade_daemon import engine
+
+# Other hosts learn from the engine that it takes no work; a request that
+# bounces there costs one more attempt, so there is little to wait for.
+DROP_LIMIT_S = 0.5
+
+
+def parse_group(name: str) -> tuple[str, str]:
+    """Returns the service and the zone or region in a group's name."""
+    service, _, place = name.partition(".")
+    return service, place
+
+
+def seen_of(load: engine.EngineLoad) -> engineorder.Seen:
+    """Returns what an engine's report says of what it is."""
+    return engineorder.Seen(
+        state=load.state,
+        now=wanted_of(load),
+        order_id=load.order_id or "",
+    )
+
+
+def wanted_of(load: engine.EngineLoad) -> orderlog.Wanted:
+    """Returns the role and model that an engine reports."""
+    return orderlog.Wanted(
+        role=load.role,
+        model=load.model,
+        version=load.version,
+        adapters=tuple(sorted(load.adapters)),
+    )
+
+
+@attrs.frozen(kw_only=True)
+class GroupParts:
+    """What a group works with.
+
+    Attributes:
+        book: The orders; it holds the lease.
+        append: Appends a record; calls back with its id if it was certainly
+            not stored.
+        send_order: Writes an order to its engine.
+        ask_drain: Asks an engine to refuse new work.
+        hold: Keeps new work of this host from an engine, or no longer.
+        capacity: Returns what an engine of a model reads and generates a
+            second, in tokens.
+    """
+
+    book: order.OrderBook
+    append: Callable[[record.Append, Callable[[str], None]], None]
+    send_order: Callable[[Any, engineorder.Order], None]
+    ask_drain: Callable[[str], None]
+    hold: Callable[[str, bool], None]
+    capacity: Callable[[str], tuple[float, float]]
+
+
+class Group:
+    """The part of one candidate in the control of one group."""
+
+    def __init__(self, *, name: str, parts: GroupParts):
+        self._name = name
+        self._parts = parts
+        self._plan = roleplan.RolePlan()
+        self._weights = (1.0, 1.0)
+        self._change: rolechange.RoleChange | None = None
+        self._engines: dict[str, work.Endpoint] = {}
+        self._loads: dict[str, engine.EngineLoad] = {}
+        self._seen_at = 0.0
+        self._was_acting = False
+        self._counts = dict.fromkeys(
+            ("orders_sent", "role_changes", "terms"), 0
+        )
+
+    @property
+    def name(self) -> str:
+        """The group's name."""
+        return self._name
+
+    @property
+    def book(self) -> order.OrderBook:
+        """The orders of the group."""
+        return self._parts.book
+
+    @property
+    def lease(self) -> lease.Lease:
+        """The lease of this candidate."""
+        return self._parts.book.authority
+
+    @property
+    def counts(self) -> dict[str, int]:
+        """The counters, by name."""
+        return self._counts
+
+    def set_weights(self, goodput: float, role_changes: float) -> None:
+        """Takes the service document's weights; a new plan starts with them.
+
+        The history of demand goes with the old plan, which delays the next
+        change by less than a minute.
+        """
+        if (goodput, role_changes) != self._weights:
+            self._weights = (goodput, role_changes)
+            self._plan = roleplan.RolePlan(
+                goodput_weight=max(goodput, 0.001),
+                role_change_weight=role_changes,
+            )
+
+    def set_engines(
+        self, engines: dict[str, work.Endpoint], fencing: dict[str, bool]
+    ) -> None:
+        """Takes the group's engines, as they are listed now."""
+        for address in self._engines.keys() - engines.keys():
+            self.book.remove_engine(address)
+            self._loads.pop(address, None)
+        for address in engines:
+            self.book.set_engine(address, fencing=fencing[address])
+        self._engines = engines
+
+    def observe(
+        self, address: str, load: engine.EngineLoad, now: float
+    ) -> None:
+        """Takes an engine's report."""
+        if address not in self._engines:
+            return
+        self._loads[address] = load
+        self._seen_at = now
+        self.book.observe(address, seen_of(load), now)
+        if self._change is not None and self._change.engine == address:
+            self._change.note_load(
+                rolechange.Load(
+                    refusing=load.state != "serving",
+                    requests=load.running + load.queued,
+                    measured_at=now - load.age_s,
+                )
+            )
+
+    def observe_demand(
+        self, host: str, demand: work.Demand, now: float
+    ) -> None:
+        """Takes what callers have asked a host for."""
+        self._plan.observe(host, demand, now)
+
+    def tick(self, now: float) -> None:
+        """Does what is due: renews, orders, changes roles."""
+        for append in self.lease.tick(now):
+            self._parts.append(append, self.lease.failed)
+        for append in self.book.due(now):
+            self._parts.append(append, self.book.failed)
+        for each in self.book.sendable(now):
+            self._counts["orders_sent"] += 1
+            self._parts.send_order(self, each)
+        self._note_acting(now)
+        self._drive_change(now)
+        self._hold_engines(now)
+
+    def plan(self, now: float) -> None:
+        """Starts the change of role that pays best, if one does.
+
+        Only the holder of the lease plans, and never two changes at a time:
+        the effect of one has to show before the next is judged.
+        """
+        if not self.lease.acting(now) or self._change is not None:
+            return
+        if self.book.fold.unfinished or not self._engines:
+            return
+        proposed = self._plan.propose(self._view(), now)
+        if proposed is None:
+            return
+        load = self._loads.get(proposed.endpoint)
+        if load is None:
+            return
+        before = wanted_of(load)
+        self._plan.note_change(proposed, now)
+        self._counts["role_changes"] += 1
+        self._change = rolechange.RoleChange(
+            engine=proposed.endpoint,
+            before=before,
+            wanted=attrs.evolve(before, role=proposed.role.value),
+            can_refuse=True,
+            times=rolechange.RoleChangeTimes(drop_limit_s=DROP_LIMIT_S),
+            now=now,
+        )
+
+    def dump(self, now: float) -> dict[str, Any]:
+        """Returns the group's state for a person, ready for JSON."""
+        change = self._change
+        return {
+            "phase": self.lease.phase,
+            "acting": self.lease.acting(now),
+            "term": self.lease.term,
+            "current_term": self.lease.fold.term,
+            "lease_left_s": max(0.0, self.lease.until - now),
+            "engines": sorted(self._engines),
+            "unfinished": {
+                address: attrs.asdict(each)
+                for address, each in self.book.fold.unfinished.items()
+            },
+            "change": None
+            if change is None
+            else {
+                "engine": change.engine,
+                "phase": change.phase,
+                "target": attrs.asdict(change.target),
+                "overdue": change.overdue(now),
+            },
+            "counts": dict(self._counts),
+        }
+
+    def _note_acting(self, now: float) -> None:
+        acting = self.lease.acting(now)
+        if acting and not self._was_acting:
+            self._counts["terms"] += 1
+        if self._was_acting and not acting and self._change is not None:
+            self._change.hand_over(now)
+        self._was_acting = acting
+
+    def _drive_change(self, now: float) -> None:
+        change = self._change
+        if change is None:
+            return
+        unfinished = self.book.fold.unfinished
+        load = self._loads.get(change.engine)
+        if (
+            change.phase == "ordering"
+            and load is not None
+            and change.engine not in unfinished
+            and wanted_of(load) == change.target
+            and load.state == "serving"
+        ):
+            change.note_outcome(wanted_of(load), now)
+        action = change.tick(now)
+        if action is rolechange.Action.ASK_DRAIN:
+            self._parts.ask_drain(change.engine)
+        elif action is rolechange.Action.PROPOSE:
+            intent = self.book.propose(change.engine, change.target, now)
+            if isinstance(intent, Success):
+                change.note_proposed()
+                self._parts.append(intent.unwrap(), self.book.failed)
+        if change.over:
+            self._change = None
+
+    def _hold_engines(self, now: float) -> None:
+        changing = self._change
+        for address in self._engines:
+            held = address in self.book.fold.unfinished
+            if changing is not None and changing.engine == address:
+                held |= changing.share(now) == 0.0
+            self._parts.hold(address, held)
+
+    def _view(self) -> roleplan.GroupView:
+        model = next(iter(self._engines.values())).model
+        read, generated = self._parts.capacity(model)
+        return roleplan.GroupView(
+            at=self._seen_at,
+            endpoints=tuple(self._engines.values()),
+            running={a: float(x.running) for a, x in self._loads.items()},
+            prefill_tokens_per_s=read,
+            decode_tokens_per_s=generated,
+        )
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/host.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/host.py
@@ -12,6 +12,7 @@
 from bulrushgrade import scheduler
 from bulrushgrade import work
 from bulrushgrade_daemon import admin
+from bulrushgrade_daemon import authority
 from bulrushgrade_daemon import callers
 from bulrushgrade_daemon import claims
 from bulrushgrade_daemon import clock
@@ -23,6 +24,7 @@
 from bulrushgrade_daemon import logwriter
 from bulrushgrade_daemon import mesh
 from bulrushgrade_daemon import metrics
+from bulrushgrade_daemon import orders
 from bulrushgrade_daemon import peermessages
 from bulrushgrade_daemon import peers
 from bulrushgrade_daemon import placing
@@ -92,6 +94,7 @@
         self._add_documents()
         self._add_claims()
         self._add_peers()
+        self._add_authority()
         front = self._add_callers()
         operators = self._add_admin()
         return Daemon(kernel=self._kernel, callers=front, admin=operators)
@@ -122,9 +125,11 @@
     def _add_placing(self) -> None:
         self._engines = self._add(engine.EngineClient(reactor=self._reactor))
         self._plain = self._add(plain.PlainClient(reactor=self._reactor))
-        core = scheduler.Scheduler(zone=self._settings.host.zone, rng=self._rng)
+        self._core = scheduler.Scheduler(
+            zone=self._settings.host.zone, rng=self._rng
+        )
         self._placing = self._add(
-            placing.Placing(timers=self._timers, core=core)
+            placing.Placing(timers=self._timers, core=self._core)
         )
         self._add(
             fleet.Fleet(
@@ -190,14 +195,14 @@
         )
 
     def _add_claims(self) -> None:
-        writer = self._add(
+        self._writer = self._add(
             logwriter.LogWriter(log=self._log, kernel=self._kernel)
         )
         self._claims = self._add(
             claims.Claims(
                 timers=self._timers,
                 log=self._log,
-                writer=writer,
+                writer=self._writer,
                 runner=f"{self._settings.host.name}-{self._incarnation}",
                 rng=self._rng,
                 on_broken=self._kernel.fail,
@@ -207,6 +212,7 @@
     def _add_peers(self) -> None:
         listeners = peermessages.Listeners(
             on_loads=self._on_peer_loads,
+            on_demands=self._on_peer_demands,
             on_snapshot_request=self._on_snapshot_request,
             on_snapshot=self._documents.restore,
         )
@@ -220,11 +226,12 @@
                 queue_messages=limits.peer_queue_messages,
                 loads_bytes_per_s=limits.peer_bytes_per_s,
                 read_loads=self._placing.own_loads,
+                read_demands=self._core.demand,
                 listeners=listeners,
                 rng=self._rng,
             )
         )
-        self._add(
+        self._mesh = self._add(
             mesh.Mesh(
                 kernel=self._kernel,
                 zone=self._settings.host.zone,
@@ -234,6 +241,34 @@
             )
         )
 
+    def _add_authority(self) -> None:
+        order_client = self._add(orders.OrderClient(reactor=self._reactor))
+        parts = authority.AuthorityParts(
+            timers=self._timers,
+            log=self._log,
+            writer=self._writer,
+            place=self._placing,
+            ties=self._mesh,
+            orders=order_client,
+            capacity=self._core.capacity,
+            demands=self._core.demand,
+            on_broken=self._kernel.fail,
+        )
+        self._add(
+            authority.Authority(
+                settings=self._settings.authority,
+                holder=f"{self._settings.host.name}-{self._incarnation}",
+                parts=parts,
+                rng=self._rng,
+            )
+        )
+
+    def _on_peer_demands(
+        self, peer: str, demands: tuple[work.Demand, ...]
+    ) -> None:
+        message = authority.PeerDemands(peer=peer, demands=demands)
+        self._kernel.send("authority", message)
+
     def _on_peer_loads(
         self, peer: str, loads: tuple[work.PeerLoad, ...]
     ) -> None:
@@ -257,6 +292,7 @@
 
     def _on_accepted(self, offering: offering_module.Offering) -> None:
         self._placing.set_policies(offering.policies())
+        self._kernel.send("authority", offering)
 
     def _not_ready(self) -> str | None:
         if self._documents.not_ready is not None:
--- /dev/null
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/orders.py
@@ -0,0 +1,126 @@
+"""Writes orders to engines; part of the engines' wire format."""
+
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+import msgspec
+import treq
+from twisted.internet import defer
+
+from bulrushgrade import engineorder
+from bulrushgrade_daemon import httpclient
+
+# An order is answered at once or not at all; what was written later than this
+# after the check would meet a closed connection at the engine.
+ORDER_TIMEOUT_S = 3.0
+
+
+class OrderClient:
+    """Sends each order on a connection of its own."""
+
+    name = "orders"
+    requires = ()
+
+    def __init__(self, *, reactor: Any):
+        self._reactor = reactor
+        self._counts = dict.fromkeys(
+            ("accepted", "busy", "stale", "lost", "not_sent", "drains"), 0
+        )
+        self._sending: set[str] = set()
+
+    @property
+    def counts(self) -> dict[str, int]:
+        """The counters, by name."""
+        return self._counts
+
+    async def start(self) -> None:
+        """Opens nothing; each order has its own connection."""
+
+    async def stop(self) -> None:
+        """Has nothing open."""
+
+    def receive(self, message: Any) -> None:
+        """Takes no messages."""
+
+    def dump(self) -> dict[str, Any]:
+        """Returns the counters and the orders under way."""
+        return {"sending": sorted(self._sending), "counts": self._counts}
+
+    async def send(
+        self, order: engineorder.Order, check: Callable[[], bool]
+    ) -> engineorder.Reply | None:
+        """Writes an order.
+
+        Args:
+            order: The order.
+            check: Asked in the turn of the write, on an open connection;
+                nothing is written where it says no.
+
+        Returns:
+            How the engine answered, or None where nothing was written.
+        """
+        if order.engine in self._sending:
+            return None
+        self._sending.add(order.engine)
+        try:
+            reply = await self._send(order, check)
+        finally:
+            self._sending.discard(order.engine)
+        self._counts["not_sent" if reply is None else reply.value] += 1
+        return reply
+
+    def ask_drain(self, address: str) -> None:
+        """Asks an engine to refuse new work; its report tells if it does."""
+        self._counts["drains"] += 1
+        client = httpclient.open_client(self._reactor, persistent=False)
+        call = client.http.post(f"http://{address}/drain")
+        call.addCallback(treq.content)
+        call.addTimeout(ORDER_TIMEOUT_S, self._reactor)
+        call.addErrback(lambda _: None)
+
+    async def _send(
+        self, order: engineorder.Order, check: Callable[[], bool]
+    ) -> engineorder.Reply | None:
+        client = httpclient.open_client(
+            self._reactor, persistent=False, check=check
+        )
+        body = {
+            "order_id": order.order_id,
+            "term": order.number,
+            "wanted": attrs.asdict(order.wanted),
+        }
+
+        async def exchange() -> tuple[int, bytes]:
+            response = await client.http.post(
+                f"http://{order.engine}/orders",
+                data=msgspec.json.encode(body),
+                headers={"Content-Type": "application/json"},
+            )
+            return response.code, await treq.content(response)
+
+        answer = defer.Deferred.fromCoroutine(exchange())
+        try:
+            status, raw = await answer.addTimeout(
+                ORDER_TIMEOUT_S, self._reactor
+            )
+        except Exception as error:
+            if httpclient.was_not_sent(error):
+                return None
+            return engineorder.Reply.LOST
+        return parse_reply(status, raw)
+
+
+def parse_reply(status: int, raw: bytes) -> engineorder.Reply:
+    """Returns what an engine's answer to an order means."""
+    if status == 202:
+        return engineorder.Reply.ACCEPTED
+    if status != 409:
+        return engineorder.Reply.LOST
+    try:
+        code = msgspec.json.decode(raw).get("code")
+    except (msgspec.MsgspecError, AttributeError):
+        return engineorder.Reply.LOST
+    if code == "stale_term":
+        return engineorder.Reply.STALE
+    return engineorder.Reply.BUSY
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/peermessages.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/peermessages.py
@@ -73,12 +73,14 @@
 
     Attributes:
         on_loads: Called with a peer's address and all that it has in flight.
+        on_demands: Called with a peer's address and what it was asked for.
         on_snapshot_request: Called with where the answer goes; it is sent as
             `AnswerSnapshot`.
         on_snapshot: Called with each snapshot that peers answer.
     """
 
     on_loads: Callable[[str, tuple[work.PeerLoad, ...]], None]
+    on_demands: Callable[[str, tuple[work.Demand, ...]], None]
     on_snapshot_request: Callable[[bytes], None]
     on_snapshot: Callable[[publication.Snapshot], None]
 
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/peers.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/peers.py
@@ -53,6 +53,8 @@
 # answers. One answer would do; three make it likely that one is up to date.
 ASK_PERIOD_S = 0.5
 ASKED_PEERS = 3
+# The plan of roles adds demand up over ten seconds and more.
+DEMANDS_PERIOD_S = 2.0
 # Loads that may be sent after a quiet time, as a multiple of a second's part.
 BURST_S = 2.0
 
@@ -73,6 +75,7 @@
         queue_messages: int,
         loads_bytes_per_s: float,
         read_loads: Callable[[], tuple[work.PeerLoad, ...]],
+        read_demands: Callable[[], tuple[work.Demand, ...]],
         listeners: peermessages.Listeners,
         rng: random.Random,
     ):
@@ -87,6 +90,7 @@
             loads_bytes_per_s: What loads may use in all. Beyond it, loads
                 are sent less often, not cut short.
             read_loads: Returns what this daemon has in flight.
+            read_demands: Returns what callers have asked this daemon for.
             listeners: Called with what peers say.
             rng: Draws the incarnation and which peers are asked.
         """
@@ -97,6 +101,8 @@
         self._queue_messages = queue_messages
         self._loads_bytes_per_s = loads_bytes_per_s
         self._read_loads = read_loads
+        self._read_demands = read_demands
+        self._told_demands: tuple[work.Demand, ...] = ()
         self._listeners = listeners
         self._view = peerview.PeerView()
         self._rng = rng
@@ -144,6 +150,7 @@
             self._timers.every(LOADS_PERIOD_S, self._share_loads),
             self._timers.every(REPEAT_S, self._send_withdrawn),
             self._timers.every(ASK_PERIOD_S, self._ask),
+            self._timers.every(DEMANDS_PERIOD_S, self._share_demands),
         ]
 
     async def stop(self) -> None:
@@ -300,6 +307,19 @@
             self._send(address, raw)
             self._loads_allowance -= len(raw)
 
+    def _share_demands(self) -> None:
+        demands = self._read_demands()
+        # Counters since the start: while nobody asks they stay as they were
+        # last told, and a lost message is mended by the next change.
+        if demands == self._told_demands:
+            return
+        self._told_demands = demands
+        raw = peerview.serialize_message(
+            peerview.Demands(header=self._make_header(), demands=demands)
+        )
+        for address in self._dealers:
+            self._send(address, raw)
+
     def _share_withdrawn(self, message: peermessages.ShareWithdrawn) -> None:
         if message.endpoints != self._withdrawn:
             self._withdrawn = message.endpoints
@@ -366,7 +386,7 @@
             return
         self._received.add()
 
-    def _take_state(self, message: peerview.Loads | peerview.Withdrawn) -> bool:
+    def _take_state(self, message: peerview.State) -> bool:
         # Loads are only believed from daemons that the host list names. A
         # daemon that has just started is not on it yet, and may only ask.
         sender = message.header.sender
@@ -376,6 +396,8 @@
             return False
         if isinstance(message, peerview.Loads):
             self._listeners.on_loads(sender, peerview.read_loads(message))
+        elif isinstance(message, peerview.Demands):
+            self._listeners.on_demands(sender, message.demands)
         return True
 
     def _make_header(self) -> peerview.Header:
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/placing.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/placing.py
@@ -85,6 +85,7 @@
         self._waiting: dict[str, defer.Deferred] = {}
         self._hosts: dict[str, membership.Host] = {}
         self._loads: dict[str, engine.EngineLoad] = {}
+        self._endpoints: dict[str, work_module.Endpoint] = {}
         self._held: set[str] = set()
         self._poll: Any = None
 
@@ -98,6 +99,11 @@
         """The last report of each engine, by address."""
         return self._loads
 
+    @property
+    def endpoints(self) -> dict[str, work_module.Endpoint]:
+        """The endpoints as the scheduler was last told, by address."""
+        return self._endpoints
+
     @property
     def now(self) -> float:
         """The time that decisions are made at, in seconds."""
@@ -272,6 +278,7 @@
             for host in self._hosts.values()
             if host.kind is membership.Kind.PLAIN or host.address in self._loads
         )
+        self._endpoints = {e.address: e for e in endpoints}
         self._core.set_endpoints(endpoints, self.now)
         self._settle()
 
--- a/packages/bulrushgrade_daemon/tests/test_peers.py
+++ b/packages/bulrushgrade_daemon/tests/test_peers.py
@@ -70,8 +70,10 @@
             queue_messages=100,
             loads_bytes_per_s=loads_bytes_per_s,
             read_loads=lambda: self.loads,
+            read_demands=lambda: (),
             listeners=peermessages.Listeners(
                 on_loads=lambda peer, loads: self.heard.append((peer, loads)),
+                on_demands=lambda peer, demands: None,
                 on_snapshot_request=self.asked.append,
                 on_snapshot=self.snapshots.append,
             ),
--- a/tools/processslopes.py
+++ b/tools/processslopes.py
@@ -90,8 +90,10 @@
         queue_messages=1000,
         loads_bytes_per_s=1e9,
         read_loads=lambda: box[0].loads,
+        read_demands=lambda: (),
         listeners=peermessages.Listeners(
             on_loads=lambda peer, loads: None,
+            on_demands=lambda peer, demands: None,
             on_snapshot_request=lambda reply_to: None,
             on_snapshot=lambda snapshot: None,
         ),
