--- a/packages/bulrushgrade/bulrushgrade/engineorder.py
+++ b/packages/bulrushgrade/bulrushgrade/engineorder.py
@@ -24,17 +24,22 @@
         state: ``serving``, ``draining``, ``changing`` or ``down``.
         now: What it is.
         order_id: The last order that it took; empty for none.
+        number: That order's fencing number; -1 for none.
     """
 
     state: str
     now: orderlog.Wanted
     order_id: str
+    number: int = -1
 
 
 @attrs.frozen(kw_only=True)
 class Order:
     """An order to be written to an engine.
 
+    An engine that checks numbers refuses one below the highest it has taken,
+    and takes the same order under a higher number without a second change.
+
     Attributes:
         engine: The engine's address.
         order_id: The order's id.
--- a/packages/bulrushgrade/bulrushgrade/lease.py
+++ b/packages/bulrushgrade/bulrushgrade/lease.py
@@ -185,7 +185,7 @@
         phase of holding when it wakes; the clock, which went on, tells. So
         the time decides, never the phase alone.
         """
-        return self.phase == "holding" and now < self._until
+        return now < self._until and self.phase == "holding"
 
     def apply_page(self, page: record.Page, now: float) -> None:
         """Takes a page of the stream."""
--- a/packages/bulrushgrade/bulrushgrade/oncelog.py
+++ b/packages/bulrushgrade/bulrushgrade/oncelog.py
@@ -269,12 +269,16 @@
                 run_limit_s=0.0,
             )
             self._entries[message.key] = entry
-        elif entry.state is State.DONE:
+        elif entry.state is State.DONE and entry.claim_id == message.claim_id:
             return
+        # Another claim's outcome: its daemon had forgotten the key before
+        # this one did. The later answer is the one that all give from now on.
         entry.state = State.DONE
         entry.claim_id = message.claim_id
         entry.digest = message.digest
         entry.known = message.known
+        entry.answer = None
+        self._drop_answer(message.key)
         if message.answer is not None:
             self._keep_answer(message.key, entry, message.answer)
 
--- a/packages/bulrushgrade/bulrushgrade/order.py
+++ b/packages/bulrushgrade/bulrushgrade/order.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Callable
+import math
 
 import attrs
 from returns.result import Failure
@@ -71,7 +72,7 @@
     seen_at: float = 0.0
     open_writes: int = 0
     write_after: float = 0.0
-    lost_at: float | None = None
+    lost_at: float = -math.inf
     append: record.Append | None = None
     append_term: int | None = None
     append_at: float = 0.0
@@ -198,6 +199,8 @@
             return Failure(errors.OrderRefused(reason="not the holder"))
         if engine in self._fold.unfinished or known.append is not None:
             return Failure(errors.OrderRefused(reason="order unfinished"))
+        if not known.fencing and now < self._safe_from():
+            return Failure(errors.OrderRefused(reason="last holder may write"))
         if not self._is_seen_well(known):
             return Failure(errors.OrderRefused(reason="engine not seen"))
         order_id = self._new_id()
@@ -281,11 +284,15 @@
         )
 
     def _is_through(self, known: _Engine, order: orderlog.Unfinished) -> bool:
-        return (
-            known.seen is not None
-            and known.seen.state == "serving"
-            and known.seen.order_id == order.order_id
-        )
+        seen = known.seen
+        if seen is None or seen.state != "serving":
+            return False
+        if seen.order_id != order.order_id:
+            return False
+        # The engine may have carried out what the last holder sent. Only a
+        # number of this term makes it refuse what that holder, paused in the
+        # middle of a write, still sends; so the order goes out again first.
+        return not known.fencing or seen.number > order.term
 
     def _safe_from(self) -> float:
         # An engine that ignores numbers would carry out what the last holder
@@ -320,13 +327,12 @@
         # A write whose answer was lost may still be under way. An engine that
         # ignores numbers would carry it out after the next order; one that
         # checks them refuses it then.
-        if known.fencing:
-            return True
         if known.open_writes:
             return False
-        return known.lost_at is None or (
-            now >= known.lost_at + self._times.pause_allowance_s
-        )
+        if known.fencing:
+            return True
+        lost_until = known.lost_at + self._times.pause_allowance_s
+        return now >= max(lost_until, self._safe_from())
 
     def _intend(
         self,
--- /dev/null
+++ b/packages/bulrushgrade/tests/test_once_faults.py
@@ -0,0 +1,254 @@
+"""A state machine of once-only requests over a log with faults.
+
+Daemons read late, lose answers, are paused between the permission to start
+and the write, and are killed; appends fail, land late or twice; old records
+are trimmed. The model's endpoint counts what it ran.
+"""
+
+import itertools
+
+import attrs
+from hypothesis import stateful
+from hypothesis import strategies as st
+from returns.result import Failure
+from returns.result import Success
+
+from bulrushgrade import modellog
+from bulrushgrade import once
+from bulrushgrade import oncedecision
+from bulrushgrade import oncelog
+
+# Times near each other, so that a run of the machine passes all of them.
+LIMITS = oncelog.OnceLimits(
+    start_limit_s=4.0, run_limit_s=16.0, key_life_s=60.0, retention_s=200.0
+)
+RATES = st.sampled_from([0.95, 1.0, 1.05])
+DAEMONS = st.integers(0, 2)
+KEYS = st.sampled_from(["x", "y"])
+FATES = st.sampled_from(
+    ["lands"] * 3
+    + ["fails", "vanishes", "lands late", "lands twice", "lands and again"]
+)
+
+
+@attrs.define(kw_only=True)
+class Request:
+    """A request on its way through one daemon."""
+
+    key: str
+    claim_id: str
+    state: str = "claimed"
+
+
+class World:
+    """True time, the log, and what the endpoint ran."""
+
+    def __init__(self):
+        self.now = 0.0
+        self.log = modellog.ModelLog()
+        self.stored_at = []
+        self.under_way = []
+        self.runs = {"x": [], "y": []}
+        self.done = {}
+        self.ended = set()
+
+    def store(self, append):
+        self.log.append(append)
+        self.stored_at.append(self.now)
+        message = oncelog.CODEC.parse(append.body).unwrap()
+        if isinstance(message, oncelog.Done):
+            if message.claim_id not in self.ended:
+                self.done[message.key] = message.answer
+            self.ended.add(message.claim_id)
+
+    def store_late(self):
+        at, append = self.under_way.pop(0)
+        message = oncelog.CODEC.parse(append.body).unwrap()
+        # Claims may be under way for any time, outcomes for half a life.
+        late = self.now - at > LIMITS.key_life_s / 2
+        if not (late and isinstance(message, oncelog.Done)):
+            self.store(append)
+
+    def append(self, append, fate):
+        if fate in ("lands", "lands twice", "lands and again"):
+            self.store(append)
+        if fate == "lands twice":
+            self.store(append)
+        if fate in ("lands late", "lands and again"):
+            self.under_way.append((self.now, append))
+
+    def run(self, key):
+        """The endpoint runs a key; within a key's life it does so once."""
+        last = self.runs[key][-1] if self.runs[key] else -1e9
+        # Half a life is below what any daemon's clock makes of it.
+        assert self.now - last > LIMITS.key_life_s / 2, "the key ran twice"
+        self.runs[key].append(self.now)
+        body = f"{key} {len(self.runs[key])}".encode()
+        return oncelog.Answer(status=200, content_type="t", body=body)
+
+
+class Daemon:
+    """One daemon, with a clock of its own."""
+
+    serial = itertools.count()
+
+    def __init__(self, *, world, rate):
+        name = f"d{next(self.serial)}"
+        ids = itertools.count()
+        self.world, self.rate = world, rate
+        self.origin = rate * world.now
+        self.paused = False
+        self.requests = []
+        self.once = once.Once(
+            shard=0,
+            runner=name,
+            limits=LIMITS,
+            new_id=lambda: f"{name}-{next(ids)}",
+        )
+
+    @property
+    def clock(self):
+        return self.rate * self.world.now - self.origin
+
+    def read(self, limit=500):
+        page = self.world.log.read("once.0", self.once.next_offset, limit=limit)
+        self.once.apply_page(page, self.clock)
+
+    def accept(self, key, fate):
+        """A caller sends, or repeats, the request with a key."""
+        made = self.once.claim(key=key, digest=key, now=self.clock)
+        if isinstance(made, Success):
+            append = made.unwrap()
+            self.requests.append(Request(key=key, claim_id=append.record_id))
+            self.world.append(append, fate)
+            if fate == "fails":
+                self.once.failed(append.record_id)
+        return made
+
+    def serve(self, fate, luck):
+        """Moves each request on by one step."""
+        for request in list(self.requests):
+            decision = self.once.decide(
+                key=request.key,
+                digest=request.key,
+                now=self.clock,
+                claim_id=request.claim_id,
+            )
+            if isinstance(decision, oncedecision.Run):
+                if self.once.start(request.claim_id, self.clock):
+                    request.state = "started"
+                if luck == "pause":
+                    self.paused = True
+                    return
+                self.write(request, fate, luck)
+            elif isinstance(decision, oncedecision.Late):
+                append = self.once.abandon(request.claim_id, self.clock)
+                self.world.append(append, fate)
+                self.requests.remove(request)
+            elif not isinstance(decision, oncedecision.Pending):
+                self.requests.remove(request)
+
+    def write(self, request, fate, luck):
+        self.requests.remove(request)
+        if luck == "refused":
+            append = self.once.abandon(request.claim_id, self.clock)
+        else:
+            answer = self.world.run(request.key)
+            append = self.once.finish(
+                request.claim_id, answer=answer, known=True, now=self.clock
+            )
+        if append is not None:
+            self.world.append(append, fate)
+
+    def wake(self, *, in_time):
+        self.paused = False
+        for request in list(self.requests):
+            if request.state == "started" and in_time:
+                self.write(request, "lands", "well")
+
+
+class OnceMachine(stateful.RuleBasedStateMachine):
+    """A key runs at most once, and a second answer equals the first."""
+
+    @stateful.initialize(rates=st.tuples(RATES, RATES, RATES))
+    def start(self, rates):
+        self.world = World()
+        self.daemons = [Daemon(world=self.world, rate=rate) for rate in rates]
+        self.paused_at = {}
+
+    @stateful.rule(
+        step_s=st.sampled_from([0.1, 1.0, 3.0, 4.1, 10.0, 21.0, 33.0, 64.0])
+    )
+    def time_passes(self, step_s):
+        self.world.now += step_s
+
+    @stateful.rule(which=DAEMONS, key=KEYS, fate=FATES)
+    def accept(self, which, key, fate):
+        if not self.daemons[which].paused:
+            self.daemons[which].accept(key, fate)
+
+    @stateful.rule(which=DAEMONS, limit=st.sampled_from([0, 1, 2, 500]))
+    def read(self, which, limit):
+        if not self.daemons[which].paused:
+            self.daemons[which].read(limit)
+
+    @stateful.rule(
+        which=DAEMONS,
+        fate=FATES,
+        luck=st.sampled_from(["well", "well", "refused", "pause"]),
+    )
+    def serve(self, which, fate, luck):
+        daemon = self.daemons[which]
+        if daemon.paused:
+            return
+        daemon.read()
+        daemon.serve(fate, luck)
+        for append in daemon.once.due(daemon.clock):
+            self.world.append(append, fate)
+        if daemon.paused:
+            self.paused_at[which] = self.world.now
+
+    @stateful.rule(which=DAEMONS, key=KEYS)
+    def request_without_a_fault(self, which, key):
+        daemon = self.daemons[which]
+        if not daemon.paused:
+            daemon.read()
+            made = daemon.accept(key, "lands")
+            if isinstance(made, Failure):
+                self.check_answer(key, made.failure())
+            daemon.read()
+            daemon.serve("lands", "well")
+
+    def check_answer(self, key, decision):
+        if isinstance(decision, oncedecision.Duplicate):
+            assert decision.answer == self.world.done[key], "another answer"
+
+    @stateful.rule(which=DAEMONS)
+    def pause(self, which):
+        if not self.daemons[which].paused:
+            self.daemons[which].paused = True
+            self.paused_at[which] = self.world.now
+
+    @stateful.rule(which=DAEMONS)
+    def wake(self, which):
+        # The endpoint closes a connection on which nothing came for 10 s.
+        paused_s = self.world.now - self.paused_at.get(which, -1e9)
+        self.daemons[which].wake(in_time=paused_s < 10.0)
+
+    @stateful.rule(which=DAEMONS, rate=RATES)
+    def kill_and_replace(self, which, rate):
+        self.daemons[which] = Daemon(world=self.world, rate=rate)
+
+    @stateful.precondition(lambda self: self.world.under_way)
+    @stateful.rule()
+    def late_append_lands(self):
+        self.world.store_late()
+
+    @stateful.rule()
+    def trim(self):
+        limit = self.world.now - LIMITS.retention_s
+        old = [at for at in self.world.stored_at if at < limit]
+        self.world.log.trim("once.0", len(old))
+
+
+TestOnceMachine = OnceMachine.TestCase
