Test that a peer which reads nothing costs a bounded queue

A peer that is alive to the network and takes nothing must not make this daemon's memory grow, nor keep others from being told. The test binds a socket that is never read, sends it 5,000 loads a message with a queue of 4 messages, and sees drops counted while another peer goes on hearing. Ruled out: a limit in bytes, which ZeroMQ does not offer; messages times their size bound it.

--- a/packages/bulrushgrade_daemon/tests/test_peers.py
+++ b/packages/bulrushgrade_daemon/tests/test_peers.py
@@ -7,6 +7,7 @@
 from twisted.internet import reactor
 from twisted.internet import task
 from twisted.trial import unittest
+import zmq
 
 from bulrushgrade import kernel
 from bulrushgrade import membership
@@ -50,7 +51,13 @@
 class Node:
     """One daemon's peers service with what it needs around it."""
 
-    def __init__(self, listen=LOCAL, seed=1, loads_bytes_per_s=1e6):
+    def __init__(
+        self,
+        listen=LOCAL,
+        seed=1,
+        queue_messages=100,
+        loads_bytes_per_s=1e9,
+    ):
         self.broken = []
         self.loads = LOADS
         self.heard = []
@@ -67,7 +74,7 @@
             reactor=reactor,
             timers=timers,
             listen=listen,
-            queue_messages=100,
+            queue_messages=queue_messages,
             loads_bytes_per_s=loads_bytes_per_s,
             read_loads=lambda: self.loads,
             listeners=peermessages.Listeners(
@@ -270,6 +277,25 @@
         one.withdraw("e1")
         await self.wait_for(lambda: not two.peers.find_unconfirmed("e1"))
 
+    async def test_peer_that_reads_nothing_costs_a_bounded_queue(self):
+        # The daemon's memory would grow until it is killed. A peer is alive
+        # to the network but takes nothing, and loads pile up for it; the
+        # other peers must still be told.
+        context = zmq.Context()
+        deaf = context.socket(zmq.ROUTER)
+        deaf.setsockopt(zmq.RCVHWM, 1)
+        port = deaf.bind_to_random_port("tcp://127.0.0.1")
+        names = [f"10.0.{n // 250}.{n % 250}:80" for n in range(5000)]
+        loads = tuple(work.PeerLoad(endpoint=n, running=1) for n in names)
+        one, two = await self.make_pair(queue_messages=4)
+        one.loads = loads
+        one.know(f"127.0.0.1:{port}", two.address, shared=names)
+        await self.wait_for(lambda: one.count("messages_dropped") > 5)
+        count = len(two.heard)
+        await self.wait_for(lambda: len(two.heard) > count)
+        deaf.close(linger=0)
+        context.term()
+
     async def test_garbage_is_counted_and_dropped(self):
         one, two = await self.make_node(), await self.make_node(seed=2)
         one.know(two.address)
