Tell the order book the number of the order that an engine took

Cause: an order whose engine was done never settled; the book asks for the order's number, which the daemon's adapter left out. Ruled out: a lost report (the dump showed it) and a write still open. Change: the number goes along.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/group.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/group.py
@@ -37,6 +37,7 @@
         state=load.state,
         now=wanted_of(load),
         order_id=load.order_id or "",
+        number=-1 if load.term is None else load.term,
     )
 
 
