--- a/packages/bulrushgrade/tests/test_lease.py
+++ b/packages/bulrushgrade/tests/test_lease.py
@@ -137,3 +137,22 @@
     assert a.lease.phase == "watching"
     a.turn(7.5)
     assert (a.lease.phase, a.lease.term) == ("holding", 1)
+
+
+def test_blind_candidate_waits_from_the_last_renewal_it_can_not_judge():
+    # A's claim is trimmed under B, which joins late and can't judge A's next
+    # renewal. A is cut off from the log right after it, and still acts.
+    log = modellog.ModelLog()
+    a = Candidate(log=log, name="a")
+    b = Candidate(log=log, name="b")
+    a.turn(0.0)
+    log.trim(STREAM, 1)
+    b.turn(0.0)
+    a.turn(4.0)
+    b.turn(4.0)
+    assert not b.lease.fold.judged
+    b.turn(6.5)
+    assert a.lease.acting(6.5)
+    assert b.lease.phase == "watching"
+    b.turn(10.5)
+    assert b.lease.acting(10.5)
--- a/packages/bulrushgrade/tests/test_once.py
+++ b/packages/bulrushgrade/tests/test_once.py
@@ -168,6 +168,18 @@
     assert (len(a.once.fold), a.once.fold.answer_bytes) == (0, 0)
 
 
+def test_a_claim_without_effect_keeps_its_key_remembered():
+    # A lets a claim run that B ignored, since B still remembered an older
+    # one. B must not forget the key while A's claim may run.
+    a, b = _two()
+    a.claim(now=0.0)
+    b.read(0.0)
+    a.claim(now=900.0)
+    b.read(899.0)
+    assert isinstance(b.decide(now=901.0), oncedecision.Unknown)
+    assert isinstance(b.decide(now=1799.0), oncedecision.Free)
+
+
 def test_misuse_and_bad_limits_are_broken_invariants():
     a, _ = _two()
     with pytest.raises(errors.BrokenInvariantError):
--- a/packages/bulrushgrade/tests/test_once_faults.py
+++ b/packages/bulrushgrade/tests/test_once_faults.py
@@ -5,6 +5,7 @@
 are trimmed. The model's endpoint counts what it ran.
 """
 
+import collections
 import itertools
 
 import attrs
@@ -24,7 +25,8 @@
 )
 RATES = st.sampled_from([0.95, 1.0, 1.05])
 DAEMONS = st.integers(0, 2)
-KEYS = st.sampled_from(["x", "y"])
+BACK = st.sampled_from([0, 0, 0, 1])
+LIMITS_OF_READS = st.sampled_from([0, 1, 2, 500])
 FATES = st.sampled_from(
     ["lands"] * 3
     + ["fails", "vanishes", "lands late", "lands twice", "lands and again"]
@@ -48,7 +50,7 @@
         self.log = modellog.ModelLog()
         self.stored_at = []
         self.under_way = []
-        self.runs = {"x": [], "y": []}
+        self.runs = collections.defaultdict(list)
         self.done = {}
         self.ended = set()
 
@@ -175,42 +177,61 @@
         self.world = World()
         self.daemons = [Daemon(world=self.world, rate=rate) for rate in rates]
         self.paused_at = {}
+        self.serial = 1
+
+    def key(self, back):
+        return f"key {max(0, self.serial - back)}"
+
+    @stateful.rule()
+    def next_key(self):
+        self.serial += 1
 
     @stateful.rule(
-        step_s=st.sampled_from([0.1, 1.0, 3.0, 4.1, 10.0, 21.0, 33.0, 64.0])
+        step_s=st.sampled_from([0.1, 1.0, 3.0, 4.1, 21.0, 33.0, 64.0, 64.0])
     )
     def time_passes(self, step_s):
         self.world.now += step_s
 
-    @stateful.rule(which=DAEMONS, key=KEYS, fate=FATES)
-    def accept(self, which, key, fate):
+    @stateful.rule(which=DAEMONS, back=BACK, fate=FATES)
+    def accept(self, which, back, fate):
         if not self.daemons[which].paused:
-            self.daemons[which].accept(key, fate)
+            self.daemons[which].accept(self.key(back), fate)
+
+    @stateful.rule(fates=st.tuples(FATES, FATES, FATES))
+    def accept_everywhere(self, fates):
+        for which, fate in enumerate(fates):
+            self.accept(which, 0, fate)
 
-    @stateful.rule(which=DAEMONS, limit=st.sampled_from([0, 1, 2, 500]))
+    @stateful.rule(which=DAEMONS, limit=LIMITS_OF_READS)
     def read(self, which, limit):
         if not self.daemons[which].paused:
             self.daemons[which].read(limit)
 
+    @stateful.rule()
+    def read_everywhere(self):
+        for which in range(3):
+            self.read(which, 500)
+
     @stateful.rule(
         which=DAEMONS,
         fate=FATES,
         luck=st.sampled_from(["well", "well", "refused", "pause"]),
+        limit=LIMITS_OF_READS,
     )
-    def serve(self, which, fate, luck):
+    def serve(self, which, fate, luck, limit):
         daemon = self.daemons[which]
         if daemon.paused:
             return
-        daemon.read()
+        daemon.read(limit)
         daemon.serve(fate, luck)
         for append in daemon.once.due(daemon.clock):
             self.world.append(append, fate)
         if daemon.paused:
             self.paused_at[which] = self.world.now
 
-    @stateful.rule(which=DAEMONS, key=KEYS)
-    def request_without_a_fault(self, which, key):
-        daemon = self.daemons[which]
+    @stateful.rule(which=DAEMONS, back=BACK)
+    def request_without_a_fault(self, which, back):
+        key, daemon = self.key(back), self.daemons[which]
         if not daemon.paused:
             daemon.read()
             made = daemon.accept(key, "lands")
--- a/packages/bulrushgrade/tests/test_order.py
+++ b/packages/bulrushgrade/tests/test_order.py
@@ -90,6 +90,7 @@
     assert a.book.sendable(3.0) == ()
     a.turn(3.0, state="changing", seen=found.order_id)
     assert not a.book.placeable("e")
+    assert "e" in a.book.fold.unfinished
     a.turn(4.0, seen=found.order_id, what=PREFILL)
     assert a.book.placeable("e")
     assert a.book.propose("e", MIXED, 4.0).unwrap()
--- a/packages/bulrushgrade/tests/test_rolechange.py
+++ b/packages/bulrushgrade/tests/test_rolechange.py
@@ -30,6 +30,8 @@
     assert change.tick(0.0) is None
     change.note_views(all_dropped=True, now=1.0)
     assert change.tick(1.0) is ASK
+    change.note_load(_load(1.5, refusing=False))
+    assert change.tick(1.5) is None
     change.note_load(_load(2.0, requests=3))
     assert change.tick(2.0) is None
     change.note_load(_load(3.0))
