Move requests on when an engine dies with many under way

Cause: a retry budget of 3 cut 13 of 16 answers when one engine died; retries were judged by the first token's deadline and avoided every endpoint that had turned them away; a host that woke from a stop gave up all its streams before reading their sockets; an endpoint's certified refusal of a claimed booking used up its one permission. Ruled out: the streams themselves, which resumed token for token. Change: budget of one batch, turned-away attempts counted apart, soft avoidance, own pauses told from silence, permission given back.

--- a/packages/bulrushgrade/bulrushgrade/admission.py
+++ b/packages/bulrushgrade/bulrushgrade/admission.py
@@ -58,13 +58,24 @@
 
 
 def latest_start(
-    item: work.Work, model: cost.CostModel, uncached_tokens: float
+    item: work.Work,
+    model: cost.CostModel,
+    uncached_tokens: float,
+    tokens_done: int = 0,
 ) -> float:
-    """Returns when work has to be placed, on an idle engine, to be in time."""
+    """Returns when work has to be placed, on an idle engine, to be in time.
+
+    Args:
+        item: The work.
+        model: What its endpoints cost.
+        uncached_tokens: Prompt tokens that are still to be read.
+        tokens_done: Tokens of the answer that the caller already has.
+    """
     if not item.model:
         return item.deadline - model.plain_s
     first_s = model.first_token_s(uncached_tokens)
-    answer_s = item.output_tokens * model.step_s(cost.TYPICAL_BATCH)
+    left = max(0, item.output_tokens - tokens_done)
+    answer_s = left * model.step_s(cost.TYPICAL_BATCH)
     start = item.deadline - (first_s + answer_s) / MARGIN
     if item.first_token_deadline is not None:
         start = min(start, item.first_token_deadline - first_s / MARGIN)
--- a/packages/bulrushgrade/bulrushgrade/lane.py
+++ b/packages/bulrushgrade/bulrushgrade/lane.py
@@ -38,7 +38,8 @@
         number: Grows with each arrival; breaks ties in favour of the first.
         not_before: When it may be placed first, for a retry.
         avoid: Endpoints that failed it.
-        attempt: 0 for fresh work.
+        attempt: Attempts so far that may have run; 0 for fresh work.
+        turned_away: Attempts so far that endpoints did not start.
         tokens_done: Tokens of the answer that the caller already has.
     """
 
@@ -50,6 +51,7 @@
     not_before: float = 0.0
     avoid: frozenset[str] = frozenset()
     attempt: int = 0
+    turned_away: int = 0
     tokens_done: int = 0
 
 
--- a/packages/bulrushgrade/bulrushgrade/once.py
+++ b/packages/bulrushgrade/bulrushgrade/once.py
@@ -205,6 +205,18 @@
         self._own[claim_id].started = True
         return True
 
+    def turned_away(self, claim_id: str) -> None:
+        """Gives the permission to run a claim back.
+
+        To be called only where the endpoint itself answered that it did not
+        start the request, and never will: then no run stands against another
+        endpoint's.
+        """
+        own = self._own.get(claim_id)
+        if own is None or not own.started or own.outcome is not None:
+            raise errors.BrokenInvariantError(f"{claim_id} does not run")
+        own.started = False
+
     def finish(
         self,
         claim_id: str,
--- a/packages/bulrushgrade/bulrushgrade/retry.py
+++ b/packages/bulrushgrade/bulrushgrade/retry.py
@@ -10,14 +10,21 @@
 
 import attrs
 
-BURST = 3.0
-"""Retries that are saved up at most at a retry ratio of 0.1 a request: a
-lost engine's few requests move at once even in a quiet hour."""
+BURST = 64.0
+"""Retries that are saved up at most. An engine that dies takes its whole
+batch with it, and each of those answers has to go on elsewhere: that is one
+batch of work that was admitted already, not a growing load. With 3, an engine
+lost with 16 answers under way cut 13 of them."""
 
 MAX_ATTEMPTS = 3
 """Attempts a request gets in all; a request that fails everywhere is more
 likely the cause than the victim."""
 
+MAX_TURNED_AWAY = 8
+"""Endpoints that may turn a request away unstarted, as all engines of a zone
+do in a rolling restart; more often than that the view of the fleet is wrong
+and the caller had better come back."""
+
 BASE_DELAY_S = 0.1
 MAX_DELAY_S = 2.0
 
@@ -36,7 +43,7 @@
 
     def earn(self) -> None:
         """Counts a fresh request."""
-        self.balance = min(self.balance + self.ratio, max(BURST, 1.0))
+        self.balance = min(self.balance + self.ratio, BURST)
 
     def spend(self) -> bool:
         """Takes one retry, or returns False when the budget is out."""
--- a/packages/bulrushgrade/bulrushgrade/scheduler.py
+++ b/packages/bulrushgrade/bulrushgrade/scheduler.py
@@ -10,6 +10,8 @@
 import random
 from typing import Any
 
+import attrs
+
 from bulrushgrade import admission
 from bulrushgrade import lane
 from bulrushgrade import placement
@@ -176,24 +178,21 @@
         self._release(failed, now)
         self._fleet.observe_failure(failed_endpoint, now)
         item = failed.item
-        attempt = item.attempt + 1
-        if started and not item.work.repeatable:
-            code = work.RefusalCode.NOT_REPEATABLE
-            return self._refuse(item.work, code, NO_ENDPOINT_RETRY_S)
-        budget = self._budgets[item.work.service]
-        # What an endpoint turned away cost it nothing, so it is no load that
-        # the budget has to bound; counting it would cut requests whenever
-        # engines are drained faster than the host list tells.
-        spent = not started or budget.spend()
-        if attempt >= retry.MAX_ATTEMPTS or not spent:
-            code = work.RefusalCode.RETRY_BUDGET
+        attempt = item.attempt + int(started)
+        turned_away = item.turned_away + int(not started)
+        code = self._refuse_retry(item, attempt, turned_away, started)
+        if code is not None:
             return self._refuse(item.work, code, NO_ENDPOINT_RETRY_S)
         self._counts["retried"] += 1
+        # It was promised its whole answer when it was admitted; a first token
+        # that comes late after a failure is still worth having.
+        again = attrs.evolve(item.work, first_token_deadline=None)
         return self._admit(
-            item.work,
+            again,
             now,
             attempt=attempt,
-            avoid=item.avoid | {failed_endpoint},
+            turned_away=turned_away,
+            avoid=self._avoid(item, failed_endpoint),
             tokens_done=tokens_done,
             not_before=now + retry.delay_s(attempt, self._rng),
         )
@@ -291,6 +290,7 @@
         now: float,
         *,
         attempt: int = 0,
+        turned_away: int = 0,
         avoid: frozenset[str] = frozenset(),
         tokens_done: int = 0,
         not_before: float = 0.0,
@@ -301,7 +301,7 @@
             return self._refuse(item, code, NO_ENDPOINT_RETRY_S)
         uncached = placement.uncached_tokens(state.pool, item, tokens_done)
         model = state.pool.model
-        if item.model and not attempt:
+        if item.model and not attempt + turned_away:
             asked = self._demand.setdefault(item.model, [0.0] * 4)
             asked[0] += uncached
             asked[1] += item.output_tokens
@@ -310,16 +310,53 @@
         waiting = lane.Waiting(
             work=item,
             engine_s=model.price_s(item, uncached, tokens_done),
-            latest_start=admission.latest_start(item, model, uncached),
+            latest_start=admission.latest_start(
+                item, model, uncached, tokens_done
+            ),
             lane=lane.lane_of(reading_s),
             number=next(self._numbers),
             not_before=not_before,
             avoid=avoid,
             attempt=attempt,
+            turned_away=turned_away,
             tokens_done=tokens_done,
         )
         return self._queue(state, waiting, now)
 
+    def _refuse_retry(
+        self,
+        item: lane.Waiting,
+        attempt: int,
+        turned_away: int,
+        started: bool,
+    ) -> work.RefusalCode | None:
+        if not started:
+            # What an endpoint turned away cost it nothing, so it is no load
+            # that the budget has to bound; counting it would cut requests
+            # whenever engines are drained faster than the host list tells.
+            if turned_away < retry.MAX_TURNED_AWAY:
+                return None
+            return work.RefusalCode.NO_ENDPOINT
+        if not item.work.repeatable:
+            return work.RefusalCode.NOT_REPEATABLE
+        budget = self._budgets[item.work.service]
+        if attempt >= retry.MAX_ATTEMPTS or not budget.spend():
+            return work.RefusalCode.RETRY_BUDGET
+        return None
+
+    def _avoid(self, item: lane.Waiting, failed: str) -> frozenset[str]:
+        """Returns the endpoints that a retry must not go to.
+
+        Where all have failed it, the first to fail may have come back; only
+        the last one is left out, and not even that where it is the only one.
+        """
+        avoid = item.avoid | {failed}
+        state = self._fleet.find_pool(item.work)
+        serving = 0 if state is None else state.pool.serving()
+        if len(avoid) < serving:
+            return avoid
+        return frozenset({failed}) if serving > 1 else frozenset()
+
     def _queue(
         self,
         state: pools.PoolState,
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/claims.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/claims.py
@@ -194,6 +194,7 @@
             self._append(view.abandon(claim_id, self._timers.now))
             return self._tell(decision)
         job.may_write = lambda: view.start(claim_id, self._timers.now)
+        job.turned_away = lambda: view.turned_away(claim_id)
         job.may_retry = lambda: view.may_start(claim_id, self._timers.now)
         outcome = await attempt(job)
         self._end(view, claim_id, outcome)
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/engine.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/engine.py
@@ -83,9 +83,11 @@
     Attributes:
         reason: How that is known.
         retry_after_s: When it asks to be tried again, in seconds.
+        answered: Whether it said so itself; else nothing was written to it.
     """
 
     reason: str
+    answered: bool = False
     retry_after_s: float | None = None
 
 
@@ -393,6 +395,7 @@
             after = response.headers.getRawHeaders("Retry-After", ["1"])[0]
             return NotStarted(
                 reason=f"engine refused with {response.code}",
+                answered=True,
                 retry_after_s=_parse_seconds(after),
             )
         if 400 <= response.code < 500:
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/plain.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/plain.py
@@ -163,9 +163,16 @@
         outcome = await body.done
         if isinstance(outcome, engine.Lost):
             return outcome
+        # Failure guarded against: an answer to an earlier request on the same
+        # connection, given to this one. A service that names the attempt that
+        # it answers lets it be seen.
+        named = response.headers.getRawHeaders(engine.ATTEMPT_HEADER)
+        if named is not None and named != [call.attempt_id]:
+            return engine.Lost(reason="answer to another request")
         if response.headers.hasHeader(engine.NOT_STARTED_HEADER):
             return engine.NotStarted(
-                reason=f"endpoint refused with {response.code}"
+                reason=f"endpoint refused with {response.code}",
+                answered=True,
             )
         return PlainAnswer(
             status=response.code,
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/plainrelay.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/plainrelay.py
@@ -34,6 +34,8 @@
         maybe_ran: Whether an attempt may have run at an endpoint.
         may_write: Takes the permission to run a claimed request, in the
             turn of its write; it is given once.
+        turned_away: Gives that permission back where the endpoint answered
+            that it did not start the request.
         may_retry: Whether that permission is still to be had.
     """
 
@@ -49,6 +51,7 @@
     gone: bool = False
     maybe_ran: bool = False
     may_write: Callable[[], bool] | None = None
+    turned_away: Callable[[], None] | None = None
     may_retry: Callable[[], bool] | None = None
 
 
@@ -172,6 +175,8 @@
     ) -> refusal.Refusal | None:
         if isinstance(outcome, engine.NotStarted):
             self._counts["not_started"] += 1
+            if outcome.answered and job.turned_away is not None:
+                job.turned_away()
         else:
             self._counts["lost_attempts"] += 1
             job.maybe_ran = True
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/relay.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/relay.py
@@ -189,7 +189,7 @@
             self._counts["lost_attempts"] += 1
             placed = await self._placing.retry(
                 job.request_id,
-                placed.endpoint,
+                job.endpoint,
                 job.answer.tokens,
                 started=not isinstance(outcome, engine.NotStarted),
             )
@@ -230,7 +230,7 @@
     async def _attempt(
         self, job: ModelJob, placed: work_module.Placed, number: int
     ) -> engine.StreamOutcome:
-        job.endpoint = placed.decode_endpoint or placed.endpoint
+        job.endpoint = placed.endpoint
         job.attempt_id = f"{job.request_id}.{number}"
         body = self._body(job)
         if placed.decode_endpoint is not None:
@@ -301,6 +301,10 @@
         if isinstance(handle, Failure):
             return handle.failure()
         self._placing.prefill_done(job.request_id)
+        # The prompt was read: whatever the other engine answers, the request
+        # has run in part.
+        job.maybe_ran = True
+        job.endpoint = placed.decode_endpoint
         moved = {"address": placed.endpoint, "handle": handle.unwrap()}
         return {**body, "kv_import": moved}
 
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/silence.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/silence.py
@@ -13,6 +13,8 @@
 BETWEEN_MIN_S = 1.0
 BETWEEN_FACTOR = 20.0
 RECHECK_MIN_S = 0.01
+# A look that comes this much late means that this process stood still.
+OWN_PAUSE_S = 0.5
 
 
 class SilenceWatch:
@@ -49,7 +51,7 @@
         self._between_s = max(BETWEEN_MIN_S, BETWEEN_FACTOR * between_tokens_s)
         self._progress_s = timers.now
         self._paused = False
-        self._subscription = timers.after(self._limit_s(), self._look)
+        self._arm(self._limit_s())
 
     def progress(self) -> None:
         """Notes that a token came."""
@@ -69,14 +71,21 @@
         left_s = max(0.0, self._deadline - self._timers.now)
         return min(self._usual_s, left_s * SILENCE_PART)
 
+    def _arm(self, delay_s: float) -> None:
+        self._due_s = self._timers.now + delay_s
+        self._subscription = self._timers.after(delay_s, self._look)
+
     def _look(self) -> None:
-        if self._paused:
+        # Failure guarded against: this process was stopped for a while. On
+        # waking, timers run before sockets are read, so every stream looks
+        # silent though its tokens wait in the socket; giving them all up
+        # would move all answers of this host at once.
+        own_pause = self._timers.now > self._due_s + OWN_PAUSE_S
+        if self._paused or own_pause:
             self._progress_s = self._timers.now
         silent_s = self._timers.now - self._progress_s
         left_s = self._limit_s() - silent_s
         if left_s <= 0.0:
             self._stream.end(engine.Lost(reason="silent"))
             return
-        self._subscription = self._timers.after(
-            max(left_s, RECHECK_MIN_S), self._look
-        )
+        self._arm(max(left_s, RECHECK_MIN_S))
