--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/placing.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/placing.py
@@ -188,7 +188,13 @@
             started: False where the endpoint certainly did not start it.
         """
         return await self._decided(
-            self._core.retry(request_id, failed_endpoint, tokens_done, self.now)
+            self._core.retry(
+                request_id,
+                failed_endpoint,
+                tokens_done,
+                self.now,
+                started=started,
+            )
         )
 
     def first_token(self, request_id: str) -> None:
