Judge a checkpoint's use by its state's offset, not by its parts'

The machine's mutation run showed that it no longer caught records skipped between a state and its checkpoint. Cause: it trimmed up to the checkpoint's first part, and a reader can't use a state up to N once record N is gone, however many of the parts remain. The schedule had the same fault: it called for a new checkpoint only when the first part was trimmed, so that for a while every daemon that started would have stayed not ready.

--- a/packages/bulrushgrade/bulrushgrade/checkpoint.py
+++ b/packages/bulrushgrade/bulrushgrade/checkpoint.py
@@ -111,9 +111,9 @@
     """A checkpoint of which every part has been read.
 
     Attributes:
-        first_offset: The offset of the earliest of its parts; once that is
-            trimmed, a new reader can't use it.
-        snapshot: What it holds.
+        first_offset: The offset of the earliest of its parts.
+        snapshot: What it holds. Once the log has trimmed the record at its
+            `next_offset`, a new reader can't use it.
     """
 
     first_offset: int
@@ -276,8 +276,10 @@
         in_grace = now < self._started_at + GRACE_S
         if self._last is None:
             return None if in_grace else "no checkpoint is known"
-        if earliest_offset > self._last.first_offset:
-            return "the last checkpoint is trimmed"
+        # The state goes up to next_offset, and its parts come later: a reader
+        # needs every record in between as well.
+        if earliest_offset > self._last.snapshot.next_offset:
+            return "the log has trimmed what the checkpoint needs"
         if next_offset - self._last.snapshot.next_offset > MAX_RECORDS_BEHIND:
             return "many records since the last checkpoint"
         if self._seen_at is None:
--- a/packages/bulrushgrade/tests/test_checkpoint.py
+++ b/packages/bulrushgrade/tests/test_checkpoint.py
@@ -169,15 +169,19 @@
 
 
 def test_a_trimmed_checkpoint_and_a_long_tail_are_due():
+    # A state up to 4 is of no use once record 4 is gone, though the parts that
+    # hold it, from 6 on, are still there.
     for options, reason in (
-        ({"earliest": 6}, "the last checkpoint is trimmed"),
-        ({"next_offset": 1006}, "many records since the last checkpoint"),
+        ({"earliest": 5}, "the log has trimmed what the checkpoint needs"),
+        ({"earliest": 4}, None),
+        ({"next_offset": 1005}, "many records since the last checkpoint"),
         ({}, None),
     ):
         schedule = checkpoint.Schedule(
             address="a", retention_s=RETENTION_S, now=0.0
         )
-        schedule.note_checkpoint(_whole(5), now=0.0, fresh=True)
+        whole = _whole(6, next_offset=4)
+        schedule.note_checkpoint(whole, now=0.0, fresh=True)
         found = schedule.find_due(
             now=1.0,
             hosts=["a"],
--- a/packages/bulrushgrade/tests/test_registry_machine.py
+++ b/packages/bulrushgrade/tests/test_registry_machine.py
@@ -208,8 +208,16 @@
             self.parts = list(bodies)
 
     @stateful.precondition(lambda self: self.parts and not self.away)
-    @stateful.rule(count=strategies.integers(1, 5))
-    def append_parts(self, count):
+    @stateful.rule(
+        count=strategies.integers(1, 5),
+        service=strategies.sampled_from(sorted(OWNERS)),
+        share=strategies.sampled_from([10.0, 20.0, 30.0]),
+    )
+    def append_parts(self, count, service, share):
+        """A change comes between the state and its checkpoint's parts."""
+        seen = self.truth.accepted(service)
+        base = seen.offset if seen else None
+        self._append(*self._make(service, OWNERS[service], base, share))
         for body in self.parts[:count]:
             self.ids += 1
             self._append(f"k{self.ids}", body)
@@ -222,7 +230,7 @@
     @stateful.precondition(lambda self: self.truth.last_checkpoint is not None)
     @stateful.rule()
     def trim_to_checkpoint(self):
-        first = self.truth.last_checkpoint.first_offset
+        first = self.truth.last_checkpoint.snapshot.next_offset
         self.earliest = max(self.earliest, first)
 
     @stateful.rule(reader=strategies.integers(0, READERS - 1))
