--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/host.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/host.py
@@ -7,17 +7,26 @@
 import attrs
 
 from bulrushgrade import kernel as kernel_module
+from bulrushgrade import membership
 from bulrushgrade import offering as offering_module
 from bulrushgrade import scheduler
+from bulrushgrade import work
 from bulrushgrade_daemon import admin
+from bulrushgrade_daemon import authority
 from bulrushgrade_daemon import callers
+from bulrushgrade_daemon import claims
 from bulrushgrade_daemon import clock
 from bulrushgrade_daemon import documents
 from bulrushgrade_daemon import engine
 from bulrushgrade_daemon import fleet
 from bulrushgrade_daemon import hostlist
 from bulrushgrade_daemon import logclient
+from bulrushgrade_daemon import logwriter
+from bulrushgrade_daemon import mesh
 from bulrushgrade_daemon import metrics
+from bulrushgrade_daemon import orders
+from bulrushgrade_daemon import peermessages
+from bulrushgrade_daemon import peers
 from bulrushgrade_daemon import placing
 from bulrushgrade_daemon import plain
 from bulrushgrade_daemon import plainrelay
@@ -83,6 +92,9 @@
         self._add_platform()
         self._add_placing()
         self._add_documents()
+        self._add_claims()
+        self._add_peers()
+        self._add_authority()
         front = self._add_callers()
         operators = self._add_admin()
         return Daemon(kernel=self._kernel, callers=front, admin=operators)
@@ -101,7 +113,7 @@
             )
         )
         self._hosts = self._add(
-            hostlist.HostList(
+            hostlist.HostListReader(
                 reactor=self._reactor,
                 timers=self._timers,
                 address=str(platform.host_list),
@@ -113,9 +125,11 @@
     def _add_placing(self) -> None:
         self._engines = self._add(engine.EngineClient(reactor=self._reactor))
         self._plain = self._add(plain.PlainClient(reactor=self._reactor))
-        core = scheduler.Scheduler(zone=self._settings.host.zone, rng=self._rng)
+        self._core = scheduler.Scheduler(
+            zone=self._settings.host.zone, rng=self._rng
+        )
         self._placing = self._add(
-            placing.Placing(timers=self._timers, core=core)
+            placing.Placing(timers=self._timers, core=self._core)
         )
         self._add(
             fleet.Fleet(
@@ -146,7 +160,10 @@
         )
         plain_relay = self._add(
             plainrelay.PlainRelay(
-                timers=self._timers, client=self._plain, place=self._placing
+                timers=self._timers,
+                client=self._plain,
+                place=self._placing,
+                claims=self._claims,
             )
         )
         parts = callers.Parts(
@@ -157,7 +174,7 @@
             ready=self._not_ready,
             on_broken=self._kernel.fail,
         )
-        return self._add(
+        self._front = self._add(
             callers.Callers(
                 reactor=self._reactor,
                 settings=self._settings,
@@ -165,6 +182,7 @@
                 parts=parts,
             )
         )
+        return self._front
 
     def _add_admin(self) -> admin.Admin:
         return self._add(
@@ -176,12 +194,105 @@
             )
         )
 
-    def _on_hosts(self, hosts: hostlist.HostsRead) -> None:
-        for name in ("placing", "fleet"):
-            self._kernel.send(name, hosts)
+    def _add_claims(self) -> None:
+        self._writer = self._add(
+            logwriter.LogWriter(log=self._log, kernel=self._kernel)
+        )
+        self._claims = self._add(
+            claims.Claims(
+                timers=self._timers,
+                log=self._log,
+                writer=self._writer,
+                runner=f"{self._settings.host.name}-{self._incarnation}",
+                rng=self._rng,
+                on_broken=self._kernel.fail,
+            )
+        )
+
+    def _add_peers(self) -> None:
+        listeners = peermessages.Listeners(
+            on_loads=self._on_peer_loads,
+            on_demands=self._on_peer_demands,
+            on_snapshot_request=self._on_snapshot_request,
+            on_snapshot=self._documents.restore,
+        )
+        limits = self._settings.limits
+        self._peers = self._add(
+            peers.Peers(
+                kernel=self._kernel,
+                reactor=self._reactor,
+                timers=self._timers,
+                listen=self._settings.listen.peers,
+                queue_messages=limits.peer_queue_messages,
+                loads_bytes_per_s=limits.peer_bytes_per_s,
+                read_loads=self._placing.own_loads,
+                read_demands=self._core.demand,
+                listeners=listeners,
+                rng=self._rng,
+            )
+        )
+        self._mesh = self._add(
+            mesh.Mesh(
+                kernel=self._kernel,
+                zone=self._settings.host.zone,
+                region=self._settings.host.region,
+                own_address=lambda: self._front.address,
+                own_peer_address=lambda: self._peers.address,
+            )
+        )
+
+    def _add_authority(self) -> None:
+        order_client = self._add(orders.OrderClient(reactor=self._reactor))
+        parts = authority.AuthorityParts(
+            timers=self._timers,
+            log=self._log,
+            writer=self._writer,
+            place=self._placing,
+            ties=self._mesh,
+            orders=order_client,
+            capacity=self._core.capacity,
+            demands=self._core.demand,
+            on_broken=self._kernel.fail,
+        )
+        self._add(
+            authority.Authority(
+                settings=self._settings.authority,
+                holder=f"{self._settings.host.name}-{self._incarnation}",
+                parts=parts,
+                rng=self._rng,
+            )
+        )
+
+    def _on_peer_demands(
+        self, peer: str, demands: tuple[work.Demand, ...]
+    ) -> None:
+        message = authority.PeerDemands(peer=peer, demands=demands)
+        self._kernel.send("authority", message)
+
+    def _on_peer_loads(
+        self, peer: str, loads: tuple[work.PeerLoad, ...]
+    ) -> None:
+        message = placing.PeerLoads(peer=peer, loads=loads)
+        self._kernel.send("placing", message)
+
+    def _on_snapshot_request(self, reply_to: bytes) -> None:
+        # A host that is not ready itself would hand on what it can't vouch
+        # for; others will answer.
+        if self._documents.offering is None:
+            return
+        answer = peermessages.AnswerSnapshot(
+            reply_to=reply_to, snapshot=self._documents.registry.snapshot()
+        )
+        self._kernel.send("peers", answer)
+
+    def _on_hosts(self, hosts: membership.HostList) -> None:
+        self._kernel.send("mesh", hosts)
+        if self._documents.offering is None:
+            self._kernel.send("peers", peermessages.AskSnapshot())
 
     def _on_accepted(self, offering: offering_module.Offering) -> None:
         self._placing.set_policies(offering.policies())
+        self._kernel.send("authority", offering)
 
     def _not_ready(self) -> str | None:
         if self._documents.not_ready is not None:
