Let the machines of orders and once-only claims meet their faults

The order machine found none of the switched-off mechanisms in a trial: its holder seldom held long enough to order, and engines that ignore numbers close connections before a successor could have sent another order. Ruled out was a larger number of examples, which only made it slower. Orders now go out from whoever acts, with shorter times in the same proportions, and all daemons serve in a drawn order with drawn reads.

--- a/packages/bulrushgrade/tests/test_authority.py
+++ b/packages/bulrushgrade/tests/test_authority.py
@@ -21,12 +21,16 @@
 
 # Next to no stagger, so that the guard alone keeps two holders apart.
 LEASE_TIMES = lease.LeaseTimes(stagger_s=0.01)
-ORDER_TIMES = order.OrderTimes(refresh_s=10.0)
+# Short times, so that a run passes all of them. The allowance outlasts the
+# engines' read timeout by the difference of the clocks' rates.
+ORDER_TIMES = order.OrderTimes(
+    pause_allowance_s=12.0, change_limit_s=6.0, refresh_s=10.0
+)
 RETENTION_S = 40.0
 # The largest difference that the guard has to cover, less a hair.
 RATE_ERROR = LEASE_TIMES.guard_s / LEASE_TIMES.ttl_s - 0.001
-CHANGE_S = 4.0
-READ_TIMEOUT_S = 10.0
+CHANGE_S = 1.0
+READ_TIMEOUT_S = 11.0
 ROLES = [
     orderlog.Wanted(role=role, model="m", version="1")
     for role in ("mixed", "prefill", "decode")
@@ -232,6 +236,7 @@
             for process in self.processes:
                 if not process.paused:
                     process.turn()
+                    process.write("well")
                     self.check_one_holder()
 
     @stateful.rule()
@@ -242,6 +247,7 @@
             for process in self.processes:
                 if process not in cut_off and not process.paused:
                     process.turn()
+                    process.write("well")
             self.check_one_holder()
 
     @stateful.rule(
@@ -309,8 +315,6 @@
             self.wake(which)
         for _ in range(60):
             self.all_goes_well(1)
-            for process in self.processes:
-                process.write("well")
         assert sum(p.acting for p in self.processes) == 1, "no holder"
 
 
@@ -322,24 +326,17 @@
     """
 
     @stateful.rule(
-        which=PROCESSES,
         name=st.sampled_from(["checks", "ignores"]),
         role=st.integers(0, 2),
         fate=FATES,
+        luck=st.sampled_from(["well", "answer lost", "pause", "pause"]),
     )
-    def propose(self, which, name, role, fate):
-        if not self.processes[which].paused:
-            self.processes[which].propose(name, role, fate)
-
-    @stateful.rule(
-        which=PROCESSES,
-        luck=st.sampled_from(["well", "answer lost", "pause"]),
-    )
-    def write(self, which, luck):
-        process = self.processes[which]
-        if not process.paused:
-            process.read(500)
-            process.write(luck)
+    def holder_orders(self, name, role, fate, luck):
+        for process in self.processes:
+            if process.acting and not process.paused:
+                process.propose(name, role, fate)
+                process.read(500)
+                process.write(luck)
 
     @stateful.rule(name=st.sampled_from(["checks", "ignores"]))
     def crash(self, name):
--- a/packages/bulrushgrade/tests/test_once_faults.py
+++ b/packages/bulrushgrade/tests/test_once_faults.py
@@ -213,11 +213,15 @@
             self.read(which, 500)
 
     @stateful.rule(
-        which=DAEMONS,
+        order=st.permutations(range(3)),
+        limits=st.tuples(*[LIMITS_OF_READS] * 3),
         fate=FATES,
         luck=st.sampled_from(["well", "well", "refused", "pause"]),
-        limit=LIMITS_OF_READS,
     )
+    def serve_everywhere(self, order, limits, fate, luck):
+        for which in order:
+            self.serve(which, fate, luck, limits[which])
+
     def serve(self, which, fate, luck, limit):
         daemon = self.daemons[which]
         if daemon.paused:
