Drive the order machine through changes of holder in mid-write

Two more literal cases pin the start limit of a claim that is read late and the silence of a new holder before its adoption is read.

--- a/packages/bulrushgrade/tests/test_authority.py
+++ b/packages/bulrushgrade/tests/test_authority.py
@@ -325,6 +325,11 @@
     the retention.
     """
 
+    @stateful.initialize(rates=st.tuples(RATES, RATES, RATES))
+    def start(self, rates):
+        super().start(rates)
+        self.all_goes_well(30)
+
     @stateful.rule(
         name=st.sampled_from(["checks", "ignores"]),
         role=st.integers(0, 2),
@@ -338,6 +343,22 @@
                 process.read(500)
                 process.write(luck)
 
+    @stateful.rule(
+        name=st.sampled_from(["checks", "ignores"]),
+        roles=st.tuples(st.integers(0, 2), st.integers(0, 2)),
+        luck=st.sampled_from(["answer lost", "pause"]),
+        turns=st.integers(1, 8),
+        wakes=st.booleans(),
+    )
+    def holder_changes_in_a_write(self, name, roles, luck, turns, wakes):
+        holders = [which for which in range(3) if self.processes[which].acting]
+        self.holder_orders(name, roles[0], "lands", luck)
+        self.holder_is_cut_off()
+        self.all_goes_well(turns)
+        self.holder_orders(name, roles[1], "lands", "well")
+        for which in holders if wakes else ():
+            self.wake(which)
+
     @stateful.rule(name=st.sampled_from(["checks", "ignores"]))
     def crash(self, name):
         self.world.engines[name].crash(self.world.now)
--- a/packages/bulrushgrade/tests/test_once.py
+++ b/packages/bulrushgrade/tests/test_once.py
@@ -118,6 +118,16 @@
     assert a.decide(now=5.0, claim_id=claim_id) == oncedecision.Late()
 
 
+def test_start_limit_counts_from_before_the_claim_was_sent():
+    # The claim's answer is lost and the daemon reads it back late, when
+    # others may have given its runner up.
+    a, _ = _two()
+    claim = a.once.claim(key="k", digest="d", now=0.0).unwrap()
+    a.log.append(claim)
+    a.read(LIMITS.start_limit_s)
+    assert not a.once.start(claim.record_id, LIMITS.start_limit_s)
+
+
 def test_another_request_under_the_key_is_a_conflict():
     a, b = _two()
     a.claim()
--- a/packages/bulrushgrade/tests/test_once_faults.py
+++ b/packages/bulrushgrade/tests/test_once_faults.py
@@ -177,6 +177,7 @@
         self.world = World()
         self.daemons = [Daemon(world=self.world, rate=rate) for rate in rates]
         self.paused_at = {}
+        self.read_everywhere()
         self.serial = 1
 
     def key(self, back):
@@ -254,15 +255,17 @@
             self.daemons[which].paused = True
             self.paused_at[which] = self.world.now
 
-    @stateful.rule(which=DAEMONS)
-    def wake(self, which):
+    @stateful.rule()
+    def wake_everywhere(self):
         # The endpoint closes a connection on which nothing came for 10 s.
-        paused_s = self.world.now - self.paused_at.get(which, -1e9)
-        self.daemons[which].wake(in_time=paused_s < 10.0)
+        for which, daemon in enumerate(self.daemons):
+            paused_s = self.world.now - self.paused_at.get(which, -1e9)
+            daemon.wake(in_time=paused_s < 10.0)
 
     @stateful.rule(which=DAEMONS, rate=RATES)
     def kill_and_replace(self, which, rate):
         self.daemons[which] = Daemon(world=self.world, rate=rate)
+        self.read(which, 500)
 
     @stateful.precondition(lambda self: self.world.under_way)
     @stateful.rule()
--- a/packages/bulrushgrade/tests/test_order.py
+++ b/packages/bulrushgrade/tests/test_order.py
@@ -114,8 +114,10 @@
     a = _holder()
     a.propose(0.0)
     b = Holder(log=a.log, name="b")
-    for now in (1.0, 8.0, 8.1):
+    for now in (1.0, 8.0):
         b.turn(now)
+        assert b.book.sendable(now) == ()
+    b.turn(8.1)
     found = b.write(8.1)
     assert (found.wanted, found.number) == (PREFILL, 3)
     assert found.order_id == a.book.fold.unfinished["e"].order_id
