Give embedders a model of the holder, its engines and a faulty log

Ruled out was dropping cases. The order machine also has a step in which a holder writes without reading first, since no machine had met the loss of the lease check, and a test sizes what a pause can do where numbers are ignored.

--- /dev/null
+++ b/packages/bulrushgrade/bulrushgrade/modelengine.py
@@ -0,0 +1,89 @@
+"""An engine in memory, for the tests of those who embed the library.
+
+It takes orders as the users' engines do: some refuse a number below the
+highest that they have taken, others carry out whatever reaches them.
+"""
+
+from collections.abc import Callable
+
+import attrs
+
+from bulrushgrade import engineorder
+from bulrushgrade import orderlog
+
+# Reports kept to be shown late.
+HISTORY = 20
+
+
+@attrs.define(kw_only=True)
+class ModelEngine:
+    """One engine; times are the true time of the test.
+
+    Attributes:
+        name: Its address.
+        fencing: Whether it refuses old numbers.
+        initial: What it is at the start and after a crash.
+        change_s: How long a change takes.
+        read_timeout_s: How long it reads a connection on which nothing comes.
+        on_change: Called with each order that it starts to carry out, and
+            whether it was carrying out another one.
+    """
+
+    name: str
+    fencing: bool
+    initial: orderlog.Wanted
+    change_s: float = 0.0
+    read_timeout_s: float = 10.0
+    on_change: Callable[[engineorder.Order, bool], None] = lambda order, busy: (
+        None
+    )
+    _what: orderlog.Wanted | None = None
+    _order_id: str = ""
+    _number: int = -1
+    _busy_until: float = 0.0
+    _down: bool = False
+    _history: list[tuple[float, engineorder.Seen]] = attrs.field(factory=list)
+
+    def take(
+        self, order: engineorder.Order, *, opened_at: float, now: float
+    ) -> engineorder.Reply:
+        """Reads an order from a connection opened at a time."""
+        # One that checks numbers is given no timeout, so that the numbers
+        # alone have to do.
+        if not self.fencing and now >= opened_at + self.read_timeout_s:
+            return engineorder.Reply.LOST
+        if self.fencing and order.number < self._number:
+            return engineorder.Reply.STALE
+        busy = now < self._busy_until
+        if order.order_id != self._order_id:
+            if self.fencing and busy:
+                return engineorder.Reply.BUSY
+            self.on_change(order, busy)
+            self._what, self._order_id = order.wanted, order.order_id
+            self._busy_until = now + self.change_s
+        self._number = max(self._number, order.number)
+        self._note(now)
+        return engineorder.Reply.ACCEPTED
+
+    def crash(self, now: float, *, down: bool = False) -> None:
+        """Forgets its order, and stays down or comes back at once."""
+        self._what, self._order_id = None, ""
+        self._busy_until, self._down = now, down
+        self._note(now)
+
+    def report(self, now: float, *, lag_s: float = 0.0) -> engineorder.Seen:
+        """Returns what it reported of itself some time ago."""
+        self._note(now)
+        del self._history[:-HISTORY]
+        old = [seen for at, seen in self._history if at <= now - lag_s]
+        return old[-1] if old else self._history[0][1]
+
+    def _note(self, now: float) -> None:
+        state = "changing" if now < self._busy_until else "serving"
+        seen = engineorder.Seen(
+            state="down" if self._down else state,
+            now=self._what or self.initial,
+            order_id=self._order_id,
+            number=self._number,
+        )
+        self._history.append((now, seen))
--- /dev/null
+++ b/packages/bulrushgrade/bulrushgrade/modelholder.py
@@ -0,0 +1,157 @@
+"""A daemon's use of a lease and its orders, for tests of embedders.
+
+`ModelHolder` makes the calls that the owner of a `lease.Lease` and an
+`order.OrderBook` has to make, in their order, over a model log and model
+engines. It has a clock of its own rate.
+"""
+
+from collections.abc import Iterable
+import itertools
+
+import attrs
+
+from bulrushgrade import engineorder
+from bulrushgrade import lease
+from bulrushgrade import modelengine
+from bulrushgrade import modellog
+from bulrushgrade import order
+from bulrushgrade import orderlog
+from bulrushgrade import record
+
+
+@attrs.frozen(kw_only=True)
+class _Write:
+    order: engineorder.Order
+    opened_at: float
+
+
+class ModelHolder:
+    """One candidate for the group ``g``, with its engines."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        log: modellog.FaultyLog,
+        rank: int = 0,
+        engines: Iterable[modelengine.ModelEngine] = (),
+        lease_times: lease.LeaseTimes | None = None,
+        order_times: order.OrderTimes | None = None,
+        rate: float = 1.0,
+        born_at: float = 0.0,
+    ):
+        """Makes a candidate that has read nothing.
+
+        Args:
+            name: Unique for each run.
+            log: The log; the true time is handed to it.
+            rank: Its place among the candidates.
+            engines: The group's engines.
+            lease_times: The lease's times, if not the usual ones.
+            order_times: The orders' times, if not the usual ones.
+            rate: Seconds of its clock to a second of true time.
+            born_at: The true time at which its clock shows 0.
+        """
+        serial = itertools.count()
+        self._log, self._rate, self._born_at = log, rate, born_at
+        self._engines = {engine.name: engine for engine in engines}
+        self._write: _Write | None = None
+        self.lease = lease.Lease(
+            group="g",
+            holder=name,
+            rank=rank,
+            times=lease_times or lease.LeaseTimes(),
+            new_id=lambda: f"{name}-{next(serial)}",
+        )
+        self.book = order.OrderBook(
+            authority=self.lease,
+            times=order_times or order.OrderTimes(),
+            new_id=lambda: f"{name}-{next(serial)}",
+        )
+        for engine in self._engines.values():
+            self.book.set_engine(engine.name, fencing=engine.fencing)
+
+    def clock(self, now: float) -> float:
+        """Returns what its clock shows at a true time."""
+        return self._rate * (now - self._born_at)
+
+    def acting(self, now: float) -> bool:
+        """Whether it finds that it has authority."""
+        return self.lease.acting(self.clock(now))
+
+    def read(self, now: float, *, limit: int = 500) -> None:
+        """Reads on in the control stream."""
+        page = self._log.read(
+            self.lease.stream, self.book.next_offset, limit=limit
+        )
+        self.book.apply_page(page, self.clock(now))
+
+    def turn(
+        self,
+        now: float,
+        *,
+        fate: modellog.Fate = modellog.Fate.LANDS,
+        lag_s: float = 0.0,
+        limit: int = 500,
+    ) -> None:
+        """Reads, hears its engines, appends what is due, and reads again."""
+        self.read(now, limit=limit)
+        clock = self.clock(now)
+        for engine in self._engines.values():
+            report = engine.report(now, lag_s=lag_s)
+            self.book.observe(engine.name, report, clock)
+        for append in (*self.lease.tick(clock), *self.book.due(clock)):
+            self.append(append, fate, now)
+        self.read(now, limit=limit)
+
+    def propose(
+        self,
+        engine: str,
+        wanted: orderlog.Wanted,
+        now: float,
+        *,
+        fate: modellog.Fate = modellog.Fate.LANDS,
+    ) -> bool:
+        """Makes and appends an intent; returns whether there was one."""
+        made = self.book.propose(engine, wanted, self.clock(now))
+        made.map(lambda append: self.append(append, fate, now))
+        self.read(now)
+        return made.value_or(None) is not None
+
+    def append(
+        self, append: record.Append, fate: modellog.Fate, now: float
+    ) -> None:
+        """Appends a record, and tells its part of a certain failure."""
+        if self._log.deliver(append, fate, now):
+            self.lease.failed(append.record_id)
+            self.book.failed(append.record_id)
+
+    def begin_write(self, now: float) -> engineorder.Order | None:
+        """Checks that an order may be written; the write has yet to come."""
+        found = self.book.sendable(self.clock(now))
+        if not found or self._write is not None:
+            return None
+        self.book.sent(found[0], self.clock(now))
+        self._write = _Write(order=found[0], opened_at=now)
+        return found[0]
+
+    def finish_write(self, now: float, *, lose_answer: bool = False) -> None:
+        """Writes the order that was begun, however long ago that was."""
+        if self._write is None:
+            return
+        write, self._write = self._write, None
+        reply = self._engines[write.order.engine].take(
+            write.order, opened_at=write.opened_at, now=now
+        )
+        if lose_answer:
+            reply = engineorder.Reply.LOST
+        self.book.answered(write.order, reply, self.clock(now))
+
+    def write(
+        self, now: float, *, lose_answer: bool = False
+    ) -> engineorder.Order | None:
+        """Checks and writes one order in one turn, if there is one."""
+        begun = self.begin_write(now)
+        if begun is not None:
+            self.finish_write(now, lose_answer=lose_answer)
+        return begun
--- a/packages/bulrushgrade/bulrushgrade/modellog.py
+++ b/packages/bulrushgrade/bulrushgrade/modellog.py
@@ -1,11 +1,13 @@
 """A log service in memory, for the tests of those who embed the library.
 
-It keeps what the platform's log promises, a total order of offsets in each
-stream and trimming from the front, and nothing more: like the platform's, it
-stores a repeated append twice. Outages, lost answers and lagging readers are
-up to the test, which decides what to call and what to tell.
+`ModelLog` keeps what the platform's log promises, a total order of offsets in
+each stream and trimming from the front, and nothing more: like the platform's,
+it stores a repeated append twice. `FaultyLog` adds what may become of an
+append on its way.
 """
 
+import enum
+
 import attrs
 
 from bulrushgrade import record
@@ -27,16 +29,14 @@
     def __init__(self):
         self._streams: dict[str, _Stream] = {}
 
-    def append(self, append: record.Append) -> int:
-        """Stores a record and returns its offset."""
+    def append(self, append: record.Append) -> record.Record:
+        """Stores a record and returns it with its offset."""
         stream = self._streams.setdefault(append.stream, _Stream())
-        offset = stream.end
-        stream.records.append(
-            record.Record(
-                offset=offset, record_id=append.record_id, body=append.body
-            )
+        item = record.Record(
+            offset=stream.end, record_id=append.record_id, body=append.body
         )
-        return offset
+        stream.records.append(item)
+        return item
 
     def read(self, stream: str, start: int, *, limit: int = 500) -> record.Page:
         """Returns records from `start`, or from the earliest retained one."""
@@ -57,3 +57,64 @@
         earliest = min(earliest, kept.end)
         del kept.records[: max(0, earliest - kept.earliest)]
         kept.earliest = max(kept.earliest, earliest)
+
+
+class Fate(enum.Enum):
+    """What becomes of an append."""
+
+    LANDS = "lands"
+    FAILS = "fails, and its writer is told"
+    VANISHES = "fails, and its writer is told nothing"
+    LANDS_LATE = "is under way for some time"
+    LANDS_TWICE = "is stored twice"
+    LANDS_AND_AGAIN = "is stored, and once more some time later"
+
+
+_STORED = {
+    Fate.LANDS: 1,
+    Fate.LANDS_TWICE: 2,
+    Fate.LANDS_AND_AGAIN: 1,
+}
+
+
+class FaultyLog(ModelLog):
+    """A log whose appends may fail, come late or come twice."""
+
+    def __init__(self):
+        super().__init__()
+        self._stored_at: dict[str, list[float]] = {}
+        self._under_way: list[tuple[float, record.Append]] = []
+
+    @property
+    def under_way(self) -> list[tuple[float, record.Append]]:
+        """Appends that have not landed, with the times they were sent."""
+        return self._under_way
+
+    def deliver(self, append: record.Append, fate: Fate, now: float) -> bool:
+        """Lets an append meet its fate.
+
+        Returns:
+            Whether its writer learns for certain that it failed.
+        """
+        for _ in range(_STORED.get(fate, 0)):
+            self._store(append, now)
+        if fate in (Fate.LANDS_LATE, Fate.LANDS_AND_AGAIN):
+            self._under_way.append((now, append))
+        return fate is Fate.FAILS
+
+    def land_next(self, now: float) -> None:
+        """Stores the append that is under way for longest."""
+        self._store(self._under_way.pop(0)[1], now)
+
+    def drop_next(self) -> None:
+        """Loses the append that is under way for longest."""
+        self._under_way.pop(0)
+
+    def trim_older(self, stream: str, limit: float) -> None:
+        """Drops the records that were stored before a time."""
+        times = self._stored_at.get(stream, [])
+        self.trim(stream, sum(1 for at in times if at < limit))
+
+    def _store(self, append: record.Append, now: float) -> None:
+        self._stored_at.setdefault(append.stream, []).append(now)
+        self.append(append)
--- a/packages/bulrushgrade/tests/test_authority.py
+++ b/packages/bulrushgrade/tests/test_authority.py
@@ -7,17 +7,16 @@
 
 import itertools
 
-import attrs
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from bulrushgrade import engineorder
 from bulrushgrade import lease
 from bulrushgrade import leaselog
+from bulrushgrade import modelengine
+from bulrushgrade import modelholder
 from bulrushgrade import modellog
 from bulrushgrade import order
 from bulrushgrade import orderlog
-from bulrushgrade import record
 
 # Next to no stagger, so that the guard alone keeps two holders apart.
 LEASE_TIMES = lease.LeaseTimes(stagger_s=0.01)
@@ -26,192 +25,36 @@
 ORDER_TIMES = order.OrderTimes(
     pause_allowance_s=12.0, change_limit_s=6.0, refresh_s=10.0
 )
+READ_TIMEOUT_S = 11.0
 RETENTION_S = 40.0
 # The largest difference that the guard has to cover, less a hair.
 RATE_ERROR = LEASE_TIMES.guard_s / LEASE_TIMES.ttl_s - 0.001
-CHANGE_S = 1.0
-READ_TIMEOUT_S = 11.0
 ROLES = [
     orderlog.Wanted(role=role, model="m", version="1")
     for role in ("mixed", "prefill", "decode")
 ]
+NAMES = st.sampled_from(["checks", "ignores"])
+FATES = st.sampled_from([modellog.Fate.LANDS] * 2 + list(modellog.Fate))
+LANDS = modellog.Fate.LANDS
+WHICH = st.integers(0, 2)
+RATES = st.sampled_from([1 - RATE_ERROR, 1.0, 1 + RATE_ERROR])
 
 
-@attrs.define(kw_only=True)
-class Engine:
-    """An engine that carries out whatever order it takes."""
-
-    name: str
-    fencing: bool
-    what: orderlog.Wanted = ROLES[0]
-    order_id: str = ""
-    number: int = -1
-    busy_until: float = 0.0
-    history: list = attrs.field(factory=list)
-
-    def take(self, item, world):
-        """Takes an order; the untrimmed log must name it as unfinished."""
-        if self.fencing and item.number < self.number:
-            return engineorder.Reply.STALE
-        if item.order_id != self.order_id:
-            if self.fencing and world.now < self.busy_until:
-                return engineorder.Reply.BUSY
-            due = world.orders.unfinished.get(self.name)
-            assert due and due.order_id == item.order_id, "late order"
-            assert world.now >= self.busy_until, "two orders at once"
-            self.what, self.order_id = item.wanted, item.order_id
-            self.busy_until = world.now + CHANGE_S
-        self.number = max(self.number, item.number)
-        self.note(world.now)
-        return engineorder.Reply.ACCEPTED
-
-    def crash(self, now):
-        """Comes back at once, without a memory of its last order."""
-        self.what, self.order_id, self.busy_until = ROLES[0], "", now
-        self.note(now)
-
-    def note(self, now):
-        state = "changing" if now < self.busy_until else "serving"
-        seen = engineorder.Seen(
-            state=state,
-            now=self.what,
-            order_id=self.order_id,
-            number=self.number,
-        )
-        self.history.append((now, seen))
-
-    def report(self, now, lag_s):
-        self.note(now)
-        del self.history[:-20]
-        old = [seen for at, seen in self.history if at <= now - lag_s]
-        return old[-1] if old else self.history[0][1]
-
-
-class World:
-    """True time, the log with a copy that is never trimmed, the engines."""
+class JudgedLog(modellog.FaultyLog):
+    """A log that folds all that was ever stored."""
 
     def __init__(self):
-        self.now = 0.0
-        self.log = modellog.ModelLog()
+        super().__init__()
         self.leases = leaselog.LeaseFold()
         self.orders = orderlog.OrderFold()
         self.terms = [None]
-        self.stored_at = []
-        self.under_way = []
-        self.engines = {
-            "checks": Engine(name="checks", fencing=True),
-            "ignores": Engine(name="ignores", fencing=False),
-        }
-
-    def store(self, append):
-        offset = self.log.append(append)
-        item = record.Record(
-            offset=offset, record_id=append.record_id, body=append.body
-        )
+
+    def append(self, append):
+        item = super().append(append)
         self.leases.apply(item)
         self.orders.apply(item, self.leases.term)
         self.terms.append(self.leases.term)
-        self.stored_at.append(self.now)
-
-
-class Process:
-    """One daemon, with a clock of its own."""
-
-    serial = itertools.count()
-
-    def __init__(self, *, world, rank, rate):
-        name = f"p{next(self.serial)}"
-        ids = itertools.count()
-        self.world, self.rank, self.rate = world, rank, rate
-        self.origin = rate * world.now - 7.0 * rank
-        self.paused = False
-        self.late = None
-        self.book = order.OrderBook(
-            authority=lease.Lease(
-                group="g",
-                holder=name,
-                rank=rank,
-                times=LEASE_TIMES,
-                new_id=lambda: f"{name}-{next(ids)}",
-            ),
-            times=ORDER_TIMES,
-            new_id=lambda: f"{name}-{next(ids)}",
-        )
-        for engine in world.engines.values():
-            self.book.set_engine(engine.name, fencing=engine.fencing)
-
-    @property
-    def clock(self):
-        return self.rate * self.world.now - self.origin
-
-    @property
-    def acting(self):
-        return self.book.authority.acting(self.clock)
-
-    def read(self, limit):
-        page = self.world.log.read(
-            "control.g", self.book.next_offset, limit=limit
-        )
-        self.book.apply_page(page, self.clock)
-
-    def turn(self, *, fate="lands", lag_s=0.0, limit=500):
-        """Reads, observes, appends, and orders, with one kind of luck."""
-        self.read(limit)
-        now = self.clock
-        for engine in self.world.engines.values():
-            report = engine.report(self.world.now, lag_s)
-            self.book.observe(engine.name, report, now)
-        for append in (*self.book.authority.tick(now), *self.book.due(now)):
-            self.append(append, fate)
-
-    def propose(self, name, role, fate):
-        made = self.book.propose(name, ROLES[role], self.clock)
-        made.map(lambda append: self.append(append, fate))
-
-    def append(self, append, fate):
-        if fate == "fails":
-            self.book.authority.failed(append.record_id)
-            self.book.failed(append.record_id)
-        if fate in ("lands", "lands twice", "lands and again"):
-            self.world.store(append)
-        if fate == "lands twice":
-            self.world.store(append)
-        if fate in ("lands late", "lands and again"):
-            self.world.under_way.append(append)
-
-    def write(self, luck):
-        """Writes one sendable order, perhaps with a pause before the write."""
-        found = self.book.sendable(self.clock)
-        if not found:
-            return
-        self.book.sent(found[0], self.clock)
-        self.late = (found[0], self.world.now)
-        if luck == "pause":
-            self.paused = True
-        else:
-            self.finish_write(lost=luck == "answer lost")
-
-    def finish_write(self, *, lost=False):
-        if self.late is None:
-            return
-        (item, opened_at), self.late = self.late, None
-        engine = self.world.engines[item.engine]
-        open_s = self.world.now - opened_at
-        reply = engineorder.Reply.LOST
-        # An engine closes a connection on which nothing comes.
-        if engine.fencing or open_s < READ_TIMEOUT_S:
-            taken = engine.take(item, self.world)
-            reply = reply if lost else taken
-        self.book.answered(item, reply, self.clock)
-
-
-FATES = st.sampled_from(
-    ["lands"] * 3
-    + ["fails", "vanishes", "lands late", "lands twice", "lands and again"]
-)
-PROCESSES = st.integers(0, 2)
-RATES = st.sampled_from([1 - RATE_ERROR, 1.0, 1 + RATE_ERROR])
-STEPS_S = st.sampled_from([0.1, 0.5, 1.0, 2.0, 5.0, 6.1, 9.0, 31.0])
+        return item
 
 
 class AuthorityMachine(stateful.RuleBasedStateMachine):
@@ -219,108 +62,141 @@
 
     @stateful.initialize(rates=st.tuples(RATES, RATES, RATES))
     def start(self, rates):
-        self.world = World()
-        self.processes = [
-            Process(world=self.world, rank=rank, rate=rate)
-            for rank, rate in enumerate(rates)
+        self.now = 0.0
+        self.serial = itertools.count()
+        self.log = JudgedLog()
+        self.engines = [
+            modelengine.ModelEngine(
+                name=name,
+                fencing=name == "checks",
+                initial=ROLES[0],
+                change_s=1.0,
+                read_timeout_s=READ_TIMEOUT_S,
+                on_change=lambda order, busy: self.check_order(order, busy),
+            )
+            for name in ("checks", "ignores")
         ]
+        self.paused = set()
+        self.holders = [self.new_holder(*item) for item in enumerate(rates)]
+
+    def new_holder(self, rank, rate):
+        return modelholder.ModelHolder(
+            name=f"p{next(self.serial)}",
+            log=self.log,
+            rank=rank,
+            engines=self.engines,
+            lease_times=LEASE_TIMES,
+            order_times=ORDER_TIMES,
+            rate=rate,
+            born_at=self.now - 7.0 * rank,
+        )
+
+    @property
+    def awake(self):
+        return [h for h in self.holders if h not in self.paused]
+
+    @property
+    def acting(self):
+        return [h for h in self.holders if h.acting(self.now)]
 
-    @stateful.rule(step_s=STEPS_S)
+    def all_turn(self, step_s, *, but=()):
+        self.now += step_s
+        for holder in self.awake:
+            if holder not in but:
+                holder.turn(self.now)
+                holder.write(self.now)
+                self.check_one_holder()
+
+    @stateful.rule(
+        step_s=st.sampled_from([0.1, 0.5, 1.0, 2.0, 5.0, 6.1, 9.0, 31.0])
+    )
     def time_passes(self, step_s):
-        self.world.now += step_s
+        self.now += step_s
 
     @stateful.rule(turns=st.integers(1, 20))
     def all_goes_well(self, turns):
         for _ in range(turns):
-            self.world.now += 0.5
-            for process in self.processes:
-                if not process.paused:
-                    process.turn()
-                    process.write("well")
-                    self.check_one_holder()
+            self.all_turn(0.5)
 
     @stateful.rule()
     def holder_is_cut_off(self):
-        cut_off = [p for p in self.processes if p.acting]
+        cut_off = self.acting
         for step_s in [0.1, 5.8] + [0.1] * 8:
-            self.world.now += step_s
-            for process in self.processes:
-                if process not in cut_off and not process.paused:
-                    process.turn()
-                    process.write("well")
-            self.check_one_holder()
+            self.all_turn(step_s, but=cut_off)
 
     @stateful.rule(
-        which=PROCESSES,
+        which=WHICH,
         fate=FATES,
         lag_s=st.sampled_from([0.0, 1.0, 3.0]),
         limit=st.sampled_from([0, 1, 2, 500]),
     )
     def one_turn(self, which, fate, lag_s, limit):
-        if not self.processes[which].paused:
-            self.processes[which].turn(fate=fate, lag_s=lag_s, limit=limit)
+        if self.holders[which] in self.awake:
+            self.holders[which].turn(
+                self.now, fate=fate, lag_s=lag_s, limit=limit
+            )
 
     @stateful.rule(fates=st.tuples(FATES, FATES, FATES))
     def race(self, fates):
         for which, fate in enumerate(fates):
             self.one_turn(which, fate, 0.0, 0)
 
-    @stateful.rule(which=PROCESSES)
+    @stateful.rule(which=WHICH)
     def pause(self, which):
-        self.processes[which].paused = True
+        self.paused.add(self.holders[which])
 
-    @stateful.rule(which=PROCESSES)
+    @stateful.rule(which=WHICH)
     def wake(self, which):
-        self.processes[which].paused = False
-        self.processes[which].finish_write()
+        self.paused.discard(self.holders[which])
+        self.holders[which].finish_write(self.now)
 
-    @stateful.rule(which=PROCESSES, rate=RATES)
+    @stateful.rule(which=WHICH, rate=RATES)
     def kill_and_replace(self, which, rate):
-        self.processes[which] = Process(world=self.world, rank=which, rate=rate)
+        self.paused.discard(self.holders[which])
+        self.holders[which] = self.new_holder(which, rate)
 
-    @stateful.rule(which=PROCESSES, rate=RATES, fate=FATES)
+    @stateful.rule(which=WHICH, rate=RATES, fate=FATES)
     def stop_and_replace(self, which, rate, fate):
-        process = self.processes[which]
-        if process.paused or process.late:
-            return
-        release = process.book.authority.retire(process.clock)
-        if release is not None:
-            process.append(release, fate)
-        self.kill_and_replace(which, rate)
-
-    @stateful.precondition(lambda self: self.world.under_way)
+        holder = self.holders[which]
+        if holder in self.awake:
+            release = holder.lease.retire(holder.clock(self.now))
+            if release is not None:
+                holder.append(release, fate, self.now)
+            self.kill_and_replace(which, rate)
+
+    @stateful.precondition(lambda self: self.log.under_way)
     @stateful.rule()
     def late_append_lands(self):
-        self.world.store(self.world.under_way.pop(0))
+        self.log.land_next(self.now)
 
     @stateful.rule(keep=st.integers(0, 3))
     def trim(self, keep):
-        end = len(self.world.stored_at)
-        self.world.log.trim("control.g", end - keep)
+        self.log.trim("control.g", len(self.log.terms) - 1 - keep)
+
+    def check_order(self, order, busy):
+        due = self.log.orders.unfinished.get(order.engine)
+        assert due and due.order_id == order.order_id, "late order"
+        assert not busy, "two orders at once"
 
     @stateful.invariant()
     def check_one_holder(self):
-        holders = [p for p in self.processes if p.acting]
-        assert len(holders) <= 1, "two acting holders"
-        for holder in holders:
-            assert holder.book.authority.term == self.world.leases.term
+        assert len(self.acting) <= 1, "two acting holders"
+        for holder in self.acting:
+            assert holder.lease.term == self.log.leases.term
 
     @stateful.invariant()
     def check_terms(self):
-        for process in self.processes:
-            fold = process.book.authority.fold
-            if fold.judged:
-                known = self.world.terms[process.book.next_offset]
-                assert fold.term == known, "a wrong term is believed"
+        for holder in self.holders:
+            if holder.lease.fold.judged:
+                known = self.log.terms[holder.lease.next_offset]
+                assert holder.lease.fold.term == known, "a wrong term"
 
     def teardown(self):
-        if not hasattr(self, "world"):
-            return
-        for which in range(3):
-            self.wake(which)
-        for _ in range(60):
-            self.all_goes_well(1)
-        assert sum(p.acting for p in self.processes) == 1, "no holder"
+        if hasattr(self, "log"):
+            for which in range(3):
+                self.wake(which)
+            self.all_goes_well(60)
+            assert len(self.acting) == 1, "no holder"
 
 
 class OrderMachine(AuthorityMachine):
@@ -336,51 +212,58 @@
         self.all_goes_well(30)
 
     @stateful.rule(
-        name=st.sampled_from(["checks", "ignores"]),
-        role=st.integers(0, 2),
+        name=NAMES,
+        role=st.sampled_from(ROLES),
         fate=FATES,
         luck=st.sampled_from(["well", "answer lost", "pause", "pause"]),
     )
     def holder_orders(self, name, role, fate, luck):
-        for process in self.processes:
-            if process.acting and not process.paused:
-                process.propose(name, role, fate)
-                process.read(500)
-                process.write(luck)
+        for holder in self.acting:
+            if holder not in self.awake:
+                continue
+            holder.propose(name, role, self.now, fate=fate)
+            if luck != "pause":
+                holder.write(self.now, lose_answer=luck == "answer lost")
+            elif holder.begin_write(self.now):
+                self.paused.add(holder)
+
+    @stateful.rule(which=WHICH)
+    def write_without_reading(self, which):
+        if self.holders[which] in self.awake:
+            self.holders[which].write(self.now)
 
     @stateful.rule(
-        name=st.sampled_from(["checks", "ignores"]),
-        roles=st.tuples(st.integers(0, 2), st.integers(0, 2)),
+        name=NAMES,
+        roles=st.permutations(ROLES),
         luck=st.sampled_from(["answer lost", "pause"]),
         turns=st.integers(1, 8),
         wakes=st.booleans(),
     )
     def holder_changes_in_a_write(self, name, roles, luck, turns, wakes):
-        holders = [which for which in range(3) if self.processes[which].acting]
-        self.holder_orders(name, roles[0], "lands", luck)
+        old = [
+            which for which in range(3) if self.holders[which].acting(self.now)
+        ]
+        self.holder_orders(name, roles[0], LANDS, luck)
         self.holder_is_cut_off()
         self.all_goes_well(turns)
-        self.holder_orders(name, roles[1], "lands", "well")
-        for which in holders if wakes else ():
+        self.holder_orders(name, roles[1], LANDS, "well")
+        for which in old if wakes else ():
             self.wake(which)
+            self.write_without_reading(which)
 
-    @stateful.rule(name=st.sampled_from(["checks", "ignores"]))
-    def crash(self, name):
-        self.world.engines[name].crash(self.world.now)
+    @stateful.rule(engine=st.integers(0, 1))
+    def crash(self, engine):
+        self.engines[engine].crash(self.now)
 
     @stateful.rule(keep=st.just(0))
     def trim(self, keep):
-        old = [
-            t for t in self.world.stored_at if t < self.world.now - RETENTION_S
-        ]
-        self.world.log.trim("control.g", len(old))
+        self.log.trim_older("control.g", self.now - RETENTION_S)
 
     def teardown(self):
-        if not hasattr(self, "world"):
-            return
-        for _ in range(5):
-            super().teardown()
-        assert self.world.orders.unfinished == {}, "an order never ends"
+        if hasattr(self, "log"):
+            for _ in range(5):
+                super().teardown()
+            assert self.log.orders.unfinished == {}, "an order never ends"
 
 
 TestAuthorityMachine = AuthorityMachine.TestCase
--- a/packages/bulrushgrade/tests/test_lease.py
+++ b/packages/bulrushgrade/tests/test_lease.py
@@ -1,42 +1,21 @@
 """Tests of one candidate's lease, against a model of the log."""
 
-import itertools
-
 from bulrushgrade import lease
+from bulrushgrade import modelholder
 from bulrushgrade import modellog
 
 TIMES = lease.LeaseTimes()
-STREAM = "control.pack-llm"
-
-
-class Candidate:
-    """A candidate with the calls that its daemon would make."""
-
-    def __init__(self, *, log, name, rank=0, times=TIMES):
-        ids = itertools.count()
-        self.log = log
-        self.lease = lease.Lease(
-            group="pack-llm",
-            holder=name,
-            rank=rank,
-            times=times,
-            new_id=lambda: f"{name}-{next(ids)}",
-        )
+STREAM = "control.g"
 
-    def read(self, now):
-        page = self.log.read(STREAM, self.lease.next_offset)
-        self.lease.apply_page(page, now)
 
-    def turn(self, now):
-        self.read(now)
-        for append in self.lease.tick(now):
-            self.log.append(append)
-        self.read(now)
+def _candidates():
+    log = modellog.FaultyLog()
+    a = modelholder.ModelHolder(name="a", log=log)
+    return log, a, modelholder.ModelHolder(name="b", log=log)
 
 
 def test_first_candidate_holds_and_renews():
-    log = modellog.ModelLog()
-    a = Candidate(log=log, name="a")
+    log, a, _ = _candidates()
     a.turn(0.0)
     assert (a.lease.phase, a.lease.term) == ("holding", 0)
     assert a.lease.until == TIMES.ttl_s - TIMES.guard_s
@@ -48,9 +27,8 @@
 
 
 def test_second_waits_for_the_whole_lease():
-    log = modellog.ModelLog()
-    a = Candidate(log=log, name="a")
-    b = Candidate(log=log, name="b", rank=1)
+    log, a, b = _candidates()
+    b.lease.set_rank(1)
     a.turn(0.0)
     b.turn(1.0)
     due = 1.0 + TIMES.ttl_s + TIMES.guard_s + TIMES.stagger_s
@@ -63,9 +41,7 @@
 def test_woken_holder_does_not_act():
     # Two daemons steer one group: A is stopped for several TTLs, B takes
     # over, A wakes and still believes it holds the lease.
-    log = modellog.ModelLog()
-    a = Candidate(log=log, name="a")
-    b = Candidate(log=log, name="b")
+    log, a, b = _candidates()
     a.turn(0.0)
     for now in (0.0, 30.0):
         b.turn(now)
@@ -79,8 +55,7 @@
 def test_claim_whose_answer_was_lost_counts_from_before_it_was_sent():
     # The log takes A's claim but the answer is lost, and A reads it back only
     # when the time it asked for is all but over.
-    log = modellog.ModelLog()
-    a = Candidate(log=log, name="a")
+    log, a, _ = _candidates()
     a.read(0.0)
     (append,) = a.lease.tick(0.0)
     log.append(append)
@@ -91,8 +66,7 @@
 
 
 def test_lapsed_holder_goes_on_with_its_term_when_the_log_is_back():
-    log = modellog.ModelLog()
-    a = Candidate(log=log, name="a")
+    log, a, _ = _candidates()
     a.turn(0.0)
     assert not a.lease.acting(20.0)
     a.turn(20.0)
@@ -101,9 +75,8 @@
 
 
 def test_release_spares_the_wait():
-    log = modellog.ModelLog()
-    a = Candidate(log=log, name="a")
-    b = Candidate(log=log, name="b", rank=1)
+    log, a, b = _candidates()
+    b.lease.set_rank(1)
     a.turn(0.0)
     b.turn(0.0)
     log.append(a.lease.retire(3.0))
@@ -115,8 +88,7 @@
 
 
 def test_lost_release_is_sent_again():
-    log = modellog.ModelLog()
-    a = Candidate(log=log, name="a")
+    log, a, _ = _candidates()
     a.turn(0.0)
     assert a.lease.retire(1.0) is not None
     a.turn(2.0)
@@ -126,11 +98,9 @@
 def test_quiet_trimmed_group_is_claimed_again():
     # All hosts are replaced after a night without the log; every lease record
     # is trimmed. Without a way to claim, nobody would ever hold the group.
-    log = modellog.ModelLog()
-    old = Candidate(log=log, name="old")
+    log, old, a = _candidates()
     old.turn(0.0)
     log.trim(STREAM, 1)
-    a = Candidate(log=log, name="a")
     a.turn(1.0)
     assert not a.lease.fold.judged
     a.turn(7.0)
@@ -142,9 +112,7 @@
 def test_blind_candidate_waits_from_the_last_renewal_it_can_not_judge():
     # A's claim is trimmed under B, which joins late and can't judge A's next
     # renewal. A is cut off from the log right after it, and still acts.
-    log = modellog.ModelLog()
-    a = Candidate(log=log, name="a")
-    b = Candidate(log=log, name="b")
+    log, a, b = _candidates()
     a.turn(0.0)
     log.trim(STREAM, 1)
     b.turn(0.0)
@@ -161,9 +129,7 @@
 def test_reader_that_fell_into_a_gap_waits_the_whole_lease():
     # B is stopped while A claims and renews, and all of it is trimmed before
     # B reads again. For B the stream has been quiet all along.
-    log = modellog.ModelLog()
-    a = Candidate(log=log, name="a")
-    b = Candidate(log=log, name="b")
+    log, a, b = _candidates()
     b.read(0.0)
     for now in (0.0, 2.0, 4.0, 6.0, 8.0):
         a.turn(now)
--- a/packages/bulrushgrade/tests/test_once_faults.py
+++ b/packages/bulrushgrade/tests/test_once_faults.py
@@ -27,10 +27,8 @@
 DAEMONS = st.integers(0, 2)
 BACK = st.sampled_from([0, 0, 0, 1])
 LIMITS_OF_READS = st.sampled_from([0, 1, 2, 500])
-FATES = st.sampled_from(
-    ["lands"] * 3
-    + ["fails", "vanishes", "lands late", "lands twice", "lands and again"]
-)
+FATES = st.sampled_from([modellog.Fate.LANDS] * 2 + list(modellog.Fate))
+LANDS = modellog.Fate.LANDS
 
 
 @attrs.define(kw_only=True)
@@ -42,42 +40,33 @@
     state: str = "claimed"
 
 
-class World:
+class World(modellog.FaultyLog):
     """True time, the log, and what the endpoint ran."""
 
     def __init__(self):
+        super().__init__()
         self.now = 0.0
-        self.log = modellog.ModelLog()
-        self.stored_at = []
-        self.under_way = []
         self.runs = collections.defaultdict(list)
         self.done = {}
         self.ended = set()
 
-    def store(self, append):
-        self.log.append(append)
-        self.stored_at.append(self.now)
+    def append(self, append):
         message = oncelog.CODEC.parse(append.body).unwrap()
         if isinstance(message, oncelog.Done):
             if message.claim_id not in self.ended:
                 self.done[message.key] = message.answer
             self.ended.add(message.claim_id)
+        return super().append(append)
 
-    def store_late(self):
-        at, append = self.under_way.pop(0)
+    def land_late(self):
+        sent_at, append = self.under_way[0]
         message = oncelog.CODEC.parse(append.body).unwrap()
         # Claims may be under way for any time, outcomes for half a life.
-        late = self.now - at > LIMITS.key_life_s / 2
-        if not (late and isinstance(message, oncelog.Done)):
-            self.store(append)
-
-    def append(self, append, fate):
-        if fate in ("lands", "lands twice", "lands and again"):
-            self.store(append)
-        if fate == "lands twice":
-            self.store(append)
-        if fate in ("lands late", "lands and again"):
-            self.under_way.append((self.now, append))
+        late = self.now - sent_at > LIMITS.key_life_s / 2
+        if late and isinstance(message, oncelog.Done):
+            self.drop_next()
+        else:
+            self.land_next(self.now)
 
     def run(self, key):
         """The endpoint runs a key; within a key's life it does so once."""
@@ -113,7 +102,7 @@
         return self.rate * self.world.now - self.origin
 
     def read(self, limit=500):
-        page = self.world.log.read("once.0", self.once.next_offset, limit=limit)
+        page = self.world.read("once.0", self.once.next_offset, limit=limit)
         self.once.apply_page(page, self.clock)
 
     def accept(self, key, fate):
@@ -122,8 +111,7 @@
         if isinstance(made, Success):
             append = made.unwrap()
             self.requests.append(Request(key=key, claim_id=append.record_id))
-            self.world.append(append, fate)
-            if fate == "fails":
+            if self.world.deliver(append, fate, self.world.now):
                 self.once.failed(append.record_id)
         return made
 
@@ -145,7 +133,7 @@
                 self.write(request, fate, luck)
             elif isinstance(decision, oncedecision.Late):
                 append = self.once.abandon(request.claim_id, self.clock)
-                self.world.append(append, fate)
+                self.world.deliver(append, fate, self.world.now)
                 self.requests.remove(request)
             elif not isinstance(decision, oncedecision.Pending):
                 self.requests.remove(request)
@@ -160,13 +148,13 @@
                 request.claim_id, answer=answer, known=True, now=self.clock
             )
         if append is not None:
-            self.world.append(append, fate)
+            self.world.deliver(append, fate, self.world.now)
 
     def wake(self, *, in_time):
         self.paused = False
         for request in list(self.requests):
             if request.state == "started" and in_time:
-                self.write(request, "lands", "well")
+                self.write(request, LANDS, "well")
 
 
 class OnceMachine(stateful.RuleBasedStateMachine):
@@ -230,7 +218,7 @@
         daemon.read(limit)
         daemon.serve(fate, luck)
         for append in daemon.once.due(daemon.clock):
-            self.world.append(append, fate)
+            self.world.deliver(append, fate, self.world.now)
         if daemon.paused:
             self.paused_at[which] = self.world.now
 
@@ -239,11 +227,11 @@
         key, daemon = self.key(back), self.daemons[which]
         if not daemon.paused:
             daemon.read()
-            made = daemon.accept(key, "lands")
+            made = daemon.accept(key, LANDS)
             if isinstance(made, Failure):
                 self.check_answer(key, made.failure())
             daemon.read()
-            daemon.serve("lands", "well")
+            daemon.serve(LANDS, "well")
 
     def check_answer(self, key, decision):
         if isinstance(decision, oncedecision.Duplicate):
@@ -270,13 +258,11 @@
     @stateful.precondition(lambda self: self.world.under_way)
     @stateful.rule()
     def late_append_lands(self):
-        self.world.store_late()
+        self.world.land_late()
 
     @stateful.rule()
     def trim(self):
-        limit = self.world.now - LIMITS.retention_s
-        old = [at for at in self.world.stored_at if at < limit]
-        self.world.log.trim("once.0", len(old))
+        self.world.trim_older("once.0", self.world.now - LIMITS.retention_s)
 
 
 TestOnceMachine = OnceMachine.TestCase
--- a/packages/bulrushgrade/tests/test_order.py
+++ b/packages/bulrushgrade/tests/test_order.py
@@ -1,12 +1,12 @@
 """Tests of what a holder may order, and when."""
 
-import itertools
-
 from returns.result import Failure
 
 from bulrushgrade import engineorder
 from bulrushgrade import errors
 from bulrushgrade import lease
+from bulrushgrade import modelengine
+from bulrushgrade import modelholder
 from bulrushgrade import modellog
 from bulrushgrade import order
 from bulrushgrade import orderlog
@@ -17,92 +17,62 @@
 LEASE_S = 5.5
 
 
-class Holder:
-    """A candidate with a book of one engine, and its daemon's calls."""
-
-    def __init__(self, *, log, name, fencing=True):
-        ids = itertools.count()
-        authority = lease.Lease(
-            group="g",
-            holder=name,
-            rank=0,
-            times=lease.LeaseTimes(),
-            new_id=lambda: f"{name}-l{next(ids)}",
-        )
-        self.log = log
-        self.number = -1
-        self.book = order.OrderBook(
-            authority=authority,
-            times=TIMES,
-            new_id=lambda: f"{name}-{next(ids)}",
-        )
-        self.book.set_engine("e", fencing=fencing)
-
-    def turn(self, now, *, seen="", state="serving", what=MIXED):
-        self._read(now)
-        report = engineorder.Seen(
-            state=state, now=what, order_id=seen, number=self.number
-        )
-        self.book.observe("e", report, now)
-        for append in (*self.book.authority.tick(now), *self.book.due(now)):
-            self.log.append(append)
-        self._read(now)
-
-    def _read(self, now):
-        page = self.log.read("control.g", self.book.next_offset)
-        self.book.apply_page(page, now)
-
-    def propose(self, now):
-        self.log.append(self.book.propose("e", PREFILL, now).unwrap())
-        self._read(now)
-
-    def write(self, now, reply=engineorder.Reply.ACCEPTED):
-        (found,) = self.book.sendable(now)
-        self.book.sent(found, now)
-        self.number = found.number
-        self.book.answered(found, reply, now)
-        return found
-
-
-def _holder(**settings):
-    holder = Holder(log=modellog.ModelLog(), name="a", **settings)
-    holder.turn(0.0)
-    holder.turn(0.0)
-    return holder
+def _group(*, fencing=True, change_s=3.0):
+    """Returns a holder, a candidate, their engine and the log."""
+    log = modellog.FaultyLog()
+    engine = modelengine.ModelEngine(
+        name="e", fencing=fencing, initial=MIXED, change_s=change_s
+    )
+    a, b = (
+        modelholder.ModelHolder(name=name, log=log, engines=[engine])
+        for name in ("a", "b")
+    )
+    a.turn(0.0)
+    return a, b, engine, log
+
+
+def _refused(reason):
+    return Failure(errors.OrderRefused(reason=reason))
+
+
+def _settle(holder, end, *, start=0):
+    for now in range(start, end + 1, 2):
+        holder.turn(float(now))
 
 
 def test_no_byte_goes_out_before_the_intent_is_read_back():
-    a = _holder()
+    a, _, _, log = _group()
     intent = a.book.propose("e", PREFILL, 0.0).unwrap()
     assert a.book.sendable(0.0) == ()
-    a.log.append(intent)
-    a.turn(0.0)
+    log.append(intent)
+    a.read(0.0)
     (found,) = a.book.sendable(0.0)
     assert (found.wanted, found.number) == (PREFILL, 1)
 
 
 def test_one_order_at_a_time_until_its_engine_is_seen_through():
-    a = _holder()
-    a.propose(0.0)
-    found = a.write(0.0)
-    unfinished = errors.OrderRefused(reason="order unfinished")
-    assert a.book.propose("e", MIXED, 0.0) == Failure(unfinished)
-    assert a.book.sendable(3.0) == ()
-    a.turn(3.0, state="changing", seen=found.order_id)
-    assert not a.book.placeable("e")
+    a, _, _, _ = _group()
+    assert a.propose("e", PREFILL, 0.0)
+    a.write(0.0)
+    assert a.book.propose("e", MIXED, 0.0) == _refused("order unfinished")
+    a.turn(2.9)
+    assert a.book.sendable(2.9) == ()
     assert "e" in a.book.fold.unfinished
-    a.turn(4.0, seen=found.order_id, what=PREFILL)
+    assert not a.book.placeable("e")
+    a.turn(3.0)
     assert a.book.placeable("e")
-    assert a.book.propose("e", MIXED, 4.0).unwrap()
+    assert a.propose("e", MIXED, 4.0)
 
 
 def test_engine_that_crashed_gets_its_order_again():
     # The engine takes the order, crashes halfway and comes back as it was.
     # Left alone it would stay out of placement for good.
-    a = _holder()
-    a.propose(0.0)
+    a, _, engine, _ = _group()
+    a.propose("e", PREFILL, 0.0)
     a.write(0.0)
-    a.turn(2.0, state="down")
+    engine.crash(1.0, down=True)
+    a.turn(2.0)
+    engine.crash(3.0)
     a.turn(4.0)
     assert not a.book.placeable("e")
     assert a.write(4.0).wanted == PREFILL
@@ -111,81 +81,97 @@
 def test_new_holder_adopts_the_unfinished_order():
     # A dies between its intent and its order. B takes over; the engine may
     # still get A's order, so B sends the same one, and only then another.
-    a = _holder()
-    a.propose(0.0)
-    b = Holder(log=a.log, name="b")
-    for now in (1.0, 8.0):
+    a, b, _, _ = _group()
+    a.propose("e", PREFILL, 0.0)
+    for now in (1.0, 7.5):
         b.turn(now)
         assert b.book.sendable(now) == ()
-    b.turn(8.1)
-    found = b.write(8.1)
+    b.turn(7.6)
+    found = b.write(7.6)
     assert (found.wanted, found.number) == (PREFILL, 3)
     assert found.order_id == a.book.fold.unfinished["e"].order_id
-    assert not a.book.sendable(8.1)
+    assert not a.book.sendable(7.6)
+
+
+def test_adopted_order_is_sent_though_the_engine_is_through_with_it():
+    # A's order was carried out, A died before its outcome. Until the engine
+    # has taken B's number, it would take more of what A had under way.
+    a, b, engine, _ = _group()
+    a.propose("e", PREFILL, 0.0)
+    old = a.write(0.0)
+    for now in (1.0, 7.5, 7.6):
+        b.turn(now)
+    assert not b.book.placeable("e")
+    b.write(7.6)
+    stale = engine.take(old, opened_at=7.6, now=7.6)
+    assert stale is engineorder.Reply.STALE
+    b.turn(7.7)
+    assert b.book.placeable("e")
 
 
 def test_lapsed_holder_sends_nothing():
-    a = _holder()
-    a.propose(0.0)
+    a, _, _, _ = _group()
+    a.propose("e", PREFILL, 0.0)
     (found,) = a.book.sendable(LEASE_S - 0.1)
     assert not a.book.may_send(found, LEASE_S)
 
 
 def test_new_holder_waits_where_numbers_are_ignored():
-    a = _holder(fencing=False)
-    waits = errors.OrderRefused(reason="last holder may write")
+    a, _, _, _ = _group(fencing=False)
+    waits = _refused("last holder may write")
     for now in range(0, 30, 2):
         a.turn(float(now))
-        assert a.book.propose("e", PREFILL, float(now)) == Failure(waits)
+        assert a.book.propose("e", PREFILL, float(now)) == waits
     a.turn(30.0)
-    a.propose(30.0)
+    assert a.propose("e", PREFILL, 30.0)
     assert a.write(30.0)
 
 
-def test_adopted_order_is_sent_though_the_engine_is_through_with_it():
-    # A's order was carried out, A died before its outcome. Until the engine
-    # has taken B's number, it would take more of what A had under way.
-    a = _holder()
-    a.propose(0.0)
-    old = a.write(0.0)
-    b = Holder(log=a.log, name="b")
-    b.number = old.number
-    for now in (1.0, 8.0, 8.1):
-        b.turn(now, seen=old.order_id, what=PREFILL)
-    assert not b.book.placeable("e")
-    b.write(8.1)
-    b.turn(8.2, seen=old.order_id, what=PREFILL)
-    assert b.book.placeable("e")
-
-
 def test_lost_write_delays_the_outcome_where_numbers_are_ignored():
-    a = _holder(fencing=False)
-    for now in range(0, 31, 2):
-        a.turn(float(now))
-    a.propose(30.0)
-    found = a.write(30.0, engineorder.Reply.LOST)
-    for now in range(32, 60, 2):
-        a.turn(float(now), seen=found.order_id, what=PREFILL)
+    a, _, _, _ = _group(fencing=False)
+    _settle(a, 30)
+    a.propose("e", PREFILL, 30.0)
+    a.write(30.0, lose_answer=True)
+    _settle(a, 58, start=32)
     assert not a.book.placeable("e")
-    a.turn(60.0, seen=found.order_id, what=PREFILL)
+    a.turn(60.0)
     assert a.book.placeable("e")
 
 
 def test_intent_under_way_is_repeated_then_refreshed():
-    a = _holder()
+    a, _, _, log = _group()
     intent = a.book.propose("e", PREFILL, 0.0).unwrap()
     assert a.book.due(0.4) == ()
     assert a.book.due(0.5) == (intent,)
-    a.log.append(intent)
-    for now in range(1, 604, 2):
-        a.turn(float(now))
+    log.append(intent)
+    _settle(a, 604)
     assert a.book.fold.unfinished["e"].number > 300
 
 
 def test_engine_must_be_seen_before_an_order():
-    a = Holder(log=modellog.ModelLog(), name="a")
-    refused = a.book.propose("e", PREFILL, 0.0)
-    assert refused == Failure(errors.OrderRefused(reason="not the holder"))
-    a.turn(0.0, state="changing")
-    refused = a.book.propose("e", PREFILL, 0.0)
-    assert refused == Failure(errors.OrderRefused(reason="engine not seen"))
+    a, b, engine, _ = _group()
+    assert b.book.propose("e", PREFILL, 0.0) == _refused("not the holder")
+    engine.crash(1.0, down=True)
+    a.turn(1.0)
+    assert a.book.propose("e", PREFILL, 1.0) == _refused("engine not seen")
+
+
+def test_size_of_what_a_pause_can_do_where_numbers_are_ignored():
+    # A passes its check in the last moment of its lease and is stopped before
+    # the write. The write does harm only behind B's first other order.
+    a, b, _, _ = _group(fencing=False, change_s=0.0)
+    _settle(a, 30)
+    a.propose("e", PREFILL, 30.0)
+    b.turn(30.0)
+    (late,) = a.book.sendable(30.0)
+    checked_at = a.lease.until - 0.01
+    assert a.book.may_send(late, checked_at)
+    at = 30.0
+    while not b.propose("e", MIXED, at):
+        at += 0.25
+        b.turn(at)
+        b.write(at)
+    remaining_s = at - checked_at
+    guards_s = 2 * lease.LeaseTimes().guard_s
+    assert remaining_s >= TIMES.pause_allowance_s + guards_s
+    assert remaining_s < TIMES.pause_allowance_s + guards_s + 1.0
