Let a new order go out at once after the last one has ended

The order machine could not find the loss of the pause allowance, since no second order reached an engine in time: the wait that follows an accepted order, 30 s so that a lagging report does not cause a second change, was kept for the engine and held back its next order too. A role change would have waited up to half a minute for the one before it. The wait now ends with its order. The machines also cut off a holder right after a renewal that is read late, and the once machine lets everybody read before time passes.

--- a/packages/bulrushgrade/bulrushgrade/order.py
+++ b/packages/bulrushgrade/bulrushgrade/order.py
@@ -71,7 +71,7 @@
     seen: engineorder.Seen | None = None
     seen_at: float = 0.0
     open_writes: int = 0
-    write_after: float = 0.0
+    write_after: float = -math.inf
     lost_at: float = -math.inf
     append: record.Append | None = None
     append_term: int | None = None
@@ -219,6 +219,8 @@
             return Failure(errors.OrderRefused(reason="last holder may write"))
         if not self._is_seen_well(known):
             return Failure(errors.OrderRefused(reason="engine not seen"))
+        # What the last order had to wait for does not hold this one back.
+        known.write_after = -math.inf
         order_id = self._new_id()
         return Success(self._intend(engine, order_id, wanted, now))
 
--- a/packages/bulrushgrade/tests/test_authority.py
+++ b/packages/bulrushgrade/tests/test_authority.py
@@ -118,11 +118,17 @@
         for _ in range(turns):
             self.all_turn(0.5)
 
-    @stateful.rule()
-    def holder_is_cut_off(self):
-        cut_off = self.acting
+    @stateful.rule(still_reads=st.booleans())
+    def holder_is_cut_off(self, still_reads=False):
+        self.now += LEASE_TIMES.renew_every_s
+        cut_off = [holder for holder in self.acting if holder in self.awake]
+        for holder in cut_off:
+            holder.turn(self.now, limit=0)
         for step_s in [0.1, 5.8] + [0.1] * 8:
             self.all_turn(step_s, but=cut_off)
+            for holder in cut_off if still_reads else ():
+                holder.read(self.now)
+                self.check_one_holder()
 
     @stateful.rule(
         which=WHICH,
--- a/packages/bulrushgrade/tests/test_once_faults.py
+++ b/packages/bulrushgrade/tests/test_once_faults.py
@@ -176,9 +176,12 @@
         self.serial += 1
 
     @stateful.rule(
-        step_s=st.sampled_from([0.1, 1.0, 3.0, 4.1, 21.0, 33.0, 64.0, 64.0])
+        step_s=st.sampled_from([0.1, 1.0, 3.0, 4.1, 21.0, 33.0, 64.0, 64.0]),
+        all_read=st.booleans(),
     )
-    def time_passes(self, step_s):
+    def time_passes(self, step_s, all_read):
+        if all_read:
+            self.read_everywhere()
         self.world.now += step_s
 
     @stateful.rule(which=DAEMONS, back=BACK, fate=FATES)
--- a/packages/bulrushgrade/tests/test_order.py
+++ b/packages/bulrushgrade/tests/test_order.py
@@ -62,6 +62,7 @@
     a.turn(3.0)
     assert a.book.placeable("e")
     assert a.propose("e", MIXED, 4.0)
+    assert a.write(4.0).wanted == MIXED
 
 
 def test_engine_that_crashed_gets_its_order_again():
