Refuse damaged peer messages and bad peer addresses as values

A message whose kind is no text, or one nested without end, raised out of the codec and would have stopped the daemon as a broken invariant, and so would a bad peer address in the host list, on every daemon at once; a negative load would have made a busy engine look idle. All three are values or left out now, found by reading the code again, each with a case in a test.

--- a/packages/bulrushgrade/bulrushgrade/peerview.py
+++ b/packages/bulrushgrade/bulrushgrade/peerview.py
@@ -136,7 +136,13 @@
 
 def parse_message(raw: bytes) -> Result[Message, errors.BadRecord]:
     """Returns the message in some bytes, or why there is none."""
-    return CODEC.parse(raw).bind(_check_columns)
+    try:
+        parsed = CODEC.parse(raw)
+    except (TypeError, RecursionError) as error:
+        # A kind that is no text, or brackets nested without end. Whatever can
+        # reach the peers' port could stop the daemon with one such message.
+        return Failure(errors.BadRecord(reason=str(error)))
+    return parsed.bind(_check_columns)
 
 
 def serialize_message(message: Message) -> bytes:
@@ -145,16 +151,18 @@
 
 
 def _check_columns(message: Message) -> Result[Message, errors.BadRecord]:
-    if isinstance(message, Loads):
-        lengths = {
-            len(message.endpoints),
-            len(message.running),
-            len(message.prefill_backlog_tokens),
-            len(message.kv_tokens),
-        }
-        if len(lengths) != 1:
-            reason = "columns of unequal length"
-            return Failure(errors.BadRecord(reason=reason))
+    if not isinstance(message, Loads):
+        return Success(message)
+    figures = (
+        message.running,
+        message.prefill_backlog_tokens,
+        message.kv_tokens,
+    )
+    if any(len(column) != len(message.endpoints) for column in figures):
+        return Failure(errors.BadRecord(reason="columns of unequal length"))
+    # A load below zero would make a busy engine look idle to all its peers.
+    if any(value < 0 for column in figures for value in column):
+        return Failure(errors.BadRecord(reason="a load below zero"))
     return Success(message)
 
 
--- a/packages/bulrushgrade/tests/test_peerview.py
+++ b/packages/bulrushgrade/tests/test_peerview.py
@@ -50,9 +50,19 @@
     assert peerview.read_loads(message) == (busy,)
 
 
-def test_columns_of_unequal_length_are_refused():
-    raw = peerview.serialize_message(make_loads(3)).replace(b"[3]", b"[3,4]")
-    assert isinstance(peerview.parse_message(raw), Failure)
+def test_damaged_messages_are_refused():
+    raw = peerview.serialize_message(make_loads(3))
+    for damaged in (
+        raw.replace(b"[3]", b"[3,4]"),
+        raw.replace(b"[3]", b"[-3]"),
+        raw.replace(b"[3]", b'["3"]'),
+        raw.replace(b'"Loads"', b"[]"),
+        raw[:-1],
+        b"[" * 100_000,
+        b"",
+    ):
+        assert damaged != raw
+        assert isinstance(peerview.parse_message(damaged), Failure)
 
 
 def test_message_of_a_replaced_process_is_dropped():
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/peers.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/peers.py
@@ -255,7 +255,7 @@
         wanted = {
             peer.address: peer.shared
             for peer in message.peers
-            if peer.address != self._address
+            if peer.address != self._address and _is_address(peer.address)
         }
         for address in self._dealers.keys() - wanted.keys():
             self._dealers.pop(address).close()
@@ -385,3 +385,13 @@
             incarnation=self._incarnation,
             sequence=self._sequence,
         )
+
+
+def _is_address(text: str) -> bool:
+    # A bad line in the host list must not stop every daemon at once: ZeroMQ
+    # raises for it, or looks a name up and holds up the reactor meanwhile.
+    try:
+        keys.parse_address(text)
+    except ValueError:
+        return False
+    return True
--- a/packages/bulrushgrade_daemon/tests/test_peers.py
+++ b/packages/bulrushgrade_daemon/tests/test_peers.py
@@ -176,6 +176,12 @@
         await self.wait_for(lambda: two.heard)
         self.assertEqual(two.heard[0], (one.address, LOADS[1:]))
 
+    async def test_bad_addresses_in_the_list_are_left_out(self):
+        one, two = await self.make_pair()
+        one.know("", "localhost:70", "10.0.0.1", two.address)
+        self.assertEqual(list(one.peers.dump()["peers"]), [two.address])
+        await self.wait_for(lambda: two.heard)
+
     async def test_idle_daemon_says_so_once(self):
         one, two = await self.make_pair()
         await self.wait_for(lambda: two.heard)
