--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/metrics.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/metrics.py
@@ -116,6 +116,7 @@
     def __init__(self):
         self._registry = aioprometheus.Registry()
         self._families: dict[str, _Family] = {}
+        self._counts: list[tuple[str, str, Callable]] = []
 
     async def start(self) -> None:
         """Opens nothing."""
@@ -176,8 +177,24 @@
         _check_suffix(name, ("_seconds",))
         return self._find(name, doc, labels, aioprometheus.Histogram, Histogram)
 
+    def add_counts(
+        self, name: str, doc: str, read: Callable[[], Mapping[str, int]]
+    ) -> None:
+        """Shows counts that a service keeps by itself as one family.
+
+        Args:
+            name: Without prefix; ends in ``_total``.
+            doc: What they count, for a person.
+            read: Returns the counts; their names become the label ``what``.
+        """
+        _check_suffix(name, ("_total",))
+        self._counts.append((name, doc, read))
+
     def render(self) -> bytes:
         """Returns all series in the text format of Prometheus."""
+        for name, doc, read in self._counts:
+            for what, value in read().items():
+                self.counter(name, doc, {"what": what}).value = value
         for family in self._families.values():
             for labels, cell in family.cells.items():
                 family.collector.set_value(dict(labels), _export(cell))
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/peers.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/peers.py
@@ -26,23 +26,9 @@
 from bulrushgrade_daemon import keys
 from bulrushgrade_daemon import metrics as metrics_module
 from bulrushgrade_daemon import peermessages
+from bulrushgrade_daemon import peersocket
 from bulrushgrade_daemon import zmqreactor
 
-# A connection can go silent for good when something between the two ends has
-# lost track of it; sends then vanish without an error. Heartbeats find that
-# out, and ZeroMQ opens a new connection. The timeout allows for two lost
-# heartbeats; a shorter interval would cost a large mesh more than its loads.
-HEARTBEAT_INTERVAL_S = 2.0
-HEARTBEAT_TIMEOUT_S = 6.0
-# A peer that accepts but never speaks, such as a stopped process.
-HANDSHAKE_TIMEOUT_S = 5.0
-RECONNECT_S = 0.1
-# A host that is gone for good is left out by the host list; until then tries
-# are spaced out to this.
-RECONNECT_LIMIT_S = 5.0
-# The largest message taken: a snapshot of some hundreds of documents of a few
-# kilobytes, with room. A larger one has its connection dropped by ZeroMQ.
-MESSAGE_LIMIT_BYTES = 8 * 1024 * 1024
 # How often loads are told. Placement counts a peer out that has been silent
 # for 3 s, so that several rounds may be lost or left out before that.
 LOADS_PERIOD_S = 0.5
@@ -230,25 +216,9 @@
         return len(self._dealers)
 
     def _make_socket(self, kind: int) -> zmq.Socket:
-        socket = self._context.socket(kind)
-        socket.setsockopt(zmq.LINGER, 0)
-        socket.setsockopt(zmq.SNDHWM, self._queue_messages)
-        socket.setsockopt(zmq.RCVHWM, self._queue_messages)
-        socket.setsockopt(zmq.MAXMSGSIZE, MESSAGE_LIMIT_BYTES)
-        interval_ms = int(HEARTBEAT_INTERVAL_S * 1000)
-        timeout_ms = int(HEARTBEAT_TIMEOUT_S * 1000)
-        socket.setsockopt(zmq.HEARTBEAT_IVL, interval_ms)
-        socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, timeout_ms)
-        socket.setsockopt(zmq.HEARTBEAT_TTL, timeout_ms)
-        socket.setsockopt(zmq.HANDSHAKE_IVL, int(HANDSHAKE_TIMEOUT_S * 1000))
-        socket.setsockopt(zmq.RECONNECT_IVL, int(RECONNECT_S * 1000))
-        limit_ms = int(RECONNECT_LIMIT_S * 1000)
-        socket.setsockopt(zmq.RECONNECT_IVL_MAX, limit_ms)
-        socket.setsockopt(zmq.IPV6, 1)
-        # Without a connection a message is refused, not queued: a peer that
-        # comes back must not be told minutes of old loads.
-        socket.setsockopt(zmq.IMMEDIATE, 1)
-        return socket
+        return peersocket.make_socket(
+            self._context, kind, queue_messages=self._queue_messages
+        )
 
     def _open(self, socket: zmq.Socket) -> zmqreactor.Connection:
         return zmqreactor.Connection(
--- a/packages/bulrushgrade_daemon/tests/test_metrics.py
+++ b/packages/bulrushgrade_daemon/tests/test_metrics.py
@@ -40,6 +40,17 @@
         assert f'{name}_count{{s="x"}} 3.0' in lines
 
 
+def test_counts_of_a_service_are_read_anew_each_time():
+    service = metrics.Metrics()
+    counts = {"whole": 1}
+    service.add_counts("relay_answers_total", "Answers.", lambda: counts)
+    service.render()
+    counts.update(whole=5, late=2)
+    lines = service.render().decode().splitlines()
+    assert 'bulrushgrade_relay_answers_total{what="whole"} 5' in lines
+    assert 'bulrushgrade_relay_answers_total{what="late"} 2' in lines
+
+
 def test_names_carry_units_and_one_type():
     service = metrics.Metrics()
     with pytest.raises(errors.BrokenInvariantError):
--- a/packages/bulrushgrade_daemon/tests/test_peers.py
+++ b/packages/bulrushgrade_daemon/tests/test_peers.py
@@ -20,6 +20,7 @@
 from bulrushgrade_daemon import metrics
 from bulrushgrade_daemon import peermessages
 from bulrushgrade_daemon import peers
+from bulrushgrade_daemon import peersocket
 
 LOCAL = keys.Address(host="127.0.0.1", port=0)
 LOADS = (
@@ -246,8 +247,8 @@
         # A peer's loads would be missing for good. A firewall between the two
         # forgot their connection: bytes vanish without an error, while a new
         # connection passes. Heartbeats go unanswered, and ZeroMQ reconnects.
-        self.patch(peers, "HEARTBEAT_INTERVAL_S", 0.1)
-        self.patch(peers, "HEARTBEAT_TIMEOUT_S", 0.3)
+        self.patch(peersocket, "HEARTBEAT_INTERVAL_S", 0.1)
+        self.patch(peersocket, "HEARTBEAT_TIMEOUT_S", 0.3)
         one, two = await self.make_node(), await self.make_node(seed=2)
         two.know(one.address)
         factory = protocol.Factory.forProtocol(BlackHole)
--- a/tools/meshslopes.py
+++ b/tools/meshslopes.py
@@ -288,6 +288,31 @@
     ]
 
 
+def measure_demands() -> list[slope.Slope]:
+    """Measures the message of demands by its models."""
+    points = []
+    for count in (1, 4, 9):
+        message = peerview.Demands(
+            header=make_loads([]).header,
+            demands=tuple(
+                work.Demand(
+                    model=f"grade-large-{number}",
+                    prefill_tokens=123_456_789,
+                    output_tokens=12_345_678,
+                    kv_token_s=1_234_567_890,
+                    lost_s=1234.5,
+                )
+                for number in range(count)
+            ),
+        )
+        points.append((count, len(peerview.serialize_message(message))))
+    return [
+        slope.Slope(
+            name="message of demands", unit="bytes a model", points=(*points,)
+        )
+    ]
+
+
 def _repeat_send(endpoints: list[str]):
     def send() -> None:
         for _ in range(100):
--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -44,6 +44,7 @@
     print_rows("Other subsets at the target", meshslopes.measure_subsets())
     print("\nPeers")
     print_slopes(meshslopes.measure_messages())
+    print_slopes(meshslopes.measure_demands())
     print_slopes(processslopes.measure_sockets())
     print("\nDocuments")
     print_slopes(logslopes.measure_documents())
