Call a daemon among its peers by the address that the host list shows

With IPv6 switched on for every socket, ZeroMQ told a daemon bound to 127.0.0.1 that it was [::ffff:127.0.0.1]; it signed its messages so, and peers who know it from the host list dropped all its loads and withdrawals. Found by a test with real daemons as processes; the earlier tests had taken the list's address from the daemon itself. IPv6 is now on for IPv6 addresses only. Ruled out: comparing addresses in a normal form at each message.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/peers.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/peers.py
@@ -127,7 +127,7 @@
         metrics = self._kernel.find("metrics")
         self._make_counters(metrics)
         self._context = zmq.Context(io_threads=1)
-        socket = self._make_socket(zmq.ROUTER)
+        socket = self._make_socket(zmq.ROUTER, str(self._listen))
         socket.bind(f"tcp://{self._listen}")
         endpoint = socket.getsockopt_string(zmq.LAST_ENDPOINT)
         self._address = endpoint.removeprefix("tcp://")
@@ -215,9 +215,9 @@
     def _count_peers(self) -> int:
         return len(self._dealers)
 
-    def _make_socket(self, kind: int) -> zmq.Socket:
+    def _make_socket(self, kind: int, address: str) -> zmq.Socket:
         return peersocket.make_socket(
-            self._context, kind, queue_messages=self._queue_messages
+            self._context, kind, address, queue_messages=self._queue_messages
         )
 
     def _open(self, socket: zmq.Socket) -> zmqreactor.Connection:
@@ -237,7 +237,7 @@
         for address in self._dealers.keys() - wanted.keys():
             self._dealers.pop(address).close()
         for address in wanted.keys() - self._dealers.keys():
-            socket = self._make_socket(zmq.DEALER)
+            socket = self._make_socket(zmq.DEALER, address)
             socket.connect(f"tcp://{address}")
             self._dealers[address] = self._open(socket)
         self._shared = wanted
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/peersocket.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/peersocket.py
@@ -20,13 +20,14 @@
 
 
 def make_socket(
-    context: zmq.Context, kind: int, *, queue_messages: int
+    context: zmq.Context, kind: int, address: str, *, queue_messages: int
 ) -> zmq.Socket:
     """Returns a socket that is neither bound nor connected.
 
     Args:
         context: Where it lives.
         kind: Its type, such as ``zmq.ROUTER``.
+        address: The IP:PORT that it is to be bound or connected to.
         queue_messages: Messages held for one peer.
     """
     socket = context.socket(kind)
@@ -41,7 +42,10 @@
     socket.setsockopt(zmq.HANDSHAKE_IVL, _to_ms(HANDSHAKE_TIMEOUT_S))
     socket.setsockopt(zmq.RECONNECT_IVL, _to_ms(RECONNECT_S))
     socket.setsockopt(zmq.RECONNECT_IVL_MAX, _to_ms(RECONNECT_LIMIT_S))
-    socket.setsockopt(zmq.IPV6, 1)
+    # Set for version 4 too, ZeroMQ would call the own address ::ffff:10.0.0.1.
+    # Peers know each other by the address in the host list, and would drop
+    # every load from a sender that is called by another one.
+    socket.setsockopt(zmq.IPV6, address.startswith("["))
     # Without a connection a message is refused, not queued: a peer that comes
     # back must not be told minutes of old loads.
     socket.setsockopt(zmq.IMMEDIATE, 1)
--- /dev/null
+++ b/packages/bulrushgrade_daemon/tests/test_failures_peers.py
@@ -0,0 +1,65 @@
+"""Failures that the mesh of daemons carries callers through."""
+
+import signal
+
+import processes
+import scene
+
+
+def _list_all(world, engine, daemons):
+    """Sets the host list to an engine and some daemons."""
+    usual = {
+        "zone": "metter-hall",
+        "region": "coastal-plain",
+        "state": "live",
+    }
+    hosts = [
+        {
+            "address": daemon.ready["callers"],
+            "kind": "entry",
+            "service": "",
+            "peer": _dump(daemon, "peers")["address"],
+            **usual,
+        }
+        for daemon in daemons
+    ]
+    hosts.append(
+        {
+            "address": engine.address,
+            "kind": "engine",
+            "service": "assistant",
+            **usual,
+        }
+    )
+    answer = processes.call("PUT", world.hosts, "/hosts", {"hosts": hosts})
+    assert answer.code == 200
+
+
+def _dump(daemon, service):
+    return processes.call("GET", daemon.ready["admin"], f"/dump/{service}").json
+
+
+def test_daemon_that_starts_while_the_log_is_away_serves(tmp_path):
+    # Callers would find fewer and fewer hosts. The log is out for long, and
+    # hosts are replaced meanwhile; each new one has nothing to read the
+    # accepted documents from but the daemons that still run, one of which
+    # has been paused and answers nobody.
+    with processes.running() as started:
+        world = scene.Scene(started=started, directory=tmp_path)
+        engine = started.standin("engine", "--speed", "4")
+        old = [world.start_daemon() for _ in range(2)]
+        _list_all(world, engine, old)
+        for daemon in old:
+            scene.wait_ready(daemon, engines=1)
+        scene.fault(world.log, outage=True)
+        old[0].send(signal.SIGSTOP)
+        new = world.start_daemon()
+        callers = scene.wait_ready(new, engines=1)
+        scene.assert_whole(
+            scene.stream_many(callers, ["a", "b"], max_tokens=5), 5
+        )
+        assert (
+            _dump(new, "documents")["accepted"]
+            == (_dump(old[1], "documents")["accepted"])
+        )
+        assert not _dump(new, "log")["reachable"]
--- a/packages/bulrushgrade_daemon/tests/test_peers.py
+++ b/packages/bulrushgrade_daemon/tests/test_peers.py
@@ -199,6 +199,11 @@
         one.loads = LOADS
         await self.wait_for(lambda: two.heard[-1][1] == LOADS)
 
+    async def test_daemon_is_called_by_the_address_that_the_list_shows(self):
+        one = await self.make_node()
+        host, _, _ = one.address.rpartition(":")
+        self.assertEqual(host, "127.0.0.1")
+
     async def test_withdrawn_reaches_a_peer_that_connects_later(self):
         one, two = await self.make_node(), await self.make_node(seed=2)
         one.withdraw("e1")
