--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/peers.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/peers.py
@@ -26,23 +26,9 @@
 from bulrushgrade_daemon import keys
 from bulrushgrade_daemon import metrics as metrics_module
 from bulrushgrade_daemon import peermessages
+from bulrushgrade_daemon import peersocket
 from bulrushgrade_daemon import zmqreactor
 
-# A connection can go silent for good when something between the two ends has
-# lost track of it; sends then vanish without an error. Heartbeats find that
-# out, and ZeroMQ opens a new connection. The timeout allows for two lost
-# heartbeats; a shorter interval would cost a large mesh more than its loads.
-HEARTBEAT_INTERVAL_S = 2.0
-HEARTBEAT_TIMEOUT_S = 6.0
-# A peer that accepts but never speaks, such as a stopped process.
-HANDSHAKE_TIMEOUT_S = 5.0
-RECONNECT_S = 0.1
-# A host that is gone for good is left out by the host list; until then tries
-# are spaced out to this.
-RECONNECT_LIMIT_S = 5.0
-# The largest message taken: a snapshot of some hundreds of documents of a few
-# kilobytes, with room. A larger one has its connection dropped by ZeroMQ.
-MESSAGE_LIMIT_BYTES = 8 * 1024 * 1024
 # How often loads are told. Placement counts a peer out that has been silent
 # for 3 s, so that several rounds may be lost or left out before that.
 LOADS_PERIOD_S = 0.5
@@ -141,7 +127,7 @@
         metrics = self._kernel.find("metrics")
         self._make_counters(metrics)
         self._context = zmq.Context(io_threads=1)
-        socket = self._make_socket(zmq.ROUTER)
+        socket = self._make_socket(zmq.ROUTER, str(self._listen))
         socket.bind(f"tcp://{self._listen}")
         endpoint = socket.getsockopt_string(zmq.LAST_ENDPOINT)
         self._address = endpoint.removeprefix("tcp://")
@@ -229,26 +215,10 @@
     def _count_peers(self) -> int:
         return len(self._dealers)
 
-    def _make_socket(self, kind: int) -> zmq.Socket:
-        socket = self._context.socket(kind)
-        socket.setsockopt(zmq.LINGER, 0)
-        socket.setsockopt(zmq.SNDHWM, self._queue_messages)
-        socket.setsockopt(zmq.RCVHWM, self._queue_messages)
-        socket.setsockopt(zmq.MAXMSGSIZE, MESSAGE_LIMIT_BYTES)
-        interval_ms = int(HEARTBEAT_INTERVAL_S * 1000)
-        timeout_ms = int(HEARTBEAT_TIMEOUT_S * 1000)
-        socket.setsockopt(zmq.HEARTBEAT_IVL, interval_ms)
-        socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, timeout_ms)
-        socket.setsockopt(zmq.HEARTBEAT_TTL, timeout_ms)
-        socket.setsockopt(zmq.HANDSHAKE_IVL, int(HANDSHAKE_TIMEOUT_S * 1000))
-        socket.setsockopt(zmq.RECONNECT_IVL, int(RECONNECT_S * 1000))
-        limit_ms = int(RECONNECT_LIMIT_S * 1000)
-        socket.setsockopt(zmq.RECONNECT_IVL_MAX, limit_ms)
-        socket.setsockopt(zmq.IPV6, 1)
-        # Without a connection a message is refused, not queued: a peer that
-        # comes back must not be told minutes of old loads.
-        socket.setsockopt(zmq.IMMEDIATE, 1)
-        return socket
+    def _make_socket(self, kind: int, address: str) -> zmq.Socket:
+        return peersocket.make_socket(
+            self._context, kind, address, queue_messages=self._queue_messages
+        )
 
     def _open(self, socket: zmq.Socket) -> zmqreactor.Connection:
         return zmqreactor.Connection(
@@ -262,12 +232,12 @@
         wanted = {
             peer.address: peer.shared
             for peer in message.peers
-            if peer.address != self._address
+            if peer.address != self._address and _is_address(peer.address)
         }
         for address in self._dealers.keys() - wanted.keys():
             self._dealers.pop(address).close()
         for address in wanted.keys() - self._dealers.keys():
-            socket = self._make_socket(zmq.DEALER)
+            socket = self._make_socket(zmq.DEALER, address)
             socket.connect(f"tcp://{address}")
             self._dealers[address] = self._open(socket)
         self._shared = wanted
@@ -407,3 +377,13 @@
             incarnation=self._incarnation,
             sequence=self._sequence,
         )
+
+
+def _is_address(text: str) -> bool:
+    # A bad line in the host list must not stop every daemon at once: ZeroMQ
+    # raises for it, or looks a name up and holds up the reactor meanwhile.
+    try:
+        keys.parse_address(text)
+    except ValueError:
+        return False
+    return True
