--- a/packages/bulrushgrade/bulrushgrade/admission.py
+++ b/packages/bulrushgrade/bulrushgrade/admission.py
@@ -27,34 +27,39 @@
 """Time constant of the drain rate: long enough to hold a few long readings,
 short enough to follow a lost engine within its callers' patience."""
 
+EXPECTED_S = 1.0
+"""Seconds of a queue's life that the expected rate counts for."""
+
 
 @attrs.define(kw_only=True)
 class DrainRate:
-    """Engine seconds that this host gets placed in a second."""
-
-    _sum: float = 0.0
-    _at: float | None = None
-    _since: float | None = None
-
-    def add(self, engine_s: float, now: float) -> None:
-        """Counts work that was placed."""
-        self._decay(now)
-        self._sum += engine_s
-
-    def rate(self, floor: float, now: float) -> float:
-        """Returns the rate, taken as `floor` while little is known."""
-        self._decay(now)
-        if self._since is None:
-            return floor
-        seen = 1.0 - math.exp(-(now - self._since) / RATE_WINDOW_S)
-        return self._sum / RATE_WINDOW_S + (1.0 - seen) * floor
-
-    def _decay(self, now: float) -> None:
-        if self._at is None:
-            self._at = self._since = now
-        elapsed = max(0.0, now - self._at)
-        self._sum *= math.exp(-elapsed / RATE_WINDOW_S)
-        self._at = now
+    """Engine seconds that a queue gets placed in a second, while it has work.
+
+    Time without work waiting does not count: a rate over all time is that of
+    the callers, so that a queue after a quiet minute would look slow, and
+    work would be refused that is in time.
+    """
+
+    _placed_s: float = 0.0
+    _busy_s: float = 0.0
+    _at: float = 0.0
+    _busy: bool = False
+
+    def note(self, *, busy: bool, now: float, placed_s: float = 0.0) -> None:
+        """Takes in whether work waits from now on, and what was placed."""
+        elapsed = max(0.0, now - self._at) if self._busy else 0.0
+        keep = math.exp(-elapsed / RATE_WINDOW_S)
+        self._busy_s = self._busy_s * keep + elapsed
+        self._placed_s *= keep
+        if self._busy:
+            self._placed_s += placed_s
+        self._at, self._busy = now, busy
+
+    def rate(self, expected: float, now: float) -> float:
+        """Returns the rate, drawn to `expected` while little was seen."""
+        self.note(busy=self._busy, now=now)
+        seen = self._placed_s + expected * EXPECTED_S
+        return seen / (self._busy_s + EXPECTED_S)
 
 
 def latest_start(
--- a/packages/bulrushgrade/bulrushgrade/lane.py
+++ b/packages/bulrushgrade/bulrushgrade/lane.py
@@ -33,6 +33,7 @@
     Attributes:
         work: The work.
         engine_s: Its price in engine seconds.
+        reading_s: Those of them that read its prompt.
         latest_start: When it has to be placed to be in time.
         lane: The lane that it waits in.
         number: Grows with each arrival; breaks ties in favour of the first.
@@ -44,6 +45,7 @@
 
     work: work.Work
     engine_s: float
+    reading_s: float
     latest_start: float
     lane: LaneName
     number: int = 0
--- a/packages/bulrushgrade/bulrushgrade/load.py
+++ b/packages/bulrushgrade/bulrushgrade/load.py
@@ -21,7 +21,7 @@
 """A peer that is silent for so long is no longer counted: what it left at
 the engines shows in their reports."""
 
-HISTORY_S = 10.0
+HISTORY_S = 15.0
 """How far back a report may speak; an older one is not believed."""
 
 
@@ -89,9 +89,9 @@
         self._peers: dict[str, Amount] = {}
         self._peer_sum = NOTHING
         self._unknown = NOTHING
-        self._history: collections.deque[tuple[float, Amount, Amount]] = (
-            collections.deque()
-        )
+        self._history: collections.deque[
+            tuple[float, Amount, Amount, Amount]
+        ] = collections.deque()
         self.total = NOTHING
 
     @property
@@ -173,11 +173,26 @@
             "ejected": self.health.ejected_until is not None,
         }
 
+    def strange_tokens(self, since: float, until: float) -> float:
+        """Returns the most that others had to be read here in a time.
+
+        It is asked some time after, when messages that were under way at the
+        time have been heard.
+        """
+        most = 0.0
+        for at, _, peers, unknown in reversed(self._history):
+            if at <= until:
+                tokens = peers.prefill_tokens + unknown.prefill_tokens
+                most = max(most, tokens)
+            if at <= since:
+                break
+        return most
+
     def _changed(self, now: float) -> None:
         self.total = self._own + self._peer_sum + self._unknown
         if self._history and self._history[-1][0] == now:
             self._history.pop()
-        self._history.append((now, self._own, self._peer_sum))
+        self._history.append((now, self._own, self._peer_sum, self._unknown))
         while len(self._history) > 2 and (
             self._history[1][0] < now - HISTORY_S
         ):
@@ -192,8 +207,8 @@
         it twice, once as such and once as the peer's. So the most that peers
         told of since then is taken.
         """
-        peers = NOTHING
-        for at, own, heard in reversed(self._history):
+        peers = self._peer_sum
+        for at, own, heard, _ in reversed(self._history):
             peers = peers.most(heard)
             if at <= when:
                 return own + peers
--- a/packages/bulrushgrade/bulrushgrade/placement.py
+++ b/packages/bulrushgrade/bulrushgrade/placement.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Iterator
+import enum
 import random
 
 import attrs
@@ -17,10 +18,13 @@
 
 NEAR_S = 0.02
 NEAR_PART = 0.1
+NEAR_READINGS = 0.5
 """Predictions this near to the best are equal, as far as stale data can
-tell; two of them are drawn and the better taken."""
+tell; two of them are drawn and the better taken. What a message from a peer
+may not have told yet is a reading like this one, so for a long reading more
+is equal. Without it nine hosts sent twenty readings to one idle engine."""
 
-PREFILL_AHEAD_S = 0.6
+PREFILL_AHEAD_S = 1.0
 """Reading that may wait inside an engine: enough to keep it busy between two
 decisions, and little enough that the order of deadlines here still counts."""
 
@@ -62,6 +66,13 @@
         return max(0, self.work.output_tokens - self.tokens_done)
 
 
+class Blocked(enum.Enum):
+    """What there is no room for."""
+
+    READING = "reading"
+    ANSWERING = "answering"
+
+
 @attrs.frozen(kw_only=True)
 class Option:
     """One way to place work, with its predicted times.
@@ -112,7 +123,7 @@
 
 def choose(
     among: pool.Pool, ask: Ask, *, rng: random.Random, now: float
-) -> Option | None:
+) -> Option | Blocked:
     """Picks where work goes.
 
     Args:
@@ -122,20 +133,25 @@
         now: The present time.
 
     Returns:
-        The best option, which may still be late, or None while every
-        endpoint is full or out.
+        The best option, which may still be late, or what there is no room
+        for while every endpoint is full or out.
     """
     hits = among.prefixes.find(ask.work.prefix)
-    options = [
-        option
+    readers = [
+        reader
         for reader in among.readers(ask.work, hits)
         if _usable(reader, ask, now) and _may_read(among, reader, ask)
+    ]
+    options = [
+        option
+        for reader in readers
         for option in _options(among, ask, reader, hits, now)
     ]
     if not options:
-        return None
+        return Blocked.ANSWERING if readers else Blocked.READING
     best = min(option.score for option in options)
-    limit = best * (1.0 + NEAR_PART) + NEAR_S
+    reading_s = among.model.prefill_s(ask.work.prompt_tokens)
+    limit = best * (1.0 + NEAR_PART) + NEAR_S + NEAR_READINGS * reading_s
     near = [option for option in options if option.score <= limit]
     if len(near) > 2:
         near = rng.sample(near, 2)
--- a/packages/bulrushgrade/bulrushgrade/progress.py
+++ b/packages/bulrushgrade/bulrushgrade/progress.py
@@ -18,6 +18,9 @@
 waits at an engine is known from stale messages: a line through such points
 is too flat (errors in x), and reading looks three times as cheap as it is."""
 
+HEARD_S = 0.5
+"""After so long, what others had at an engine has been heard."""
+
 RATIO_WEIGHT = 0.1
 """Weight of one answer in an endpoint's speed: about ten answers to follow a
 change, while one odd answer moves it little."""
@@ -118,7 +121,12 @@
     expected = progress.option.uncached_tokens
     ahead = progress.ahead_tokens - expected
     if progress.read_s is not None and ahead <= CLEAN_PART * read:
-        progress.pool.model.first.learn_least(ahead + read, progress.read_s)
+        start = progress.placed_at
+        end = start + progress.read_s + HEARD_S
+        strange = progress.option.endpoint.strange_tokens(start, end)
+        if strange <= CLEAN_PART * read:
+            first = progress.pool.model.first
+            first.learn_least(ahead + read, progress.read_s)
     return read - expected
 
 
--- a/packages/bulrushgrade/bulrushgrade/queueing.py
+++ b/packages/bulrushgrade/bulrushgrade/queueing.py
@@ -13,6 +13,20 @@
 from bulrushgrade import lane
 from bulrushgrade import share
 
+MAX_PART = 0.95
+"""Weight of what alone is scarce; the other is never quite free, or a flood
+of it would cost nothing until it is scarce too."""
+
+BLOCKED_WEIGHT = 0.02
+"""Weight of one attempt that found no room: some tens of them, a few seconds
+of a full fleet, to tell what is scarce."""
+
+LEAD_S = 10.0
+"""Virtual seconds by which a service may get ahead of one that waits for
+room. A shorter lead leaves engines idle at full load, as small work is held
+back that needs nothing of what the large waits for; a longer one lets small
+work take the large work's share at four times the load."""
+
 
 @attrs.define(kw_only=True)
 class PoolQueue:
@@ -20,11 +34,11 @@
 
     Attributes:
         shares: Whose turn it is among the services.
-        drain: Engine seconds that this host gets placed in a second.
     """
 
     shares: share.Shares = attrs.field(factory=share.Shares)
-    drain: admission.DrainRate = attrs.field(factory=admission.DrainRate)
+    _drains: dict[str, admission.DrainRate] = attrs.field(factory=dict)
+    _reading_part: float = 0.5
     _queues: dict[str, lane.ServiceQueue] = attrs.field(factory=dict)
 
     def __len__(self) -> int:
@@ -39,25 +53,46 @@
         """Returns the services that have work waiting."""
         return [name for name, queue in self._queues.items() if len(queue)]
 
-    def add(self, item: lane.Waiting) -> None:
+    def add(self, item: lane.Waiting, now: float) -> None:
         """Queues an item."""
         service = item.work.service
         queue = self._queues.setdefault(service, lane.ServiceQueue())
         if not len(queue):
             self.shares.activate(service, self.active())
         queue.add(item)
+        self._drain(service).note(busy=True, now=now)
 
-    def remove(self, item: lane.Waiting) -> None:
-        """Takes an item out."""
-        self._queues[item.work.service].lanes[item.lane].remove(item)
-
-    def charge(self, item: lane.Waiting, now: float) -> None:
-        """Books an item that was placed."""
+    def remove(
+        self, item: lane.Waiting, now: float, *, placed_s: float = 0.0
+    ) -> None:
+        """Takes an item out, with its price if it was placed."""
         service = item.work.service
-        self.shares.charge(service, item.engine_s)
-        queue = self._queues.setdefault(service, lane.ServiceQueue())
-        queue.lanes[item.lane].used_s += item.engine_s
-        self.drain.add(item.engine_s, now)
+        queue = self._queues[service]
+        queue.lanes[item.lane].remove(item)
+        self._drain(service).note(
+            busy=bool(len(queue)), now=now, placed_s=placed_s
+        )
+
+    def place(self, item: lane.Waiting, now: float) -> None:
+        """Takes out an item that was placed, and books it."""
+        service = item.work.service
+        self.remove(item, now, placed_s=item.engine_s)
+        part = self._reading_part
+        answering_s = item.engine_s - item.reading_s
+        charge = 2.0 * (part * item.reading_s + (1.0 - part) * answering_s)
+        self.shares.charge(service, charge)
+        self._queues[service].lanes[item.lane].used_s += charge
+
+    def note_blocked(self, *, reading: bool) -> None:
+        """Notes what waiting work had no room for.
+
+        Services are charged for what is scarce. While engines that read are
+        full and those that answer idle, seconds of answering are nobody's
+        loss: charged in full they held chats back for nothing, and a fleet
+        at its capacity refused a third of them.
+        """
+        target = MAX_PART if reading else 1.0 - MAX_PART
+        self._reading_part += BLOCKED_WEIGHT * (target - self._reading_part)
 
     def heads(self) -> Iterator[lane.Waiting]:
         """Yields the next item of each lane, in the order of turns."""
@@ -72,21 +107,21 @@
         for queue in self._queues.values():
             for waiting in queue.lanes.values():
                 while (head := waiting.head()) and head.latest_start < now:
-                    waiting.remove(head)
+                    self.remove(head, now)
                     yield head
 
     def wait_s(
         self,
         item: lane.Waiting,
         *,
-        floor: float,
+        engines: float,
         now: float,
     ) -> float:
         """Predicts how long an item would wait if it were queued now.
 
         Args:
             item: The item, not queued yet.
-            floor: Drain rate to assume while none was observed.
+            engines: This host's part of the fleet, in engines.
             now: The present time.
         """
         service = item.work.service
@@ -94,11 +129,14 @@
         if queue is None or not len(queue):
             return 0.0
         ahead = queue.ahead_s(item)
-        shares = {n: self.shares.share(n) for n in self.active()}
-        part = self.shares.share(service) / sum(shares.values())
-        rate = self.drain.rate(floor, now) * part
+        total = sum(self.shares.share(name) for name in self.active())
+        expected = engines * self.shares.share(service) / total
+        rate = self._drain(service).rate(expected, now)
         return ahead / max(rate, 1e-3)
 
+    def _drain(self, service: str) -> admission.DrainRate:
+        return self._drains.setdefault(service, admission.DrainRate())
+
     def dump(self) -> dict[str, dict[str, float]]:
         """Returns the queues' lengths for a person."""
         return {
@@ -113,8 +151,13 @@
 def dispatch(queue: PoolQueue, attempt: Try, now: float) -> None:
     """Places what can be placed, in the order of turns.
 
-    A head that finds no room doesn't hold up the other lanes: a reading that
-    waits for an engine with free memory must not stop chats that need none.
+    A head that finds no room doesn't hold up the other lanes at once: a
+    reading that waits for an engine must not stop chats that need none. But
+    whoever overtakes a service that is behind its share may get ahead of it
+    by `LEAD_S` only. Without that bound small requests fill every gap before
+    it is large enough for a reading, and the readings' team gets a fifth of
+    what it is guaranteed.
+
     Each round either places one item or ends, and costs one attempt a lane.
 
     Args:
@@ -125,9 +168,14 @@
     placed = True
     while placed:
         placed = False
+        blocked: float | None = None
         for head in list(queue.heads()):
             if head.not_before > now:
                 continue
+            used = queue.shares.used(head.work.service)
+            if blocked is not None and used > blocked + LEAD_S:
+                break
             if attempt(head):
                 placed = True
                 break
+            blocked = used if blocked is None else blocked
--- a/packages/bulrushgrade/bulrushgrade/scheduler.py
+++ b/packages/bulrushgrade/bulrushgrade/scheduler.py
@@ -213,7 +213,7 @@
         self._outbox.pop(request_id, None)
         if request_id in self._waiting:
             state, item = self._waiting.pop(request_id)
-            state.queue.remove(item)
+            state.queue.remove(item, now)
         elif request_id in self._progress:
             self._release(self._progress.pop(request_id), now)
 
@@ -304,6 +304,7 @@
         waiting = lane.Waiting(
             work=item,
             engine_s=model.price_s(item, uncached, tokens_done),
+            reading_s=reading_s,
             latest_start=admission.latest_start(item, model, uncached),
             lane=lane.lane_of(reading_s),
             number=next(self._numbers),
@@ -325,13 +326,13 @@
         if queue.waiting(wanted.service) >= limit:
             code = work.RefusalCode.QUEUE_FULL
             return self._refuse(wanted, code, QUEUE_FULL_RETRY_S)
-        floor = self._engines(state.pool, now)
-        wait_s = queue.wait_s(item, floor=floor, now=now)
+        engines = self._engines(state.pool, now)
+        wait_s = queue.wait_s(item, engines=engines, now=now)
         late_s = self._judge(item, wait_s, now)
         if late_s > 0.0:
             self._note_lost(item)
             return self._refuse(wanted, work.RefusalCode.OVERLOADED, late_s)
-        queue.add(item)
+        queue.add(item, now)
         self._waiting[wanted.request_id] = (state, item)
         self._dispatch(state, now)
         settled = self._outbox.pop(wanted.request_id, None)
@@ -371,12 +372,13 @@
             tokens_done=item.tokens_done,
         )
         option = placement.choose(state.pool, ask, rng=self._rng, now=now)
-        if option is None:
+        if isinstance(option, placement.Blocked):
+            reading = option is placement.Blocked.READING
+            state.queue.note_blocked(reading=reading)
             return False
         request_id = item.work.request_id
-        state.queue.remove(item)
+        state.queue.place(item, now)
         del self._waiting[request_id]
-        state.queue.charge(item, now)
         placed = progress.start(item, state.pool, option, now)
         self._progress[request_id] = placed
         self._fleet.book(option.endpoint, placed.reading, now)
--- a/packages/bulrushgrade/bulrushgrade/share.py
+++ b/packages/bulrushgrade/bulrushgrade/share.py
@@ -15,6 +15,12 @@
 """Share of a service that is guaranteed nothing: it lives on what is lent,
 and a zero would divide by zero."""
 
+CREDIT_S = 15.0
+"""Virtual seconds that a service keeps of what it is owed when its queue runs
+empty. Few readings arrive at one host, so their queue is empty between two
+of them; forgetting all of it each time left their team two thirds of its
+share under full load. More would let a silent service shut out the others."""
+
 BUCKET_S = 2.0
 """Seconds of its own share that a service which does not borrow may save;
 less would cut short bursts that its share covers."""
@@ -52,6 +58,10 @@
         account = self._accounts.get(service)
         return account.share if account else MIN_SHARE
 
+    def used(self, service: str) -> float:
+        """Returns a service's virtual time in seconds."""
+        return self._accounts[service].used
+
     def activate(self, service: str, active: Iterable[str]) -> None:
         """Notes that a service starts to ask again.
 
@@ -64,7 +74,7 @@
             self._accounts[name].used for name in active if name != service
         ]
         floor = min(others) if others else self._floor
-        account.used = max(account.used, floor)
+        account.used = max(account.used, floor - CREDIT_S)
 
     def charge(self, service: str, engine_s: float) -> None:
         """Books engine seconds on a service."""
--- a/packages/bulrushgrade_standins/bulrushgrade_standins/enginemodel.py
+++ b/packages/bulrushgrade_standins/bulrushgrade_standins/enginemodel.py
@@ -101,7 +101,7 @@
         self._reading: Job | None = None
         self._imports: collections.deque[Job] = collections.deque()
         self._answers: list[tuple[float, int, Job]] = []
-        self._holding: set[Job] = set()
+        self._holding: dict[Job, None] = {}
         self._kv = 0
         self._decoded = 0.0
         self._at = 0.0
@@ -347,11 +347,11 @@
             )
 
     def _hold(self, job: Job) -> None:
-        self._holding.add(job)
+        self._holding[job] = None
         self._kv += job.kv_tokens
 
     def _free(self, job: Job) -> None:
-        self._holding.remove(job)
+        del self._holding[job]
         self._kv -= job.kv_tokens
 
     def _cached(self, job: Job) -> int:
