Follow an engine's pace while its answers go on

Cause, found by trace of a slow engine: its first complete answer is late by the time it comes, so that it went on getting work. Change: the pace between tokens is looked at once a second and feeds speed and ejection; mixed engines that are reading are not judged by it.

--- a/packages/bulrushgrade/bulrushgrade/progress.py
+++ b/packages/bulrushgrade/bulrushgrade/progress.py
@@ -6,6 +6,7 @@
 from bulrushgrade import load
 from bulrushgrade import placement
 from bulrushgrade import pool
+from bulrushgrade import work
 
 LATE_START_FACTOR = 2.0
 LATE_START_S = 0.3
@@ -25,6 +26,9 @@
 """Weight of one answer in an endpoint's speed: about ten answers to follow a
 change, while one odd answer moves it little."""
 
+PACE_S = 1.0
+"""Seconds between two looks at an answer's pace."""
+
 MAX_RATIO = 20.0
 """An answer that was stuck must not outweigh all those around it."""
 
@@ -46,6 +50,8 @@
         read_s: Seconds until the prompt was read.
         first_at: When its first token came.
         tokens: Tokens that came by now.
+        paced_at: When its pace was last looked at.
+        paced_tokens: How many tokens it had then.
     """
 
     item: lane.Waiting
@@ -60,6 +66,8 @@
     read_s: float | None = None
     first_at: float | None = None
     tokens: int = 0
+    paced_at: float = 0.0
+    paced_tokens: int = 0
 
 
 def start(
@@ -130,14 +138,38 @@
     return read - expected
 
 
-def learn_rest(
-    progress: Progress, now: float
-) -> tuple[load.EndpointLoad, float] | None:
+def learn_pace(progress: Progress, count: int, now: float) -> float | None:
+    """Learns from the tokens of an answer that is still going on.
+
+    An engine that turned slow gives its first complete answer when that is
+    already late, so its pace is followed from token to token.
+
+    Returns:
+        Observed to predicted time between tokens, or None where that says
+        nothing of the engine's health.
+    """
+    progress.tokens = count
+    elapsed = now - progress.paced_at
+    if progress.first_at is None or elapsed < PACE_S:
+        return None
+    tokens = max(count - progress.paced_tokens, 1)
+    progress.paced_at, progress.paced_tokens = now, count
+    decoder = progress.option.decode
+    running = max(decoder.total.running, 1.0)
+    ratio = _ratio(elapsed / tokens, progress.pool.model.step_s(running))
+    decoder.step_ratio += RATIO_WEIGHT * (ratio - decoder.step_ratio)
+    # Answers on an engine that reads beside them are slow for that reason:
+    # taken for illness it would have the mixed engines ejected.
+    reads = decoder.endpoint.role is work.Role.MIXED
+    return None if reads and decoder.total.prefill_tokens else ratio
+
+
+def learn_rest(progress: Progress, now: float) -> float | None:
     """Learns from a complete answer.
 
     Returns:
-        The endpoint that gave it and its observed to predicted time, or None
-        when the answer was too short to tell.
+        Observed to predicted time of a plain service's answer; None for a
+        model's, whose pace was followed while it went on.
     """
     model = progress.pool.model
     decoder = progress.option.decode
@@ -146,15 +178,12 @@
         ratio = _ratio(took, model.plain_s)
         model.learn_plain(took)
         decoder.first_ratio += RATIO_WEIGHT * (ratio - decoder.first_ratio)
-        return decoder, ratio
-    if progress.first_at is None or progress.tokens < 2:
-        return None
-    step_s = (now - progress.first_at) / (progress.tokens - 1)
-    predicted = model.step_s(progress.running)
-    model.step.learn(progress.running, step_s)
-    ratio = _ratio(step_s, predicted)
-    decoder.step_ratio += RATIO_WEIGHT * (ratio - decoder.step_ratio)
-    return decoder, ratio
+        return ratio
+    if progress.first_at is not None and progress.tokens > 1:
+        step_s = (now - progress.first_at) / (progress.tokens - 1)
+        if decoder.health.ejected_until is None:
+            model.step.learn(progress.running, step_s)
+    return None
 
 
 def _ratio(observed: float, predicted: float) -> float:
--- a/packages/bulrushgrade/bulrushgrade/scheduler.py
+++ b/packages/bulrushgrade/bulrushgrade/scheduler.py
@@ -230,13 +230,17 @@
         current = self._progress.get(request_id)
         if current is not None and current.first_at is None:
             self.prefill_done(request_id, now)
-            current.first_at = now
+            current.first_at = current.paced_at = now
 
     def tokens(self, request_id: str, count: int, now: float) -> None:
-        """Notes that an attempt has given `count` tokens by now."""
+        """Notes that an attempt has given `count` tokens by now.
+
+        To be called about once a second, and at the end of the answer.
+        """
         current = self._progress.get(request_id)
         if current is not None:
-            current.tokens = count
+            ratio = progress.learn_pace(current, count, now)
+            self._observe(current, ratio, now)
 
     def finished(
         self,
@@ -264,10 +268,7 @@
         if cached_tokens is not None and current.item.work.model:
             more = progress.learn_reading(current, cached_tokens)
             self._demand[current.item.work.model][0] += more
-        learned = progress.learn_rest(current, now)
-        if learned is not None:
-            endpoint, ratio = learned
-            self._fleet.observe_ratio(endpoint, ratio, now)
+        self._observe(current, progress.learn_rest(current, now), now)
 
     def dump(self) -> dict[str, Any]:
         """Returns the state for a person, ready for JSON."""
@@ -405,6 +406,12 @@
             reason=_REASONS[code],
         )
 
+    def _observe(
+        self, current: progress.Progress, ratio: float | None, now: float
+    ) -> None:
+        if ratio is not None:
+            self._fleet.observe_ratio(current.option.decode, ratio, now)
+
     def _note_lost(self, item: lane.Waiting) -> None:
         if item.work.model:
             self._demand[item.work.model][3] += item.engine_s
--- a/packages/bulrushgrade_standins/bulrushgrade_standins/enginemodel.py
+++ b/packages/bulrushgrade_standins/bulrushgrade_standins/enginemodel.py
@@ -155,8 +155,7 @@
         failed = [job for _, _, job in self._queue]
         failed += [*self._imports, *self._holding]
         for _, _, job in self._answers:
-            left = max(0.0, job.end_at - self._decoded)
-            job.tokens_done = int(job.output_tokens - left)
+            job.tokens_done = self.generated(job)
         self._queue, self._answers = [], []
         self._imports.clear()
         self._holding.clear()
@@ -189,6 +188,12 @@
         self.slow = factor
         self._wake()
 
+    def generated(self, job: Job) -> int:
+        """Returns how many tokens of an answer have been generated."""
+        self._advance()
+        left = max(0.0, job.end_at - self._decoded)
+        return max(0, int(job.output_tokens - left))
+
     def load(self) -> work.LoadReport:
         """Returns its present figures."""
         self._advance()
--- a/packages/bulrushgrade_standins/bulrushgrade_standins/replay.py
+++ b/packages/bulrushgrade_standins/bulrushgrade_standins/replay.py
@@ -32,6 +32,9 @@
 """How late a host learns of a role change, which is on the log."""
 
 PLAN_EVERY_S = 2.0
+PACE_EVERY_S = 1.0
+"""How often a host looks at the tokens that an answer has got."""
+
 GRACE_S = 60.0
 """Seconds past the trace's end for what is still running."""
 
@@ -155,6 +158,7 @@
         """Replays the trace to its end."""
         self._env.process(self._feed())
         self._env.process(self._exchange())
+        self._env.process(self._pace())
         if self._planner is not None:
             self._env.process(self._plan())
         self._env.run(until=self._trace.header.duration_s + GRACE_S)
@@ -375,6 +379,16 @@
                 for engine in self._engines.values():
                     self._report(engine)
 
+    def _pace(self):
+        while True:
+            yield self._env.timeout(PACE_EVERY_S)
+            for host in self._hosts:
+                for name, call in host.calls.items():
+                    if call.first_at is None or call.job is None:
+                        continue
+                    count = call.job.at.generated(call.job)
+                    host.decider.tokens(name, count, self._env.now)
+
     def _publish(self, peer, loads, other: Host) -> None:
         delay = self._rng.uniform(*PEER_LAG_S)
         self._later(
