Hold back work that would end late, and changes for passing losses

Cause, found by trace: work predicted late was placed all the same on a slow engine, and cold caches at the start looked like a lasting loss to the plan. Change: placement holds back what would end more than 0.3 s late, and a role change needs the loss in each of the last three buckets.

--- a/packages/bulrushgrade/bulrushgrade/placement.py
+++ b/packages/bulrushgrade/bulrushgrade/placement.py
@@ -39,6 +39,10 @@
 """Weight of predicted lateness: an option in time goes before any that is
 not, unless it costs others many times as much."""
 
+LATE_TOLERANCE_S = 0.3
+"""Predicted lateness at which work is not placed: it would end late and take
+the time of work that can be in time. A little is borne, as predictions err."""
+
 KV_PART = 0.95
 """Part of the KV cache that is given out: an engine that runs out evicts a
 running answer and computes it again."""
@@ -71,6 +75,7 @@
 
     READING = "reading"
     ANSWERING = "answering"
+    LATE = "late"
 
 
 @attrs.frozen(kw_only=True)
@@ -85,6 +90,7 @@
         first_token_s: Predicted seconds to the first token.
         step_s: Predicted seconds between tokens.
         finish_s: Predicted seconds to the end.
+        late_s: By how many seconds it is predicted to miss a deadline.
         score: What is compared; smaller is better.
     """
 
@@ -95,6 +101,7 @@
     first_token_s: float
     step_s: float
     finish_s: float
+    late_s: float = 0.0
     score: float
 
     def placed(
@@ -155,7 +162,10 @@
     near = [option for option in options if option.score <= limit]
     if len(near) > 2:
         near = rng.sample(near, 2)
-    return min(near, key=lambda option: option.score)
+    chosen = min(near, key=lambda option: option.score)
+    if chosen.late_s > LATE_TOLERANCE_S:
+        return Blocked.LATE
+    return chosen
 
 
 def note_placed(
@@ -236,6 +246,7 @@
         first_token_s=first,
         step_s=step,
         finish_s=finish,
+        late_s=late,
         score=finish + harm + LATE_WEIGHT * (over + late),
     )
 
--- a/packages/bulrushgrade/bulrushgrade/pool.py
+++ b/packages/bulrushgrade/bulrushgrade/pool.py
@@ -80,13 +80,13 @@
         """Returns how many endpoints are in service."""
         return len(self._keys)
 
-    def fellows(self) -> list[ejection.Health]:
-        """Returns the health of all endpoints in service.
-
-        Whatever their roles: each is measured against what was predicted for
-        its own work, and of two engines of a role none would be ejected.
-        """
-        return [self.loads[address].health for address in self._keys]
+    def fellows(self, role: work.Role) -> list[ejection.Health]:
+        """Returns the health of all endpoints in service with this role."""
+        return [
+            self.loads[address].health
+            for address in self._keys
+            if self.loads[address].endpoint.role is role
+        ]
 
     def uncached_tokens(self, item: work.Work, tokens_done: int) -> int:
         """Returns what the best holder of its prefix would have to read."""
--- a/packages/bulrushgrade/bulrushgrade/pools.py
+++ b/packages/bulrushgrade/bulrushgrade/pools.py
@@ -178,7 +178,7 @@
 
     def _judge(self, item: load.EndpointLoad, now: float) -> None:
         for key in self._keys.get(item.endpoint.address, ())[:1]:
-            fellows = self._pools[key].pool.fellows()
+            fellows = self._pools[key].pool.fellows(item.endpoint.role)
             ejection.judge(item.health, fellows, now)
 
     def _set_endpoint(self, address: str, endpoint: work.Endpoint) -> None:
--- a/packages/bulrushgrade/bulrushgrade/roleplan.py
+++ b/packages/bulrushgrade/bulrushgrade/roleplan.py
@@ -26,9 +26,9 @@
 """Full buckets before the first change: one could be a burst, and caches that
 are still cold make reading look dearer than it will be."""
 
-SHORT_BUCKETS = 2
-"""Buckets of the short window: a change must help in it as well as in the
-long one, else it would come for a swing that is already over."""
+SHORT_BUCKETS = 3
+"""Buckets of the short window: a change must help in each of them as well as
+over the long one, else it would come for a swing that is already over."""
 
 HORIZON_S = 120.0
 """How long a change is trusted to help: past it the mix is anyone's guess."""
@@ -313,4 +313,4 @@
     ]
     short = gains[-SHORT_BUCKETS:]
     mean = sum(gains) / len(gains)
-    return HORIZON_S * min(mean, sum(short) / len(short))
+    return HORIZON_S * min(mean, *short)
--- a/packages/bulrushgrade/bulrushgrade/scheduler.py
+++ b/packages/bulrushgrade/bulrushgrade/scheduler.py
@@ -374,8 +374,9 @@
         )
         option = placement.choose(state.pool, ask, rng=self._rng, now=now)
         if isinstance(option, placement.Blocked):
-            reading = option is placement.Blocked.READING
-            state.queue.note_blocked(reading=reading)
+            if option is not placement.Blocked.LATE:
+                reading = option is placement.Blocked.READING
+                state.queue.note_blocked(reading=reading)
             return False
         request_id = item.work.request_id
         state.queue.place(item, now)
