Test each decision by itself

Cause: the decisions were tested through the scheduler only, so that a fault in one would show as a strange whole.

--- /dev/null
+++ b/packages/bulrushgrade/tests/test_ejection.py
@@ -0,0 +1,61 @@
+"""Tests of ejection and probing back."""
+
+from bulrushgrade import ejection
+
+
+def _fleet(count):
+    fleet = [ejection.Health() for _ in range(count)]
+    for health in fleet:
+        for _ in range(10):
+            health.observe(1.0)
+    return fleet
+
+
+def test_slow_endpoint_is_taken_out_probed_and_put_back():
+    """One engine of four answers four times slower.
+
+    Callers see one request in four late. It is taken out; the first probe is
+    still slow, so it stays out longer; the next is as quick as the others.
+    """
+    fleet = _fleet(4)
+    slow = fleet[0]
+    for _ in range(30):
+        slow.observe(4.0)
+    assert ejection.judge(slow, fleet, 0.0)
+    assert not slow.usable(ejection.FIRST_S - 0.1)
+    assert slow.usable(ejection.FIRST_S)
+    slow.start_probe(5.0)
+    assert not slow.usable(5.1)
+    slow.observe(4.0)
+    assert ejection.judge(slow, fleet, 6.0)
+    assert not slow.usable(6.0 + ejection.FIRST_S)
+    slow.start_probe(16.0)
+    slow.observe(1.0)
+    assert not ejection.judge(slow, fleet, 17.0)
+    assert slow.usable(17.0)
+
+
+def test_never_more_than_a_part_is_out():
+    fleet = _fleet(6)
+    for health in fleet:
+        for _ in range(ejection.FAILURES):
+            health.fail()
+        ejection.judge(health, fleet, 0.0)
+    out = [health for health in fleet if not health.usable(0.0)]
+    assert len(out) == 2
+
+
+def test_one_of_two_is_never_ejected():
+    fleet = _fleet(2)
+    for _ in range(30):
+        fleet[0].observe(10.0)
+    assert not ejection.judge(fleet[0], fleet, 0.0)
+
+
+def test_lost_probe_is_followed_by_another():
+    fleet = _fleet(4)
+    for _ in range(ejection.FAILURES):
+        fleet[0].fail()
+    ejection.judge(fleet[0], fleet, 0.0)
+    fleet[0].start_probe(5.0)
+    assert fleet[0].usable(5.0 + ejection.LONGEST_S)
--- /dev/null
+++ b/packages/bulrushgrade/tests/test_placement.py
@@ -0,0 +1,94 @@
+"""Tests of placement among loads."""
+
+import collections
+import random
+
+from bulrushgrade import load
+from bulrushgrade import placement
+from bulrushgrade import pool
+from bulrushgrade import prefix
+from bulrushgrade import work
+
+
+def _pool(count, seed=1, **more):
+    made = pool.Pool(rng=random.Random(seed))
+    for number in range(count):
+        endpoint = work.Endpoint(
+            address=f"e{number}", model="m", kv_capacity_tokens=100_000, **more
+        )
+        made.put(load.EndpointLoad(endpoint=endpoint))
+    return made
+
+
+def _ask(prompt=500, output=50, hashes=(), **more):
+    wanted = work.Work(
+        request_id="a", service="s", model="m", prompt_tokens=prompt,
+        output_tokens=output, prefix=hashes, deadline=60.0, **more,
+    )  # fmt: skip
+    return placement.Ask(work=wanted, short=prompt < 3000)
+
+
+def _choose(among, ask, seed=1):
+    return placement.choose(among, ask, rng=random.Random(seed), now=0.0)
+
+
+def _busy(among, address, amount):
+    among.loads[address].add_own(amount, 0.0)
+    among.refresh(address)
+
+
+def test_cached_prefix_wins_until_its_engine_is_busy():
+    among = _pool(4)
+    hashes = tuple(range(90))
+    among.prefixes.add(hashes, "e2")
+    ask = _ask(prompt=6000, hashes=hashes)
+    assert _choose(among, ask).endpoint.endpoint.address == "e2"
+    _busy(among, "e2", load.Amount(30.0, 20_000.0, 60_000.0))
+    assert _choose(among, ask).endpoint.endpoint.address != "e2"
+
+
+def test_hosts_with_the_same_stale_view_do_not_herd():
+    """Nine hosts see forty equal engines and each has one long reading.
+
+    If all took the first of the same order, one engine would get all nine.
+    """
+    chosen = collections.Counter(
+        _choose(
+            _pool(40, seed=host), _ask(prompt=8000), host
+        ).endpoint.endpoint.address
+        for host in range(9)
+    )
+    assert max(chosen.values()) <= 3
+
+
+def test_full_memory_and_full_reading_block_for_their_reasons():
+    among = _pool(1)
+    _busy(among, "e0", load.Amount(2.0, 0.0, 99_000.0))
+    assert _choose(among, _ask()) is placement.Blocked.READING
+    split = _pool(2, role=work.Role.PREFILL)
+    assert _choose(split, _ask()) is placement.Blocked.ANSWERING
+
+
+def test_work_that_would_end_late_is_held_back():
+    among = _pool(1)
+    among.loads["e0"].step_ratio = 100.0
+    assert _choose(among, _ask()) is placement.Blocked.LATE
+
+
+def test_chat_avoids_the_engine_whose_tokens_come_slowly():
+    among = _pool(3)
+    for address in ("e0", "e1"):
+        among.loads[address].step_ratio = 4.0
+    ask = _ask(between_tokens_s=0.05)
+    assert _choose(among, ask).decode.endpoint.address == "e2"
+
+
+def test_prefix_index_finds_the_longest_holders_and_is_bounded():
+    index = prefix.PrefixIndex()
+    index.add((1, 2, 3), "a")
+    index.add((1, 2), "b")
+    assert index.find((1, 2, 3, 4)) == {"a": 3, "b": 2}
+    index.discard(3, "a")
+    assert index.find((1, 2, 3, 4))["a"] == 2
+    index.add(tuple(range(10, prefix.PREFIX_LIMIT + 10)), "c")
+    assert len(index) == prefix.PREFIX_LIMIT
