--- a/packages/bulrushgrade/bulrushgrade/scheduler.py
+++ b/packages/bulrushgrade/bulrushgrade/scheduler.py
@@ -218,7 +218,7 @@
         self._outbox.pop(request_id, None)
         if request_id in self._waiting:
             state, item = self._waiting.pop(request_id)
-            state.queue.remove(item)
+            state.queue.remove(item, now)
         elif request_id in self._progress:
             self._release(self._progress.pop(request_id), now)
 
@@ -235,13 +235,17 @@
         current = self._progress.get(request_id)
         if current is not None and current.first_at is None:
             self.prefill_done(request_id, now)
-            current.first_at = now
+            current.first_at = current.paced_at = now
 
     def tokens(self, request_id: str, count: int, now: float) -> None:
-        """Notes that an attempt has given `count` tokens by now."""
+        """Notes that an attempt has given `count` tokens by now.
+
+        To be called about once a second, and at the end of the answer.
+        """
         current = self._progress.get(request_id)
         if current is not None:
-            current.tokens = count
+            ratio = progress.learn_pace(current, count, now)
+            self._observe(current, ratio, now)
 
     def finished(
         self,
@@ -269,10 +273,7 @@
         if cached_tokens is not None and current.item.work.model:
             more = progress.learn_reading(current, cached_tokens)
             self._demand[current.item.work.model][0] += more
-        learned = progress.learn_rest(current, now)
-        if learned is not None:
-            endpoint, ratio = learned
-            self._fleet.observe_ratio(endpoint, ratio, now)
+        self._observe(current, progress.learn_rest(current, now), now)
 
     def dump(self) -> dict[str, Any]:
         """Returns the state for a person, ready for JSON."""
@@ -310,6 +311,7 @@
         waiting = lane.Waiting(
             work=item,
             engine_s=model.price_s(item, uncached, tokens_done),
+            reading_s=reading_s,
             latest_start=admission.latest_start(
                 item, model, uncached, tokens_done
             ),
@@ -368,13 +370,13 @@
         if queue.waiting(wanted.service) >= limit:
             code = work.RefusalCode.QUEUE_FULL
             return self._refuse(wanted, code, QUEUE_FULL_RETRY_S)
-        floor = self._engines(state.pool, now)
-        wait_s = queue.wait_s(item, floor=floor, now=now)
+        engines = self._engines(state.pool, now)
+        wait_s = queue.wait_s(item, engines=engines, now=now)
         late_s = self._judge(item, wait_s, now)
         if late_s > 0.0:
             self._note_lost(item)
             return self._refuse(wanted, work.RefusalCode.OVERLOADED, late_s)
-        queue.add(item)
+        queue.add(item, now)
         self._waiting[wanted.request_id] = (state, item)
         self._dispatch(state, now)
         settled = self._outbox.pop(wanted.request_id, None)
@@ -414,12 +416,14 @@
             tokens_done=item.tokens_done,
         )
         option = placement.choose(state.pool, ask, rng=self._rng, now=now)
-        if option is None:
+        if isinstance(option, placement.Blocked):
+            if option is not placement.Blocked.LATE:
+                reading = option is placement.Blocked.READING
+                state.queue.note_blocked(reading=reading)
             return False
         request_id = item.work.request_id
-        state.queue.remove(item)
+        state.queue.place(item, now)
         del self._waiting[request_id]
-        state.queue.charge(item, now)
         placed = progress.start(item, state.pool, option, now)
         self._progress[request_id] = placed
         self._fleet.book(option.endpoint, placed.reading, now)
@@ -446,6 +450,12 @@
             reason=_REASONS[code],
         )
 
+    def _observe(
+        self, current: progress.Progress, ratio: float | None, now: float
+    ) -> None:
+        if ratio is not None:
+            self._fleet.observe_ratio(current.option.decode, ratio, now)
+
     def _note_lost(self, item: lane.Waiting) -> None:
         if item.work.model:
             self._demand[item.work.model][3] += item.engine_s
