Let idle hosts forget a killed peer's loads; read foreign bytes safely

Cause: placing looked at peers' ages only while something waited, so a killed host's loads stayed for good on an idle host; the codec raised on a kind that is no string and on deep nesting; two tests sent SIGTERM before the stand-in listened. Ruled out: the peers service, which had let the loads go. Change: the early return goes, the codec answers with a value, the tests wait for the address first. Before: the new peers' test and two stand-ins' tests failed; after: they pass.

--- a/packages/bulrushgrade/bulrushgrade/codec.py
+++ b/packages/bulrushgrade/bulrushgrade/codec.py
@@ -41,14 +41,20 @@
         """Returns the message in some bytes, or why there is none."""
         try:
             envelope = msgspec.json.decode(raw)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        # The bytes come from other processes: deep nesting or a kind that is
+        # no string must not stop whoever reads them.
+        except (
+            msgspec.DecodeError,
+            UnicodeDecodeError,
+            RecursionError,
+        ) as error:
             return Failure(errors.BadRecord(reason=str(error)))
         if not isinstance(envelope, dict):
             return Failure(errors.BadRecord(reason="not a JSON object"))
-        kind = self._kinds.get(envelope.get("kind"))
+        name = envelope.get("kind")
+        kind = self._kinds.get(name) if isinstance(name, str) else None
         if kind is None:
-            reason = f"unknown kind {envelope.get('kind')!r}"
-            return Failure(errors.BadRecord(reason=reason))
+            return Failure(errors.BadRecord(reason=f"unknown kind {name!r}"))
         try:
             return Success(msgspec.convert(envelope.get("data"), kind))
         except msgspec.ValidationError as error:
--- a/packages/bulrushgrade/tests/test_codec.py
+++ b/packages/bulrushgrade/tests/test_codec.py
@@ -21,5 +21,13 @@
 
 def test_damaged_and_unknown_are_values():
     codec_ = codec.Codec(kinds=[_Ping])
-    for raw in (b"{", b"[]", b"\xff", b'{"kind":"Pong"}', b'{"kind":"_Ping"}'):
+    for raw in (
+        b"{",
+        b"[]",
+        b"\xff",
+        b'{"kind":"Pong"}',
+        b'{"kind":"_Ping"}',
+        b'{"kind":[]}',
+        b"[" * 100_000,
+    ):
         assert isinstance(codec_.parse(raw), Failure)
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/placing.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/placing.py
@@ -237,8 +237,6 @@
         return await waiting
 
     def _settle(self) -> None:
-        if not self._waiting:
-            return
         for decision in self._core.poll(self.now):
             waiting = self._waiting.pop(decision.request_id, None)
             if waiting is not None:
--- a/packages/bulrushgrade_daemon/tests/test_failures_peers.py
+++ b/packages/bulrushgrade_daemon/tests/test_failures_peers.py
@@ -63,3 +63,30 @@
             == (_dump(old[1], "documents")["accepted"])
         )
         assert not _dump(new, "log")["reachable"]
+
+
+def test_loads_of_a_killed_daemon_are_forgotten(tmp_path):
+    # An engine would look busy for good and be passed over. The daemon that
+    # had told of its work there was killed before it could say otherwise.
+    with processes.running() as started:
+        world = scene.Scene(started=started, directory=tmp_path)
+        engine = started.standin("engine", "--step-s", "0.1")
+        one, two = daemons = [world.start_daemon() for _ in range(2)]
+        _list_all(world, engine, daemons)
+        for daemon in daemons:
+            scene.wait_ready(daemon, engines=1)
+
+        def running_seen_by_two():
+            loads = _dump(two, "placing")["scheduler"]["endpoints"]
+            return loads[engine.address]["running"]
+
+        def kill(count):
+            if count == 1:
+                processes.wait_for(lambda: running_seen_by_two() >= 1)
+                one.send(signal.SIGKILL)
+
+        answer = scene.stream(
+            one.ready["callers"], "a", max_tokens=100, on_token=kill
+        )
+        assert not answer.whole
+        processes.wait_for(lambda: running_seen_by_two() == 0)
--- a/packages/bulrushgrade_standins/tests/test_engine.py
+++ b/packages/bulrushgrade_standins/tests/test_engine.py
@@ -237,6 +237,8 @@
 
 def test_sigterm_lets_work_in_flight_finish(fleet):
     engine = fleet.standin("engine")
+    # Read once here: two threads would both wait for the one line.
+    assert engine.address
     answers = []
 
     def run():
--- a/packages/bulrushgrade_standins/tests/test_platform.py
+++ b/packages/bulrushgrade_standins/tests/test_platform.py
@@ -154,5 +154,7 @@
 def test_every_standin_ends_cleanly_on_sigterm(fleet):
     for name in ("log", "hosts", "engine", "plain", "weights"):
         process = fleet.standin(name)
+        # Before it listens it has no handler yet and would just be killed.
+        assert process.address
         process.send(signal.SIGTERM)
         assert process.wait() == 0
