--- a/packages/bulrushgrade/tests/test_checkpoint.py
+++ b/packages/bulrushgrade/tests/test_checkpoint.py
@@ -20,10 +20,10 @@
     )
 
 
-def _due(schedule, now, *, next_offset=20, earliest=0):
+def _due(schedule, now, *, next_offset=20, earliest=0, hosts=HOSTS):
     return schedule.find_due(
         now=now,
-        hosts=HOSTS,
+        hosts=hosts,
         next_offset=next_offset,
         earliest_offset=earliest,
     )
@@ -82,7 +82,7 @@
     assert add("c4", 1) is not None
 
 
-def _run(schedules, *, until, dead=(), step=1.0, lag_s=2.0, earliest=0):
+def _run(schedules, *, until, dead=(), lag_s=2.0):
     """Steps daemons that read each other's checkpoints after a lag."""
     offset, appended, arriving, now = 20, [], [], 0.0
     while now < until:
@@ -91,14 +91,14 @@
                 schedule.note_checkpoint(whole, now=now, fresh=True)
         arriving = [(at, w) for at, w in arriving if at > now]
         for host, schedule in zip(HOSTS, schedules, strict=True):
-            reason = _due(schedule, now, next_offset=offset, earliest=earliest)
+            reason = _due(schedule, now, next_offset=offset)
             if host in dead or reason is None:
                 continue
             schedule.note_append(now)
             appended.append((now, host, reason))
             arriving.append((now + lag_s, _whole(offset)))
             offset += 1
-        now += step
+        now += 1.0
     return appended
 
 
@@ -129,11 +129,8 @@
     appended = _run(_schedules(), until=600.0, lag_s=1e9)
     for host in HOSTS:
         times = [at for at, found, _ in appended if found == host]
-        assert len(times) <= 10
-        assert all(
-            b - a >= checkpoint.MIN_PERIOD_S
-            for a, b in zip(times, times[1:], strict=False)
-        )
+        gaps = [b - a for a, b in zip(times, times[1:], strict=False)]
+        assert min(gaps) >= checkpoint.MIN_PERIOD_S
 
 
 def test_a_restarted_daemon_takes_its_peers_word_for_the_age():
@@ -175,17 +172,11 @@
         ({"earliest": 5}, "the log has trimmed what the checkpoint needs"),
         ({"earliest": 4}, None),
         ({"next_offset": 1005}, "many records since the last checkpoint"),
-        ({}, None),
+        ({"next_offset": 9}, None),
     ):
         schedule = checkpoint.Schedule(
             address="a", retention_s=RETENTION_S, now=0.0
         )
         whole = _whole(6, next_offset=4)
         schedule.note_checkpoint(whole, now=0.0, fresh=True)
-        found = schedule.find_due(
-            now=1.0,
-            hosts=["a"],
-            next_offset=options.get("next_offset", 9),
-            earliest_offset=options.get("earliest", 0),
-        )
-        assert found == reason
+        assert _due(schedule, 1.0, hosts=["a"], **options) == reason
--- a/packages/bulrushgrade/tests/test_examples.py
+++ b/packages/bulrushgrade/tests/test_examples.py
@@ -20,16 +20,23 @@
     return document.parse_document(text, source=name).unwrap()
 
 
-@pytest.mark.parametrize(
-    ("fleet_name", "services"),
-    [
-        ("fleet-ortak", ("pack-llm", "portal-app")),
-        ("fleet-ogeechee", ("ring-assistant", "booking-ledger")),
-    ],
+DEPLOYMENTS = (
+    ("fleet-ortak", "pack-llm", "portal-app"),
+    ("fleet-ogeechee", "ring-assistant", "booking-ledger"),
 )
-def test_a_deployments_documents_are_accepted_together(fleet_name, services):
+
+
+def test_every_example_is_one_of_a_deployment():
+    assert {path.stem for path in EXAMPLES.glob("*.ini")} == {
+        *DEPLOYMENTS[0],
+        *DEPLOYMENTS[1],
+    }
+
+
+@pytest.mark.parametrize("names", DEPLOYMENTS)
+def test_a_deployments_documents_are_accepted_together(names):
     fold = registry.Registry()
-    for offset, name in enumerate((fleet_name, *services)):
+    for offset, name in enumerate(names):
         text = (EXAMPLES / f"{name}.ini").read_text(encoding="utf-8")
         is_fleet = offset == 0
         read = fleet.parse_fleet if is_fleet else document.parse_document
@@ -40,27 +47,13 @@
             text=text,
             validation=document.VALIDATION,
         )
+        body = publication.CODEC.serialize(made)
         outcome = fold.apply(
-            record.Record(
-                offset=offset,
-                record_id=name,
-                body=publication.CODEC.serialize(made),
-            )
+            record.Record(offset=offset, record_id=name, body=body)
         )
         assert outcome.code == "accepted", outcome.message
 
 
-def test_every_example_is_one_of_a_deployment():
-    assert sorted(path.stem for path in EXAMPLES.glob("*.ini")) == [
-        "booking-ledger",
-        "fleet-ogeechee",
-        "fleet-ortak",
-        "pack-llm",
-        "portal-app",
-        "ring-assistant",
-    ]
-
-
 @pytest.mark.parametrize(
     ("service", "method", "path", "repeatable"),
     [
--- a/packages/bulrushgrade/tests/test_registry.py
+++ b/packages/bulrushgrade/tests/test_registry.py
@@ -78,20 +78,17 @@
     def append(self, *bodies, record_id=None):
         for body in bodies:
             offset = len(self.records)
+            name = record_id or f"r{offset}"
             self.records.append(
-                record.Record(
-                    offset=offset,
-                    record_id=record_id or f"r{offset}",
-                    body=body,
-                )
+                record.Record(offset=offset, record_id=name, body=body)
             )
 
     def checkpoint(self, fold, checkpoint_id="c"):
-        self.append(
-            *checkpoint.serialize_checkpoint(
-                fold.snapshot(), checkpoint_id=checkpoint_id
-            )
+        snapshot = fold.snapshot()
+        bodies = checkpoint.serialize_checkpoint(
+            snapshot, checkpoint_id=checkpoint_id
         )
+        self.append(*bodies)
 
     def read(self, fold):
         """Lets a fold read to the end; returns the outcomes."""
--- a/packages/bulrushgrade/tests/test_registry_machine.py
+++ b/packages/bulrushgrade/tests/test_registry_machine.py
@@ -1,14 +1,10 @@
 """A state machine of publishers, readers and a log that fails."""
 
-import attrs
 from hypothesis import stateful
 from hypothesis import strategies
 from returns.result import Success
 
 from bulrushgrade import checkpoint
-from bulrushgrade import demand
-from bulrushgrade import document
-from bulrushgrade import fleet
 from bulrushgrade import publication
 from bulrushgrade import record
 from bulrushgrade import registry
@@ -20,47 +16,37 @@
 PART_BYTES = 2000
 
 
-def _fleet_text():
-    return fleet.serialize_fleet(
-        fleet.FleetDocument(
-            heading=fleet.FleetHeading(format=1, name="ring", team="office"),
-            regions=(fleet.Region(name="plain", zones=("hall",)),),
-            teams=tuple(
-                fleet.Team(
-                    name=team,
-                    services=tuple(s for s in OWNERS if OWNERS[s] == team),
-                )
-                for team in ("office", "growers")
-            ),
-            engines=(
-                fleet.Engines(
-                    name="all", zone="hall", count=1, token_s_per_s=CAPACITY
-                ),
-            ),
-        )
-    )
-
-
-def _service_text(service, team, share):
-    limits = {"first_token_s": 1.0, "between_tokens_s": 1.0}
-    return document.serialize_document(
-        document.ServiceDocument(
-            heading=demand.Heading(
-                format=1, service=service, team=team, kind="model"
-            ),
-            models=(demand.ModelUse(name="m", version="1"),),
-            deadlines=(
-                demand.DeadlineClass(name="all", whole_answer_s=9.0, **limits),
-            ),
-            share=demand.Share(guaranteed_token_s_per_s=share),
-        )
-    )
-
-
-@attrs.frozen(kw_only=True)
-class _State:
-    digest: str
-    accepted: dict
+FLEET = """
+[fleet]
+format = 1
+name = ring
+team = office
+[region plain]
+zones = hall
+[team office]
+services = desk, ledger
+[team growers]
+services = spray
+[engines all]
+zone = hall
+count = 1
+token_s_per_s = 100
+"""
+SERVICE = """
+[document]
+format = 1
+service = {service}
+team = {team}
+kind = model
+[model reader]
+version = 1
+[deadline all]
+whole_answer_s = 9
+first_token_s = 1
+between_tokens_s = 1
+[share]
+guaranteed_token_s_per_s = {share}
+"""
 
 
 class RegistryMachine(stateful.RuleBasedStateMachine):
@@ -86,13 +72,13 @@
     def _state(self):
         names = ("fleet", *OWNERS)
         accepted = {name: self.truth.accepted(name) for name in names}
-        return _State(digest=self.truth.digest(), accepted=accepted)
+        return self.truth.digest(), accepted
 
     def _make(self, service, team, base, share):
         self.ids += 1
-        text = _fleet_text()
+        text = FLEET
         if service != "fleet":
-            text = _service_text(service, team, share)
+            text = SERVICE.format(service=service, team=team, share=share)
         body = publication.CODEC.serialize(
             publication.Publish(
                 service=service,
@@ -112,7 +98,7 @@
         offset = len(self.records)
         made = record.Record(offset=offset, record_id=record_id, body=body)
         self.records.append(made)
-        before = self.states[-1].accepted
+        before = self.states[-1][1]
         outcome = self.truth.apply(made)
         self.states.append(self._state())
         if isinstance(outcome, publication.Verdict):
@@ -122,7 +108,7 @@
 
     def _check_verdict(self, verdict, before):
         assert self.told.setdefault(verdict.record_id, verdict) == verdict
-        after = self.states[-1].accepted
+        after = self.states[-1][1]
         changed = {name for name in after if after[name] != before[name]}
         assert changed == ({verdict.service} if verdict.accepted else set())
         if not verdict.accepted:
@@ -257,10 +243,10 @@
     @stateful.invariant()
     def folds_of_one_offset_are_equal(self):
         for fold in self.readers:
-            state = self.states[fold.next_offset]
-            assert fold.digest() == state.digest
-            accepted = {name: fold.accepted(name) for name in state.accepted}
-            assert accepted == state.accepted
+            digest, expected = self.states[fold.next_offset]
+            assert fold.digest() == digest
+            accepted = {name: fold.accepted(name) for name in expected}
+            assert accepted == expected
             assert set(fold.documents) == {
                 name
                 for name, revision in accepted.items()
