--- a/packages/bulrushgrade/bulrushgrade/scheduler.py
+++ b/packages/bulrushgrade/bulrushgrade/scheduler.py
@@ -283,6 +283,7 @@
             "counts": dict(self._counts),
             "waiting": len(self._waiting),
             "in_progress": len(self._progress),
+            "settled": len(self._outbox),
             **self._fleet.dump(),
         }
 
--- a/packages/bulrushgrade_standins/bulrushgrade_standins/trace.py
+++ b/packages/bulrushgrade_standins/bulrushgrade_standins/trace.py
@@ -118,6 +118,7 @@
     events: tuple[Event, ...] = ()
 
 
+_BAD_LINE = (msgspec.MsgspecError, KeyError, AttributeError, TypeError)
 _KINDS = {"header": Header, "request": Request, "event": Event}
 
 
@@ -146,7 +147,7 @@
             fields = msgspec.json.decode(line)
             kind = fields.pop("kind")
             found[kind].append(msgspec.convert(fields, _KINDS[kind]))
-        except (msgspec.MsgspecError, KeyError, AttributeError) as error:
+        except _BAD_LINE as error:
             raise ValueError(f"{path}, line {number}: {error}") from error
     if len(found["header"]) != 1:
         raise ValueError(f"{path}: it needs one header")
--- /dev/null
+++ b/packages/bulrushgrade_standins/tests/test_replay.py
@@ -0,0 +1,138 @@
+"""What callers get from the decisions under load, trace by trace."""
+
+import functools
+import json
+import random
+
+import pytest
+
+from bulrushgrade import work
+from bulrushgrade_standins import baseline
+from bulrushgrade_standins import replay
+from bulrushgrade_standins import trace
+
+
+@functools.cache
+def _trace(case, duration_s=45.0):
+    return trace.generate(trace.ORTAK, case, seed=5, duration_s=duration_s)
+
+
+@functools.cache
+def _ours(case):
+    return replay.replay(_trace(case), seed=5)
+
+
+def _least(rng: random.Random) -> baseline.Baseline:
+    pick = baseline.least_outstanding(rng)
+    return baseline.Baseline(read_pick=pick, decode_pick=pick)
+
+
+@functools.cache
+def _baseline(case):
+    run = replay.Replay(trace=_trace(case), make=_least, planner=None, seed=5)
+    return replay.summarize(run.run())
+
+
+def _on_time(case):
+    return replay.summarize(_ours(case))["on_time"]
+
+
+@pytest.mark.parametrize(
+    "case,least",
+    [
+        ("steady", 0.95),
+        ("flips", 0.95),
+        ("bursts", 0.9),
+        ("skew", 0.97),
+        ("slow", 0.8),
+        ("lost", 0.8),
+        ("mix", 0.85),
+    ],
+)
+def test_callers_are_answered_in_time_and_above_least_requests(case, least):
+    assert _on_time(case) >= least
+    assert _on_time(case) > _baseline(case)["on_time"]
+
+
+def test_saturation_delivers_as_much_as_capacity():
+    """Four times the load that fills the fleet arrives.
+
+    Without admission every answer is late, and the fleet works for nobody.
+    """
+    full, over = (
+        replay.summarize(_ours(case))["goodput_per_s"]
+        for case in ("full1x", "full4x")
+    )
+    assert over >= 0.95 * full
+    assert replay.summarize(_ours("full4x"))["late"] < 200
+
+
+def test_saturation_leaves_no_team_without_answers():
+    served = {"grade": 0, "portal": 0, "tag": 0}
+    for call in _ours("full4x").calls:
+        served[call.request.service] += call.on_time
+    assert min(served.values()) > 20
+
+
+def test_every_call_ends_once_and_nothing_stays_booked():
+    outcome = _ours("lost")
+    assert all(call.outcome for call in outcome.calls)
+    for dump in outcome.dumps:
+        assert dump["waiting"] == dump["in_progress"] == 0
+        assert all(e["own"] == 0.0 for e in dump["endpoints"].values())
+
+
+def test_lost_engine_adds_few_retries():
+    assert _ours("lost").retries <= 0.1 * len(_ours("lost").calls)
+
+
+def test_steady_load_changes_no_role():
+    assert _ours("steady").role_changes == 0
+
+
+def test_same_seed_replays_alike():
+    again = replay.replay(_trace("flips"), seed=5)
+    assert replay.summarize(again) == replay.summarize(_ours("flips"))
+
+
+def test_role_change_cuts_no_request():
+    """An engine changes its role in the middle of its answers.
+
+    A caller would see an answer break off if the change did not drain first.
+    """
+    run = replay.Replay(
+        trace=_trace("steady"), make=replay.ours, planner=_Once(), seed=5
+    ).run()
+    assert run.role_changes == 1
+    assert not [c for c in run.calls if c.outcome == "failed"]
+    assert run.retries == 0
+
+
+class _Once:
+    """Changes one engine's role, once."""
+
+    def __init__(self):
+        self._done = False
+
+    def observe(self, host, demand, now):
+        pass
+
+    def propose(self, view, now):
+        if self._done or now < 20.0:
+            return None
+        return replay.roleplan.RoleChange(
+            endpoint=view.endpoints[2].address,
+            role=work.Role.DECODE,
+            gain_s=1.0,
+            cost_s=0.0,
+        )
+
+    def note_change(self, change, now):
+        self._done = True
+
+
+def test_replay_of_a_file_reports_for_people_and_programs(tmp_path):
+    path = tmp_path / "trace.jsonl"
+    trace.write_trace(_trace("steady", 15.0), path)
+    assert "goodput_per_s" in replay.replay_file(path)
+    assert json.loads(replay.replay_file(path, json=True))["offered"] > 0
--- /dev/null
+++ b/packages/bulrushgrade_standins/tests/test_trace.py
@@ -0,0 +1,48 @@
+"""Tests of traces."""
+
+import pytest
+
+from bulrushgrade_standins import trace
+
+
+def test_trace_survives_writing_and_reading(tmp_path):
+    made = trace.generate(trace.ORTAK, "lost", seed=3, duration_s=20.0)
+    path = tmp_path / "lost.jsonl"
+    trace.write_trace(made, path)
+    assert trace.read_trace(path) == made
+    assert made.header.generated
+    assert made.header.seed == 3
+
+
+def test_same_seed_gives_the_same_trace_and_another_does_not():
+    one, same, other = (
+        trace.generate(trace.OGEECHEE, "steady", seed=seed, duration_s=10.0)
+        for seed in (1, 1, 2)
+    )
+    assert one == same
+    assert one != other
+
+
+@pytest.mark.parametrize("case", trace.CASES)
+def test_every_case_has_requests_of_every_service(case):
+    for deployment in trace.DEPLOYMENTS.values():
+        made = trace.generate(deployment, case, seed=1, duration_s=30.0)
+        services = {request.service for request in made.requests}
+        assert services == {policy.service for policy in deployment.services}
+
+
+@pytest.mark.parametrize(
+    "line", ["nonsense", '{"kind": "request"}', '{"kind": "x"}', "[]"]
+)
+def test_bad_line_is_named(tmp_path, line):
+    path = tmp_path / "bad.jsonl"
+    path.write_text(line + "\n")
+    with pytest.raises(ValueError, match="line 1"):
+        trace.read_trace(path)
+
+
+def test_equal_prefixes_hash_alike_and_later_parts_differ():
+    one = trace.blocks_of((("doc", 128), ("turn", 64)))
+    two = trace.blocks_of((("doc", 128), ("other", 64)))
+    assert one[:2] == two[:2]
+    assert one[2] != two[2]
