Book only what a peer's message changes, find prefixes by halving

Change: only changed loads are booked, an endpoint new to the view gets what peers told before, the longest known prefix is found by halving.

--- a/packages/bulrushgrade/bulrushgrade/load.py
+++ b/packages/bulrushgrade/bulrushgrade/load.py
@@ -125,22 +125,14 @@
         self._own = total.beyond(NOTHING)
         self._changed(now)
 
-    def set_peer(self, peer: str, amount: Amount, now: float) -> bool:
-        """Replaces what a peer has in flight here.
-
-        Returns:
-            Whether that changed anything.
-        """
-        before = self._peers.get(peer, NOTHING)
-        if amount == before:
-            return False
-        if amount == NOTHING:
-            del self._peers[peer]
-        else:
+    def set_peer(self, peer: str, amount: Amount, now: float) -> None:
+        """Replaces what a peer has in flight here."""
+        before = self._peers.pop(peer, NOTHING)
+        if amount != NOTHING:
             self._peers[peer] = amount
-        self._peer_sum = sum(self._peers.values(), start=NOTHING)
+        # Counts are whole numbers, so adding and taking away leaves no rest.
+        self._peer_sum = self._peer_sum + before.times(-1.0) + amount
         self._changed(now)
-        return True
 
     def take_report(self, report: work.LoadReport, now: float) -> None:
         """Takes in the engine's own, lagged figures."""
--- a/packages/bulrushgrade/bulrushgrade/pools.py
+++ b/packages/bulrushgrade/bulrushgrade/pools.py
@@ -38,6 +38,7 @@
         self._keys: dict[str, tuple[Key, ...]] = {}
         self._pools: dict[Key, PoolState] = {}
         self._peers: dict[str, float] = {}
+        self._told: dict[str, dict[str, work.PeerLoad]] = {}
 
     @property
     def pools(self) -> tuple[PoolState, ...]:
@@ -50,7 +51,9 @@
         for state in self._pools.values():
             self._set_shares(state)
 
-    def set_endpoints(self, endpoints: tuple[work.Endpoint, ...]) -> None:
+    def set_endpoints(
+        self, endpoints: tuple[work.Endpoint, ...], now: float
+    ) -> None:
         """Replaces the view of the endpoints; what is known of them stays."""
         wanted = {endpoint.address: endpoint for endpoint in endpoints}
         for address in [a for a in self._loads if a not in wanted]:
@@ -58,7 +61,10 @@
                 self._pools[key].pool.drop(address)
             del self._loads[address]
         for address, endpoint in wanted.items():
+            new = address not in self._loads
             self._set_endpoint(address, endpoint)
+            for peer in self._told if new else ():
+                self._set_peer(peer, address, now)
 
     def find_pool(self, item: work.Work) -> PoolState | None:
         """Returns the pool for some work, or None without one in service."""
@@ -80,19 +86,15 @@
     ) -> None:
         """Takes in all that a peer has in flight; what it omits is none."""
         self._peers[peer] = now
+        before = self._told.get(peer, {})
         told = {item.endpoint: item for item in loads}
-        for address, item in self._loads.items():
-            theirs = told.get(address)
-            amount = load.NOTHING
-            if theirs is not None:
-                amount = load.Amount(
-                    float(theirs.running),
-                    float(theirs.prefill_backlog_tokens),
-                    float(theirs.kv_tokens),
-                    float(theirs.short_backlog_tokens),
-                )
-            if item.set_peer(peer, amount, now):
-                self._refresh(address)
+        self._told[peer] = told
+        # Only what changed is booked: a message costs what it tells of, not
+        # the size of the fleet.
+        gone = [address for address in before if address not in told]
+        for address in (*told, *gone):
+            if told.get(address) != before.get(address):
+                self._set_peer(peer, address, now)
 
     def fresh_peers(self, now: float) -> int:
         """Returns how many peers have been heard lately."""
@@ -100,13 +102,15 @@
 
     def expire_peers(self, now: float) -> None:
         """Forgets the loads of peers that fell silent."""
-        for peer in [
-            p for p, at in self._peers.items() if now - at > load.PEER_LIFE_S
-        ]:
+        silent = [
+            peer
+            for peer, at in self._peers.items()
+            if now - at > load.PEER_LIFE_S
+        ]
+        for peer in silent:
             del self._peers[peer]
-            for address, item in self._loads.items():
-                item.set_peer(peer, load.NOTHING, now)
-                self._refresh(address)
+            for address in self._told.pop(peer):
+                self._set_peer(peer, address, now)
 
     def own_loads(self) -> tuple[work.PeerLoad, ...]:
         """Returns what this host has in flight, for its peers."""
@@ -176,6 +180,22 @@
             },
         }
 
+    def _set_peer(self, peer: str, address: str, now: float) -> None:
+        item = self._loads.get(address)
+        if item is None:
+            return
+        theirs = self._told.get(peer, {}).get(address)
+        amount = load.NOTHING
+        if theirs is not None:
+            amount = load.Amount(
+                float(theirs.running),
+                float(theirs.prefill_backlog_tokens),
+                float(theirs.kv_tokens),
+                float(theirs.short_backlog_tokens),
+            )
+        item.set_peer(peer, amount, now)
+        self._refresh(address)
+
     def _judge(self, item: load.EndpointLoad, now: float) -> None:
         for key in self._keys.get(item.endpoint.address, ())[:1]:
             fellows = self._pools[key].pool.fellows(item.endpoint.role)
--- a/packages/bulrushgrade/bulrushgrade/prefix.py
+++ b/packages/bulrushgrade/bulrushgrade/prefix.py
@@ -35,11 +35,25 @@
         self._holders.get(block, {}).pop(address, None)
 
     def find(self, prefix: tuple[int, ...]) -> dict[str, int]:
-        """Returns how many leading blocks the best holders have."""
+        """Returns how many leading blocks the best holders have.
+
+        Who holds a block holds those before it, but for evictions not heard
+        of, so the longest known part is found by halving, and holders of
+        shorter parts at its quarters: a few look-ups for any length.
+        """
+        known, unknown = 0, len(prefix) + 1
+        while unknown - known > 1:
+            middle = (known + unknown) // 2
+            if self._holders.get(prefix[middle - 1]):
+                known = middle
+            else:
+                unknown = middle
         found: dict[str, int] = {}
-        for index in range(len(prefix) - 1, -1, -1):
-            for address in reversed(self._holders.get(prefix[index], {})):
-                found.setdefault(address, index + 1)
+        for count in (known, known * 3 // 4, known // 2, known // 4, 1):
+            if not 0 < count <= known:
+                continue
+            for address in reversed(self._holders.get(prefix[count - 1], {})):
+                found.setdefault(address, count)
                 if len(found) >= MAX_HOLDERS:
                     return found
         return found
--- a/packages/bulrushgrade/bulrushgrade/scheduler.py
+++ b/packages/bulrushgrade/bulrushgrade/scheduler.py
@@ -100,7 +100,7 @@
         Requests at an endpoint that is gone stay with it until their owner
         calls `retry`, `finished` or `cancel`.
         """
-        self._fleet.set_endpoints(endpoints)
+        self._fleet.set_endpoints(endpoints, now)
 
     def report(self, report: work.LoadReport, now: float) -> None:
         """Takes in an engine's lagged report of its load."""
