--- a/packages/bulrushgrade/bulrushgrade/order.py
+++ b/packages/bulrushgrade/bulrushgrade/order.py
@@ -71,7 +71,7 @@
     seen: engineorder.Seen | None = None
     seen_at: float = 0.0
     open_writes: int = 0
-    write_after: float = 0.0
+    write_after: float = -math.inf
     lost_at: float = -math.inf
     append: record.Append | None = None
     append_term: int | None = None
@@ -183,6 +183,22 @@
             and known.append is None
         )
 
+    def stranded(self) -> tuple[str, ...]:
+        """Returns engines that refuse work though no order waits for them.
+
+        A holder that asked an engine to drain and lost its lease before the
+        order leaves it so. An order for what the engine is brings it back; it
+        is for the owner to tell those that the platform drains.
+        """
+        return tuple(
+            name
+            for name, known in self._engines.items()
+            if known.seen is not None
+            and known.seen.state == "draining"
+            and known.append is None
+            and name not in self._fold.unfinished
+        )
+
     def propose(
         self, engine: str, wanted: orderlog.Wanted, now: float
     ) -> Result[record.Append, errors.OrderRefused]:
@@ -203,6 +219,8 @@
             return Failure(errors.OrderRefused(reason="last holder may write"))
         if not self._is_seen_well(known):
             return Failure(errors.OrderRefused(reason="engine not seen"))
+        # What the last order had to wait for does not hold this one back.
+        known.write_after = -math.inf
         order_id = self._new_id()
         return Success(self._intend(engine, order_id, wanted, now))
 
