Ship two small generated traces and the command that makes them

Cause: a user's own trace can be replayed, but nothing showed what one looks like. Change: tracegen writes any case to a file, examples/traces holds two, and a test holds them to the generator byte by byte. Short traces now score from a quarter of their length on.

--- a/packages/bulrushgrade_standins/bulrushgrade_standins/tracegen.py
+++ b/packages/bulrushgrade_standins/bulrushgrade_standins/tracegen.py
@@ -4,8 +4,10 @@
 which parameters.
 """
 
+import argparse
 from collections.abc import Callable
 import math
+import pathlib
 import random
 
 import attrs
@@ -225,7 +227,7 @@
             services=deployment.services,
             hosts=deployment.hosts,
             duration_s=duration_s,
-            scored_from_s=10.0,
+            scored_from_s=min(10.0, duration_s / 4.0),
         ),
         requests=requests,
         events=_events(case, engines, duration_s),
@@ -320,3 +322,25 @@
         total += 1.0 / rank**skew
         cumulative.append(total)
     return cumulative
+
+
+def main(arguments: list[str] | None = None) -> None:
+    """Writes one generated trace to a file."""
+    parser = argparse.ArgumentParser(description=main.__doc__)
+    parser.add_argument("deployment", choices=list(DEPLOYMENTS))
+    parser.add_argument("case", choices=CASES)
+    parser.add_argument("path", type=pathlib.Path)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--duration", type=float, default=DURATION_S)
+    options = parser.parse_args(arguments)
+    made = generate(
+        DEPLOYMENTS[options.deployment],
+        options.case,
+        seed=options.seed,
+        duration_s=options.duration,
+    )
+    trace.write_trace(made, options.path)
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/bulrushgrade_standins/tests/test_trace.py
+++ b/packages/bulrushgrade_standins/tests/test_trace.py
@@ -1,5 +1,7 @@
 """Tests of traces."""
 
+import pathlib
+
 import pytest
 
 from bulrushgrade_standins import trace
@@ -49,3 +51,11 @@
     two = trace.blocks_of((("doc", 128), ("other", 64)))
     assert one[:2] == two[:2]
     assert one[2] != two[2]
+
+
+def test_examples_are_what_the_generator_makes(tmp_path):
+    folder = pathlib.Path(__file__).parents[3] / "examples" / "traces"
+    for name, duration in (("ortak-flips", "20"), ("ogeechee-lost", "12")):
+        path = tmp_path / name
+        tracegen.main([*name.split("-"), str(path), "--duration", duration])
+        assert path.read_bytes() == (folder / f"{name}.jsonl").read_bytes()
