--- a/packages/bulrushgrade/bulrushgrade/roleplan.py
+++ b/packages/bulrushgrade/bulrushgrade/roleplan.py
@@ -45,6 +45,10 @@
 """What a mixed engine gets done against two that keep to one kind: its
 reading goes in chunks beside its answers."""
 
+GAIN_FACTOR = 1.5
+"""How much more than its price a change must gain: the gain is an estimate,
+and a change that proves wrong is paid for twice, there and back."""
+
 CHANGE_S = 15.0
 """Seconds of an engine that a change takes: its drain, in which it empties,
 the change itself, and the refilling of its prefix cache."""
@@ -215,7 +219,7 @@
                         gain_s=gain,
                         cost_s=self._cost_s,
                     )
-        if best is None or best.gain_s <= best.cost_s:
+        if best is None or best.gain_s <= GAIN_FACTOR * best.cost_s:
             return None
         return best
 
--- a/packages/bulrushgrade/bulrushgrade/scheduler.py
+++ b/packages/bulrushgrade/bulrushgrade/scheduler.py
@@ -32,6 +32,12 @@
 QUEUE_FULL_RETRY_S = 1.0
 """When to come back to a full queue: a few of its requests later."""
 
+WAIT_PART = 0.7
+"""Part of a predicted wait that refuses work. Predicted waits err to the long
+side, as other services leave part of their turns unused; work that was let in
+wrongly is still refused unrun, at its latest start, which harms its caller
+less than a refusal beside engines that could have served it."""
+
 _REASONS = {
     work.RefusalCode.OVERLOADED: "it would not be done by its deadline",
     work.RefusalCode.QUEUE_FULL: "the service's queue is full",
@@ -50,7 +56,7 @@
         By how many seconds the work would miss its deadline; it is refused
         when that is above zero.
     """
-    return now + wait_s - item.latest_start
+    return now + WAIT_PART * wait_s - item.latest_start
 
 
 class Scheduler:
--- a/packages/bulrushgrade_standins/bulrushgrade_standins/report.py
+++ b/packages/bulrushgrade_standins/bulrushgrade_standins/report.py
@@ -33,6 +33,9 @@
 """Part of the refused work that is queued all the same in a run of its own,
 to see whether it would have been in time."""
 
+FEW_REFUSED = 0.01
+"""Below this part of refusals too few would be forced to say anything."""
+
 Figures = dict[str, float]
 
 
@@ -53,7 +56,8 @@
         figures = _figures(
             _run(trace, seed, replay.ours, replay.role_plan(trace))
         )
-        figures["dishonest"] = _dishonest(trace, seed)
+        if figures["refused_part"] >= FEW_REFUSED:
+            figures["dishonest"] = _dishonest(trace, seed)
         return figures
     if policy == "greedy":
         return _figures(_run(trace, seed, _least, greedyplan.GreedyPlan()))
