--- a/packages/bulrushgrade/tests/test_placement.py
+++ b/packages/bulrushgrade/tests/test_placement.py
@@ -3,6 +3,8 @@
 import collections
 import random
 
+import attrs
+
 from bulrushgrade import load
 from bulrushgrade import placement
 from bulrushgrade import pool
@@ -85,10 +87,24 @@
 
 def test_prefix_index_finds_the_longest_holders_and_is_bounded():
     index = prefix.PrefixIndex()
-    index.add((1, 2, 3), "a")
-    index.add((1, 2), "b")
-    assert index.find((1, 2, 3, 4)) == {"a": 3, "b": 2}
-    index.discard(3, "a")
-    assert index.find((1, 2, 3, 4))["a"] == 2
+    index.add((1, 2, 3, 4), "a")
+    index.add((1, 2, 3), "b")
+    assert index.find((1, 2, 3, 4, 5)) == {"a": 4, "b": 3}
+    index.discard(4, "a")
+    assert index.find((1, 2, 3, 4, 5)) == {"a": 3, "b": 3}
     index.add(tuple(range(10, prefix.PREFIX_LIMIT + 10)), "c")
     assert len(index) == prefix.PREFIX_LIMIT
+
+
+def test_ejected_engine_is_tried_when_no_other_is_left():
+    among = _pool(2)
+    for address in ("e0", "e1"):
+        among.loads[address].health.eject(0.0)
+    only_e1 = attrs.evolve(_ask(), avoid=frozenset({"e0"}))
+    assert _choose(among, only_e1).endpoint.endpoint.address == "e1"
+    leaving = work.Endpoint(
+        address="e1", model="m", state=work.EndpointState.LEAVING
+    )
+    among.loads["e1"].describe(leaving)
+    among.refresh("e1")
+    assert _choose(among, only_e1) is placement.Blocked.READING
--- a/packages/bulrushgrade_standins/bulrushgrade_standins/baseline.py
+++ b/packages/bulrushgrade_standins/bulrushgrade_standins/baseline.py
@@ -92,6 +92,8 @@
         failed_endpoint: str,
         tokens_done: int,
         now: float,
+        *,
+        started: bool = True,
     ) -> work.Decision:
         """Places a request again, a few times."""
         item, _, attempt = self._placed[request_id]
@@ -130,7 +132,6 @@
         cached_tokens: int | None = None,
     ) -> None:
         """Notes the end of a request."""
-        self._asked[0] -= cached_tokens or 0
         self._forget(request_id)
 
     def _place(
