--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/authority.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/authority.py
@@ -5,6 +5,7 @@
 import secrets
 from typing import Any
 
+from absl import logging
 import attrs
 from returns.result import Failure
 from twisted.internet import defer
@@ -101,6 +102,7 @@
         self._groups: list[group_module.Group] = []
         self._tails: list[logclient.LogTail] = []
         self._subscriptions: list[Any] = []
+        self._acted: dict[str, bool] = {}
         for name in settings.groups:
             self._add_group(name, rng)
 
@@ -208,7 +210,15 @@
         for group in self._groups:
             self._update_engines(group)
             group.lease.set_rank(self._rank(group))
+            acting = group.lease.acting(now)
             group.tick(now)
+            self._log_change(group, acting)
+
+    def _log_change(self, group: group_module.Group, acting: bool) -> None:
+        if acting != self._acted.get(group.name, False):
+            self._acted[group.name] = acting
+            word = "held" if acting else "lost"
+            logging.info("authority over %s is %s", group.name, word)
 
     def _plan(self) -> None:
         now = self._parts.timers.now
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/clock.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/clock.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import time
+import traceback
 from typing import Any
 
 from bulrushgrade import timer
@@ -28,9 +29,21 @@
     requires = ()
 
     def __init__(
-        self, *, reactor: Any, clock: Callable[[], float] = read_boottime
+        self,
+        *,
+        reactor: Any,
+        on_broken: Callable[[str], None],
+        clock: Callable[[], float] = read_boottime,
     ):
+        """Makes the service.
+
+        Args:
+            reactor: Wakes it when the next callback is due.
+            on_broken: Called with the reason when a callback raises.
+            clock: Returns the present time in seconds.
+        """
         self._reactor = reactor
+        self._on_broken = on_broken
         self._clock = clock
         self._timers = timer.Timers(now=clock())
         self._call = None
@@ -90,5 +103,11 @@
         self._call = self._reactor.callLater(delay_s, self._tick)
 
     def _tick(self) -> None:
-        self._timers.advance(self._clock() + SLACK_S)
+        # A callback that raises has left its service half changed, and would
+        # leave every other subscriber uncalled from then on.
+        try:
+            self._timers.advance(self._clock() + SLACK_S)
+        except Exception:
+            self._on_broken(f"timer: {traceback.format_exc()}")
+            return
         self._arm()
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/documents.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/documents.py
@@ -4,6 +4,7 @@
 import random
 from typing import Any
 
+from absl import logging
 from returns.result import Failure
 
 from bulrushgrade import offering as offering_module
@@ -145,4 +146,9 @@
         self._offering = offering_module.make_offering(
             self._registry.documents.values(), self._registry.fleet
         )
+        logging.info(
+            "documents in force: %d services up to offset %d",
+            len(self._offering.services),
+            self._registry.next_offset,
+        )
         self._on_accepted(self._offering)
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/host.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/host.py
@@ -34,6 +34,17 @@
 from bulrushgrade_daemon import settings as settings_module
 
 INCARNATION_BYTES = 4
+# The services whose own counts are shown as metrics, and what they count.
+_COUNTED = {
+    "callers": "Requests of callers.",
+    "relay": "Model requests by how they went.",
+    "plainrelay": "Requests for plain services by how they went.",
+    "claims": "Once-only requests by what became of them.",
+    "documents": "Records of the documents stream.",
+    "log": "Calls to the log service.",
+    "logwriter": "Records and requests to the log.",
+    "orders": "Orders to engines by how they were answered.",
+}
 
 
 @attrs.frozen(kw_only=True)
@@ -96,6 +107,7 @@
         self._add_peers()
         self._add_authority()
         front = self._add_callers()
+        self._add_counts()
         operators = self._add_admin()
         return Daemon(kernel=self._kernel, callers=front, admin=operators)
 
@@ -106,7 +118,11 @@
     def _add_platform(self) -> None:
         platform = self._settings.platform
         self._add(metrics.Metrics())
-        self._timers = self._add(clock.TimerService(reactor=self._reactor))
+        self._timers = self._add(
+            clock.TimerService(
+                reactor=self._reactor, on_broken=self._kernel.fail
+            )
+        )
         self._log = self._add(
             logclient.LogClient(
                 reactor=self._reactor, address=str(platform.log)
@@ -156,6 +172,7 @@
                 timers=self._timers,
                 engines=self._engines,
                 place=self._placing,
+                meters=self._make_meters(),
             )
         )
         plain_relay = self._add(
@@ -184,6 +201,36 @@
         )
         return self._front
 
+    def _make_meters(self) -> relay.Meters:
+        found = self._kernel.find("metrics")
+        return relay.Meters(
+            first_token=found.histogram(
+                "first_token_seconds", "From arrival to the first token."
+            ),
+            whole_answer=found.histogram(
+                "whole_answer_seconds", "From arrival to the whole answer."
+            ),
+        )
+
+    def _add_counts(self) -> None:
+        found = self._kernel.find("metrics")
+        for name, doc in _COUNTED.items():
+            service = self._kernel.find(name)
+            found.add_counts(
+                f"{name}_total", doc, lambda owner=service: owner.counts
+            )
+        callers_service = self._kernel.find("callers")
+        found.gauge(
+            "open_requests",
+            "Requests that are open.",
+            read=lambda: callers_service.open_requests,
+        )
+        found.gauge(
+            "log_reachable",
+            "1 while the log service answers.",
+            read=lambda: int(self._log.reachable),
+        )
+
     def _add_admin(self) -> admin.Admin:
         return self._add(
             admin.Admin(
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/logclient.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/logclient.py
@@ -5,6 +5,7 @@
 import random
 from typing import Any
 
+from absl import logging
 import attrs
 import msgspec
 from returns.result import Failure
@@ -105,6 +106,11 @@
         self._counts = {"appended": 0, "append_failed": 0, "read_failed": 0}
         self._reachable = True
 
+    @property
+    def counts(self) -> dict[str, int]:
+        """The counters, by name."""
+        return self._counts
+
     @property
     def reachable(self) -> bool:
         """Whether the last call was answered."""
@@ -223,6 +229,8 @@
         return Success(tuple(offsets))
 
     def _note(self, reachable: bool, counter: str | None) -> None:
+        if reachable != self._reachable:
+            logging.info("the log answers" if reachable else "the log is away")
         self._reachable = reachable
         if counter is not None and not reachable:
             self._counts[counter] += 1
@@ -351,6 +359,11 @@
                 continue
             self._failures = 0
             self._take(page.unwrap())
+            if self._offset == asked and page.unwrap().records:
+                # The owner could not judge a record and stays before it;
+                # reading the same page again at once would spin.
+                self._failures += 1
+                await self._back_off()
 
     def _take(self, page: record.Page) -> None:
         self._offset = page.next_offset
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/relay.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/relay.py
@@ -13,6 +13,7 @@
 from bulrushgrade import document
 from bulrushgrade import work as work_module
 from bulrushgrade_daemon import engine
+from bulrushgrade_daemon import metrics
 from bulrushgrade_daemon import placing
 from bulrushgrade_daemon import refusal
 from bulrushgrade_daemon import request
@@ -82,6 +83,19 @@
             self.stream.resume()
 
 
+@attrs.frozen(kw_only=True)
+class Meters:
+    """Latencies as callers meet them, from arrival on, in seconds.
+
+    Attributes:
+        first_token: Until the first token.
+        whole_answer: Until the end of a whole answer.
+    """
+
+    first_token: metrics.Histogram
+    whole_answer: metrics.Histogram
+
+
 class Relay:
     """Runs attempts until a request has its whole answer or is given up."""
 
@@ -94,7 +108,9 @@
         timers: Any,
         engines: engine.EngineClient,
         place: placing.Placing,
+        meters: Meters,
     ):
+        self._meters = meters
         self._timers = timers
         self._engines = engines
         self._placing = place
@@ -169,6 +185,9 @@
         finally:
             deadline.cancel()
             del self._jobs[job.request_id]
+        if refused is None:
+            took_s = self._timers.now - job.arrived_s
+            self._meters.whole_answer.observe(took_s)
         self._counts["whole" if refused is None else "refused"] += 1
         self._counts["tokens"] += job.answer.tokens
         self._counts["duplicate_events"] += job.answer.duplicates
@@ -322,6 +341,8 @@
         tokens = job.answer.tokens
         if tokens == 1 and event.text is not None:
             self._placing.first_token(job.request_id)
+            waited_s = self._timers.now - job.arrived_s
+            self._meters.first_token.observe(waited_s)
         elif tokens % PROGRESS_TOKENS == 0:
             self._placing.tokens(job.request_id, tokens)
         job.on_event(event)
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/reply.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/reply.py
@@ -53,6 +53,11 @@
         self._begun = False
         self._control: site.FlowControl | None = None
 
+    @property
+    def _channel(self) -> Any:
+        """The caller's connection, or None once the request has ended."""
+        return getattr(self._http, "channel", None)
+
     def bind(self, job: relay.ModelJob) -> None:
         """Ties the reply to the request that it answers."""
         self._job = job
@@ -77,8 +82,12 @@
             stalled = timers.after(stall_s, stall)
 
         def stall() -> None:
+            channel = self._channel
             leave()
-            self._http.loseConnection()
+            # What is in its buffer will not be read, so a close that waits
+            # for the buffer would never come.
+            if channel is not None:
+                channel.forceAbortClient()
 
         def resume() -> None:
             if stalled is not None:
@@ -106,7 +115,7 @@
 
     def finish(self, refused: refusal.Refusal | None) -> bytes:
         """Returns what is left to write once the request has ended."""
-        if self._begun and self._http.channel is not None:
+        if self._begun and self._channel is not None:
             self._http.unregisterProducer()
         if refused is None:
             return DONE_EVENT if self._asked.stream else self._whole()
@@ -120,7 +129,7 @@
         self._begun = True
         self._http.setHeader("Content-Type", EVENT_STREAM)
         self._http.setHeader("Cache-Control", "no-cache")
-        if self._http.channel is not None:
+        if self._channel is not None:
             self._http.registerProducer(self._control, True)
 
     def _whole(self) -> bytes:
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/site.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/site.py
@@ -1,6 +1,7 @@
 """The HTTP server towards callers, with bounds on what one may cost."""
 
 import io
+import socket
 from typing import Any
 
 import attrs
@@ -75,6 +76,11 @@
         """Begins to wait for the first request."""
         super().connectionMade()
         self.transport.bufferSize = self.bounds.buffer_bytes
+        # The kernel would take some megabytes more for a caller that does not
+        # read, and the engine would run on for all of them.
+        self.transport.getHandle().setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, self.bounds.buffer_bytes
+        )
         self._limit(self.bounds.idle_timeout_s)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
--- a/packages/bulrushgrade_daemon/tests/scene.py
+++ b/packages/bulrushgrade_daemon/tests/scene.py
@@ -188,12 +188,16 @@
         answer = processes.call("PUT", self.hosts, "/hosts", value)
         assert answer.code == 200
 
-    def start_daemon(self) -> processes.Process:
-        """Starts a daemon; see `wait_ready`."""
+    def start_daemon(self, limits: str = "") -> processes.Process:
+        """Starts a daemon; see `wait_ready`.
+
+        Args:
+            limits: Further lines of its section of limits.
+        """
         name = f"entry-{next(self._numbers)}"
         text = _SETTINGS.format(name=name, log=self.log, hosts=self.hosts)
         file = self._directory / f"{name}.ini"
-        file.write_text(text)
+        file.write_text(text + limits)
         return self._started.start(
             "bulrushgrade_daemon", "--settings", str(file)
         )
--- a/tools/processslopes.py
+++ b/tools/processslopes.py
@@ -79,7 +79,7 @@
     kernel = kernel_module.Kernel(
         call_soon=lambda call: reactor.callLater(0, call), on_broken=sys.exit
     )
-    timers = clock.TimerService(reactor=reactor)
+    timers = clock.TimerService(reactor=reactor, on_broken=print)
     meter = metrics.Metrics()
     box: list[_Node] = []
     service = peers.Peers(
