--- a/packages/bulrushgrade_daemon/tests/processes.py
+++ b/packages/bulrushgrade_daemon/tests/processes.py
@@ -12,6 +12,7 @@
 import signal
 import subprocess
 import sys
+import threading
 import time
 from typing import Any
 import urllib.error
@@ -30,6 +31,7 @@
     def __init__(self, *, popen: subprocess.Popen):
         self._popen = popen
         self._ready: dict[str, Any] = {}
+        self._reading = threading.Lock()
 
     @property
     def ready(self) -> dict[str, Any]:
@@ -37,8 +39,11 @@
 
         Several processes started in a row thus come up at the same time.
         """
-        if not self._ready:
-            self._ready = json.loads(_read_line(self._popen))
+        # Of two threads that both saw the line come, one would wait for a
+        # second line that never does.
+        with self._reading:
+            if not self._ready:
+                self._ready = json.loads(_read_line(self._popen))
         return self._ready
 
     @property
