Move refusals, retry rules and counted demand out of the scheduler

Change: admission makes refusals and judges predictions, retry says whether and where to try again, asked counts demand; behaviour is as before.

--- a/packages/bulrushgrade/bulrushgrade/admission.py
+++ b/packages/bulrushgrade/bulrushgrade/admission.py
@@ -6,12 +6,14 @@
 refused at once, while its caller can still do something else.
 """
 
+from collections.abc import Callable
 import math
 import random
 
 import attrs
 
 from bulrushgrade import cost
+from bulrushgrade import lane
 from bulrushgrade import work
 
 MARGIN = 1.0
@@ -31,6 +33,26 @@
 """Seconds of a queue's life that the expected rate counts for."""
 
 
+Judge = Callable[[lane.Waiting, float, float], float]
+"""Returns by how much work with a predicted wait would be late by now."""
+
+WAIT_PART = 0.7
+"""Part of a predicted wait that refuses work. Predicted waits err to the long
+side, as other services leave part of their turns unused; work that was let in
+wrongly is still refused unrun, at its latest start, which harms its caller
+less than a refusal beside engines that could have served it."""
+
+_REASONS = {
+    work.RefusalCode.OVERLOADED: "it would not be done by its deadline",
+    work.RefusalCode.QUEUE_FULL: "the service's queue is full",
+    work.RefusalCode.LATE: "it waited and can't be in time any more",
+    work.RefusalCode.NO_ENDPOINT: "no endpoint is in service",
+    work.RefusalCode.UNKNOWN_SERVICE: "no document names this service",
+    work.RefusalCode.RETRY_BUDGET: "the retry budget is used up",
+    work.RefusalCode.NOT_REPEATABLE: "it may have run and can't be repeated",
+}
+
+
 @attrs.define(kw_only=True)
 class DrainRate:
     """Engine seconds that a queue gets placed in a second, while it has work.
@@ -121,3 +143,35 @@
     """
     wait = max(late_s, MIN_RETRY_AFTER_S) * rng.uniform(1.0, 1.5)
     return min(wait, MAX_RETRY_AFTER_S)
+
+
+def by_prediction(item: lane.Waiting, wait_s: float, now: float) -> float:
+    """Judges an admission by the predicted completion.
+
+    Returns:
+        By how many seconds the work would miss its deadline; it is refused
+        when that is above zero.
+    """
+    return now + WAIT_PART * wait_s - item.latest_start
+
+
+def refuse(
+    item: work.Work,
+    code: work.RefusalCode,
+    late_s: float,
+    rng: random.Random,
+) -> work.Refused:
+    """Returns the refusal of some work.
+
+    Args:
+        item: The work.
+        code: The kind of reason.
+        late_s: By how much it would have missed its deadline.
+        rng: Source of the spread of its return.
+    """
+    return work.Refused(
+        request_id=item.request_id,
+        code=code,
+        retry_after_s=retry_after_s(late_s, rng),
+        reason=_REASONS[code],
+    )
--- /dev/null
+++ b/packages/bulrushgrade/bulrushgrade/asked.py
@@ -0,0 +1,52 @@
+"""What callers asked of one host, counted for the role plan."""
+
+from bulrushgrade import cost
+from bulrushgrade import lane
+from bulrushgrade import work
+
+
+class Asked:
+    """Counts demand by model since the host's start."""
+
+    def __init__(self):
+        self._counts: dict[str, list[float]] = {}
+
+    def offered(
+        self, item: work.Work, uncached_tokens: float, model: cost.CostModel
+    ) -> None:
+        """Counts a fresh request; a plain service's is no demand on engines.
+
+        Args:
+            item: The request.
+            uncached_tokens: Prompt tokens that are expected to be read.
+            model: Prices how long its answer holds memory.
+        """
+        if not item.model:
+            return
+        counts = self._counts.setdefault(item.model, [0.0] * 4)
+        counts[0] += uncached_tokens
+        counts[1] += item.output_tokens
+        counts[2] += model.kv_token_s(item)
+
+    def read(self, item: work.Work, more_tokens: float) -> None:
+        """Corrects what was expected to be read by what was."""
+        if item.model in self._counts:
+            self._counts[item.model][0] += more_tokens
+
+    def lost(self, item: lane.Waiting) -> None:
+        """Counts a request that was refused for load."""
+        if item.work.model in self._counts:
+            self._counts[item.work.model][3] += item.engine_s
+
+    def demands(self) -> tuple[work.Demand, ...]:
+        """Returns the counts so far."""
+        return tuple(
+            work.Demand(
+                model=model,
+                prefill_tokens=round(read),
+                output_tokens=round(answered),
+                kv_token_s=round(held),
+                lost_s=lost,
+            )
+            for model, (read, answered, held, lost) in self._counts.items()
+        )
--- a/packages/bulrushgrade/bulrushgrade/retry.py
+++ b/packages/bulrushgrade/bulrushgrade/retry.py
@@ -10,6 +10,8 @@
 
 import attrs
 
+from bulrushgrade import work
+
 BURST = 64.0
 """Retries that are saved up at most. An engine that dies takes its whole
 batch with it, and each of those answers has to go on elsewhere: that is one
@@ -53,6 +55,57 @@
         return True
 
 
+def refusal(
+    budget: RetryBudget,
+    *,
+    repeatable: bool,
+    started: bool,
+    attempt: int,
+    turned_away: int,
+) -> work.RefusalCode | None:
+    """Decides whether a request may be tried again.
+
+    Args:
+        budget: The service's; a retry that may go on is taken from it.
+        repeatable: Whether the request may run twice.
+        started: Whether the endpoint may have started it.
+        attempt: Started attempts before the next one.
+        turned_away: Endpoints that did not start it.
+
+    Returns:
+        Why it may not be tried again, or None.
+    """
+    if not started:
+        # What an endpoint turned away cost it nothing, so it is no load that
+        # the budget has to bound; counting it would cut requests whenever
+        # engines are drained faster than the host list tells.
+        if turned_away < MAX_TURNED_AWAY:
+            return None
+        return work.RefusalCode.NO_ENDPOINT
+    if not repeatable:
+        return work.RefusalCode.NOT_REPEATABLE
+    if attempt >= MAX_ATTEMPTS or not budget.spend():
+        return work.RefusalCode.RETRY_BUDGET
+    return None
+
+
+def avoid(known: frozenset[str], failed: str, serving: int) -> frozenset[str]:
+    """Returns the endpoints that a retry must not go to.
+
+    Where all have failed it, the first to fail may have come back; only the
+    last one is left out, and not even that where it is the only one.
+
+    Args:
+        known: Those that failed the request before.
+        failed: The one that failed it now.
+        serving: Endpoints in service that could do it.
+    """
+    both = known | {failed}
+    if len(both) < serving:
+        return both
+    return frozenset({failed}) if serving > 1 else frozenset()
+
+
 def delay_s(attempt: int, rng: random.Random) -> float:
     """Returns how long to wait before an attempt, with full jitter.
 
--- a/packages/bulrushgrade/bulrushgrade/scheduler.py
+++ b/packages/bulrushgrade/bulrushgrade/scheduler.py
@@ -5,7 +5,6 @@
 and no clock: the daemon and the replay of traces drive the same code.
 """
 
-from collections.abc import Callable
 import itertools
 import random
 from typing import Any
@@ -13,6 +12,7 @@
 import attrs
 
 from bulrushgrade import admission
+from bulrushgrade import asked
 from bulrushgrade import lane
 from bulrushgrade import placement
 from bulrushgrade import pool
@@ -32,32 +32,6 @@
 QUEUE_FULL_RETRY_S = 1.0
 """When to come back to a full queue: a few of its requests later."""
 
-WAIT_PART = 0.7
-"""Part of a predicted wait that refuses work. Predicted waits err to the long
-side, as other services leave part of their turns unused; work that was let in
-wrongly is still refused unrun, at its latest start, which harms its caller
-less than a refusal beside engines that could have served it."""
-
-_REASONS = {
-    work.RefusalCode.OVERLOADED: "it would not be done by its deadline",
-    work.RefusalCode.QUEUE_FULL: "the service's queue is full",
-    work.RefusalCode.LATE: "it waited and can't be in time any more",
-    work.RefusalCode.NO_ENDPOINT: "no endpoint is in service",
-    work.RefusalCode.UNKNOWN_SERVICE: "no document names this service",
-    work.RefusalCode.RETRY_BUDGET: "the retry budget is used up",
-    work.RefusalCode.NOT_REPEATABLE: "it may have run and can't be repeated",
-}
-
-
-def by_prediction(item: lane.Waiting, wait_s: float, now: float) -> float:
-    """Judges an admission by the predicted completion.
-
-    Returns:
-        By how many seconds the work would miss its deadline; it is refused
-        when that is above zero.
-    """
-    return now + WAIT_PART * wait_s - item.latest_start
-
 
 class Scheduler:
     """Admits, queues, places and retries the requests of one host."""
@@ -67,7 +41,7 @@
         *,
         zone: str,
         rng: random.Random,
-        judge: Callable[[lane.Waiting, float, float], float] = by_prediction,
+        judge: admission.Judge = admission.by_prediction,
     ):
         """Makes a scheduler without endpoints and services.
 
@@ -75,7 +49,7 @@
             zone: The host's availability zone.
             rng: Source of every random choice.
             judge: Returns by how much work with a predicted wait would be
-                late, see `by_prediction`.
+                late, see `admission.by_prediction`.
         """
         self._zone = zone
         self._rng = rng
@@ -86,7 +60,7 @@
         self._progress: dict[str, progress.Progress] = {}
         self._waiting: dict[str, tuple[pools.PoolState, lane.Waiting]] = {}
         self._outbox: dict[str, work.Placed | work.Refused] = {}
-        self._demand: dict[str, list[float]] = {}
+        self._asked = asked.Asked()
         self._numbers = itertools.count()
         self._counts = {"placed": 0, "queued": 0, "refused": 0, "retried": 0}
 
@@ -126,16 +100,7 @@
 
     def demand(self) -> tuple[work.Demand, ...]:
         """Returns what was asked of this host, for the role plan."""
-        return tuple(
-            work.Demand(
-                model=model,
-                prefill_tokens=round(read),
-                output_tokens=round(answered),
-                kv_token_s=round(held),
-                lost_s=lost,
-            )
-            for model, (read, answered, held, lost) in self._demand.items()
-        )
+        return self._asked.demands()
 
     def capacity(self, model: str) -> tuple[float, float]:
         """Returns what one engine of a model reads and generates a second."""
@@ -186,10 +151,18 @@
         item = failed.item
         attempt = item.attempt + int(started)
         turned_away = item.turned_away + int(not started)
-        code = self._refuse_retry(item, attempt, turned_away, started)
+        code = retry.refusal(
+            self._budgets[item.work.service],
+            repeatable=item.work.repeatable,
+            started=started,
+            attempt=attempt,
+            turned_away=turned_away,
+        )
         if code is not None:
             return self._refuse(item.work, code, NO_ENDPOINT_RETRY_S)
         self._counts["retried"] += 1
+        state = self._fleet.find_pool(item.work)
+        serving = 0 if state is None else state.pool.serving()
         # It was promised its whole answer when it was admitted; a first token
         # that comes late after a failure is still worth having.
         again = attrs.evolve(item.work, first_token_deadline=None)
@@ -198,7 +171,7 @@
             now,
             attempt=attempt,
             turned_away=turned_away,
-            avoid=self._avoid(item, failed_endpoint),
+            avoid=retry.avoid(item.avoid, failed_endpoint, serving),
             tokens_done=tokens_done,
             not_before=now + retry.delay_s(attempt, self._rng),
         )
@@ -280,7 +253,7 @@
             each.health.failures = 0
         if cached_tokens is not None and current.item.work.model:
             more = progress.learn_reading(current, cached_tokens)
-            self._demand[current.item.work.model][0] += more
+            self._asked.read(current.item.work, more)
         self._observe(current, progress.learn_rest(current, now), now)
 
     def dump(self) -> dict[str, Any]:
@@ -311,11 +284,8 @@
             return self._refuse(item, code, NO_ENDPOINT_RETRY_S)
         uncached = placement.uncached_tokens(state.pool, item, tokens_done)
         model = state.pool.model
-        if item.model and not attempt + turned_away:
-            asked = self._demand.setdefault(item.model, [0.0] * 4)
-            asked[0] += uncached
-            asked[1] += item.output_tokens
-            asked[2] += model.kv_token_s(item)
+        if not attempt + turned_away:
+            self._asked.offered(item, uncached, model)
         reading_s = model.prefill_s(uncached) if item.model else 0.0
         waiting = lane.Waiting(
             work=item,
@@ -334,40 +304,6 @@
         )
         return self._queue(state, waiting, now)
 
-    def _refuse_retry(
-        self,
-        item: lane.Waiting,
-        attempt: int,
-        turned_away: int,
-        started: bool,
-    ) -> work.RefusalCode | None:
-        if not started:
-            # What an endpoint turned away cost it nothing, so it is no load
-            # that the budget has to bound; counting it would cut requests
-            # whenever engines are drained faster than the host list tells.
-            if turned_away < retry.MAX_TURNED_AWAY:
-                return None
-            return work.RefusalCode.NO_ENDPOINT
-        if not item.work.repeatable:
-            return work.RefusalCode.NOT_REPEATABLE
-        budget = self._budgets[item.work.service]
-        if attempt >= retry.MAX_ATTEMPTS or not budget.spend():
-            return work.RefusalCode.RETRY_BUDGET
-        return None
-
-    def _avoid(self, item: lane.Waiting, failed: str) -> frozenset[str]:
-        """Returns the endpoints that a retry must not go to.
-
-        Where all have failed it, the first to fail may have come back; only
-        the last one is left out, and not even that where it is the only one.
-        """
-        avoid = item.avoid | {failed}
-        state = self._fleet.find_pool(item.work)
-        serving = 0 if state is None else state.pool.serving()
-        if len(avoid) < serving:
-            return avoid
-        return frozenset({failed}) if serving > 1 else frozenset()
-
     def _queue(
         self,
         state: pools.PoolState,
@@ -383,7 +319,7 @@
         wait_s = queue.wait_s(item, engines=engines, now=now)
         late_s = self._judge(item, wait_s, now)
         if late_s > 0.0:
-            self._note_lost(item)
+            self._asked.lost(item)
             return self._refuse(wanted, work.RefusalCode.OVERLOADED, late_s)
         queue.add(item, now)
         self._waiting[wanted.request_id] = (state, item)
@@ -398,7 +334,7 @@
         for item in state.queue.take_expired(now):
             del self._waiting[item.work.request_id]
             late_s = now - item.latest_start
-            self._note_lost(item)
+            self._asked.lost(item)
             self._outbox[item.work.request_id] = self._refuse(
                 item.work, work.RefusalCode.LATE, late_s
             )
@@ -452,12 +388,7 @@
         self, item: work.Work, code: work.RefusalCode, late_s: float
     ) -> work.Refused:
         self._counts["refused"] += 1
-        return work.Refused(
-            request_id=item.request_id,
-            code=code,
-            retry_after_s=admission.retry_after_s(late_s, self._rng),
-            reason=_REASONS[code],
-        )
+        return admission.refuse(item, code, late_s, self._rng)
 
     def _observe(
         self, current: progress.Progress, ratio: float | None, now: float
@@ -465,10 +396,6 @@
         if ratio is not None:
             self._fleet.observe_ratio(current.option.decode, ratio, now)
 
-    def _note_lost(self, item: lane.Waiting) -> None:
-        if item.work.model:
-            self._demand[item.work.model][3] += item.engine_s
-
     def _end_reading(self, current: progress.Progress, now: float) -> None:
         if not current.reading_done:
             current.reading_done = True
--- a/packages/bulrushgrade_standins/bulrushgrade_standins/report.py
+++ b/packages/bulrushgrade_standins/bulrushgrade_standins/report.py
@@ -13,6 +13,7 @@
 import statistics
 from typing import Any
 
+from bulrushgrade import admission
 from bulrushgrade import lane
 from bulrushgrade import scheduler
 from bulrushgrade import work
@@ -221,7 +222,7 @@
     forced: set[str], rng: random.Random
 ) -> Callable[[lane.Waiting, float, float], float]:
     def judge(item: lane.Waiting, wait_s: float, now: float) -> float:
-        late_s = scheduler.by_prediction(item, wait_s, now)
+        late_s = admission.by_prediction(item, wait_s, now)
         if late_s > 0.0 and rng.random() < FORCED_PART:
             forced.add(item.work.request_id)
             return 0.0
