--- a/packages/bulrushgrade/bulrushgrade/admission.py
+++ b/packages/bulrushgrade/bulrushgrade/admission.py
@@ -42,6 +42,19 @@
 wrongly is still refused unrun, at its latest start, which harms its caller
 less than a refusal beside engines that could have served it."""
 
+NO_ENDPOINT_RETRY_S = 2.0
+"""When to come back while no endpoint is in service: about a role change."""
+
+QUEUE_FULL_RETRY_S = 1.0
+"""When to come back to a full queue: a few of its requests later."""
+
+_RETRY_S = {
+    work.RefusalCode.QUEUE_FULL: QUEUE_FULL_RETRY_S,
+    work.RefusalCode.NO_ENDPOINT: NO_ENDPOINT_RETRY_S,
+    work.RefusalCode.RETRY_BUDGET: NO_ENDPOINT_RETRY_S,
+    work.RefusalCode.NOT_REPEATABLE: NO_ENDPOINT_RETRY_S,
+}
+
 _REASONS = {
     work.RefusalCode.OVERLOADED: "it would not be done by its deadline",
     work.RefusalCode.QUEUE_FULL: "the service's queue is full",
@@ -166,12 +179,13 @@
     Args:
         item: The work.
         code: The kind of reason.
-        late_s: By how much it would have missed its deadline.
+        late_s: By how much it would have missed its deadline, where that is
+            the reason.
         rng: Source of the spread of its return.
     """
     return work.Refused(
         request_id=item.request_id,
         code=code,
-        retry_after_s=retry_after_s(late_s, rng),
+        retry_after_s=retry_after_s(_RETRY_S.get(code, late_s), rng),
         reason=_REASONS[code],
     )
--- a/packages/bulrushgrade/bulrushgrade/pools.py
+++ b/packages/bulrushgrade/bulrushgrade/pools.py
@@ -74,6 +74,11 @@
         state = self._pools.get(key)
         return state if state and state.pool.serving() else None
 
+    def serving(self, item: work.Work) -> int:
+        """Returns how many endpoints in service could do some work."""
+        state = self.find_pool(item)
+        return state.pool.serving() if state else 0
+
     def report(self, report: work.LoadReport, now: float) -> None:
         """Takes in an engine's lagged report of its load."""
         item = self._loads.get(report.endpoint)
--- a/packages/bulrushgrade/bulrushgrade/scheduler.py
+++ b/packages/bulrushgrade/bulrushgrade/scheduler.py
@@ -26,12 +26,6 @@
 """How often waiting work is looked at when nothing else happened: room that
 other hosts left shows by their messages, at about this interval."""
 
-NO_ENDPOINT_RETRY_S = 2.0
-"""When to come back while no endpoint is in service: about a role change."""
-
-QUEUE_FULL_RETRY_S = 1.0
-"""When to come back to a full queue: a few of its requests later."""
-
 
 class Scheduler:
     """Admits, queues, places and retries the requests of one host."""
@@ -103,7 +97,7 @@
         return self._asked.demands()
 
     def capacity(self, model: str) -> tuple[float, float]:
-        """Returns what one engine of a model reads and generates a second."""
+        """Returns the tokens a second that one engine reads and generates."""
         return self._fleet.capacity(model)
 
     def cache_event(self, endpoint: str, prefix: int, stored: bool) -> None:
@@ -121,7 +115,7 @@
             Where it goes, or that it waits, or that it is refused.
         """
         if item.service not in self._policies:
-            return self._refuse(item, work.RefusalCode.UNKNOWN_SERVICE, 0.0)
+            return self._refuse(item, work.RefusalCode.UNKNOWN_SERVICE)
         self._budgets[item.service].earn()
         return self._admit(item, now)
 
@@ -149,8 +143,8 @@
         self._release(failed, now)
         self._fleet.observe_failure(failed_endpoint, now)
         item = failed.item
-        attempt = item.attempt + int(started)
-        turned_away = item.turned_away + int(not started)
+        attempt = item.attempt + started
+        turned_away = item.turned_away + (not started)
         code = retry.refusal(
             self._budgets[item.work.service],
             repeatable=item.work.repeatable,
@@ -159,10 +153,9 @@
             turned_away=turned_away,
         )
         if code is not None:
-            return self._refuse(item.work, code, NO_ENDPOINT_RETRY_S)
+            return self._refuse(item.work, code)
         self._counts["retried"] += 1
-        state = self._fleet.find_pool(item.work)
-        serving = 0 if state is None else state.pool.serving()
+        serving = self._fleet.serving(item.work)
         # It was promised its whole answer when it was admitted; a first token
         # that comes late after a failure is still worth having.
         again = attrs.evolve(item.work, first_token_deadline=None)
@@ -280,8 +273,7 @@
     ) -> work.Decision:
         state = self._fleet.find_pool(item)
         if state is None:
-            code = work.RefusalCode.NO_ENDPOINT
-            return self._refuse(item, code, NO_ENDPOINT_RETRY_S)
+            return self._refuse(item, work.RefusalCode.NO_ENDPOINT)
         uncached = placement.uncached_tokens(state.pool, item, tokens_done)
         model = state.pool.model
         if not attempt + turned_away:
@@ -305,16 +297,12 @@
         return self._queue(state, waiting, now)
 
     def _queue(
-        self,
-        state: pools.PoolState,
-        item: lane.Waiting,
-        now: float,
+        self, state: pools.PoolState, item: lane.Waiting, now: float
     ) -> work.Decision:
         wanted, queue = item.work, state.queue
         limit = self._policies[wanted.service].queue_limit
         if queue.waiting(wanted.service) >= limit:
-            code = work.RefusalCode.QUEUE_FULL
-            return self._refuse(wanted, code, QUEUE_FULL_RETRY_S)
+            return self._refuse(wanted, work.RefusalCode.QUEUE_FULL)
         engines = self._engines(state.pool, now)
         wait_s = queue.wait_s(item, engines=engines, now=now)
         late_s = self._judge(item, wait_s, now)
@@ -332,27 +320,22 @@
 
     def _dispatch(self, state: pools.PoolState, now: float) -> None:
         for item in state.queue.take_expired(now):
-            del self._waiting[item.work.request_id]
-            late_s = now - item.latest_start
+            request_id, late_s = item.work.request_id, now - item.latest_start
+            del self._waiting[request_id]
             self._asked.lost(item)
-            self._outbox[item.work.request_id] = self._refuse(
-                item.work, work.RefusalCode.LATE, late_s
-            )
+            refused = self._refuse(item.work, work.RefusalCode.LATE, late_s)
+            self._outbox[request_id] = refused
         engines = self._engines(state.pool, now)
 
         def attempt(item: lane.Waiting) -> bool:
             shares = state.queue.shares
-            if not shares.may_run(item.work.service, engines, now):
-                return False
-            return self._place(state, item, now)
+            may_run = shares.may_run(item.work.service, engines, now)
+            return may_run and self._place(state, item, now)
 
         queueing.dispatch(state.queue, attempt, now)
 
     def _place(
-        self,
-        state: pools.PoolState,
-        item: lane.Waiting,
-        now: float,
+        self, state: pools.PoolState, item: lane.Waiting, now: float
     ) -> bool:
         ask = placement.Ask(
             work=item.work,
@@ -385,7 +368,7 @@
         return True
 
     def _refuse(
-        self, item: work.Work, code: work.RefusalCode, late_s: float
+        self, item: work.Work, code: work.RefusalCode, late_s: float = 0.0
     ) -> work.Refused:
         self._counts["refused"] += 1
         return admission.refuse(item, code, late_s, self._rng)
