--- /dev/null
+++ b/packages/bulrushgrade_cli/tests/test_pages.py
@@ -0,0 +1,108 @@
+"""The pages name what is there: links, commands, make targets, tests."""
+
+import ast
+import pathlib
+import re
+
+import pytest
+import typer.main
+
+from bulrushgrade_cli import __main__ as cli
+from bulrushgrade_daemon import __main__ as daemon
+from bulrushgrade_standins import __main__ as standins
+
+ROOT = pathlib.Path(__file__).parents[3]
+PAGES = sorted([*ROOT.glob("*.md"), *ROOT.glob("docs/*.md")])
+PROGRAMS = {
+    "bulrushgrade": typer.main.get_command(cli.app),
+    "python -m bulrushgrade_standins": typer.main.get_command(standins.app),
+}
+
+# As CONTRIBUTING.md has it.
+MAY_IMPORT = {
+    "bulrushgrade": set(),
+    "bulrushgrade_daemon": {"bulrushgrade"},
+    "bulrushgrade_standins": {"bulrushgrade"},
+    "bulrushgrade_cli": {
+        "bulrushgrade", "bulrushgrade_daemon", "bulrushgrade_standins",
+    },
+}  # fmt: skip
+
+
+def _read_commands(page):
+    """Yields the lines of a page's indented and fenced blocks."""
+    fenced = False
+    for line in page.read_text().splitlines():
+        if line.startswith("```"):
+            fenced = not fenced
+        elif fenced or line.startswith("    "):
+            yield line.strip()
+
+
+def _options(command):
+    return {name for item in command.params for name in item.opts}
+
+
+@pytest.mark.parametrize("page", PAGES, ids=lambda page: page.name)
+def test_links_and_named_pages_exist(page):
+    text = page.read_text()
+    links = re.findall(r"\]\(([^)#:]+)(?:#[^)]*)?\)", text)
+    gone = [link for link in links if not (page.parent / link).exists()]
+    assert gone == []
+    paths = re.findall(r"\b(?:docs|examples|tools|packages)/[\w./-]*\w", text)
+    gone = [path for path in paths if not (ROOT / path).exists()]
+    assert gone == []
+
+
+@pytest.mark.parametrize("page", PAGES, ids=lambda page: page.name)
+def test_commands_and_their_options_exist(page):
+    for line in _read_commands(page):
+        if line.startswith("make "):
+            target = line.split()[1]
+            makefile = (ROOT / "Makefile").read_text()
+            assert re.search(rf"^{target}:", makefile, re.MULTILINE), line
+        if line.startswith("bulrushgraded "):
+            _check_line(typer.main.get_command(daemon.app), line)
+        for name, group in PROGRAMS.items():
+            if line.startswith(f"{name} "):
+                word = line.removeprefix(name).split()[0]
+                assert word in group.commands, line
+                _check_line(group.commands[word], line)
+
+
+def _check_line(command, line):
+    asked = set(re.findall(r"(?<= )--[a-z][a-z-]*", line))
+    assert asked <= _options(command), line
+
+
+def test_proofs_name_tests_that_exist():
+    page = (ROOT / "docs" / "PROOFS.md").read_text()
+    files = {path.name: path for path in ROOT.glob("packages/*/tests/*.py")}
+    current = ""
+    for file, name in re.findall(r"`(test_\w+\.py)?(?:::(\w+))?`", page):
+        current = file or current
+        if file or name:
+            assert current in files
+            defined = rf"^(?:def |class )?{name}\b"
+            text = files[current].read_text()
+            assert re.search(defined, text, re.MULTILINE), name
+
+
+def test_every_module_has_a_docstring():
+    paths = [*ROOT.glob("packages/*/*/*.py"), *ROOT.glob("examples/*.py")]
+    assert len(paths) > len(PAGES)
+    bare = [p for p in paths if not ast.get_docstring(ast.parse(p.read_text()))]
+    assert bare == []
+
+
+@pytest.mark.parametrize("package", MAY_IMPORT)
+def test_packages_import_in_one_direction(package):
+    found = set()
+    for path in ROOT.glob(f"packages/{package}/{package}/*.py"):
+        for node in ast.walk(ast.parse(path.read_text())):
+            if isinstance(node, ast.Import):
+                found.update(item.name.split(".")[0] for item in node.names)
+            elif isinstance(node, ast.ImportFrom):
+                found.add(node.module.split(".")[0])
+    own = found & MAY_IMPORT.keys() - {package}
+    assert own <= MAY_IMPORT[package]
