Bring back engines that a lost holder left draining

Cause: a holder that asked an engine to drain and died before the order left it refusing work for good. Ruled out: undoing the drain at the engine, which has no such call; an order for what it is ends the drain.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/authority.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/authority.py
@@ -237,7 +237,8 @@
                 for h in hosts
                 if h.address in endpoints
             },
-            {h.address: h.fencing for h in hosts},
+            fencing={h.address: h.fencing for h in hosts},
+            live=frozenset(h.address for h in membership.select_live(hosts)),
         )
 
     def _hosts_of(
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/group.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/group.py
@@ -20,6 +20,9 @@
 from bulrushgrade import work
 from bulrushgrade_daemon import engine
 
+# An engine that refuses work without an order is brought back after so long:
+# the platform's own drain shows on the host list by then.
+STRANDED_S = 15.0
 # Other hosts learn from the engine that it takes no work; a request that
 # bounces there costs one more attempt, so there is little to wait for.
 DROP_LIMIT_S = 0.5
@@ -86,6 +89,8 @@
         self._engines: dict[str, work.Endpoint] = {}
         self._loads: dict[str, engine.EngineLoad] = {}
         self._seen_at = 0.0
+        self._live: frozenset[str] = frozenset()
+        self._stranded_since: dict[str, float] = {}
         self._was_acting = False
         self._counts = dict.fromkeys(
             ("orders_sent", "role_changes", "terms"), 0
@@ -125,9 +130,20 @@
             )
 
     def set_engines(
-        self, engines: dict[str, work.Endpoint], fencing: dict[str, bool]
+        self,
+        engines: dict[str, work.Endpoint],
+        *,
+        fencing: dict[str, bool],
+        live: frozenset[str],
     ) -> None:
-        """Takes the group's engines, as they are listed now."""
+        """Takes the group's engines, as they are listed now.
+
+        Args:
+            engines: What they are, by address.
+            fencing: Whether each refuses orders with old numbers.
+            live: Those that the list calls live.
+        """
+        self._live = live
         for address in self._engines.keys() - engines.keys():
             self.book.remove_engine(address)
             self._loads.pop(address, None)
@@ -170,6 +186,7 @@
             self._parts.send_order(self, each)
         self._note_acting(now)
         self._drive_change(now)
+        self._bring_back(now)
         self._hold_engines(now)
 
     def plan(self, now: float) -> None:
@@ -258,6 +275,33 @@
         if change.over:
             self._change = None
 
+    def _bring_back(self, now: float) -> None:
+        """Orders engines that refuse work for nothing to stay as they are.
+
+        Failure guarded against: a holder asks an engine to drain and dies, or
+        loses the log, before the order. The engine then refuses all work for
+        good, which shows as a group that is one engine short.
+        """
+        changing = None if self._change is None else self._change.engine
+        stranded = {
+            address
+            for address in self.book.stranded()
+            if address in self._live and address != changing
+        }
+        self._stranded_since = {
+            address: self._stranded_since.get(address, now)
+            for address in stranded
+        }
+        if not self.lease.acting(now):
+            return
+        for address, since in self._stranded_since.items():
+            if now < since + STRANDED_S:
+                continue
+            load = self._loads[address]
+            intent = self.book.propose(address, wanted_of(load), now)
+            if isinstance(intent, Success):
+                self._parts.append(intent.unwrap(), self.book.failed)
+
     def _hold_engines(self, now: float) -> None:
         changing = self._change
         for address in self._engines:
