Give the scheduler what it learns from; part intake from callers

Cause: the daemon left out what the measured scheduler relies on (cached tokens of an answer, the priority to hand to the engine, a look at the queue after a first token), and the callers' module had 486 lines and two jobs. Ruled out: none. Change: those calls; requests are made into jobs in intake.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/callers.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/callers.py
@@ -1,18 +1,14 @@
 """What callers meet: requests in, answers and refusals out."""
 
 from collections.abc import Callable
-import itertools
 from typing import Any
 
 import attrs
 import klein
-from returns.result import Failure
 from twisted.internet import defer
 
-from bulrushgrade import demand
-from bulrushgrade import document
 from bulrushgrade import offering as offering_module
-from bulrushgrade import work as work_module
+from bulrushgrade_daemon import intake
 from bulrushgrade_daemon import plain
 from bulrushgrade_daemon import plainrelay
 from bulrushgrade_daemon import refusal
@@ -23,14 +19,7 @@
 from bulrushgrade_daemon import site
 from bulrushgrade_daemon import task
 
-SERVICES_PREFIX = "/services/"
-SERVICE_HEADER = "X-Service"
-REQUEST_HEADER = "X-Request-Id"
-DEFAULT_KEY_HEADER = "Idempotency-Key"
-MAX_CALLER_ID = 128
-MAX_KEY = 256
 METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
-JSON_TYPE = "application/json"
 # A host that can't decide yet or is full; another may do better at once.
 NOT_READY_RETRY_S = 1.0
 DRAIN_CHECK_S = 0.05
@@ -83,8 +72,11 @@
         self._settings = settings
         self._limits = settings.limits
         self._parts = parts
-        self._prefix = f"{settings.host.name}-{incarnation}"
-        self._numbers = itertools.count(1)
+        self._intake = intake.Intake(
+            timers=parts.timers,
+            offering=parts.offering,
+            prefix=f"{settings.host.name}-{incarnation}",
+        )
         self._open: set[str] = set()
         self._port: Any = None
         self._stopping = False
@@ -163,7 +155,7 @@
         for path in (request_module.COMPLETIONS, request_module.CHAT):
             app.route(path, methods=["POST"])(self._complete)
         app.route(
-            f"{SERVICES_PREFIX}<path:rest>",
+            f"{intake.SERVICES_PREFIX}<path:rest>",
             methods=list(METHODS),
             merge_slashes=False,
         )(self._call)
@@ -194,7 +186,9 @@
 
     def _complete(self, http_request: Any) -> Any:
         self._counts["model"] += 1
-        job_or_refusal = self._model_job(http_request)
+        job_or_refusal = self._admit() or self._intake.make_model_job(
+            http_request
+        )
         if isinstance(job_or_refusal, refusal.Refusal):
             self._counts["bad"] += 1
             return reply.refuse(http_request, job_or_refusal)
@@ -215,7 +209,7 @@
 
     def _call(self, http_request: Any, rest: str) -> Any:
         self._counts["plain"] += 1
-        job = self._plain_job(http_request)
+        job = self._admit() or self._intake.make_plain_job(http_request)
         if isinstance(job, refusal.Refusal):
             self._counts["bad"] += 1
             return reply.refuse(http_request, job)
@@ -256,7 +250,7 @@
         return answered
 
     def _prepare(self, http_request: Any, job: Any) -> None:
-        http_request.setHeader(REQUEST_HEADER, job.caller_id)
+        http_request.setHeader(intake.REQUEST_HEADER, job.caller_id)
         if self._stopping:
             http_request.setHeader("Connection", "close")
 
@@ -280,207 +274,7 @@
             )
         return None
 
-    def _model_job(
-        self, http_request: Any
-    ) -> tuple[relay.ModelJob, reply.ModelReply] | refusal.Refusal:
-        refused = self._admit()
-        if refused is not None:
-            return refused
-        content_type = http_request.getHeader("Content-Type") or ""
-        if content_type.split(";")[0].strip().lower() != JSON_TYPE:
-            return refusal.bad_request(
-                f"Content-Type must be {JSON_TYPE}",
-                status=415,
-                code="unsupported_media_type",
-            )
-        parsed = request_module.parse_completion(
-            http_request.content.read(), http_request.path.decode()
-        )
-        if isinstance(parsed, Failure):
-            return parsed.failure()
-        asked = parsed.unwrap()
-        service = self._find_model_service(
-            asked.model, http_request.getHeader(SERVICE_HEADER)
-        )
-        if isinstance(service, refusal.Refusal):
-            return service
-        return self._make_model_job(http_request, asked, service)
-
-    def _find_model_service(
-        self, name: str, wanted: str | None
-    ) -> document.ServiceDocument | refusal.Refusal:
-        found = self._parts.offering().find_model_services(wanted or name)
-        if not found:
-            return refusal.bad_request(
-                f"no service offers the model {name!r}",
-                status=404,
-                code="unknown_model",
-            )
-        if len(found) > 1:
-            names = ", ".join(sorted(s.service for s in found))
-            return refusal.bad_request(
-                f"{name!r} is offered by {names}: name one of them in"
-                f" {SERVICE_HEADER}",
-                code="ambiguous_model",
-            )
-        return found[0]
-
-    def _make_model_job(
-        self,
-        http_request: Any,
-        asked: request_module.Completion,
-        service: document.ServiceDocument,
-    ) -> tuple[relay.ModelJob, reply.ModelReply]:
-        now = self._parts.timers.now
-        request_id = self._new_id()
-        prompt_tokens = work_module.estimate_tokens(asked.text)
-        limits = demand.classify(
-            service.deadlines,
-            prompt_tokens=prompt_tokens,
-            answer_tokens=asked.max_tokens,
-            headers=read_headers(http_request),
-        )
-        route = demand.find_route(
-            service.routes, method="POST", path=asked.path
-        )
-        work = work_module.Work(
-            request_id=request_id,
-            service=service.service,
-            team=service.team,
-            model=offering_module.choose_model(service, asked.model),
-            prompt_tokens=prompt_tokens,
-            output_tokens=asked.max_tokens,
-            prefix=work_module.prefix_blocks(asked.text),
-            deadline=now + limits.whole_answer_s,
-            first_token_deadline=_plus(now, limits.first_token_s),
-            between_tokens_s=limits.between_tokens_s,
-            priority=service.share.priority,
-            repeatable=route is None or route.repeatable,
-        )
-        answer = reply.ModelReply(
-            http_request=http_request, request_id=request_id, asked=asked
-        )
-        job = relay.ModelJob(
-            request_id=request_id,
-            caller_id=_caller_id(http_request) or request_id,
-            asked=asked,
-            service=service,
-            model=work.model,
-            limits=limits,
-            work=work,
-            arrived_s=now,
-            on_event=answer.take,
-        )
-        answer.bind(job)
-        return job, answer
-
-    def _plain_job(
-        self, http_request: Any
-    ) -> plainrelay.PlainJob | refusal.Refusal:
-        refused = self._admit()
-        if refused is not None:
-            return refused
-        uri = http_request.uri.decode("latin-1")
-        name, _, rest = uri[len(SERVICES_PREFIX) :].partition("/")
-        service = self._parts.offering().find_plain_service(name)
-        if service is None:
-            return refusal.bad_request(
-                f"there is no plain service {name!r}",
-                status=404,
-                code="unknown_service",
-            )
-        method = http_request.method.decode("latin-1")
-        path = "/" + rest.partition("?")[0]
-        route = demand.find_route(service.routes, method=method, path=path)
-        repeatable = demand.is_repeatable(
-            service.routes, method=method, path=path
-        )
-        key = _read_key(http_request, route)
-        if isinstance(key, refusal.Refusal):
-            return key
-        return self._make_plain_job(
-            http_request, service, route, f"/{rest}", repeatable, key
-        )
-
-    def _make_plain_job(
-        self,
-        http_request: Any,
-        service: document.ServiceDocument,
-        route: demand.Route | None,
-        path: str,
-        repeatable: bool,
-        key: str | None,
-    ) -> plainrelay.PlainJob:
-        now = self._parts.timers.now
-        request_id = self._new_id()
-        limits = demand.classify(
-            service.deadlines, headers=read_headers(http_request)
-        )
-        for named in service.deadlines:
-            if route is not None and named.name == route.deadline:
-                limits = named
-        return plainrelay.PlainJob(
-            request_id=request_id,
-            caller_id=_caller_id(http_request) or request_id,
-            service=service,
-            method=http_request.method.decode("latin-1"),
-            path=path,
-            headers=plain.pass_headers(_all_headers(http_request)),
-            body=http_request.content.read(),
-            key=key,
-            work=work_module.Work(
-                request_id=request_id,
-                service=service.service,
-                team=service.team,
-                deadline=now + limits.whole_answer_s,
-                priority=service.share.priority,
-                repeatable=repeatable,
-            ),
-        )
-
-    def _new_id(self) -> str:
-        return f"{self._prefix}-{next(self._numbers)}"
-
     async def _sleep(self, delay_s: float) -> None:
         done: defer.Deferred = defer.Deferred()
         self._parts.timers.after(delay_s, lambda: done.callback(None))
         await done
-
-
-def read_headers(http_request: Any) -> dict[str, str]:
-    """Returns the first value of each header, by name in lower case."""
-    headers: dict[str, str] = {}
-    for name, value in _all_headers(http_request):
-        headers.setdefault(name.lower(), value)
-    return headers
-
-
-def _all_headers(http_request: Any) -> list[tuple[str, str]]:
-    return [
-        (name.decode("latin-1"), value.decode("latin-1"))
-        for name, values in http_request.requestHeaders.getAllRawHeaders()
-        for value in values
-    ]
-
-
-def _caller_id(http_request: Any) -> str | None:
-    given = http_request.getHeader(REQUEST_HEADER)
-    if given and len(given) <= MAX_CALLER_ID and given.isprintable():
-        return given
-    return None
-
-
-def _read_key(
-    http_request: Any, route: demand.Route | None
-) -> str | None | refusal.Refusal:
-    header = DEFAULT_KEY_HEADER
-    if route is not None and route.idempotency_header is not None:
-        header = route.idempotency_header
-    key = http_request.getHeader(header)
-    if key is not None and not 1 <= len(key) <= MAX_KEY:
-        return refusal.bad_request(f"{header} must have 1 to {MAX_KEY} bytes")
-    return key
-
-
-def _plus(now: float, limit_s: float | None) -> float | None:
-    return None if limit_s is None else now + limit_s
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/placing.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/placing.py
@@ -200,6 +200,7 @@
     def first_token(self, request_id: str) -> None:
         """Notes that a request's first token came."""
         self._core.first_token(request_id, self.now)
+        self._settle()
 
     def prefill_done(self, request_id: str) -> None:
         """Notes that the prompt was read, before its KV cache moves."""
@@ -209,14 +210,20 @@
         """Notes that an answer has so many tokens in all by now."""
         self._core.tokens(request_id, count, self.now)
 
-    def finished(self, request_id: str, outcome: str) -> None:
+    def finished(
+        self,
+        request_id: str,
+        outcome: str,
+        cached_tokens: int | None = None,
+    ) -> None:
         """Notes that a request has ended; something may be free now.
 
         Args:
             request_id: The request.
             outcome: `COMPLETE` or `FAILED`.
+            cached_tokens: Prompt tokens that were cached, if the engine says.
         """
-        self._core.finished(request_id, outcome, self.now)
+        self._core.finished(request_id, outcome, self.now, cached_tokens)
         self._settle()
 
     def cancel(self, request_id: str) -> None:
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/relay.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/relay.py
@@ -47,6 +47,7 @@
         gone: Whether the caller has left.
         paused: Whether the caller does not take more for now.
         maybe_ran: Whether an attempt may have run at an engine.
+        cached_tokens: Prompt tokens that the engine had cached, if it said.
         watch: Notices when the running attempt goes silent.
     """
 
@@ -66,6 +67,7 @@
     gone: bool = False
     paused: bool = False
     maybe_ran: bool = False
+    cached_tokens: int | None = None
     watch: silence.SilenceWatch | None = None
 
     def pause(self) -> None:
@@ -251,7 +253,7 @@
     ) -> engine.StreamOutcome:
         job.endpoint = placed.endpoint
         job.attempt_id = f"{job.request_id}.{number}"
-        body = self._body(job)
+        body = self._body(job, placed)
         if placed.decode_endpoint is not None:
             moved = await self._prefill(job, placed, body)
             if not isinstance(moved, dict):
@@ -285,11 +287,13 @@
             self._engines.cancel(job.endpoint, job.attempt_id)
         return outcome
 
-    def _body(self, job: ModelJob) -> dict[str, Any]:
+    def _body(
+        self, job: ModelJob, placed: work_module.Placed
+    ) -> dict[str, Any]:
         body = dict(job.asked.fields)
         body["model"] = job.model
         body["stream"] = True
-        body["priority"] = job.work.priority
+        body["priority"] = placed.priority
         resume = job.answer.begin(job.attempt_id)
         if resume:
             body["resume_tokens"] = resume
@@ -338,6 +342,8 @@
         if step is not answer_module.Step.DELIVER:
             return step is answer_module.Step.DROP
         job.watch.progress()
+        if event.usage is not None:
+            job.cached_tokens = _read_cached(event.usage)
         tokens = job.answer.tokens
         if tokens == 1 and event.text is not None:
             self._placing.first_token(job.request_id)
@@ -356,7 +362,12 @@
 
     def _finish(self, job: ModelJob, outcome: str) -> None:
         self._placing.tokens(job.request_id, job.answer.tokens)
-        self._placing.finished(job.request_id, outcome)
+        self._placing.finished(job.request_id, outcome, job.cached_tokens)
+
+
+def _read_cached(usage: dict[str, Any]) -> int | None:
+    cached = usage.get("cached_tokens")
+    return cached if isinstance(cached, int) and cached >= 0 else None
 
 
 def _caller_gone() -> refusal.Refusal:
