Wait for stand-ins to listen before the test stops them

Cause: since processes come up lazily, the signal met a Python that had not installed its handler yet and ended by the signal, with no exit code 0. Ruled out: the stand-ins' stop itself (unchanged). Change: the test waits for each address first, and starts all five at once.

--- a/packages/bulrushgrade_standins/tests/test_platform.py
+++ b/packages/bulrushgrade_standins/tests/test_platform.py
@@ -152,7 +152,9 @@
 
 
 def test_every_standin_ends_cleanly_on_sigterm(fleet):
-    for name in ("log", "hosts", "engine", "plain", "weights"):
-        process = fleet.standin(name)
+    names = ("log", "hosts", "engine", "plain", "weights")
+    started = [fleet.standin(name) for name in names]
+    for process in started:
+        assert process.address
         process.send(signal.SIGTERM)
         assert process.wait() == 0
