Serve on engines with an unended order while the log is away

The test of a holder frozen while the log is away showed it: every candidate kept work from an engine with an unfinished order, and without the log no order can end, so an engine that had long come back serving stayed out for the whole outage (the test got no answer in 30 s, 2 runs of 2; a role of prefill alone was ruled out as the cause). Now the hold lasts only while the log answers; a change that does begin shows in the engine's own report and refusals. After the change the test passes.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/authority.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/authority.py
@@ -181,9 +181,7 @@
                 append=self._append,
                 send_order=self._send_order,
                 ask_drain=self._parts.orders.ask_drain,
-                hold=lambda address, held: self._parts.place.hold(
-                    address, held=held
-                ),
+                hold=self._hold,
                 capacity=self._parts.capacity,
             ),
         )
@@ -279,6 +277,14 @@
                 weights = document.weights
                 group.set_weights(weights.goodput, weights.role_changes)
 
+    def _hold(self, address: str, held: bool) -> None:
+        # With the log away no order can be ended, or given by whoever loses
+        # the lease. An engine held for it would stay out for the length of
+        # the outage though it serves; if it does change, its own report and
+        # its refusals keep work away, at the cost of one more attempt.
+        held = held and self._parts.log.reachable
+        self._parts.place.hold(address, held=held)
+
     def _append(
         self, append: record.Append, failed: Callable[[str], None]
     ) -> None:
--- a/packages/bulrushgrade_daemon/tests/control.py
+++ b/packages/bulrushgrade_daemon/tests/control.py
@@ -150,7 +150,12 @@
         return self.append(STREAM, leaselog.CODEC.serialize(claim))
 
     def intend(
-        self, engine: str, role: str, term: int, *, model: str = "model"
+        self,
+        engine: str,
+        role: str,
+        term: int,
+        *,
+        adapters: tuple[str, ...] = (),
     ) -> str:
         """Puts an order on the log as the holder of a term would.
 
@@ -162,7 +167,9 @@
         intent = orderlog.Intent(
             engine=engine,
             order_id=order_id,
-            wanted=orderlog.Wanted(role=role, model=model, version="1"),
+            wanted=orderlog.Wanted(
+                role=role, model="model", version="1", adapters=adapters
+            ),
             term=term,
             after_offset=page["end_offset"] - 1,
         )
@@ -273,13 +280,24 @@
     return processes.call("GET", engine, "/load").json
 
 
-def wait_settled(daemon: processes.Process, engine: str, role: str) -> None:
-    """Waits until an engine has a role and no order of it is unfinished."""
+def wait_settled(
+    daemon: processes.Process, engine: str, role: str, *, order_id: str = ""
+) -> None:
+    """Waits until an engine has a role and no order of it is unfinished.
+
+    Args:
+        daemon: Whose word counts for what is unfinished.
+        engine: The engine's address.
+        role: The role.
+        order_id: The order that has to be the last one, if given.
+    """
 
     def settled() -> bool:
         load = read_load(engine)
         if (load["state"], load["role"]) != ("serving", role):
             return False
+        if order_id and load["order_id"] != order_id:
+            return False
         return not read_group(daemon)["unfinished"]
 
     processes.wait_for(settled)
