Measure the relay's slope over three lengths of answer

Cause: one length of answer gives no slope for the capacity page. Ruled out: one long run of one length. Change: relaybench sends answers of 8, 32 and 128 tokens and fits a line.

--- a/tools/relaybench.py
+++ b/tools/relaybench.py
@@ -27,7 +27,8 @@
 DOCUMENTS = ("fleet-ortak.ini", "pack-llm.ini")
 LATENCY_REQUESTS = 200
 LATENCY_PARALLEL = 8
-LOAD_REQUESTS = 1500
+LOAD_REQUESTS = 500
+LOAD_TOKENS = (8, 32, 128)
 LOAD_PARALLEL = 96
 TOKENS = 32
 OPEN_STREAMS = 1000
@@ -163,7 +164,11 @@
         )
 
 
-def _saturate(callers: str, pid: int) -> None:
+def _saturate(callers: str, pid: int, tokens: int) -> float:
+    """Returns the daemon's processor seconds for a request of so many tokens.
+
+    Prints what was measured.
+    """
     cpu_s, begun_s = _cpu_s(pid), time.perf_counter()
     timings = asyncio.run(
         _load(
@@ -171,16 +176,26 @@
             SERVICE,
             requests=LOAD_REQUESTS,
             parallel=LOAD_PARALLEL,
-            tokens=TOKENS,
+            tokens=tokens,
         )
     )
     cpu_s, took_s = _cpu_s(pid) - cpu_s, time.perf_counter() - begun_s
-    tokens = sum(t.tokens for t in timings)
+    seen = sum(t.tokens for t in timings)
     print(
-        f"load: {len(timings)} requests, {tokens} tokens in {took_s:.2f} s;"
+        f"load: {len(timings)} requests, {seen} tokens in {took_s:.2f} s;"
         f" daemon used {cpu_s:.2f} s of processor:"
         f" {len(timings) / cpu_s:.0f} requests and"
-        f" {tokens / cpu_s:.0f} tokens a CPU second"
+        f" {seen / cpu_s:.0f} tokens a CPU second"
+    )
+    return cpu_s / len(timings)
+
+
+def _measure_slope(callers: str, pid: int) -> None:
+    points = [_saturate(callers, pid, tokens) for tokens in LOAD_TOKENS]
+    line = statistics.linear_regression(LOAD_TOKENS, points)
+    print(
+        f"slope: {line.intercept * 1e3:.2f} ms a request and"
+        f" {line.slope * 1e6:.0f} us a token of the daemon's processor"
     )
 
 
@@ -276,7 +291,7 @@
         _compare(engines[0], ready["callers"])
         _list_hosts(hosts["address"], engines)
         time.sleep(2)
-        _saturate(ready["callers"], daemon.pid)
+        _measure_slope(ready["callers"], daemon.pid)
         _hold_open(ready, daemon.pid)
 
 
