--- a/packages/bulrushgrade_daemon/tests/test_failures_leaving.py
+++ b/packages/bulrushgrade_daemon/tests/test_failures_leaving.py
@@ -3,6 +3,7 @@
 import signal
 import time
 
+import callerload
 import processes
 import pytest
 import scene
@@ -40,7 +41,7 @@
     daemon = made.start_daemon()
     scene.wait_ready(daemon, engines=3)
     leaving = engines[0].address
-    load = scene.Load(
+    load = callerload.Load(
         daemons=[daemon], callers=6, max_tokens=_TOKENS, name="leaving"
     )
     with load:
@@ -66,7 +67,7 @@
     _list(made, engines)
     daemon = made.start_daemon()
     scene.wait_ready(daemon, engines=2)
-    load = scene.Load(
+    load = callerload.Load(
         daemons=[daemon], callers=6, max_tokens=_TOKENS, name="draining"
     )
     address = engines[0].address
@@ -90,7 +91,7 @@
     _list(made, engines)
     daemon = made.start_daemon()
     scene.wait_ready(daemon, engines=3)
-    load = scene.Load(
+    load = callerload.Load(
         daemons=[daemon], callers=6, max_tokens=_TOKENS, name="engines"
     )
     with load:
@@ -116,7 +117,7 @@
     daemons = [made.start_daemon() for _ in range(2)]
     for daemon in daemons:
         scene.wait_ready(daemon, engines=2)
-    load = scene.Load(
+    load = callerload.Load(
         daemons=daemons, callers=6, max_tokens=_TOKENS, name="daemons"
     )
     with load:
