--- a/packages/bulrushgrade/bulrushgrade/lane.py
+++ b/packages/bulrushgrade/bulrushgrade/lane.py
@@ -33,23 +33,27 @@
     Attributes:
         work: The work.
         engine_s: Its price in engine seconds.
+        reading_s: Those of them that read its prompt.
         latest_start: When it has to be placed to be in time.
         lane: The lane that it waits in.
         number: Grows with each arrival; breaks ties in favour of the first.
         not_before: When it may be placed first, for a retry.
         avoid: Endpoints that failed it.
-        attempt: 0 for fresh work.
+        attempt: Attempts so far that may have run; 0 for fresh work.
+        turned_away: Attempts so far that endpoints did not start.
         tokens_done: Tokens of the answer that the caller already has.
     """
 
     work: work.Work
     engine_s: float
+    reading_s: float
     latest_start: float
     lane: LaneName
     number: int = 0
     not_before: float = 0.0
     avoid: frozenset[str] = frozenset()
     attempt: int = 0
+    turned_away: int = 0
     tokens_done: int = 0
 
 
--- a/packages/bulrushgrade/bulrushgrade/pool.py
+++ b/packages/bulrushgrade/bulrushgrade/pool.py
@@ -83,10 +83,9 @@
     def fellows(self, role: work.Role) -> list[ejection.Health]:
         """Returns the health of all endpoints in service with this role."""
         return [
-            item.health
-            for item in self.loads.values()
-            if item.endpoint.role is role
-            and item.endpoint.state is work.EndpointState.SERVING
+            self.loads[address].health
+            for address in self._keys
+            if self.loads[address].endpoint.role is role
         ]
 
     def uncached_tokens(self, item: work.Work, tokens_done: int) -> int:
--- a/packages/bulrushgrade/bulrushgrade/roleplan.py
+++ b/packages/bulrushgrade/bulrushgrade/roleplan.py
@@ -26,9 +26,9 @@
 """Full buckets before the first change: one could be a burst, and caches that
 are still cold make reading look dearer than it will be."""
 
-SHORT_BUCKETS = 2
-"""Buckets of the short window: a change must help in it as well as in the
-long one, else it would come for a swing that is already over."""
+SHORT_BUCKETS = 3
+"""Buckets of the short window: a change must help in each of them as well as
+over the long one, else it would come for a swing that is already over."""
 
 HORIZON_S = 120.0
 """How long a change is trusted to help: past it the mix is anyone's guess."""
@@ -45,6 +45,10 @@
 """What a mixed engine gets done against two that keep to one kind: its
 reading goes in chunks beside its answers."""
 
+GAIN_FACTOR = 1.5
+"""How much more than its price a change must gain: the gain is an estimate,
+and a change that proves wrong is paid for twice, there and back."""
+
 CHANGE_S = 15.0
 """Seconds of an engine that a change takes: its drain, in which it empties,
 the change itself, and the refilling of its prefix cache."""
@@ -215,7 +219,7 @@
                         gain_s=gain,
                         cost_s=self._cost_s,
                     )
-        if best is None or best.gain_s <= best.cost_s:
+        if best is None or best.gain_s <= GAIN_FACTOR * best.cost_s:
             return None
         return best
 
@@ -313,4 +317,4 @@
     ]
     short = gains[-SHORT_BUCKETS:]
     mean = sum(gains) / len(gains)
-    return HORIZON_S * min(mean, sum(short) / len(short))
+    return HORIZON_S * min(mean, *short)
--- a/packages/bulrushgrade/bulrushgrade/scheduler.py
+++ b/packages/bulrushgrade/bulrushgrade/scheduler.py
@@ -5,12 +5,14 @@
 and no clock: the daemon and the replay of traces drive the same code.
 """
 
-from collections.abc import Callable
 import itertools
 import random
 from typing import Any
 
+import attrs
+
 from bulrushgrade import admission
+from bulrushgrade import asked
 from bulrushgrade import lane
 from bulrushgrade import placement
 from bulrushgrade import pool
@@ -24,32 +26,6 @@
 """How often waiting work is looked at when nothing else happened: room that
 other hosts left shows by their messages, at about this interval."""
 
-NO_ENDPOINT_RETRY_S = 2.0
-"""When to come back while no endpoint is in service: about a role change."""
-
-QUEUE_FULL_RETRY_S = 1.0
-"""When to come back to a full queue: a few of its requests later."""
-
-_REASONS = {
-    work.RefusalCode.OVERLOADED: "it would not be done by its deadline",
-    work.RefusalCode.QUEUE_FULL: "the service's queue is full",
-    work.RefusalCode.LATE: "it waited and can't be in time any more",
-    work.RefusalCode.NO_ENDPOINT: "no endpoint is in service",
-    work.RefusalCode.UNKNOWN_SERVICE: "no document names this service",
-    work.RefusalCode.RETRY_BUDGET: "the retry budget is used up",
-    work.RefusalCode.NOT_REPEATABLE: "it may have run and can't be repeated",
-}
-
-
-def by_prediction(item: lane.Waiting, wait_s: float, now: float) -> float:
-    """Judges an admission by the predicted completion.
-
-    Returns:
-        By how many seconds the work would miss its deadline; it is refused
-        when that is above zero.
-    """
-    return now + wait_s - item.latest_start
-
 
 class Scheduler:
     """Admits, queues, places and retries the requests of one host."""
@@ -59,7 +35,7 @@
         *,
         zone: str,
         rng: random.Random,
-        judge: Callable[[lane.Waiting, float, float], float] = by_prediction,
+        judge: admission.Judge = admission.by_prediction,
     ):
         """Makes a scheduler without endpoints and services.
 
@@ -67,7 +43,7 @@
             zone: The host's availability zone.
             rng: Source of every random choice.
             judge: Returns by how much work with a predicted wait would be
-                late, see `by_prediction`.
+                late, see `admission.by_prediction`.
         """
         self._zone = zone
         self._rng = rng
@@ -78,7 +54,7 @@
         self._progress: dict[str, progress.Progress] = {}
         self._waiting: dict[str, tuple[pools.PoolState, lane.Waiting]] = {}
         self._outbox: dict[str, work.Placed | work.Refused] = {}
-        self._demand: dict[str, list[float]] = {}
+        self._asked = asked.Asked()
         self._numbers = itertools.count()
         self._counts = {"placed": 0, "queued": 0, "refused": 0, "retried": 0}
 
@@ -100,7 +76,7 @@
         Requests at an endpoint that is gone stay with it until their owner
         calls `retry`, `finished` or `cancel`.
         """
-        self._fleet.set_endpoints(endpoints)
+        self._fleet.set_endpoints(endpoints, now)
 
     def report(self, report: work.LoadReport, now: float) -> None:
         """Takes in an engine's lagged report of its load."""
@@ -118,19 +94,10 @@
 
     def demand(self) -> tuple[work.Demand, ...]:
         """Returns what was asked of this host, for the role plan."""
-        return tuple(
-            work.Demand(
-                model=model,
-                prefill_tokens=round(read),
-                output_tokens=round(answered),
-                kv_token_s=round(held),
-                lost_s=lost,
-            )
-            for model, (read, answered, held, lost) in self._demand.items()
-        )
+        return self._asked.demands()
 
     def capacity(self, model: str) -> tuple[float, float]:
-        """Returns what one engine of a model reads and generates a second."""
+        """Returns the tokens a second that one engine reads and generates."""
         return self._fleet.capacity(model)
 
     def cache_event(self, endpoint: str, prefix: int, stored: bool) -> None:
@@ -148,7 +115,7 @@
             Where it goes, or that it waits, or that it is refused.
         """
         if item.service not in self._policies:
-            return self._refuse(item, work.RefusalCode.UNKNOWN_SERVICE, 0.0)
+            return self._refuse(item, work.RefusalCode.UNKNOWN_SERVICE)
         self._budgets[item.service].earn()
         return self._admit(item, now)
 
@@ -176,24 +143,28 @@
         self._release(failed, now)
         self._fleet.observe_failure(failed_endpoint, now)
         item = failed.item
-        attempt = item.attempt + 1
-        if started and not item.work.repeatable:
-            code = work.RefusalCode.NOT_REPEATABLE
-            return self._refuse(item.work, code, NO_ENDPOINT_RETRY_S)
-        budget = self._budgets[item.work.service]
-        # What an endpoint turned away cost it nothing, so it is no load that
-        # the budget has to bound; counting it would cut requests whenever
-        # engines are drained faster than the host list tells.
-        spent = not started or budget.spend()
-        if attempt >= retry.MAX_ATTEMPTS or not spent:
-            code = work.RefusalCode.RETRY_BUDGET
-            return self._refuse(item.work, code, NO_ENDPOINT_RETRY_S)
+        attempt = item.attempt + started
+        turned_away = item.turned_away + (not started)
+        code = retry.refusal(
+            self._budgets[item.work.service],
+            repeatable=item.work.repeatable,
+            started=started,
+            attempt=attempt,
+            turned_away=turned_away,
+        )
+        if code is not None:
+            return self._refuse(item.work, code)
         self._counts["retried"] += 1
+        serving = self._fleet.serving(item.work)
+        # It was promised its whole answer when it was admitted; a first token
+        # that comes late after a failure is still worth having.
+        again = attrs.evolve(item.work, first_token_deadline=None)
         return self._admit(
-            item.work,
+            again,
             now,
             attempt=attempt,
-            avoid=item.avoid | {failed_endpoint},
+            turned_away=turned_away,
+            avoid=retry.avoid(item.avoid, failed_endpoint, serving),
             tokens_done=tokens_done,
             not_before=now + retry.delay_s(attempt, self._rng),
         )
@@ -219,7 +190,7 @@
         self._outbox.pop(request_id, None)
         if request_id in self._waiting:
             state, item = self._waiting.pop(request_id)
-            state.queue.remove(item)
+            state.queue.remove(item, now)
         elif request_id in self._progress:
             self._release(self._progress.pop(request_id), now)
 
@@ -236,13 +207,17 @@
         current = self._progress.get(request_id)
         if current is not None and current.first_at is None:
             self.prefill_done(request_id, now)
-            current.first_at = now
+            current.first_at = current.paced_at = now
 
     def tokens(self, request_id: str, count: int, now: float) -> None:
-        """Notes that an attempt has given `count` tokens by now."""
+        """Notes that an attempt has given `count` tokens by now.
+
+        To be called about once a second, and at the end of the answer.
+        """
         current = self._progress.get(request_id)
         if current is not None:
-            current.tokens = count
+            ratio = progress.learn_pace(current, count, now)
+            self._observe(current, ratio, now)
 
     def finished(
         self,
@@ -267,13 +242,12 @@
             address = current.option.endpoint.endpoint.address
             self._fleet.observe_failure(address, now)
             return
+        for each in (current.option.endpoint, current.option.decode):
+            each.health.failures = 0
         if cached_tokens is not None and current.item.work.model:
             more = progress.learn_reading(current, cached_tokens)
-            self._demand[current.item.work.model][0] += more
-        learned = progress.learn_rest(current, now)
-        if learned is not None:
-            endpoint, ratio = learned
-            self._fleet.observe_ratio(endpoint, ratio, now)
+            self._asked.read(current.item.work, more)
+        self._observe(current, progress.learn_rest(current, now), now)
 
     def dump(self) -> dict[str, Any]:
         """Returns the state for a person, ready for JSON."""
@@ -282,6 +256,7 @@
             "counts": dict(self._counts),
             "waiting": len(self._waiting),
             "in_progress": len(self._progress),
+            "settled": len(self._outbox),
             **self._fleet.dump(),
         }
 
@@ -291,53 +266,50 @@
         now: float,
         *,
         attempt: int = 0,
+        turned_away: int = 0,
         avoid: frozenset[str] = frozenset(),
         tokens_done: int = 0,
         not_before: float = 0.0,
     ) -> work.Decision:
         state = self._fleet.find_pool(item)
         if state is None:
-            code = work.RefusalCode.NO_ENDPOINT
-            return self._refuse(item, code, NO_ENDPOINT_RETRY_S)
+            return self._refuse(item, work.RefusalCode.NO_ENDPOINT)
         uncached = placement.uncached_tokens(state.pool, item, tokens_done)
         model = state.pool.model
-        if item.model and not attempt:
-            asked = self._demand.setdefault(item.model, [0.0] * 4)
-            asked[0] += uncached
-            asked[1] += item.output_tokens
-            asked[2] += model.kv_token_s(item)
+        if not attempt + turned_away:
+            self._asked.offered(item, uncached, model)
         reading_s = model.prefill_s(uncached) if item.model else 0.0
         waiting = lane.Waiting(
             work=item,
             engine_s=model.price_s(item, uncached, tokens_done),
-            latest_start=admission.latest_start(item, model, uncached),
+            reading_s=reading_s,
+            latest_start=admission.latest_start(
+                item, model, uncached, tokens_done
+            ),
             lane=lane.lane_of(reading_s),
             number=next(self._numbers),
             not_before=not_before,
             avoid=avoid,
             attempt=attempt,
+            turned_away=turned_away,
             tokens_done=tokens_done,
         )
         return self._queue(state, waiting, now)
 
     def _queue(
-        self,
-        state: pools.PoolState,
-        item: lane.Waiting,
-        now: float,
+        self, state: pools.PoolState, item: lane.Waiting, now: float
     ) -> work.Decision:
         wanted, queue = item.work, state.queue
         limit = self._policies[wanted.service].queue_limit
         if queue.waiting(wanted.service) >= limit:
-            code = work.RefusalCode.QUEUE_FULL
-            return self._refuse(wanted, code, QUEUE_FULL_RETRY_S)
-        floor = self._engines(state.pool, now)
-        wait_s = queue.wait_s(item, floor=floor, now=now)
+            return self._refuse(wanted, work.RefusalCode.QUEUE_FULL)
+        engines = self._engines(state.pool, now)
+        wait_s = queue.wait_s(item, engines=engines, now=now)
         late_s = self._judge(item, wait_s, now)
         if late_s > 0.0:
-            self._note_lost(item)
+            self._asked.lost(item)
             return self._refuse(wanted, work.RefusalCode.OVERLOADED, late_s)
-        queue.add(item)
+        queue.add(item, now)
         self._waiting[wanted.request_id] = (state, item)
         self._dispatch(state, now)
         settled = self._outbox.pop(wanted.request_id, None)
@@ -348,27 +320,22 @@
 
     def _dispatch(self, state: pools.PoolState, now: float) -> None:
         for item in state.queue.take_expired(now):
-            del self._waiting[item.work.request_id]
-            late_s = now - item.latest_start
-            self._note_lost(item)
-            self._outbox[item.work.request_id] = self._refuse(
-                item.work, work.RefusalCode.LATE, late_s
-            )
+            request_id, late_s = item.work.request_id, now - item.latest_start
+            del self._waiting[request_id]
+            self._asked.lost(item)
+            refused = self._refuse(item.work, work.RefusalCode.LATE, late_s)
+            self._outbox[request_id] = refused
         engines = self._engines(state.pool, now)
 
         def attempt(item: lane.Waiting) -> bool:
             shares = state.queue.shares
-            if not shares.may_run(item.work.service, engines, now):
-                return False
-            return self._place(state, item, now)
+            may_run = shares.may_run(item.work.service, engines, now)
+            return may_run and self._place(state, item, now)
 
         queueing.dispatch(state.queue, attempt, now)
 
     def _place(
-        self,
-        state: pools.PoolState,
-        item: lane.Waiting,
-        now: float,
+        self, state: pools.PoolState, item: lane.Waiting, now: float
     ) -> bool:
         ask = placement.Ask(
             work=item.work,
@@ -377,12 +344,14 @@
             tokens_done=item.tokens_done,
         )
         option = placement.choose(state.pool, ask, rng=self._rng, now=now)
-        if option is None:
+        if isinstance(option, placement.Blocked):
+            if option is not placement.Blocked.LATE:
+                reading = option is placement.Blocked.READING
+                state.queue.note_blocked(reading=reading)
             return False
         request_id = item.work.request_id
-        state.queue.remove(item)
+        state.queue.place(item, now)
         del self._waiting[request_id]
-        state.queue.charge(item, now)
         placed = progress.start(item, state.pool, option, now)
         self._progress[request_id] = placed
         self._fleet.book(option.endpoint, placed.reading, now)
@@ -399,19 +368,16 @@
         return True
 
     def _refuse(
-        self, item: work.Work, code: work.RefusalCode, late_s: float
+        self, item: work.Work, code: work.RefusalCode, late_s: float = 0.0
     ) -> work.Refused:
         self._counts["refused"] += 1
-        return work.Refused(
-            request_id=item.request_id,
-            code=code,
-            retry_after_s=admission.retry_after_s(late_s, self._rng),
-            reason=_REASONS[code],
-        )
+        return admission.refuse(item, code, late_s, self._rng)
 
-    def _note_lost(self, item: lane.Waiting) -> None:
-        if item.work.model:
-            self._demand[item.work.model][3] += item.engine_s
+    def _observe(
+        self, current: progress.Progress, ratio: float | None, now: float
+    ) -> None:
+        if ratio is not None:
+            self._fleet.observe_ratio(current.option.decode, ratio, now)
 
     def _end_reading(self, current: progress.Progress, now: float) -> None:
         if not current.reading_done:
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/authority.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/authority.py
@@ -5,6 +5,7 @@
 import secrets
 from typing import Any
 
+from absl import logging
 import attrs
 from returns.result import Failure
 from twisted.internet import defer
@@ -101,6 +102,7 @@
         self._groups: list[group_module.Group] = []
         self._tails: list[logclient.LogTail] = []
         self._subscriptions: list[Any] = []
+        self._acted: dict[str, bool] = {}
         for name in settings.groups:
             self._add_group(name, rng)
 
@@ -181,9 +183,7 @@
                 append=self._append,
                 send_order=self._send_order,
                 ask_drain=self._parts.orders.ask_drain,
-                hold=lambda address, held: self._parts.place.hold(
-                    address, held=held
-                ),
+                hold=self._hold,
                 capacity=self._parts.capacity,
             ),
         )
@@ -208,7 +208,15 @@
         for group in self._groups:
             self._update_engines(group)
             group.lease.set_rank(self._rank(group))
+            acting = group.lease.acting(now)
             group.tick(now)
+            self._log_change(group, acting)
+
+    def _log_change(self, group: group_module.Group, acting: bool) -> None:
+        if acting != self._acted.get(group.name, False):
+            self._acted[group.name] = acting
+            word = "held" if acting else "lost"
+            logging.info("authority over %s is %s", group.name, word)
 
     def _plan(self) -> None:
         now = self._parts.timers.now
@@ -227,7 +235,8 @@
                 for h in hosts
                 if h.address in endpoints
             },
-            {h.address: h.fencing for h in hosts},
+            fencing={h.address: h.fencing for h in hosts},
+            live=frozenset(h.address for h in membership.select_live(hosts)),
         )
 
     def _hosts_of(
@@ -279,6 +288,14 @@
                 weights = document.weights
                 group.set_weights(weights.goodput, weights.role_changes)
 
+    def _hold(self, address: str, held: bool) -> None:
+        # With the log away no order can be ended, or given by whoever loses
+        # the lease. An engine held for it would stay out for the length of
+        # the outage though it serves; if it does change, its own report and
+        # its refusals keep work away, at the cost of one more attempt.
+        held = held and self._parts.log.reachable
+        self._parts.place.hold(address, held=held)
+
     def _append(
         self, append: record.Append, failed: Callable[[str], None]
     ) -> None:
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/relay.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/relay.py
@@ -13,6 +13,7 @@
 from bulrushgrade import document
 from bulrushgrade import work as work_module
 from bulrushgrade_daemon import engine
+from bulrushgrade_daemon import metrics
 from bulrushgrade_daemon import placing
 from bulrushgrade_daemon import refusal
 from bulrushgrade_daemon import request
@@ -46,6 +47,7 @@
         gone: Whether the caller has left.
         paused: Whether the caller does not take more for now.
         maybe_ran: Whether an attempt may have run at an engine.
+        cached_tokens: Prompt tokens that the engine had cached, if it said.
         watch: Notices when the running attempt goes silent.
     """
 
@@ -65,6 +67,7 @@
     gone: bool = False
     paused: bool = False
     maybe_ran: bool = False
+    cached_tokens: int | None = None
     watch: silence.SilenceWatch | None = None
 
     def pause(self) -> None:
@@ -82,6 +85,19 @@
             self.stream.resume()
 
 
+@attrs.frozen(kw_only=True)
+class Meters:
+    """Latencies as callers meet them, from arrival on, in seconds.
+
+    Attributes:
+        first_token: Until the first token.
+        whole_answer: Until the end of a whole answer.
+    """
+
+    first_token: metrics.Histogram
+    whole_answer: metrics.Histogram
+
+
 class Relay:
     """Runs attempts until a request has its whole answer or is given up."""
 
@@ -94,7 +110,9 @@
         timers: Any,
         engines: engine.EngineClient,
         place: placing.Placing,
+        meters: Meters,
     ):
+        self._meters = meters
         self._timers = timers
         self._engines = engines
         self._placing = place
@@ -169,6 +187,9 @@
         finally:
             deadline.cancel()
             del self._jobs[job.request_id]
+        if refused is None:
+            took_s = self._timers.now - job.arrived_s
+            self._meters.whole_answer.observe(took_s)
         self._counts["whole" if refused is None else "refused"] += 1
         self._counts["tokens"] += job.answer.tokens
         self._counts["duplicate_events"] += job.answer.duplicates
@@ -189,7 +210,7 @@
             self._counts["lost_attempts"] += 1
             placed = await self._placing.retry(
                 job.request_id,
-                placed.endpoint,
+                job.endpoint,
                 job.answer.tokens,
                 started=not isinstance(outcome, engine.NotStarted),
             )
@@ -230,9 +251,9 @@
     async def _attempt(
         self, job: ModelJob, placed: work_module.Placed, number: int
     ) -> engine.StreamOutcome:
-        job.endpoint = placed.decode_endpoint or placed.endpoint
+        job.endpoint = placed.endpoint
         job.attempt_id = f"{job.request_id}.{number}"
-        body = self._body(job)
+        body = self._body(job, placed)
         if placed.decode_endpoint is not None:
             moved = await self._prefill(job, placed, body)
             if not isinstance(moved, dict):
@@ -266,11 +287,13 @@
             self._engines.cancel(job.endpoint, job.attempt_id)
         return outcome
 
-    def _body(self, job: ModelJob) -> dict[str, Any]:
+    def _body(
+        self, job: ModelJob, placed: work_module.Placed
+    ) -> dict[str, Any]:
         body = dict(job.asked.fields)
         body["model"] = job.model
         body["stream"] = True
-        body["priority"] = job.work.priority
+        body["priority"] = placed.priority
         resume = job.answer.begin(job.attempt_id)
         if resume:
             body["resume_tokens"] = resume
@@ -301,6 +324,10 @@
         if isinstance(handle, Failure):
             return handle.failure()
         self._placing.prefill_done(job.request_id)
+        # The prompt was read: whatever the other engine answers, the request
+        # has run in part.
+        job.maybe_ran = True
+        job.endpoint = placed.decode_endpoint
         moved = {"address": placed.endpoint, "handle": handle.unwrap()}
         return {**body, "kv_import": moved}
 
@@ -315,9 +342,13 @@
         if step is not answer_module.Step.DELIVER:
             return step is answer_module.Step.DROP
         job.watch.progress()
+        if event.usage is not None:
+            job.cached_tokens = _read_cached(event.usage)
         tokens = job.answer.tokens
         if tokens == 1 and event.text is not None:
             self._placing.first_token(job.request_id)
+            waited_s = self._timers.now - job.arrived_s
+            self._meters.first_token.observe(waited_s)
         elif tokens % PROGRESS_TOKENS == 0:
             self._placing.tokens(job.request_id, tokens)
         job.on_event(event)
@@ -331,7 +362,12 @@
 
     def _finish(self, job: ModelJob, outcome: str) -> None:
         self._placing.tokens(job.request_id, job.answer.tokens)
-        self._placing.finished(job.request_id, outcome)
+        self._placing.finished(job.request_id, outcome, job.cached_tokens)
+
+
+def _read_cached(usage: dict[str, Any]) -> int | None:
+    cached = usage.get("cached_tokens")
+    return cached if isinstance(cached, int) and cached >= 0 else None
 
 
 def _caller_gone() -> refusal.Refusal:
--- a/packages/bulrushgrade_daemon/tests/test_peers.py
+++ b/packages/bulrushgrade_daemon/tests/test_peers.py
@@ -20,6 +20,7 @@
 from bulrushgrade_daemon import metrics
 from bulrushgrade_daemon import peermessages
 from bulrushgrade_daemon import peers
+from bulrushgrade_daemon import peersocket
 
 LOCAL = keys.Address(host="127.0.0.1", port=0)
 LOADS = (
@@ -178,6 +179,12 @@
         await self.wait_for(lambda: two.heard)
         self.assertEqual(two.heard[0], (one.address, LOADS[1:]))
 
+    async def test_bad_addresses_in_the_list_are_left_out(self):
+        one, two = await self.make_pair()
+        one.know("", "localhost:70", "10.0.0.1", two.address)
+        self.assertEqual(list(one.peers.dump()["peers"]), [two.address])
+        await self.wait_for(lambda: two.heard)
+
     async def test_idle_daemon_says_so_once(self):
         one, two = await self.make_pair()
         await self.wait_for(lambda: two.heard)
@@ -192,6 +199,11 @@
         one.loads = LOADS
         await self.wait_for(lambda: two.heard[-1][1] == LOADS)
 
+    async def test_daemon_is_called_by_the_address_that_the_list_shows(self):
+        one = await self.make_node()
+        host, _, _ = one.address.rpartition(":")
+        self.assertEqual(host, "127.0.0.1")
+
     async def test_withdrawn_reaches_a_peer_that_connects_later(self):
         one, two = await self.make_node(), await self.make_node(seed=2)
         one.withdraw("e1")
@@ -240,8 +252,8 @@
         # A peer's loads would be missing for good. A firewall between the two
         # forgot their connection: bytes vanish without an error, while a new
         # connection passes. Heartbeats go unanswered, and ZeroMQ reconnects.
-        self.patch(peers, "HEARTBEAT_INTERVAL_S", 0.1)
-        self.patch(peers, "HEARTBEAT_TIMEOUT_S", 0.3)
+        self.patch(peersocket, "HEARTBEAT_INTERVAL_S", 0.1)
+        self.patch(peersocket, "HEARTBEAT_TIMEOUT_S", 0.3)
         one, two = await self.make_node(), await self.make_node(seed=2)
         two.know(one.address)
         factory = protocol.Factory.forProtocol(BlackHole)
--- a/packages/bulrushgrade_standins/bulrushgrade_standins/report.py
+++ b/packages/bulrushgrade_standins/bulrushgrade_standins/report.py
@@ -5,6 +5,7 @@
 """
 
 import argparse
+import collections
 from collections.abc import Callable
 from collections.abc import Iterable
 import concurrent.futures
@@ -12,17 +13,20 @@
 import statistics
 from typing import Any
 
+from bulrushgrade import admission
 from bulrushgrade import lane
 from bulrushgrade import scheduler
 from bulrushgrade import work
 from bulrushgrade_standins import baseline
 from bulrushgrade_standins import bound
 from bulrushgrade_standins import greedyplan
+from bulrushgrade_standins import outcome as outcomes
 from bulrushgrade_standins import replay
 from bulrushgrade_standins import trace as traces
+from bulrushgrade_standins import tracegen
 
 POLICIES = ("ours", "round_robin", "least", "static", "greedy")
-STATIC_SPLITS = 3
+STATIC_SPLITS = 2
 """Fixed splits that are replayed to find the best, besides the trace's own and
 all mixed; a fluid estimate ranks them."""
 
@@ -30,6 +34,9 @@
 """Part of the refused work that is queued all the same in a run of its own,
 to see whether it would have been in time."""
 
+FEW_REFUSED = 0.01
+"""Below this part of refusals too few would be forced to say anything."""
+
 Figures = dict[str, float]
 
 
@@ -50,7 +57,8 @@
         figures = _figures(
             _run(trace, seed, replay.ours, replay.role_plan(trace))
         )
-        figures["dishonest"] = _dishonest(trace, seed)
+        if figures["refused_part"] >= FEW_REFUSED:
+            figures["dishonest"] = _dishonest(trace, seed)
         return figures
     if policy == "greedy":
         return _figures(_run(trace, seed, _least, greedyplan.GreedyPlan()))
@@ -69,8 +77,8 @@
     deployment: str, case: str, seed: int, duration_s: float
 ) -> dict[str, Figures]:
     """Returns the figures of every policy on one trace."""
-    trace = traces.generate(
-        traces.DEPLOYMENTS[deployment], case, seed=seed, duration_s=duration_s
+    trace = tracegen.generate(
+        tracegen.DEPLOYMENTS[deployment], case, seed=seed, duration_s=duration_s
     )
     found = {policy: run_policy(policy, trace, seed) for policy in POLICIES}
     most = bound.capacity_bound(trace)
@@ -135,14 +143,14 @@
     make: replay.Make,
     planner: replay.Planner | None,
     roles: tuple[work.Role, ...] | None = None,
-) -> replay.Outcome:
+) -> outcomes.Outcome:
     return replay.Replay(
         trace=trace, make=make, planner=planner, seed=seed, roles=roles
     ).run()
 
 
-def _figures(outcome: replay.Outcome) -> Figures:
-    figures = replay.summarize(outcome)
+def _figures(outcome: outcomes.Outcome) -> Figures:
+    figures = outcomes.summarize(outcome)
     offered = max(1, figures["offered"])
     figures["good"] = figures["on_time"] * offered
     figures["refused_part"] = figures["refused"] / offered
@@ -152,34 +160,46 @@
     return figures
 
 
-def _worst_team(outcome: replay.Outcome) -> float:
+def _worst_team(outcome: outcomes.Outcome) -> float:
     """Least goodput of a team against what its share guarantees it.
 
-    Guaranteed is the lesser of what it asked for and its share of the fleet,
-    both in engine seconds.
+    Guaranteed is the lesser of what it asked for and its share of all that
+    the fleet answered in time, both in engine seconds. A share of the bare
+    engines' time would be no measure: a mix that needs one kind of engine
+    only leaves the others idle whoever is served.
     """
     header = outcome.trace.header
-    span = header.duration_s - header.scored_from_s
-    capacity = len(header.engines) * span
-    asked: dict[str, float] = {}
-    given: dict[str, float] = {}
-    for call in outcome.calls:
-        request = call.request
-        if request.at_s < header.scored_from_s:
-            continue
-        cost = bound.least_cost_s(request, True)
-        asked[request.service] = asked.get(request.service, 0.0) + cost
-        if call.on_time:
-            given[request.service] = given.get(request.service, 0.0) + cost
+    calls = [c for c in outcome.calls if c.request.at_s >= header.scored_from_s]
+    costs = {
+        policy.service: _mean_cost_s(calls, policy.service)
+        for policy in header.services
+    }
+    asked = collections.Counter(c.request.service for c in calls)
+    given = collections.Counter(c.request.service for c in calls if c.on_time)
+    useful = max(sum(given[s] * costs[s] for s in given), 1e-9)
     ratios = [
-        given.get(policy.service, 0.0)
-        / min(asked[policy.service], policy.share * capacity)
+        given[policy.service]
+        * costs[policy.service]
+        / min(
+            asked[policy.service] * costs[policy.service],
+            policy.share * useful,
+        )
         for policy in header.services
-        if asked.get(policy.service)
+        if asked[policy.service]
     ]
     return min(ratios, default=0.0)
 
 
+def _mean_cost_s(calls: Iterable[outcomes.Call], service: str) -> float:
+    """Mean engine seconds of a service's requests, as much cached as was."""
+    costs = [
+        bound.cost_s(call.request, call.job.cached_tokens)
+        for call in calls
+        if call.request.service == service and call.job is not None
+    ]
+    return statistics.fmean(costs) if costs else 1.0
+
+
 def _dishonest(trace: traces.Trace, seed: int) -> float:
     """Part of refused work that would have been in time.
 
@@ -202,7 +222,7 @@
     forced: set[str], rng: random.Random
 ) -> Callable[[lane.Waiting, float, float], float]:
     def judge(item: lane.Waiting, wait_s: float, now: float) -> float:
-        late_s = scheduler.by_prediction(item, wait_s, now)
+        late_s = admission.by_prediction(item, wait_s, now)
         if late_s > 0.0 and rng.random() < FORCED_PART:
             forced.add(item.work.request_id)
             return 0.0
@@ -228,11 +248,11 @@
     """Runs what the command line asks for and prints the table."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument(
-        "--deployments", nargs="+", default=list(traces.DEPLOYMENTS)
+        "--deployments", nargs="+", default=list(tracegen.DEPLOYMENTS)
     )
-    parser.add_argument("--cases", nargs="+", default=list(traces.CASES))
+    parser.add_argument("--cases", nargs="+", default=list(tracegen.CASES))
     parser.add_argument("--seeds", type=int, nargs="+", default=[1, 2, 3])
-    parser.add_argument("--duration", type=float, default=traces.DURATION_S)
+    parser.add_argument("--duration", type=float, default=tracegen.DURATION_S)
     parser.add_argument("--workers", type=int, default=2)
     options = parser.parse_args(arguments)
     found = run_all(
