--- a/packages/bulrushgrade_daemon/tests/test_failures_authority.py
+++ b/packages/bulrushgrade_daemon/tests/test_failures_authority.py
@@ -100,6 +100,40 @@
     print(f"\nno holder for {lost_s:.2f} s after a kill")
 
 
+def test_woken_holder_that_cannot_read_the_log(world):
+    # A holder is stopped while its order waits for an answer, and when it
+    # wakes its network is gone: nothing tells it of the holder that took
+    # over meanwhile. Its own clock has to, before it gives the order again.
+    options = ("--overlap", "--no-fencing", "--change-s", "0.5")
+    engine = world.started.standin("engine", *options).address
+    link = world.started.standin("link", world.log)
+    first = world.start_daemon(log=link.address)
+    world.list_hosts([first], [engine], fencing=False)
+    control.wait_holder([first])
+    second = world.start_daemon()
+    world.list_hosts([first, second], [engine], fencing=False)
+    for daemon in (first, second):
+        scene.wait_ready(daemon, engines=1)
+    scene.fault(engine, silent=True)
+    order_id = _order(world, first, engine, "prefill")
+    processes.wait_for(lambda: control.dump(first, "orders")["sending"])
+    sent = control.read_group(first)["counts"]["orders_sent"]
+    first.send(signal.SIGSTOP)
+    scene.fault(link.ready["admin"], silent=True)
+    scene.fault(engine)
+    control.wait_holder([second])
+    control.wait_settled(second, engine, "prefill", order_id=order_id)
+    first.send(signal.SIGCONT)
+    # Its write is given up; from here on it would write again.
+    processes.wait_for(lambda: not control.dump(first, "orders")["sending"])
+    control.sleep_until(time.monotonic() + 0.5)
+    group = control.read_group(first)
+    assert group["unfinished"]
+    assert not group["acting"]
+    assert group["counts"]["orders_sent"] == sent
+    control.assert_apart(engine)
+
+
 def test_late_order_of_a_dead_holder(world):
     # The network holds back a holder's order while the holder dies. The next
     # one gives its own order, and then the old one arrives: the engine knows
