--- a/packages/bulrushgrade_cli/bulrushgrade_cli/demo.py
+++ b/packages/bulrushgrade_cli/bulrushgrade_cli/demo.py
@@ -5,6 +5,8 @@
 """
 
 import json
+import os
+import sys
 from typing import Any
 
 import attrs
@@ -182,6 +184,10 @@
             "stream": True,
         }
     )
+    # As it lies in the environment that runs this, which need not be active.
+    command = os.path.relpath(
+        os.path.join(os.path.dirname(sys.executable), "bulrushgrade")
+    )
     lines = [
         f"callers   http://{callers}",
         f"operators http://{admin}/dump and /metrics",
@@ -193,8 +199,8 @@
         "A call to the plain service:",
         f"  curl http://{callers}/services/{PLAIN_SERVICE}/rooms",
         "What the daemon sees, and a document:",
-        f"  bulrushgrade status --admin {admin}",
-        f"  bulrushgrade show {MODEL_SERVICE} --log {listeners['log'].address}",
+        f"  {command} status --admin {admin}",
+        f"  {command} show {MODEL_SERVICE} --log {listeners['log'].address}",
         "",
         "Ctrl-C stops it.",
     ]
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/documents.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/documents.py
@@ -109,7 +109,11 @@
         if self._offering is not None:
             return None
         state = self._registry.readiness(self._end_offset)
-        return state.failure().reason if isinstance(state, Failure) else None
+        if isinstance(state, Failure):
+            return state.failure().reason
+        # An empty log, or the wrong one: a host that called itself ready
+        # would take callers from those that know the services.
+        return "no fleet document has been accepted yet"
 
     @property
     def counts(self) -> dict[str, int]:
@@ -257,8 +261,9 @@
             self._appending = False
 
     def _refresh(self) -> None:
-        if self._offering is None and isinstance(
-            self._registry.readiness(self._end_offset), Failure
+        if self._offering is None and (
+            self._registry.fleet is None
+            or isinstance(self._registry.readiness(self._end_offset), Failure)
         ):
             return
         digest = self._registry.digest()
