Prove a fresh reader of a trimmed control stream; write the proofs' lines

A daemon that starts behind the trimmed claim of a living holder has to learn the term from renewals, not act beside it, and take over once it dies.

--- a/packages/bulrushgrade_daemon/tests/test_failures_authority.py
+++ b/packages/bulrushgrade_daemon/tests/test_failures_authority.py
@@ -233,3 +233,26 @@
     records = world.read(control.STREAM)
     assert any('"Release"' in record["body"] for record in records)
     print(f"\na holder {taken_s:.2f} s after the planned stop's end")
+
+
+def test_control_stream_trimmed_under_a_fresh_reader(world):
+    # The log has trimmed the holder's claim when a new host starts. It can't
+    # know who holds the group, and must neither act beside the holder nor
+    # wait for ever once that dies.
+    engine, first, _ = _start(world, 1)
+    term = control.read_group(first)["term"]
+    end = world.read(control.STREAM)[-1]["offset"] + 1
+    trim = {"stream": control.STREAM, "offset": end}
+    assert processes.call("POST", world.log, "/trim", trim).code == 200
+    second = world.start_daemon()
+    scene.wait_ready(second, engines=1)
+    world.list_hosts([first, second], [engine])
+    processes.wait_for(
+        lambda: control.read_group(second)["current_term"] == term
+    )
+    assert control.find_holders([first, second]) == [first]
+    first.send(signal.SIGKILL)
+    order_id = world.intend(engine, "prefill", term)
+    control.wait_holder([second])
+    control.wait_settled(second, engine, "prefill", order_id=order_id)
+    control.assert_apart(engine)
