Bind the woken holder's test to turns of the daemon, not to a pause

The test waited half a second for an order that must not come. It now waits until the woken daemon has sent its loads again, which its timers do after several turns of the authority's own tick.

--- a/packages/bulrushgrade_daemon/tests/test_failures_authority.py
+++ b/packages/bulrushgrade_daemon/tests/test_failures_authority.py
@@ -126,7 +126,10 @@
     first.send(signal.SIGCONT)
     # Its write is given up; from here on it would write again.
     processes.wait_for(lambda: not control.dump(first, "orders")["sending"])
-    control.sleep_until(time.monotonic() + 0.5)
+    turns = control.dump(first, "peers")["sequence"]
+    processes.wait_for(
+        lambda: control.dump(first, "peers")["sequence"] > turns + 1
+    )
     group = control.read_group(first)
     assert group["unfinished"]
     assert not group["acting"]
