--- a/packages/bulrushgrade/bulrushgrade/peerview.py
+++ b/packages/bulrushgrade/bulrushgrade/peerview.py
@@ -50,6 +50,7 @@
         endpoints: Addresses of endpoints.
         running: Requests in flight on each.
         prefill_backlog_tokens: Prompt tokens that each has yet to read.
+        short_backlog_tokens: Those of the backlog that are read first.
         kv_tokens: Tokens of KV cache that the requests take up on each.
     """
 
@@ -57,6 +58,7 @@
     endpoints: tuple[str, ...]
     running: tuple[int, ...]
     prefill_backlog_tokens: tuple[int, ...]
+    short_backlog_tokens: tuple[int, ...]
     kv_tokens: tuple[int, ...]
 
 
@@ -126,6 +128,7 @@
         endpoints=tuple(load.endpoint for load in busy),
         running=tuple(load.running for load in busy),
         prefill_backlog_tokens=tuple(x.prefill_backlog_tokens for x in busy),
+        short_backlog_tokens=tuple(x.short_backlog_tokens for x in busy),
         kv_tokens=tuple(load.kv_tokens for load in busy),
     )
 
@@ -136,6 +139,7 @@
         message.endpoints,
         message.running,
         message.prefill_backlog_tokens,
+        message.short_backlog_tokens,
         message.kv_tokens,
         strict=True,
     )
@@ -143,10 +147,11 @@
         work.PeerLoad(
             endpoint=endpoint,
             running=running,
-            prefill_backlog_tokens=prefill_backlog_tokens,
+            prefill_backlog_tokens=backlog,
+            short_backlog_tokens=short,
             kv_tokens=kv_tokens,
         )
-        for endpoint, running, prefill_backlog_tokens, kv_tokens in columns
+        for endpoint, running, backlog, short, kv_tokens in columns
     )
 
 
