Write the settings of test daemons in one place

Cause: the same settings text stood in three test modules. Ruled out: building them from the settings' classes, since a test should read like the file that a host has. Change: scene.write_settings, used by all three. Conclusion: behaviour and assertions stay.

--- a/packages/bulrushgrade_daemon/tests/control.py
+++ b/packages/bulrushgrade_daemon/tests/control.py
@@ -30,31 +30,12 @@
 TTL_S = 1.5
 GUARD_S = 0.2
 PAUSE_S = 1.0
-_SETTINGS = """
-[host]
-name = {name}
-zone = metter-hall
-region = coastal-plain
-
-[listen]
-callers = 127.0.0.1:0
-admin = 127.0.0.1:0
-peers = 127.0.0.1:0
-
-[platform]
-log = {log}
-host_list = {hosts}
-weight_store = 127.0.0.1:9
-host_list_period_s = 0.1
-
-[limits]
-stop_grace_s = 0.1
-
+_AUTHORITY = f"""
 [authority]
-groups = {group}
-lease_ttl_s = {ttl_s}
-lease_guard_s = {guard_s}
-pause_allowance_s = {pause_s}
+groups = {GROUP}
+lease_ttl_s = {TTL_S}
+lease_guard_s = {GUARD_S}
+pause_allowance_s = {PAUSE_S}
 """
 
 
@@ -95,20 +76,15 @@
     def start_daemon(self, log: str = "") -> processes.Process:
         """Starts a daemon that may hold the group, without waiting for it."""
         name = f"holder-{next(self._numbers)}"
-        text = _SETTINGS.format(
+        file = scene.write_settings(
+            self._directory,
             name=name,
             log=log or self.log,
             hosts=self._scene.hosts,
-            group=GROUP,
-            ttl_s=TTL_S,
-            guard_s=GUARD_S,
-            pause_s=PAUSE_S,
-        )
-        file = self._directory / f"{name}.ini"
-        file.write_text(text)
-        return self._started.start(
-            "bulrushgrade_daemon", "--settings", str(file)
+            grace_s=0.1,
+            more=_AUTHORITY,
         )
+        return self._started.start("bulrushgrade_daemon", "--settings", file)
 
     def list_hosts(
         self,
--- a/packages/bulrushgrade_daemon/tests/scene.py
+++ b/packages/bulrushgrade_daemon/tests/scene.py
@@ -91,8 +91,8 @@
 _SETTINGS = """
 [host]
 name = {name}
-zone = metter-hall
-region = coastal-plain
+zone = {zone}
+region = {region}
 
 [listen]
 callers = 127.0.0.1:0
@@ -106,7 +106,7 @@
 host_list_period_s = 0.1
 
 [limits]
-stop_grace_s = 0.5
+stop_grace_s = {grace_s}
 """
 
 
@@ -136,6 +136,42 @@
         return (self.error or {}).get("ran", "")
 
 
+def write_settings(
+    directory: pathlib.Path,
+    *,
+    name: str,
+    log: str,
+    hosts: str,
+    zone: str = "metter-hall",
+    region: str = "coastal-plain",
+    grace_s: float = 0.5,
+    more: str = "",
+) -> str:
+    """Writes the settings of a daemon on free ports; returns the file's path.
+
+    Args:
+        directory: Where to.
+        name: The daemon's name.
+        log: The log service's address.
+        hosts: The host list's address.
+        zone: The daemon's availability zone.
+        region: The region of that zone.
+        grace_s: How long it serves on after it was told to stop.
+        more: Further lines: of limits, then other sections.
+    """
+    text = _SETTINGS.format(
+        name=name,
+        log=log,
+        hosts=hosts,
+        zone=zone,
+        region=region,
+        grace_s=grace_s,
+    )
+    file = directory / f"{name}.ini"
+    file.write_text(text + more)
+    return str(file)
+
+
 class Scene:
     """Stand-ins, documents and daemons of one test module."""
 
@@ -194,12 +230,14 @@
             limits: Further lines of its section of limits.
         """
         name = f"entry-{next(self._numbers)}"
-        text = _SETTINGS.format(name=name, log=self.log, hosts=self.hosts)
-        file = self._directory / f"{name}.ini"
-        file.write_text(text + limits)
-        return self._started.start(
-            "bulrushgrade_daemon", "--settings", str(file)
+        file = write_settings(
+            self._directory,
+            name=name,
+            log=self.log,
+            hosts=self.hosts,
+            more=limits,
         )
+        return self._started.start("bulrushgrade_daemon", "--settings", file)
 
     def _publish(self, service: str, text: str) -> None:
         message = publication.Publish(
--- a/packages/bulrushgrade_daemon/tests/test_wholepath.py
+++ b/packages/bulrushgrade_daemon/tests/test_wholepath.py
@@ -12,6 +12,7 @@
 import time
 
 import processes
+import scene
 
 from bulrushgrade_standins import completion
 
@@ -57,23 +58,6 @@
 path = /**
 repeatable = yes
 """
-SETTINGS = """
-[host]
-name = entry-1
-zone = gebze-a
-region = tr-marmara
-[listen]
-callers = 127.0.0.1:0
-admin = 127.0.0.1:0
-peers = 127.0.0.1:0
-[platform]
-log = {log}
-host_list = {hosts}
-weight_store = 127.0.0.1:9
-host_list_period_s = 0.1
-[limits]
-stop_grace_s = 0.1
-"""
 IN_FORCE_LIMIT_S = 6.0
 
 
@@ -100,9 +84,16 @@
         _host(plain, "plain", "portal-app"),
     ]
     processes.call("PUT", hosts.address, "/hosts", {"hosts": listed})
-    path = tmp_path / "entry.ini"
-    path.write_text(SETTINGS.format(log=log.address, hosts=hosts.address))
-    daemon = started.start("bulrushgrade_daemon", "--settings", str(path))
+    settings = scene.write_settings(
+        tmp_path,
+        name="entry-1",
+        log=log.address,
+        hosts=hosts.address,
+        zone="gebze-a",
+        region="tr-marmara",
+        grace_s=0.1,
+    )
+    daemon = started.start("bulrushgrade_daemon", "--settings", settings)
     return log, daemon
 
 
