--- /dev/null
+++ b/packages/bulrushgrade_daemon/tests/test_failures_rolechange.py
@@ -0,0 +1,41 @@
+"""An engine changes its role under load, and no caller may notice."""
+
+import callerload
+import control
+import processes
+import pytest
+import scene
+
+_TOKENS = 24
+
+
+@pytest.fixture
+def world(tmp_path):
+    with processes.running() as started:
+        yield control.World(started=started, directory=tmp_path)
+
+
+def test_role_change_under_load_cuts_no_answer(world):
+    # A holder dies after it announced a change of role; the next one gives
+    # the order to an engine that is in the middle of answers, while two hosts
+    # go on placing by what they last knew of it. A caller would see a cut
+    # answer, or a refusal though two other engines serve.
+    options = ("--change-s", "0.5", "--slots", "8")
+    engines = [world.started.standin("engine", *options) for _ in range(3)]
+    addresses = [engine.address for engine in engines]
+    daemons = [world.start_daemon() for _ in range(2)]
+    world.list_hosts(daemons, addresses)
+    for daemon in daemons:
+        scene.wait_ready(daemon, engines=3)
+    holder = control.wait_holder(daemons)
+    load = callerload.Load(
+        daemons=daemons, callers=6, max_tokens=_TOKENS, name="change"
+    )
+    with load:
+        load.wait_answers(12)
+        term = control.read_group(holder)["term"]
+        order_id = world.intend(addresses[0], "decode", term)
+        control.wait_settled(holder, addresses[0], "decode", order_id=order_id)
+        load.wait_answers(12)
+    scene.assert_whole(load.answers, _TOKENS)
+    control.assert_apart(addresses[0])
