--- a/packages/bulrushgrade_daemon/tests/test_failures_rolechange.py
+++ b/packages/bulrushgrade_daemon/tests/test_failures_rolechange.py
@@ -6,7 +6,7 @@
 import pytest
 import scene
 
-_TOKENS = 24
+_TOKENS = 8
 
 
 @pytest.fixture
@@ -29,13 +29,13 @@
         scene.wait_ready(daemon, engines=3)
     holder = control.wait_holder(daemons)
     load = callerload.Load(
-        daemons=daemons, callers=6, max_tokens=_TOKENS, name="change"
+        daemons=daemons, callers=24, max_tokens=_TOKENS, name="change"
     )
     with load:
-        load.wait_answers(12)
+        load.wait_answers(48)
         term = control.read_group(holder)["term"]
         order_id = world.intend(addresses[0], "decode", term)
         control.wait_settled(holder, addresses[0], "decode", order_id=order_id)
-        load.wait_answers(12)
+        load.wait_answers(48)
     scene.assert_whole(load.answers, _TOKENS)
     control.assert_apart(addresses[0])
