--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 	$(PY) -m bulrushgrade_cli demo
 
 test: $(VENV)/.ready  ## run every test
-	$(PY) -m pytest
+	$(PY) -m pytest -n 4 --dist loadfile
 
 lint: $(VENV)/.ready  ## check formatting and lint rules
 	$(PY) -m ruff format --check .
@@ -27,4 +27,4 @@
 
 long: $(VENV)/.ready  ## run the state machines longer; prints its seed
 	@seed=$${SEED:-$$(date +%s)}; echo "hypothesis seed: $$seed"; \
-	HYPOTHESIS_PROFILE=long $(PY) -m pytest -k machine --hypothesis-seed=$$seed
+	HYPOTHESIS_PROFILE=long $(PY) -m pytest -k machine -n 4 --hypothesis-seed=$$seed
