--- a/packages/bulrushgrade_daemon/tests/test_failures_documents.py
+++ b/packages/bulrushgrade_daemon/tests/test_failures_documents.py
@@ -134,6 +134,27 @@
     _assert_serves(daemons, "race")
 
 
+def test_race_on_the_log_itself(world):
+    # Two operators' records for one revision stand on the log one after the
+    # other: each had looked before the other wrote, so no check of a command
+    # line could see it. The second must not undo the first one's change.
+    _, daemons = _start(world, 2)
+    text = _read_text(world, "assistant")
+    base = _revision(daemons[0], "assistant")
+    first, second = (
+        world.publish("assistant", _vary(text, seconds), base=base)
+        for seconds in (41, 42)
+    )
+    _wait_revision(daemons, "assistant", first)
+    for daemon in daemons:
+        processes.wait_for(
+            lambda at=daemon: (
+                control.dump(at, "documents")["reader"]["offset"] > second
+            )
+        )
+        assert _revision(daemon, "assistant") == first
+
+
 def test_bad_and_greedy_documents_harm_nobody(world):
     # A new team publishes what can't be read, what is far too long, and then
     # a share that the fleet can't honour beside the one already promised.
