Serve on engines of one role alone where the other role is gone

Ruled out: waiting for the role plan, which needs a lease, half a minute of demand and the log. Change: with no engine of the other role in service, a role does not exclude work.

--- a/packages/bulrushgrade/bulrushgrade/placement.py
+++ b/packages/bulrushgrade/bulrushgrade/placement.py
@@ -191,7 +191,9 @@
     cached = hits.get(reader.endpoint.address, 0) * work.BLOCK_TOKENS
     reading = ask.work.prompt_tokens + ask.tokens_done
     uncached = max(float(reading - cached), 1.0)
-    if reader.endpoint.role is not work.Role.PREFILL:
+    # As for reading: with no engine for answers left, the reader goes on.
+    alone = not among.has_decoders
+    if alone or reader.endpoint.role is not work.Role.PREFILL:
         yield _predict(among, ask, reader, reader, uncached, now)
     if not reader.endpoint.moves_kv:
         return
--- a/packages/bulrushgrade/bulrushgrade/pool.py
+++ b/packages/bulrushgrade/bulrushgrade/pool.py
@@ -80,6 +80,11 @@
         """Returns how many endpoints are in service."""
         return len(self._keys)
 
+    @property
+    def has_decoders(self) -> bool:
+        """Whether an engine for answers is in service."""
+        return bool(self._decoders)
+
     def fellows(self, role: work.Role) -> list[ejection.Health]:
         """Returns the health of all endpoints in service with this role."""
         return [
@@ -106,6 +111,10 @@
             item: The work.
             hits: Blocks of its prefix that endpoints hold.
         """
+        # A role is what an engine does best, not all that it can do. With
+        # every engine for prompts lost, slow answers are better than none.
+        if not self._readers:
+            return self.decoders()
         found = dict.fromkeys(a for a in hits if a in self.loads)
         if item.prefix and self._ring:
             index = bisect.bisect(self._ring, (item.prefix[0], ""))
--- a/packages/bulrushgrade/tests/test_scheduler.py
+++ b/packages/bulrushgrade/tests/test_scheduler.py
@@ -2,6 +2,8 @@
 
 import random
 
+import pytest
+
 from bulrushgrade import retry
 from bulrushgrade import scheduler
 from bulrushgrade import work
@@ -190,3 +192,12 @@
     made.offer(_work("first"), 0.0)
     assert isinstance(made.offer(_work("second"), 0.0), work.Queued)
     assert made.poll(0.6) == ()
+
+
+@pytest.mark.parametrize("role", list(work.Role))
+def test_engines_of_one_role_alone_serve_all_work(role):
+    # A zone is lost, and with it every engine of the other role: callers
+    # would be refused until a change of role, which takes seconds and needs
+    # a lease, while engines that can do the work stand idle.
+    made = _scheduler(_engine(1, role=role), _engine(2, role=role))
+    assert isinstance(made.offer(_work("a"), 0.0), work.Placed)
