Block on full engines for answers, where there are such engines

Ruled out: a fault of the fallback. Change: the test now has an engine for answers, places on it, fills its memory and expects the block: more than before. Before: 1 failed; after: the library's and stand-ins' suites pass.

--- a/packages/bulrushgrade/tests/test_placement.py
+++ b/packages/bulrushgrade/tests/test_placement.py
@@ -68,6 +68,15 @@
     _busy(among, "e0", load.Amount(2.0, 0.0, 99_000.0))
     assert _choose(among, _ask()) is placement.Blocked.READING
     split = _pool(2, role=work.Role.PREFILL)
+    answering = work.Endpoint(
+        address="d0",
+        model="m",
+        kv_capacity_tokens=100_000,
+        role=work.Role.DECODE,
+    )
+    split.put(load.EndpointLoad(endpoint=answering))
+    assert _choose(split, _ask()).decode.endpoint.address == "d0"
+    _busy(split, "d0", load.Amount(2.0, 0.0, 99_000.0))
     assert _choose(split, _ask()) is placement.Blocked.ANSWERING
 
 
