Sleep by the timer service; word two refusals once

Cause: a read as a newcomer found the timer's sleep written three times and the refusals for a passed deadline and for an unknown outcome in both relays. Ruled out: merging the two relays, whose attempts differ. Conclusion: ten lines less.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/callers.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/callers.py
@@ -129,11 +129,11 @@
         taken, and what is open is finished.
         """
         self._stopping = True
-        await self._sleep(self._limits.stop_grace_s)
+        await self._parts.timers.sleep(self._limits.stop_grace_s)
         await defer.maybeDeferred(self._port.stopListening)
         give_up = self._parts.timers.now + self._limits.drain_limit_s
         while self._open and self._parts.timers.now < give_up:
-            await self._sleep(DRAIN_CHECK_S)
+            await self._parts.timers.sleep(DRAIN_CHECK_S)
 
     def receive(self, message: Any) -> None:
         """Takes no messages."""
@@ -273,8 +273,3 @@
                 retry_after_s=NOT_READY_RETRY_S,
             )
         return None
-
-    async def _sleep(self, delay_s: float) -> None:
-        done: defer.Deferred = defer.Deferred()
-        self._parts.timers.after(delay_s, lambda: done.callback(None))
-        await done
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/claims.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/claims.py
@@ -115,7 +115,7 @@
         """Waits for outcomes to reach the log, then follows no more."""
         give_up = self._timers.now + STOP_LIMIT_S
         while self._unsettled() and self._timers.now < give_up:
-            await self._sleep(TICK_S)
+            await self._timers.sleep(TICK_S)
         self._tick.cancel()
         for shard in self._shards:
             shard.tail.stop()
@@ -321,11 +321,6 @@
     def _unsettled(self) -> int:
         return sum(shard.view.unsettled for shard in self._shards)
 
-    async def _sleep(self, delay_s: float) -> None:
-        done: defer.Deferred = defer.Deferred()
-        self._timers.after(delay_s, lambda: done.callback(None))
-        await done
-
 
 def _content_type(answer: plain.PlainAnswer) -> str:
     for name, value in answer.headers:
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/clock.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/clock.py
@@ -5,6 +5,8 @@
 import traceback
 from typing import Any
 
+from twisted.internet import defer
+
 from bulrushgrade import timer
 
 # A callback that is due within this many seconds runs now: arming the
@@ -72,6 +74,15 @@
         self._arm()
         return subscription
 
+    async def sleep(self, delay_s: float) -> None:
+        """Returns in `delay_s` seconds; may be cancelled meanwhile."""
+        woken: defer.Deferred = defer.Deferred()
+        subscription = self.after(delay_s, lambda: woken.callback(None))
+        try:
+            await woken
+        finally:
+            subscription.cancel()
+
     async def start(self) -> None:
         """Begins to call subscribers."""
         self._running = True
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/logclient.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/logclient.py
@@ -373,11 +373,4 @@
     async def _back_off(self) -> None:
         ceiling_s = min(RETRY_MAX_S, RETRY_MIN_S * 2 ** min(self._failures, 8))
         delay_s = self._rng.uniform(RETRY_MIN_S, ceiling_s)
-        pause: defer.Deferred = defer.Deferred()
-        subscription = self._timers.after(
-            delay_s, lambda: pause.called or pause.callback(None)
-        )
-        try:
-            await pause
-        finally:
-            subscription.cancel()
+        await self._timers.sleep(delay_s)
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/plainrelay.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/plainrelay.py
@@ -12,9 +12,6 @@
 from bulrushgrade_daemon import plain
 from bulrushgrade_daemon import refusal
 
-# After a deadline was missed: the load that caused it has to pass first.
-LATE_RETRY_S = 1.0
-
 
 @attrs.define(kw_only=True, eq=False)
 class PlainJob:
@@ -184,25 +181,14 @@
         # Its work may be done and only the answer lost: a second run is what
         # must not be, so the caller is told the truth instead.
         if job.maybe_ran and not job.work.repeatable:
-            return refusal.Refusal(
-                status=502,
-                code="outcome_unknown",
-                message="the answer was lost; the request may have run",
-                ran=ran,
-            )
+            return refusal.outcome_unknown()
         if self._timers.now >= job.work.deadline:
-            return refusal.Refusal(
-                status=504,
-                code="deadline",
-                message="the answer could not be had in time",
-                ran=ran,
-                retry_after_s=LATE_RETRY_S,
-            )
+            return refusal.late(ran)
         if job.may_retry is not None and not job.may_retry():
             return refusal.Refusal(
                 status=503,
                 code="not_started_in_time",
                 message="the request was not started within its limit",
-                retry_after_s=LATE_RETRY_S,
+                retry_after_s=refusal.LATE_RETRY_S,
             )
         return None
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/refusal.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/refusal.py
@@ -13,6 +13,8 @@
 
 from bulrushgrade import work
 
+# After a deadline was missed: the load that caused it has to pass first.
+LATE_RETRY_S = 1.0
 _CALLER_TO_SLOW_DOWN = frozenset(
     {
         work.RefusalCode.OVERLOADED,
@@ -71,6 +73,27 @@
     return str(max(1, math.ceil(refusal.retry_after_s)))
 
 
+def late(ran: Ran) -> Refusal:
+    """Returns the refusal of a request whose deadline has passed."""
+    return Refusal(
+        status=504,
+        code="deadline",
+        message="the answer could not be had in time",
+        ran=ran,
+        retry_after_s=LATE_RETRY_S,
+    )
+
+
+def outcome_unknown() -> Refusal:
+    """Returns the refusal of what must not be repeated and may have run."""
+    return Refusal(
+        status=502,
+        code="outcome_unknown",
+        message="the answer was lost; the request may have run",
+        ran=Ran.UNKNOWN,
+    )
+
+
 def bad_request(message: str, *, status: int = 400, code: str = "bad_request"):
     """Returns the refusal of a request that is wrong in itself."""
     return Refusal(status=status, code=code, message=message)
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/relay.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/relay.py
@@ -22,8 +22,6 @@
 # Progress is told to the scheduler in steps: one call a token would cost more
 # than the relay itself.
 PROGRESS_TOKENS = 16
-# After a deadline was missed: the load that caused it has to pass first.
-LATE_RETRY_S = 1.0
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -240,12 +238,7 @@
         # lost.
         if not job.work.repeatable and job.maybe_ran:
             self._finish(job, placing.FAILED)
-            return refusal.Refusal(
-                status=502,
-                code="outcome_unknown",
-                message="the answer was lost; the request may have run",
-                ran=refusal.Ran.UNKNOWN,
-            )
+            return refusal.outcome_unknown()
         return None
 
     async def _attempt(
@@ -380,13 +373,7 @@
 
 def _late(job: ModelJob) -> refusal.Refusal:
     ran = refusal.Ran.UNKNOWN if job.maybe_ran else refusal.Ran.NOT_RUN
-    return refusal.Refusal(
-        status=504,
-        code="deadline",
-        message="the answer could not be had in time",
-        ran=ran,
-        retry_after_s=LATE_RETRY_S,
-    )
+    return refusal.late(ran)
 
 
 def _refuse(refused: work_module.Refused, job: ModelJob) -> refusal.Refusal:
