Serve callers on the users' platform: the whole path, thin

Cause: the daemon spoke its own chat interface only; the platform's callers send plain requests and numbered event streams that have to be passed through by host name and longest path prefix.

Every call to an endpoint or the store has a connection of its own, which rules out stale, silent and crossed connections.

--- /dev/null
+++ b/packages/bulrushgrade/bulrushgrade/directory.py
@@ -0,0 +1,203 @@
+"""Which endpoints there are, from records that may be late, old or false.
+
+Endpoints register themselves under an id. A restarted endpoint may keep its
+id; its start time then tells the two apart, so that an incarnation is id and
+start together. Records of another writer may look like an endpoint's; what
+can't be decoded never gets here, and what is older than what is known is
+left out.
+"""
+
+from collections.abc import Iterable
+import enum
+
+import attrs
+
+
+class EndpointState(enum.Enum):
+    """What an endpoint says of itself."""
+
+    READY = "ready"
+    DRAINING = "draining"
+
+
+class Stage(enum.Enum):
+    """The role of a model engine."""
+
+    PREFILL = "prefill"
+    DECODE = "decode"
+
+
+@attrs.frozen(kw_only=True)
+class Registration:
+    """What an endpoint published about itself.
+
+    Attributes:
+        id: Its id, which a restarted endpoint may use again.
+        born_ms: When it started, Unix milliseconds; part of its identity.
+        service: The service that it belongs to.
+        host: Its IP number.
+        port: Its port.
+        zone: Its availability zone.
+        slots: Requests that it works on at a time.
+        state: Whether it takes new work.
+        cold_s: How much longer it stays slow after its start, in seconds.
+        stage: An engine's role; None for a plain endpoint.
+        sequence: Grows with each record of an incarnation.
+    """
+
+    id: str
+    born_ms: int
+    service: str
+    host: str
+    port: int
+    zone: str
+    slots: int
+    state: EndpointState
+    cold_s: float
+    stage: Stage | None
+    sequence: int
+
+    @property
+    def incarnation(self) -> tuple[str, int]:
+        """What no other start of any endpoint has."""
+        return (self.id, self.born_ms)
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Grows from each record of an id to the next."""
+        return (self.born_ms, self.sequence)
+
+
+@attrs.frozen(kw_only=True)
+class Change:
+    """What a record changed.
+
+    Attributes:
+        id: The endpoint's id.
+        was: What was known before, or None.
+        now: What is known now, or None where it is gone.
+    """
+
+    id: str
+    was: Registration | None
+    now: Registration | None
+
+
+@attrs.define(kw_only=True)
+class _Entry:
+    """One endpoint.
+
+    Attributes:
+        known: Its newest record.
+        leaving_since: When it was first seen to leave, or None.
+        gone: Whether its record was taken away.
+    """
+
+    known: Registration
+    leaving_since: float | None = None
+    gone: bool = False
+
+
+class Directory:
+    """The endpoints that are known, and until when each may be used."""
+
+    def __init__(self, *, leaving_use_s: float):
+        """Makes an empty directory.
+
+        Args:
+            leaving_use_s: How long an endpoint that is seen to leave may
+                still be used where there is no other. Shorter than the time
+                in which work to it has to end. Entries that lapsed with an
+                outage of the store are back within it.
+        """
+        self._leaving_use_s = leaving_use_s
+        self._entries: dict[str, _Entry] = {}
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    @property
+    def registrations(self) -> list[Registration]:
+        """Every endpoint that has a record, draining ones too."""
+        return [e.known for e in self._entries.values() if not e.gone]
+
+    def put(self, found: Registration, *, now: float) -> Change | None:
+        """Takes a record; returns what it changed, or None.
+
+        A record that is older than the known one of the same id is a late
+        copy: taking it would bring back an incarnation that is gone, or a
+        state that has passed.
+        """
+        entry = self._entries.get(found.id)
+        if entry is None:
+            entry = _Entry(known=found)
+            self._entries[found.id] = entry
+            self._note_state(entry, now)
+            return Change(id=found.id, was=None, now=found)
+        if found.order < entry.known.order:
+            return None
+        was = None if entry.gone else entry.known
+        reborn = found.incarnation != entry.known.incarnation
+        if entry.gone and not reborn and found.order == entry.known.order:
+            return None
+        entry.known = found
+        entry.gone = False
+        if reborn or found.state is EndpointState.READY:
+            entry.leaving_since = None
+        self._note_state(entry, now)
+        if was is not None and attrs.evolve(
+            was, sequence=found.sequence, cold_s=found.cold_s
+        ) == found:
+            return None
+        return Change(id=found.id, was=was, now=found)
+
+    def remove(self, id: str, *, now: float) -> Change | None:
+        """Notes that an endpoint's record was taken away."""
+        entry = self._entries.get(id)
+        if entry is None or entry.gone:
+            return None
+        entry.gone = True
+        if entry.leaving_since is None:
+            entry.leaving_since = now
+        return Change(id=id, was=entry.known, now=None)
+
+    def replace(
+        self, found: Iterable[Registration], *, now: float
+    ) -> list[Change]:
+        """Takes the whole list; what is not in it is gone."""
+        listed = {registration.id: registration for registration in found}
+        changes = [
+            self.remove(id, now=now)
+            for id in list(self._entries)
+            if id not in listed
+        ]
+        changes += [self.put(r, now=now) for r in listed.values()]
+        return [change for change in changes if change is not None]
+
+    def forget(self, *, now: float, after_s: float) -> None:
+        """Drops endpoints that have been gone for long, to bound memory."""
+        for id, entry in list(self._entries.items()):
+            if entry.gone and now - entry.leaving_since > after_s:
+                del self._entries[id]
+
+    def usable(self, service: str, *, now: float) -> list[Registration]:
+        """Returns the endpoints that may get a request now.
+
+        Ready ones where there are any; else those that were seen to leave a
+        moment ago. With the store's outage all records may lapse at once
+        while every endpoint serves on.
+        """
+        ready, leaving = [], []
+        for entry in self._entries.values():
+            if entry.known.service != service:
+                continue
+            if entry.leaving_since is None:
+                ready.append(entry.known)
+            elif now - entry.leaving_since < self._leaving_use_s:
+                leaving.append(entry.known)
+        return ready or leaving
+
+    def _note_state(self, entry: _Entry, now: float) -> None:
+        draining = entry.known.state is EndpointState.DRAINING
+        if draining and entry.leaving_since is None:
+            entry.leaving_since = now
--- /dev/null
+++ b/packages/bulrushgrade/bulrushgrade/prompt.py
@@ -0,0 +1,43 @@
+"""Prompts known by their parts and sizes instead of their text."""
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class PromptPart:
+    """A run of tokens that other prompts may begin with as well.
+
+    Attributes:
+        id: The same for the same tokens.
+        tokens: How many there are.
+    """
+
+    id: str
+    tokens: int
+
+
+@attrs.frozen(kw_only=True)
+class Prompt:
+    """What a request for a model engine says of its work.
+
+    Attributes:
+        model: The model's name.
+        parts: In order; the last one belongs to the request or its session.
+        prompt_tokens: Tokens to read in all.
+        output_tokens: Tokens to generate at most.
+    """
+
+    model: str
+    parts: tuple[PromptPart, ...]
+    prompt_tokens: int
+    output_tokens: int
+
+    @property
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """The parts that other requests are likely to begin with."""
+        return self.parts[:-1]
+
+    @property
+    def shared_tokens(self) -> int:
+        """How many tokens the shared parts have."""
+        return sum(part.tokens for part in self.shared_parts)
--- /dev/null
+++ b/packages/bulrushgrade/bulrushgrade/retryshare.py
@@ -0,0 +1,52 @@
+"""One daemon's share of a retry budget that all daemons draw on together.
+
+The budget is a ratio of the requests of a sliding window plus a fixed number.
+Daemons do not ask each other before a retry. Each keeps to the ratio of its
+own requests and to its part of the fixed number; the sum of the shares is
+then never more than the whole, whichever daemons run and whoever hears whom.
+"""
+
+import collections
+
+RATIO_USED = 0.9
+"""The part of the ratio that is used. Requests of a window are counted when
+they arrive here; who counts elsewhere may put its window's edge some requests
+away, so a tenth is left unused."""
+
+
+class RetryShare:
+    """Retries to one service that this daemon may still send."""
+
+    def __init__(self, *, ratio: float, extra: float, window_s: float):
+        """Makes a share with nothing spent.
+
+        Args:
+            ratio: Retries for each request of the window.
+            extra: Retries a window beside, this daemon's part.
+            window_s: The length of the window in seconds.
+        """
+        self._ratio = ratio * RATIO_USED
+        self._extra = extra
+        self._window_s = window_s
+        self._requests: collections.deque[float] = collections.deque()
+        self._retries: collections.deque[float] = collections.deque()
+
+    def count_request(self, now: float) -> None:
+        """Counts a request of a caller."""
+        self._requests.append(now)
+        self._drop_old(now)
+
+    def spend(self, now: float) -> bool:
+        """Takes one retry, or returns False where none is left."""
+        self._drop_old(now)
+        allowed = self._ratio * len(self._requests) + self._extra
+        if len(self._retries) + 1 > allowed:
+            return False
+        self._retries.append(now)
+        return True
+
+    def _drop_old(self, now: float) -> None:
+        oldest = now - self._window_s
+        for times in (self._requests, self._retries):
+            while times and times[0] < oldest:
+                times.popleft()
--- /dev/null
+++ b/packages/bulrushgrade/bulrushgrade/routing.py
@@ -0,0 +1,185 @@
+"""Which service a request goes to: a versioned configuration of routes.
+
+A configuration is always replaced as a whole. Requests look up the route
+whose host name is theirs and whose path prefix is the longest that fits.
+"""
+
+import enum
+import random
+
+import attrs
+
+
+class RequestKind(enum.Enum):
+    """What may be done with a request whose outcome is unknown."""
+
+    IDEMPOTENT = "idempotent"
+    ONCE = "once"
+    STREAM = "stream"
+
+
+@attrs.frozen(kw_only=True)
+class Target:
+    """A service that a route may send requests to.
+
+    Attributes:
+        service: The service's name.
+        weight: Its share of the route's requests, relative to the others.
+    """
+
+    service: str
+    weight: float
+
+
+@attrs.frozen(kw_only=True)
+class Route:
+    """One route.
+
+    Attributes:
+        name: For logs.
+        hostname: The host name that requests carry, in small letters.
+        path_prefix: Begins and ends with a slash.
+        kind: What may be repeated.
+        resumable: Whether a broken stream may go on at another endpoint.
+        timeout_s: The longest that a caller is kept waiting.
+        target_s: Answers (streams: first events) after this are late.
+        gap_s: The longest pause between events that is not late, or None.
+        priority: 0 is the most urgent.
+        max_attempts: Endpoints that one request may be run on.
+        by_prompt: Whether requests tell which parts their prompt has.
+        targets: The services, at least one.
+    """
+
+    name: str
+    hostname: str
+    path_prefix: str
+    kind: RequestKind
+    resumable: bool
+    timeout_s: float
+    target_s: float
+    gap_s: float | None
+    priority: int
+    max_attempts: int
+    by_prompt: bool
+    targets: tuple[Target, ...]
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether a request may run more than once."""
+        if self.kind is RequestKind.STREAM:
+            return self.resumable
+        return self.kind is RequestKind.IDEMPOTENT
+
+
+@attrs.frozen(kw_only=True)
+class EngineTraits:
+    """What all engines of a service have in common.
+
+    Attributes:
+        slots: Requests that one engine runs at a time.
+        memory_tokens: Tokens that fit an engine's memory.
+        token_bytes: Bytes of KV cache a token.
+        link_bytes_per_s: What an engine's link carries.
+        handle_s: How long an engine keeps a prompt that it read for another.
+    """
+
+    slots: int
+    memory_tokens: int
+    token_bytes: int
+    link_bytes_per_s: float
+    handle_s: float
+
+
+@attrs.frozen(kw_only=True)
+class Service:
+    """A service with its endpoints' common limits.
+
+    Attributes:
+        name: The name that routes and endpoints carry.
+        max_connections: Connections that one endpoint takes from all callers.
+        engine: What its engines have in common; None for a plain service.
+    """
+
+    name: str
+    max_connections: int
+    engine: EngineTraits | None = None
+
+
+@attrs.frozen(kw_only=True)
+class CallerLimits:
+    """What a caller may send and how long it may take.
+
+    Attributes:
+        max_header_bytes: All headers of a request together.
+        max_body_bytes: The largest body.
+        header_timeout_s: How long a caller may take to send its headers.
+        idle_timeout_s: When a connection without a request is closed.
+    """
+
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_s: float
+    idle_timeout_s: float
+
+
+@attrs.frozen(kw_only=True)
+class Configuration:
+    """Everything that operators publish, as one version.
+
+    Attributes:
+        version: Only ever grows.
+        routes: The routes.
+        services: The services by name.
+        limits: What callers may do.
+    """
+
+    version: int
+    routes: tuple[Route, ...]
+    services: dict[str, Service]
+    limits: CallerLimits
+
+
+class RouteTable:
+    """Finds the route of a request, in time independent of the routes."""
+
+    def __init__(self, *, configuration: Configuration):
+        self._configuration = configuration
+        self._by_host: dict[str, dict[str, Route]] = {}
+        for route in configuration.routes:
+            prefixes = self._by_host.setdefault(route.hostname, {})
+            prefixes[route.path_prefix] = route
+
+    @property
+    def configuration(self) -> Configuration:
+        """The configuration that the table was made from."""
+        return self._configuration
+
+    def find(self, hostname: str, path: str) -> Route | None:
+        """Returns the route with the longest prefix of a path, or None.
+
+        Args:
+            hostname: As the request carries it, a port included or not.
+            path: Without the query.
+        """
+        prefixes = self._by_host.get(_normalize(hostname))
+        if prefixes is None:
+            return None
+        end = path.rfind("/") + 1
+        while end > 0:
+            route = prefixes.get(path[:end])
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end - 1) + 1
+        return None
+
+
+def _normalize(hostname: str) -> str:
+    return hostname.rsplit(":", 1)[0].lower() if hostname else ""
+
+
+def pick_service(route: Route, rng: random.Random) -> str:
+    """Returns the service that a request goes to, by the route's weights."""
+    if len(route.targets) == 1:
+        return route.targets[0].service
+    weights = [target.weight for target in route.targets]
+    return rng.choices(route.targets, weights=weights)[0].service
--- /dev/null
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gateway.py
@@ -0,0 +1,497 @@
+"""Puts the services of one gateway together and runs its life.
+
+A gateway forwards callers' requests to endpoints by a configuration that it
+follows on the platform's store. It keeps nothing beyond its process.
+"""
+
+import random
+import secrets
+import signal
+from typing import Any
+
+import attrs
+import msgspec
+from returns.result import Failure
+
+from bulrushgrade import balance
+from bulrushgrade import directory as directory_module
+from bulrushgrade import kernel as kernel_module
+from bulrushgrade import retryshare
+from bulrushgrade import routing
+from bulrushgrade_daemon import clock
+from bulrushgrade_daemon import decisionlog
+from bulrushgrade_daemon import dialect as dialect_module
+from bulrushgrade_daemon import follower
+from bulrushgrade_daemon import forwarder
+from bulrushgrade_daemon import front
+from bulrushgrade_daemon import gatewaysettings
+from bulrushgrade_daemon import metrics
+from bulrushgrade_daemon import pages
+from bulrushgrade_daemon import settings as settings_module
+from bulrushgrade_daemon import task
+
+LEAVING_USE = 0.6
+"""The part of the drain bound for which a leaving endpoint may still be used
+where there is no other. What is left covers the age of this host's view and
+the way of the last request."""
+
+ENDPOINT_READS_A_BOUND = 3.0
+"""Reads of the endpoints' topic in a drain bound. Endpoints' heartbeats move
+the topic all the time, so a read that waits would return with each of them;
+three reads leave room for one that fails."""
+
+CONFIGURATION_READS_A_BOUND = 1.5
+"""Reads of the configuration in its bound when nothing changes. A read waits
+for a change, so this only limits how long a silent store goes unnoticed."""
+
+MOST_HOSTS = 64
+"""Hosts that the fixed part of the retry budget is divided by. The settings
+don't tell how many hosts there are."""
+
+FORGET_S = 60.0
+"""How long an endpoint that is gone is remembered, so that late copies of its
+records are known as such."""
+
+STOP_LISTEN_S = 3.0
+"""How long a stopping host goes on taking connections: the balancer asks
+once a second and needs two answers to take it out."""
+
+STOP_RESERVE_S = 0.8
+"""Of the time to stop, what is kept for the end of the process itself."""
+
+STOP_CHECK_S = 0.1
+"""Between two looks at whether a stopping host is idle."""
+
+_DEFAULT_LIMITS = routing.CallerLimits(
+    max_header_bytes=16384,
+    max_body_bytes=4 * 1024 * 1024,
+    header_timeout_s=5.0,
+    idle_timeout_s=15.0,
+)
+
+
+@attrs.frozen(kw_only=True)
+class Adapter:
+    """What ties a gateway to one platform.
+
+    Attributes:
+        dialect: Translates headers.
+        configuration_reader: Reads the topic of the configuration.
+        endpoint_reader: Reads the topic of the endpoints.
+        decode_configuration: Returns the configuration in a record of a key,
+            None where the key holds something else, or a failure.
+        decode_registration: Returns an endpoint's registration or a failure.
+    """
+
+    dialect: dialect_module.Dialect
+    configuration_reader: follower.KeyedReader
+    endpoint_reader: follower.KeyedReader
+    decode_configuration: Any
+    decode_registration: Any
+
+
+class Gateway:
+    """One gateway and what it believes at present."""
+
+    def __init__(
+        self,
+        *,
+        settings: gatewaysettings.GatewaySettings,
+        adapter: Adapter,
+        reactor: Any,
+        on_broken: Any,
+        rng: random.Random | None = None,
+    ):
+        """Makes a gateway that has not been started.
+
+        Args:
+            settings: Its settings.
+            adapter: Ties it to the platform.
+            reactor: The reactor that it runs in.
+            on_broken: Called with the reason when an invariant is broken.
+            rng: Source of random choices; seeded by the system by default.
+        """
+        self._settings = settings
+        self._adapter = adapter
+        self._reactor = reactor
+        self._rng = rng or random.Random(secrets.randbits(64))
+        self._table: routing.RouteTable | None = None
+        self._stopping = False
+        self._unreadable = 0
+        self._log = decisionlog.DecisionLog(host=settings.host.name)
+        self._endpoints = directory_module.Directory(
+            leaving_use_s=settings.bounds.drain_s * LEAVING_USE
+        )
+        self._balancer = balance.Balancer(
+            zone=settings.host.zone, rng=self._rng
+        )
+        self._kernel = kernel_module.Kernel(
+            call_soon=lambda work: reactor.callLater(0, work),
+            on_broken=on_broken,
+        )
+        self._build()
+
+    @property
+    def kernel(self) -> kernel_module.Kernel:
+        """Starts, stops and dumps the services."""
+        return self._kernel
+
+    @property
+    def log(self) -> decisionlog.DecisionLog:
+        """Takes the lines of decisions."""
+        return self._log
+
+    @property
+    def front(self) -> front.Front:
+        """The side towards callers."""
+        return self._front
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers may be sent here."""
+        return (
+            self._table is not None
+            and self._follow_endpoints.known
+            and not self._stopping
+        )
+
+    async def start(self) -> None:
+        """Starts every service."""
+        await self._kernel.start()
+        self._log.always(
+            "started",
+            callers=self._front.address,
+            zone=self._settings.host.zone,
+        )
+
+    async def stop(self) -> None:
+        """Stops without cutting a request, within the time to stop."""
+        self._stopping = True
+        self._front.announce_stop()
+        began = self._timers.now
+        limit = began + self._settings.bounds.stop_s - STOP_RESERVE_S
+        self._log.always("stopping", open=self._forwarder.open_requests)
+        while self._timers.now < limit:
+            await self._timers.sleep(STOP_CHECK_S)
+            if self._timers.now - began < STOP_LISTEN_S:
+                continue
+            self._front.close_idle()
+            if self._forwarder.open_requests == 0:
+                if self._front.connections == 0:
+                    break
+        left = self._forwarder.open_requests
+        await self._kernel.stop()
+        self._log.always(
+            "stopped", open=left, took_s=round(self._timers.now - began, 2)
+        )
+
+    def reload(self, settings: gatewaysettings.GatewaySettings) -> None:
+        """Takes changed settings; addresses need a restart."""
+        changed = [
+            name
+            for name in ("host", "listen", "store", "bounds")
+            if getattr(settings, name) != getattr(self._settings, name)
+        ]
+        self._settings = settings
+        self._log.always("settings_reloaded", changed=changed)
+
+    def _build(self) -> None:
+        reactor, settings = self._reactor, self._settings
+        self._metrics = metrics.Metrics()
+        self._timers = clock.TimerService(
+            reactor=reactor, on_broken=self._kernel.fail
+        )
+        self._follow_configuration = self._new_follower(
+            "configuration",
+            self._adapter.configuration_reader,
+            wait_s=settings.bounds.configuration_s
+            / CONFIGURATION_READS_A_BOUND,
+            pause_s=0.0,
+            take=self._take_configuration,
+        )
+        self._follow_endpoints = self._new_follower(
+            "endpoints",
+            self._adapter.endpoint_reader,
+            wait_s=0.0,
+            pause_s=settings.bounds.drain_s / ENDPOINT_READS_A_BOUND,
+            take=self._take_endpoints,
+            take_all=self._take_all_endpoints,
+        )
+        self._forwarder = forwarder.Forwarder(
+            parts=forwarder.Parts(
+                reactor=reactor,
+                timers=self._timers,
+                dialect=self._adapter.dialect,
+                table=lambda: self._table,
+                endpoints=self._endpoints,
+                balancer=self._balancer,
+                log=self._log,
+                rng=self._rng,
+                on_broken=self._kernel.fail,
+            ),
+            new_share=self._new_share,
+        )
+        self._front = front.Front(
+            reactor=reactor,
+            host=settings.listen.callers.host,
+            port=settings.listen.callers.port,
+            now=lambda: self._timers.now,
+            limits=self._caller_limits,
+            handle=self._forwarder.handle,
+        )
+        for service in (
+            self._metrics,
+            self._timers,
+            self._follow_configuration,
+            self._follow_endpoints,
+            self._forwarder,
+            self._front,
+            self._new_pages("ready", settings.listen.ready, self._ready_page),
+            self._new_pages("admin", settings.listen.admin, self._admin_page),
+        ):
+            self._kernel.register(service)
+        self._add_counts()
+
+    def _new_follower(
+        self,
+        name: str,
+        reader: follower.KeyedReader,
+        *,
+        take: Any,
+        take_all: Any = None,
+        **pace: float,
+    ) -> follower.Follower:
+        return follower.Follower(
+            name=name,
+            timers=self._timers,
+            reader=reader,
+            on_all=take_all or take,
+            on_records=take,
+            log=self._log,
+            on_broken=self._kernel.fail,
+            **pace,
+        )
+
+    def _new_pages(self, name: str, listen: Any, find: Any) -> pages.Pages:
+        return pages.Pages(
+            name=name,
+            reactor=self._reactor,
+            host=listen.host,
+            port=listen.port,
+            find=find,
+        )
+
+    def _new_share(self) -> retryshare.RetryShare:
+        bounds = self._settings.bounds
+        return retryshare.RetryShare(
+            ratio=bounds.retry_ratio,
+            extra=bounds.retry_extra / MOST_HOSTS,
+            window_s=bounds.retry_window_s,
+        )
+
+    def _add_counts(self) -> None:
+        for name, doc, read in (
+            (
+                "requests_total",
+                "Requests by how they ended, attempts by what came of them.",
+                lambda: self._forwarder.counts,
+            ),
+            (
+                "log_lines_total",
+                "Lines written and dropped.",
+                lambda: self._log.counts,
+            ),
+            (
+                "unreadable_records_total",
+                "Records of the store that can't be decoded.",
+                lambda: {"records": self._unreadable},
+            ),
+            (
+                "configuration_reads_total",
+                "Reads of the configuration's topic.",
+                lambda: self._follow_configuration.counts,
+            ),
+            (
+                "endpoint_reads_total",
+                "Reads of the endpoints' topic.",
+                lambda: self._follow_endpoints.counts,
+            ),
+        ):
+            self._metrics.add_counts(name, doc, read)
+        self._metrics.gauge(
+            "open_requests",
+            "Requests under way.",
+            read=lambda: self._forwarder.open_requests,
+        )
+
+    def _caller_limits(self) -> routing.CallerLimits:
+        if self._table is None:
+            return _DEFAULT_LIMITS
+        return self._table.configuration.limits
+
+    def _take_configuration(
+        self, records: tuple[follower.KeyedRecord, ...]
+    ) -> None:
+        for record in records:
+            decoded = self._adapter.decode_configuration(record)
+            if isinstance(decoded, Failure):
+                self._note_unreadable(record, decoded.failure())
+                continue
+            found = decoded.unwrap()
+            if found is not None:
+                self._put_in_force(found)
+
+    def _put_in_force(self, found: routing.Configuration) -> None:
+        before = self._table.configuration.version if self._table else None
+        # Records may be read again after a gap; a version never goes back.
+        if before is not None and found.version <= before:
+            return
+        self._table = routing.RouteTable(configuration=found)
+        self._log.note(
+            "configuration_in_force",
+            version=found.version,
+            before=before,
+            routes=len(found.routes),
+            services=len(found.services),
+        )
+
+    def _take_endpoints(
+        self, records: tuple[follower.KeyedRecord, ...]
+    ) -> None:
+        now = self._timers.now
+        for record in records:
+            if record.value is None:
+                self._note_change(self._endpoints.remove(record.key, now=now))
+                continue
+            registration = self._decode_registration(record)
+            if registration is not None:
+                self._note_change(self._endpoints.put(registration, now=now))
+        self._forget()
+
+    def _take_all_endpoints(
+        self, records: tuple[follower.KeyedRecord, ...]
+    ) -> None:
+        decoded = [self._decode_registration(r) for r in records if r.value]
+        found = [r for r in decoded if r is not None]
+        now = self._timers.now
+        for change in self._endpoints.replace(found, now=now):
+            self._note_change(change)
+        self._forget()
+
+    def _decode_registration(
+        self, record: follower.KeyedRecord
+    ) -> directory_module.Registration | None:
+        decoded = self._adapter.decode_registration(record)
+        if isinstance(decoded, Failure):
+            self._note_unreadable(record, decoded.failure())
+            return None
+        return decoded.unwrap()
+
+    def _note_unreadable(
+        self, record: follower.KeyedRecord, failure: Any
+    ) -> None:
+        self._unreadable += 1
+        self._log.note(
+            "record_unreadable", key=record.key, reason=failure.reason
+        )
+
+    def _note_change(self, change: directory_module.Change | None) -> None:
+        if change is None:
+            return
+        now = change.now
+        self._log.note(
+            "endpoint_changed",
+            endpoint=change.id,
+            service=(now or change.was).service,
+            address=f"{now.host}:{now.port}" if now else None,
+            state=now.state.value if now else "gone",
+            born_ms=now.born_ms if now else None,
+            stage=now.stage.value if now and now.stage else None,
+        )
+
+    def _forget(self) -> None:
+        self._endpoints.forget(now=self._timers.now, after_s=FORGET_S)
+        self._balancer.forget(
+            r.incarnation for r in self._endpoints.registrations
+        )
+
+    def _ready_page(self, path: str) -> pages.Page:
+        if self.ready:
+            return pages.Page(status=200, body=b"ready\n")
+        return pages.Page(status=503, body=b"not ready\n")
+
+    def _admin_page(self, path: str) -> pages.Page:
+        if path == "/metrics":
+            return pages.Page(status=200, body=self._metrics.render())
+        if path == "/dump":
+            body = msgspec.json.encode(self._kernel.dump(), enc_hook=str)
+            return pages.Page(
+                status=200, body=body, content_type=b"application/json"
+            )
+        return pages.Page(status=404, body=b"no such page\n")
+
+
+def run(*, path: str, build_adapter: Any, reactor: Any) -> int:
+    """Runs a gateway until SIGTERM; returns the exit code.
+
+    Args:
+        path: The settings file.
+        build_adapter: Returns the adapter from settings and reactor.
+        reactor: The reactor.
+    """
+    read = gatewaysettings.read_settings(path)
+    if isinstance(read, Failure):
+        for error in read.failure():
+            print(settings_module.format_error(error), flush=True)
+        return 2
+    settings = read.unwrap()
+    broken: list[str] = []
+
+    def on_broken(reason: str) -> None:
+        broken.append(reason)
+        gateway.log.always("broken_invariant", reason=reason)
+        reactor.callLater(0, reactor.crash)
+
+    gateway = Gateway(
+        settings=settings,
+        adapter=build_adapter(settings, reactor),
+        reactor=reactor,
+        on_broken=on_broken,
+    )
+
+    async def stop() -> None:
+        await gateway.stop()
+        reactor.stop()
+
+    stopping: list[Any] = []
+
+    def on_stop(number: int, frame: object) -> None:
+        def begin() -> None:
+            if not stopping:
+                stopping.append(True)
+                task.spawn(stop(), name="stop", on_broken=on_broken)
+
+        reactor.callFromThread(begin)
+
+    def on_reload(number: int, frame: object) -> None:
+        def begin() -> None:
+            changed = gatewaysettings.read_settings(path)
+            if isinstance(changed, Failure):
+                texts = [
+                    settings_module.format_error(e) for e in changed.failure()
+                ]
+                gateway.log.always("settings_refused", errors=texts)
+                return
+            gateway.reload(changed.unwrap())
+
+        reactor.callFromThread(begin)
+
+    signal.signal(signal.SIGTERM, on_stop)
+    signal.signal(signal.SIGINT, on_stop)
+    signal.signal(signal.SIGHUP, on_reload)
+    signal.signal(signal.SIGPIPE, signal.SIG_IGN)
+    reactor.callWhenRunning(
+        lambda: task.spawn(gateway.start(), name="start", on_broken=on_broken)
+    )
+    reactor.run(installSignalHandlers=False)
+    return 1 if broken else 0
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/keys.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/keys.py
@@ -117,6 +117,12 @@
     return tuple(_parse_name(name.strip()) for name in text.split(","))
 
 
+def _parse_label(text: str) -> str:
+    if not text or not text.isprintable() or " " in text:
+        raise ValueError("not a label")
+    return text
+
+
 def _parse_level(text: str) -> str:
     if text not in LOG_LEVELS:
         raise ValueError("not a level")
@@ -126,5 +132,6 @@
 NAME = Kind(
     expected="a name of small letters, digits, '-' and '.'", parse=_parse_name
 )
+LABEL = Kind(expected="printable text without spaces", parse=_parse_label)
 NAMES = Kind(expected="names separated by commas, or none", parse=_parse_names)
 LEVEL = Kind(expected="one of " + ", ".join(LOG_LEVELS), parse=_parse_level)
--- /dev/null
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/outbound.py
@@ -0,0 +1,368 @@
+"""One HTTP request on a connection of its own.
+
+A connection that is kept for later requests can be forgotten by what lies
+between, closed by the other end as a request is written, or hold an answer
+that belongs to an earlier request; for a request that may not be repeated,
+each of these is a loss. A connection of its own has none of them, and costs
+the round trip of its opening.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import socket
+from typing import Any
+
+import attrs
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+from twisted.internet import defer
+from twisted.internet import error as internet_error
+from twisted.internet import protocol
+from twisted.web import _newclient
+from twisted.web import http
+from twisted.web import http_headers
+from twisted.web import iweb
+from zope.interface import implementer
+
+USER_TIMEOUT_MS = 1500
+"""How long written bytes may stay unacknowledged before the kernel gives the
+connection up. Endpoints are a few milliseconds away; the longest pause of a
+live link is a retransmission or two, of 200 and 400 ms."""
+
+MAX_REFUSED_BODY_BYTES = 65_536
+"""Of an answer that is read as a whole though it is not passed on."""
+
+
+@attrs.frozen(kw_only=True)
+class CallFailed:
+    """A request that got no answer.
+
+    Attributes:
+        written: Whether any byte of it may have been written.
+        reason: For logs.
+    """
+
+    written: bool
+    reason: str
+
+
+@attrs.frozen(kw_only=True)
+class BodyEnd:
+    """How a body ended.
+
+    Attributes:
+        whole: Whether it is complete: its framing says so, or it had none
+            and the connection was closed in the ordinary way.
+        reason: For logs, where it is not.
+    """
+
+    whole: bool
+    reason: str = ""
+
+
+class _Client(_newclient.HTTP11ClientProtocol):
+    """Keeps why the connection ended, which an unframed body needs."""
+
+    lost_reason: Any = None
+
+    def connectionMade(self) -> None:  # noqa: N802
+        super().connectionMade()
+        handle = self.transport.getHandle()
+        handle.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
+        )
+        # Shows a peer that vanished while the answer is awaited.
+        handle.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1)
+        handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
+        handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
+
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        self.lost_reason = reason
+        _newclient.HTTP11ClientProtocol.connectionLost(self, reason)
+
+
+class _Factory(protocol.ClientFactory):
+    noisy = False
+
+    def __init__(self, *, opened: defer.Deferred):
+        self._opened = opened
+
+    def buildProtocol(self, addr: Any) -> Any:  # noqa: N802
+        client = _Client()
+        client.factory = self
+        made = client.connectionMade
+
+        def announce() -> None:
+            made()
+            opened, self._opened = self._opened, None
+            if opened is not None:
+                opened.callback(client)
+
+        client.connectionMade = announce
+        return client
+
+    def clientConnectionFailed(  # noqa: N802
+        self, connector: Any, reason: Any
+    ) -> None:
+        opened, self._opened = self._opened, None
+        if opened is not None:
+            opened.errback(reason)
+
+
+@implementer(iweb.IBodyProducer)
+class _Body:
+    """A request's body that is in memory already: one write."""
+
+    def __init__(self, *, body: bytes):
+        self._body = body
+        self.length = len(body)
+
+    def startProducing(self, consumer: Any) -> defer.Deferred:  # noqa: N802
+        consumer.write(self._body)
+        return defer.succeed(None)
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Has nothing left to pause."""
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Has nothing left to send."""
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Has nothing left to stop."""
+
+
+class _BodyReader(protocol.Protocol):
+    def __init__(
+        self,
+        *,
+        client: _Client,
+        on_data: Callable[[bytes], None],
+        ended: defer.Deferred,
+    ):
+        self._client = client
+        self._on_data = on_data
+        self._ended = ended
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        self._on_data(data)
+
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        ended, self._ended = self._ended, None
+        if ended is None:
+            return
+        if reason.check(http.PotentialDataLoss):
+            lost = self._client.lost_reason
+            whole = lost is not None and bool(
+                lost.check(internet_error.ConnectionDone)
+            )
+            ended.callback(BodyEnd(whole=whole, reason="reset"))
+        elif reason.check(_newclient.ResponseDone):
+            ended.callback(BodyEnd(whole=True))
+        else:
+            ended.callback(
+                BodyEnd(whole=False, reason=_describe(reason))
+            )
+
+
+class Answer:
+    """The head of an answer, whose body is still to be read."""
+
+    def __init__(self, *, client: _Client, response: Any):
+        self._client = client
+        self._response = response
+
+    @property
+    def status(self) -> int:
+        """The status code."""
+        return self._response.code
+
+    @property
+    def headers(self) -> http_headers.Headers:
+        """The headers but for those that concern the connection."""
+        return self._response.headers
+
+    @property
+    def producer(self) -> Any:
+        """Pauses and resumes the reading of the body."""
+        return self._client.transport
+
+    def read(self, on_data: Callable[[bytes], None]) -> defer.Deferred:
+        """Reads the body; fires with a `BodyEnd`.
+
+        Args:
+            on_data: Called with each part of the body as it arrives.
+        """
+        ended: defer.Deferred = defer.Deferred()
+        reader = _BodyReader(client=self._client, on_data=on_data, ended=ended)
+        self._response.deliverBody(reader)
+        return ended
+
+    def abort(self) -> None:
+        """Drops the connection; the endpoint ends its work on seeing that."""
+        self._client.transport.abortConnection()
+
+
+@attrs.frozen(kw_only=True)
+class OutboundRequest:
+    """A request as it is written.
+
+    Attributes:
+        method: The HTTP method.
+        uri: Path and query, as they are written.
+        headers: Names and values in order; ``Host`` stands once.
+        body: The body, empty for none.
+    """
+
+    method: bytes
+    uri: bytes
+    headers: Iterable[tuple[bytes, bytes]]
+    body: bytes = b""
+
+
+async def send(
+    reactor: Any,
+    host: str,
+    port: int,
+    request: OutboundRequest | Callable[[], OutboundRequest],
+    *,
+    connect_timeout_s: float,
+) -> Result[Answer, CallFailed]:
+    """Sends a request and returns the head of its answer.
+
+    Cancelling ends the connection.
+
+    Args:
+        reactor: The reactor.
+        host: The IP number.
+        port: The port.
+        request: The request, or what makes it in the turn in which it is
+            written, for headers that tell the time that is left.
+        connect_timeout_s: How long the opening may take.
+    """
+    opened: defer.Deferred = defer.Deferred(lambda _: connector.disconnect())
+    connector = reactor.connectTCP(
+        host, port, _Factory(opened=opened), timeout=connect_timeout_s
+    )
+    try:
+        client = await opened
+    except internet_error.ConnectError as error:
+        return Failure(CallFailed(written=False, reason=type(error).__name__))
+    except internet_error.UserError:
+        # The connector reports a cancelled opening in this way.
+        raise defer.CancelledError() from None
+    made = request() if callable(request) else request
+    headers = http_headers.Headers()
+    for name, value in made.headers:
+        headers.addRawHeader(name, value)
+    body = _Body(body=made.body) if made.body else None
+    outgoing = _newclient.Request(
+        made.method, made.uri, headers, body, persistent=False
+    )
+    try:
+        response = await client.request(outgoing)
+    except defer.CancelledError:
+        client.transport.abortConnection()
+        raise
+    except Exception as error:
+        client.transport.abortConnection()
+        if _was_cancelled(error):
+            raise defer.CancelledError() from None
+        return Failure(CallFailed(written=True, reason=_reason(error)))
+    return Success(Answer(client=client, response=response))
+
+
+async def fetch(
+    reactor: Any,
+    host: str,
+    port: int,
+    request: OutboundRequest,
+    *,
+    connect_timeout_s: float,
+    timeout_s: float,
+    max_bytes: int,
+) -> Result[tuple[int, bytes], CallFailed]:
+    """Returns status and body of a small answer that is read as a whole.
+
+    Args:
+        reactor: The reactor.
+        host: The IP number.
+        port: The port.
+        request: The request.
+        connect_timeout_s: How long the opening may take.
+        timeout_s: How long all of it may take.
+        max_bytes: The largest body.
+    """
+    fetched = defer.Deferred.fromCoroutine(
+        _fetch(reactor, host, port, request, connect_timeout_s, max_bytes)
+    )
+    fetched.addTimeout(timeout_s, reactor)
+    try:
+        return await fetched
+    except defer.TimeoutError:
+        return Failure(CallFailed(written=True, reason="timeout"))
+
+
+async def _fetch(
+    reactor: Any,
+    host: str,
+    port: int,
+    request: OutboundRequest,
+    connect_timeout_s: float,
+    max_bytes: int,
+) -> Result[tuple[int, bytes], CallFailed]:
+    sent = await send(
+        reactor, host, port, request, connect_timeout_s=connect_timeout_s
+    )
+    if isinstance(sent, Failure):
+        return sent
+    answer = sent.unwrap()
+    try:
+        return await _read_small(answer, max_bytes)
+    finally:
+        answer.abort()
+
+
+async def _read_small(
+    answer: Answer, max_bytes: int
+) -> Result[tuple[int, bytes], CallFailed]:
+    parts: list[bytes] = []
+    size = 0
+
+    def take(data: bytes) -> None:
+        nonlocal size
+        size += len(data)
+        if size > max_bytes:
+            answer.abort()
+            return
+        parts.append(data)
+
+    end = await answer.read(take)
+    if not end.whole or size > max_bytes:
+        reason = end.reason or "the answer is too large"
+        return Failure(CallFailed(written=True, reason=reason))
+    return Success((answer.status, b"".join(parts)))
+
+
+def _was_cancelled(error: BaseException) -> bool:
+    # A request that is cancelled while its answer is awaited fails like one
+    # whose connection was lost, with the cancellation as the reason.
+    reasons = getattr(error, "reasons", None) or ()
+    return any(reason.check(defer.CancelledError) for reason in reasons)
+
+
+def _reason(error: BaseException) -> str:
+    inner = getattr(error, "reasons", None)
+    if inner:
+        return f"{type(error).__name__}: {_describe(inner[0])}"
+    return type(error).__name__
+
+
+def _describe(failure: Any) -> str:
+    if failure is None:
+        return "unknown"
+    inner = getattr(failure.value, "reasons", None)
+    if inner:
+        return _describe(inner[0])
+    return failure.type.__name__
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/settings.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/settings.py
@@ -8,6 +8,7 @@
 one go and not by one failed start after another.
 """
 
+from collections.abc import Mapping
 import configparser
 from typing import Any
 
@@ -197,9 +198,8 @@
 
 
 def _parse_section(
-    file: str, section: str, texts: dict[str, str]
+    file: str, section: str, cls: type, texts: dict[str, str]
 ) -> tuple[Any, list[errors.SettingsError]]:
-    cls = _SECTIONS[section]
     fields = {field.name: field for field in attrs.fields(cls)}
     known = "one of " + ", ".join(fields)
     found = []
@@ -264,15 +264,19 @@
     return found
 
 
-def parse_settings(text: str, *, file: str) -> Result[Settings, Errors]:
-    """Returns the settings in the text of an INI file.
+def parse_sections(
+    text: str, *, file: str, sections: Mapping[str, type]
+) -> Result[dict[str, Any], Errors]:
+    """Returns the sections in the text of an INI file, each as its class.
 
     Args:
         text: The text.
         file: What errors name as the file.
+        sections: The class of each section that there may be; its fields
+            carry their kind as metadata.
 
     Returns:
-        The settings, or every error in them.
+        An object a section, or every error in them.
     """
     parser = _new_parser()
     try:
@@ -283,38 +287,57 @@
         )
     found = []
     for section in parser.sections():
-        if section not in _SECTIONS:
+        if section not in sections:
             found.append(
                 errors.SettingsError(
                     file=file,
                     section=section,
                     key="",
                     reason="unknown section",
-                    expected="one of " + ", ".join(_SECTIONS),
+                    expected="one of " + ", ".join(sections),
                 )
             )
-    sections = {}
-    for section in _SECTIONS:
+    parsed = {}
+    for section, cls in sections.items():
         texts = dict(parser[section]) if parser.has_section(section) else {}
-        sections[section], wrong = _parse_section(file, section, texts)
+        parsed[section], wrong = _parse_section(file, section, cls, texts)
         found.extend(wrong)
-    if not found:
-        settings = Settings(**sections)
-        found = _check_together(file, settings)
+    return Failure(tuple(found)) if found else Success(parsed)
+
+
+def parse_settings(text: str, *, file: str) -> Result[Settings, Errors]:
+    """Returns the settings in the text of an INI file.
+
+    Args:
+        text: The text.
+        file: What errors name as the file.
+
+    Returns:
+        The settings, or every error in them.
+    """
+    parsed = parse_sections(text, file=file, sections=_SECTIONS)
+    if isinstance(parsed, Failure):
+        return parsed
+    settings = Settings(**parsed.unwrap())
+    found = _check_together(file, settings)
     return Failure(tuple(found)) if found else Success(settings)
 
 
-def read_settings(path: str) -> Result[Settings, Errors]:
-    """Returns the settings in a file, or every error in it."""
+def read_text(path: str) -> Result[str, Errors]:
+    """Returns the text of a settings file, or why it can't be read."""
     try:
         with open(path, encoding="utf-8") as stream:
-            text = stream.read()
+            return Success(stream.read())
     except OSError as error:
         reason = error.strerror or str(error)
         return Failure((_file_error(path, reason, "a readable file"),))
     except UnicodeDecodeError as error:
         return Failure((_file_error(path, str(error), "text in UTF-8"),))
-    return parse_settings(text, file=path)
+
+
+def read_settings(path: str) -> Result[Settings, Errors]:
+    """Returns the settings in a file, or every error in it."""
+    return read_text(path).bind(lambda text: parse_settings(text, file=path))
 
 
 def serialize_settings(settings: Settings) -> str:
