Place prompts at the home of their shared part; read apart from generating

Change: a planner works out a home for each shared part by weighted rendezvous hashing and weighs waiting at home against reading elsewhere; prefill engines read for decode engines. Waits come from this daemon's own requests.

--- /dev/null
+++ b/packages/bulrushgrade/bulrushgrade/engineload.py
@@ -0,0 +1,154 @@
+"""What one daemon believes of an engine: its cache, its queue, its speed.
+
+A daemon sees its own requests only. Three signs tell it how long new work
+would wait: the work it has sent there that has not begun to answer, how much
+longer than expected recent answers took, and how long the oldest unanswered
+request is overdue. The last one grows by itself, so that an engine that went
+silent is avoided before anything times out.
+"""
+
+import collections
+import math
+
+import attrs
+
+from bulrushgrade import directory
+from bulrushgrade import prompt as prompt_module
+
+START_TOKENS_PER_S = 40_000.0
+"""Prompt tokens that an engine which only reads takes in a second, until its
+own answers tell: between the two deployments' 36,700 and 48,200."""
+
+DECODE_SPEED = 0.5
+"""An engine that generates reads at half that speed, between tokens."""
+
+DELAY_DECAY_S = 1.0
+"""In which an observed delay loses two thirds of its weight. Queues of a few
+requests empty in about a second."""
+
+DELAY_WEIGHT = 0.5
+"""Of a new observation of the delay: two or three tell a queue from a single
+long prompt before it."""
+
+RISE, FALL = 0.3, 0.02
+"""Weights of an observed speed above and below the believed one. A request
+that waited shows a lower speed than the engine has, never a higher one, so
+the belief follows the upper edge of what is seen."""
+
+LEARN_TOKENS = 1000
+"""Prompts with less to read tell of fixed costs, not of the speed."""
+
+CACHE_SHARE = 0.8
+"""Of an engine's memory that cached parts can be counted on to have; running
+requests take the rest."""
+
+
+@attrs.define(kw_only=True, eq=False)
+class Reading:
+    """A request of this daemon that an engine is to read.
+
+    Attributes:
+        expected_s: What its reading alone should take.
+        since: When it was sent.
+        tokens: How many tokens it should have to read.
+    """
+
+    expected_s: float
+    since: float
+    tokens: int
+
+
+class EngineLoad:
+    """One incarnation of an engine."""
+
+    def __init__(self, *, memory_tokens: int):
+        """Makes the load of an engine that nothing is known of.
+
+        Args:
+            memory_tokens: Tokens that fit its memory.
+        """
+        self._cache_tokens = memory_tokens * CACHE_SHARE
+        self._cached: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
+        self._cached_tokens = 0
+        self._readings: dict[Reading, None] = {}
+        self._delay_s = 0.0
+        self._delay_at = 0.0
+        self._tokens_per_s = START_TOKENS_PER_S
+
+    @property
+    def readings(self) -> int:
+        """Requests of this daemon that have not begun to answer."""
+        return len(self._readings)
+
+    def tokens_per_s(self, stage: directory.Stage | None) -> float:
+        """Returns how fast it reads in a role."""
+        if stage is directory.Stage.PREFILL:
+            return self._tokens_per_s
+        return self._tokens_per_s * DECODE_SPEED
+
+    def cached_tokens(self, prompt: prompt_module.Prompt) -> int:
+        """Returns how many leading tokens this daemon's requests left there."""
+        found = 0
+        for part in prompt.shared_parts:
+            if part.id not in self._cached:
+                break
+            found += part.tokens
+        return found
+
+    def wait_s(self, now: float) -> float:
+        """Returns how long new work would wait before it is read."""
+        queued_s = sum(reading.expected_s for reading in self._readings)
+        age_s = now - self._delay_at
+        seen_s = self._delay_s * math.exp(-age_s / DELAY_DECAY_S)
+        overdue_s = 0.0
+        if self._readings:
+            oldest = next(iter(self._readings))
+            overdue_s = now - oldest.since - oldest.expected_s
+        return max(queued_s, seen_s, overdue_s)
+
+    def begin(
+        self, prompt: prompt_module.Prompt | None, reading: Reading
+    ) -> None:
+        """Notes a request that was sent there."""
+        self._readings[reading] = None
+        if prompt is not None:
+            self._remember(prompt)
+
+    def answered(
+        self, reading: Reading, stage: directory.Stage | None, now: float
+    ) -> None:
+        """Notes that a request has begun to answer."""
+        if reading not in self._readings:
+            return
+        del self._readings[reading]
+        took_s = max(now - reading.since, 1e-4)
+        delay_s = max(0.0, took_s - reading.expected_s)
+        faded_s = self._delay_s * math.exp(
+            -(now - self._delay_at) / DELAY_DECAY_S
+        )
+        self._delay_s = faded_s + DELAY_WEIGHT * (delay_s - faded_s)
+        self._delay_at = now
+        if reading.tokens >= LEARN_TOKENS:
+            self._learn_speed(reading.tokens / took_s, stage)
+
+    def dropped(self, reading: Reading) -> None:
+        """Notes that a request ended without an answer."""
+        self._readings.pop(reading, None)
+
+    def _learn_speed(self, seen: float, stage: directory.Stage | None) -> None:
+        if stage is not directory.Stage.PREFILL:
+            seen /= DECODE_SPEED
+        weight = RISE if seen > self._tokens_per_s else FALL
+        self._tokens_per_s += weight * (seen - self._tokens_per_s)
+
+    def _remember(self, prompt: prompt_module.Prompt) -> None:
+        for part in prompt.shared_parts:
+            if part.id not in self._cached:
+                self._cached_tokens += part.tokens
+                self._cached[part.id] = part.tokens
+            self._cached.move_to_end(part.id)
+        while self._cached_tokens > self._cache_tokens and self._cached:
+            _, tokens = self._cached.popitem(last=False)
+            self._cached_tokens -= tokens
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/dialect.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/dialect.py
@@ -107,6 +107,8 @@
             gets them.
         read_prefilled: Returns what the body of a prefill's answer says, or
             None where it can't be read.
+        free_prefilled: Returns method and path of the request that frees a
+            prompt which nobody will take.
     """
 
     read_asked: Callable[[Any], Asked]
@@ -114,3 +116,4 @@
     read_verdict: Callable[[int, Any], Verdict]
     write_answer_fields: Callable[[Any], Fields]
     read_prefilled: Callable[[bytes], Prefilled | None]
+    free_prefilled: Callable[[str], tuple[bytes, bytes]]
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
@@ -16,6 +16,8 @@
 from bulrushgrade import attempts
 from bulrushgrade import balance
 from bulrushgrade import directory as directory_module
+from bulrushgrade import engineload
+from bulrushgrade import engineplan
 from bulrushgrade import eventstream
 from bulrushgrade import retryshare
 from bulrushgrade import routing
@@ -36,6 +38,9 @@
 MARGIN_S = 0.02
 """Kept from a deadline for the way back to the caller."""
 
+FREE_TIMEOUT_S = 0.5
+"""A prompt that is not freed goes by itself some seconds later."""
+
 MIN_ATTEMPT_S = 0.05
 """Time that must be left for another attempt to be of use."""
 
@@ -73,6 +78,7 @@
         cutter: Cuts its events, for a stream.
         endpoint: Who had it last, or None.
         expired: Whether its deadline has passed.
+        plan: Which engines have it, or None for a plain service.
     """
 
     caller: front.CallerRequest
@@ -88,6 +94,7 @@
     )
     endpoint: directory_module.Registration | None = None
     expired: bool = False
+    plan: engineplan.Plan | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -116,6 +123,7 @@
         table: Returns the routes in force, or None before the first.
         endpoints: The endpoints that are known.
         balancer: Picks among them.
+        zone: The availability zone of this host.
         log: Gets a line for each decision that is out of the ordinary.
         rng: Source of random choices.
         on_broken: Called with the reason where an invariant is broken.
@@ -127,6 +135,7 @@
     table: Callable[[], routing.RouteTable | None]
     endpoints: directory_module.Directory
     balancer: balance.Balancer
+    zone: str
     log: decisionlog.DecisionLog
     rng: random.Random
     on_broken: Callable[[str], None]
@@ -155,6 +164,7 @@
         self._parts = parts
         self._new_share = new_share
         self._shares: dict[str, retryshare.RetryShare] = {}
+        self._planners: dict[str, engineplan.EnginePlanner] = {}
         self._meters = meters
         self._open: set[_Work] = set()
         self._counts: dict[str, int] = {}
@@ -254,6 +264,10 @@
             if endpoint is None:
                 self._finish(work, None, "no endpoint")
                 return
+            late_s = self._predicted_lateness_s(work)
+            if late_s > 0:
+                self._finish(work, None, f"would be {late_s:.2f} s too late")
+                return
             ended = await self._attempt(work, endpoint)
             if work.caller.gone or work.expired:
                 raise defer.CancelledError()
@@ -272,7 +286,7 @@
                 outcome=ended.outcome.value,
                 reason=ended.reason,
                 arrivals=work.history.arrivals,
-                left_s=self._left_s(work),
+                left_s=round(self._left_s(work), 3),
                 again=again,
             )
             if not again:
@@ -281,11 +295,42 @@
 
     def _choose(self, work: _Work) -> directory_module.Registration | None:
         now = self._parts.timers.now
+        balancer = self._parts.balancer
         usable = self._parts.endpoints.usable(work.service, now=now)
-        usable = [
-            r for r in usable if r.stage is not directory_module.Stage.PREFILL
-        ]
-        return self._parts.balancer.pick(usable, avoid=work.avoid, now=now)
+        traits = self._traits(work.service)
+        if traits is None or work.asked.prompt is None:
+            work.plan = None
+            usable = [
+                r
+                for r in usable
+                if r.stage is not directory_module.Stage.PREFILL
+            ]
+            return balancer.pick(usable, avoid=work.avoid, now=now)
+        work.plan = self._planner(work.service).plan(
+            work.asked.prompt,
+            balancer.eligible(usable, avoid=work.avoid, now=now),
+            traits,
+            now=now,
+            may_hand_over=work.history.arrivals == 0,
+        )
+        return work.plan.decode if work.plan else None
+
+    def _predicted_lateness_s(self, work: _Work) -> float:
+        if work.plan is None:
+            return 0.0
+        return work.plan.first_s - self._left_s(work)
+
+    def _traits(self, service: str) -> routing.EngineTraits | None:
+        table = self._parts.table()
+        found = table.configuration.services.get(service) if table else None
+        return found.engine if found else None
+
+    def _planner(self, service: str) -> engineplan.EnginePlanner:
+        planner = self._planners.get(service)
+        if planner is None:
+            planner = engineplan.EnginePlanner(zone=self._parts.zone)
+            self._planners[service] = planner
+        return planner
 
     def _learn(
         self,
@@ -318,41 +363,182 @@
         self, work: _Work, endpoint: directory_module.Registration
     ) -> _Attempt | None:
         """Returns None where the caller has got a whole answer."""
+        work.endpoint = endpoint
+        if work.plan is None or work.plan.prefill is None:
+            return await self._run(work, endpoint, None)
+        prefilled = await self._prefill(work, work.plan.prefill)
+        if isinstance(prefilled, _Attempt):
+            return prefilled
+        try:
+            return await self._run(work, endpoint, prefilled)
+        finally:
+            if work.history.begun is False:
+                self._free(work.plan.prefill, prefilled)
+
+    async def _run(
+        self,
+        work: _Work,
+        endpoint: directory_module.Registration,
+        prefilled: dialect_module.PrefilledBy | None,
+    ) -> _Attempt | None:
+        """Has an endpoint run the request and passes its answer on."""
         balancer = self._parts.balancer
         balancer.begin(endpoint.incarnation)
-        work.endpoint = endpoint
         began = self._parts.timers.now
+        answered = self._note_reading(work, endpoint, prefilled is None)
         try:
-            sent = await outbound.send(
-                self._parts.reactor,
-                endpoint.host,
-                endpoint.port,
-                lambda: self._outgoing(work, endpoint),
-                connect_timeout_s=CONNECT_TIMEOUT_S,
+            sent = await self._send(
+                endpoint,
+                lambda: self._outgoing(work, endpoint, prefilled),
             )
-            if isinstance(sent, Failure):
-                failed = sent.failure()
-                return _Attempt(
-                    outcome=attempts.Outcome.LOST
-                    if failed.written
-                    else attempts.Outcome.UNREACHED,
-                    reason=failed.reason,
-                )
-            work.call = sent.unwrap()
-            return await self._take_answer(work, endpoint, began)
+            if isinstance(sent, _Attempt):
+                return sent
+            work.call = sent
+            return await self._take_answer(work, endpoint, began, answered)
         finally:
             if work.call is not None:
                 work.call.abort()
             work.call = None
             balancer.end(endpoint.incarnation)
+            answered(False)
+
+    async def _prefill(
+        self, work: _Work, engine: directory_module.Registration
+    ) -> dialect_module.PrefilledBy | _Attempt:
+        """Has an engine read the prompt for the one that will generate."""
+        answered = self._note_reading(work, engine, True)
+        try:
+            sent = await self._send(
+                engine,
+                lambda: self._outgoing(work, engine, None, prefill_only=True),
+            )
+            if isinstance(sent, _Attempt):
+                return self._not_begun(sent)
+            try:
+                return await self._take_prefilled(sent, engine, answered)
+            finally:
+                sent.abort()
+        finally:
+            answered(False)
+
+    async def _take_prefilled(
+        self,
+        answer: outbound.Answer,
+        engine: directory_module.Registration,
+        answered: Callable[[bool], None],
+    ) -> dialect_module.PrefilledBy | _Attempt:
+        parts: list[bytes] = []
+        end = await answer.read(parts.append)
+        found = None
+        if end.whole and answer.status == http.OK:
+            found = self._parts.dialect.read_prefilled(b"".join(parts))
+        if found is None:
+            return _Attempt(
+                outcome=attempts.Outcome.TURNED_AWAY,
+                reason=f"prefill: status {answer.status} {end.reason}",
+            )
+        answered(True)
+        self._count("prefilled")
+        return dialect_module.PrefilledBy(
+            address=f"{engine.host}:{engine.port}", handle=found.handle
+        )
+
+    def _not_begun(self, failed: _Attempt) -> _Attempt:
+        """Returns a failed prefill as what it is to the request: not run."""
+        if failed.outcome is attempts.Outcome.LOST:
+            return attrs.evolve(failed, outcome=attempts.Outcome.TURNED_AWAY)
+        return failed
+
+    def _free(
+        self,
+        engine: directory_module.Registration,
+        prefilled: dialect_module.PrefilledBy,
+    ) -> None:
+        """Frees a prompt that may not have been taken, without waiting."""
+        method, uri = self._parts.dialect.free_prefilled(prefilled.handle)
+        request = outbound.OutboundRequest(
+            method=method,
+            uri=uri,
+            headers=[(b"host", prefilled.address.encode("ascii"))],
+        )
+        freeing = outbound.fetch(
+            self._parts.reactor,
+            engine.host,
+            engine.port,
+            request,
+            connect_timeout_s=CONNECT_TIMEOUT_S,
+            timeout_s=FREE_TIMEOUT_S,
+            max_bytes=outbound.MAX_REFUSED_BODY_BYTES,
+        )
+        task.spawn(freeing, name="free", on_broken=self._parts.on_broken)
+
+    def _note_reading(
+        self,
+        work: _Work,
+        engine: directory_module.Registration,
+        reads: bool,
+    ) -> Callable[[bool], None]:
+        """Notes work at an engine; returns what notes how it ended.
+
+        The returned function takes whether an answer began. Only its first
+        call counts.
+        """
+        plan, traits = work.plan, self._traits(work.service)
+        if plan is None or traits is None:
+            return lambda began: None
+        load = self._planner(work.service).load(engine, traits)
+        reading = engineload.Reading(
+            expected_s=plan.read_s if reads else engineplan.HANDOVER_S,
+            since=self._parts.timers.now,
+            tokens=plan.read_tokens if reads else 0,
+        )
+        load.begin(work.asked.prompt if reads else None, reading)
+
+        def ended(began: bool) -> None:
+            if began:
+                load.answered(reading, engine.stage, self._parts.timers.now)
+            else:
+                load.dropped(reading)
+
+        return ended
+
+    async def _send(
+        self,
+        endpoint: directory_module.Registration,
+        make: Callable[[], outbound.OutboundRequest],
+    ) -> outbound.Answer | _Attempt:
+        sent = await outbound.send(
+            self._parts.reactor,
+            endpoint.host,
+            endpoint.port,
+            make,
+            connect_timeout_s=CONNECT_TIMEOUT_S,
+        )
+        if isinstance(sent, Failure):
+            failed = sent.failure()
+            written = failed.written
+            return _Attempt(
+                outcome=attempts.Outcome.LOST
+                if written
+                else attempts.Outcome.UNREACHED,
+                reason=failed.reason,
+            )
+        return sent.unwrap()
 
     def _outgoing(
-        self, work: _Work, endpoint: directory_module.Registration
+        self,
+        work: _Work,
+        endpoint: directory_module.Registration,
+        prefilled: dialect_module.PrefilledBy | None,
+        *,
+        prefill_only: bool = False,
     ) -> outbound.OutboundRequest:
         sending = dialect_module.Sending(
             endpoint=endpoint,
             left_s=self._left_s(work),
             last_event_id=work.cutter.last_id or work.asked.last_event_id,
+            prefill_only=prefill_only,
+            prefilled_by=prefilled,
         )
         caller = work.caller
         return outbound.OutboundRequest(
@@ -369,6 +555,7 @@
         work: _Work,
         endpoint: directory_module.Registration,
         began: float,
+        answered: Callable[[bool], None],
     ) -> _Attempt | None:
         answer = work.call
         verdict = self._parts.dialect.read_verdict(
@@ -393,8 +580,8 @@
             return await self._take_failure(work)
         latency_s = self._parts.timers.now - began
         is_stream = work.route.kind is routing.RequestKind.STREAM
-        if is_stream and answer.status == http.OK:
-            ended = await self._pass_stream(work)
+        if is_stream and status == http.OK:
+            ended = await self._pass_stream(work, answered)
         else:
             ended = await self._pass_whole(work)
         if ended is None:
@@ -448,12 +635,15 @@
             caller.answer(answer.status, fields, b"".join(held))
         return None
 
-    async def _pass_stream(self, work: _Work) -> _Attempt | None:
+    async def _pass_stream(
+        self, work: _Work, answered: Callable[[bool], None]
+    ) -> _Attempt | None:
         """Sends each event when it is whole."""
         caller, cutter = work.caller, work.cutter
         cutter.drop_partial()
 
         def take(data: bytes) -> None:
+            answered(True)
             whole = cutter.feed(data)
             if cutter.overflowed:
                 work.call.abort()
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gateway.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gateway.py
@@ -225,6 +225,7 @@
                 table=lambda: self._table,
                 endpoints=self._endpoints,
                 balancer=self._balancer,
+                zone=settings.host.zone,
                 log=self._log,
                 rng=self._rng,
                 on_broken=self._kernel.fail,
