Follow engines' caches, fetch parts from holders, tell peers the queues

Change: cachewatch reads each engine's cache changes; a prompt is read where its part is, or the part is fetched from there; peers tell each other seconds of reading they have waiting, by datagrams.

--- a/packages/bulrushgrade/bulrushgrade/engineload.py
+++ b/packages/bulrushgrade/bulrushgrade/engineload.py
@@ -8,6 +8,7 @@
 """
 
 import collections
+from collections.abc import Iterable
 import math
 
 import attrs
@@ -43,6 +44,19 @@
 requests take the rest."""
 
 
+@attrs.frozen(kw_only=True)
+class CacheChange:
+    """What an engine says that it keeps of a part.
+
+    Attributes:
+        part: The part's id.
+        tokens: How many of its tokens are kept now; 0 for none.
+    """
+
+    part: str
+    tokens: int
+
+
 @attrs.define(kw_only=True, eq=False)
 class Reading:
     """A request of this daemon that an engine is to read.
@@ -89,24 +103,48 @@
         return self._tokens_per_s * DECODE_SPEED
 
     def cached_tokens(self, prompt: prompt_module.Prompt) -> int:
-        """Returns how many leading tokens this daemon's requests left there."""
+        """Returns how many leading tokens it should have in its cache."""
         found = 0
         for part in prompt.shared_parts:
-            if part.id not in self._cached:
+            kept = min(self._cached.get(part.id, 0), part.tokens)
+            found += kept
+            if kept < part.tokens:
                 break
-            found += part.tokens
         return found
 
-    def wait_s(self, now: float) -> float:
-        """Returns how long new work would wait before it is read."""
-        queued_s = sum(reading.expected_s for reading in self._readings)
+    def apply(self, changes: Iterable[CacheChange], *, anew: bool) -> None:
+        """Takes what the engine says of its cache.
+
+        Args:
+            changes: In their order.
+            anew: Whether what is believed so far is void, after a restart or
+                a gap.
+        """
+        if anew:
+            self._cached.clear()
+            self._cached_tokens = 0
+        for change in changes:
+            self._keep(change.part, change.tokens)
+
+    @property
+    def queued_s(self) -> float:
+        """Seconds of reading that this daemon has there."""
+        return sum(reading.expected_s for reading in self._readings)
+
+    def wait_s(self, now: float, *, others_s: float = 0.0) -> float:
+        """Returns how long new work would wait before it is read.
+
+        Args:
+            now: The present time in seconds.
+            others_s: Seconds of reading that other daemons have there.
+        """
         age_s = now - self._delay_at
         seen_s = self._delay_s * math.exp(-age_s / DELAY_DECAY_S)
         overdue_s = 0.0
         if self._readings:
             oldest = next(iter(self._readings))
             overdue_s = now - oldest.since - oldest.expected_s
-        return max(queued_s, seen_s, overdue_s)
+        return max(self.queued_s + others_s, seen_s, overdue_s)
 
     def begin(
         self, prompt: prompt_module.Prompt | None, reading: Reading
@@ -145,10 +183,12 @@
 
     def _remember(self, prompt: prompt_module.Prompt) -> None:
         for part in prompt.shared_parts:
-            if part.id not in self._cached:
-                self._cached_tokens += part.tokens
-                self._cached[part.id] = part.tokens
-            self._cached.move_to_end(part.id)
+            self._keep(part.id, part.tokens)
+
+    def _keep(self, part: str, tokens: int) -> None:
+        self._cached_tokens += tokens - self._cached.pop(part, 0)
+        if tokens > 0:
+            self._cached[part] = tokens
         while self._cached_tokens > self._cache_tokens and self._cached:
-            _, tokens = self._cached.popitem(last=False)
-            self._cached_tokens -= tokens
+            _, dropped = self._cached.popitem(last=False)
+            self._cached_tokens -= dropped
--- a/packages/bulrushgrade/bulrushgrade/engineplan.py
+++ b/packages/bulrushgrade/bulrushgrade/engineplan.py
@@ -4,9 +4,10 @@
 many short ones, on a few engines whose memories together just hold all the
 parts. Harm: where each daemon places by its own queue alone, every part ends
 up on every engine, none keeps it, and reading it again takes more of the
-engines than all other work. So each shared part has a home that all daemons
-work out alike from the part's id and the engines' ids, without a message, and
-work goes elsewhere only where waiting at home costs more than reading again.
+engines than all other work. So work goes where its shared part is, or has the
+part fetched from there, which takes a twentieth of the time of reading it. A
+part that no engine is known to have is read at a home that all daemons work
+out alike from the part's id and the engines' ids, without a message.
 """
 
 from collections.abc import Callable
@@ -18,6 +19,7 @@
 
 from bulrushgrade import directory
 from bulrushgrade import engineload
+from bulrushgrade import peerqueues
 from bulrushgrade import prompt as prompt_module
 from bulrushgrade import routing
 
@@ -33,6 +35,21 @@
 """What a second of reading costs others, beside the second that it costs the
 request itself: it takes the place of someone else's prompt."""
 
+FETCH_S = 0.01
+"""The fixed time of fetching cached parts from another engine."""
+
+FETCH_WEIGHT = 2.0
+"""What a second of fetching counts as, beside the second itself: it takes the
+links of two engines."""
+
+FETCH_TOKENS = 1000
+"""Fewer missing tokens than these are read, not fetched."""
+
+AWAY_FROM_HOME_S = 0.3
+"""What reading a part elsewhere counts as where no engine is known to have
+it. Two daemons that meet a new part at the same time then read it once, at
+its home; about what reading it twice would cost."""
+
 HANDOVER_S = 0.02
 """The fixed time of a handover: two requests and the setting up of a
 transfer."""
@@ -53,28 +70,37 @@
         decode: The engine that generates.
         prefill: The engine that reads the prompt for it, or None where the
             generating one reads it itself.
+        fetch_from: Who has the shared parts that the reading engine lacks,
+            or None where it has them or has to read them.
         read_tokens: How many tokens are expected to be read.
         read_s: How long that should take by itself.
+        move_s: How long KV cache is moved between engines for it.
         first_s: When the first event is expected, seconds from now.
     """
 
     decode: directory.Registration
     prefill: directory.Registration | None
+    fetch_from: directory.Registration | None
     read_tokens: int
     read_s: float
+    move_s: float
     first_s: float
 
 
 class EnginePlanner:
     """Plans requests for the engines of one service."""
 
-    def __init__(self, *, zone: str):
+    def __init__(
+        self, *, zone: str, others: peerqueues.PeerQueues | None = None
+    ):
         """Makes a planner that has seen no engine.
 
         Args:
             zone: The availability zone of this daemon.
+            others: What other daemons have waiting at engines.
         """
         self._zone = zone
+        self._others = others or peerqueues.PeerQueues()
         self._loads: dict[tuple[str, int], engineload.EngineLoad] = {}
 
     def load(
@@ -87,6 +113,14 @@
             self._loads[engine.incarnation] = load
         return load
 
+    def queued_s(self) -> dict[str, float]:
+        """Returns the seconds of reading that wait, by engine's id."""
+        return {
+            incarnation[0]: load.queued_s
+            for incarnation, load in self._loads.items()
+            if load.readings
+        }
+
     def forget(self, live: Iterable[tuple[str, int]]) -> None:
         """Drops what is believed of engines that are gone and idle."""
         kept = set(live)
@@ -116,6 +150,7 @@
         if not decoders:
             return None
         home = find_home(prompt, engines)
+        holder = self._find_holder(prompt, engines, traits)
 
         def cost(plan: Plan) -> float:
             away = sum(
@@ -123,16 +158,24 @@
                 for engine in (plan.decode, plan.prefill)
                 if engine is not None and engine.zone != self._zone
             )
-            return plan.first_s + REREAD_WEIGHT * plan.read_s + away
+            reader = plan.prefill or plan.decode
+            if holder is None and home is not None and reader is not home:
+                away += AWAY_FROM_HOME_S
+            return (
+                plan.first_s
+                + REREAD_WEIGHT * plan.read_s
+                + FETCH_WEIGHT * plan.move_s
+                + away
+            )
 
         plans = [
-            self._read_at(prompt, engine, None, traits, home, now)
+            self._read_at(prompt, engine, None, traits, holder, now)
             for engine in decoders
         ]
         if may_hand_over and prompt.prompt_tokens >= HOME_TOKENS:
             receiver = self.receiver(prompt, decoders, traits, now=now)
             plans += [
-                self._read_at(prompt, receiver, engine, traits, home, now)
+                self._read_at(prompt, receiver, engine, traits, holder, now)
                 for engine in engines
                 if engine.stage is directory.Stage.PREFILL
             ]
@@ -157,50 +200,92 @@
         ranked = rank(prompt, decoders, weigh=lambda engine: 1.0)
 
         def cost(place: int) -> float:
-            waits_s = self.load(ranked[place], traits).wait_s(now)
+            waits_s = self._wait_s(ranked[place], traits, now)
             return waits_s + (HANDOVER_S if place else 0.0)
 
         return ranked[min(range(len(ranked)), key=cost)]
 
+    def _wait_s(
+        self,
+        engine: directory.Registration,
+        traits: routing.EngineTraits,
+        now: float,
+    ) -> float:
+        others_s = self._others.queued_s(engine.id, now)
+        return self.load(engine, traits).wait_s(now, others_s=others_s)
+
+    def _find_holder(
+        self,
+        prompt: prompt_module.Prompt,
+        engines: list[directory.Registration],
+        traits: routing.EngineTraits,
+    ) -> directory.Registration | None:
+        """Returns the engine that keeps most of a prompt's shared parts."""
+        if prompt.shared_tokens < HOME_TOKENS:
+            return None
+
+        def kept(engine: directory.Registration) -> tuple[int, bool]:
+            held = self.load(engine, traits).cached_tokens(prompt)
+            return held, engine.zone == self._zone
+
+        best = max(engines, key=kept)
+        return best if kept(best)[0] >= FETCH_TOKENS else None
+
     def _read_at(
         self,
         prompt: prompt_module.Prompt,
         decode: directory.Registration,
         prefill: directory.Registration | None,
         traits: routing.EngineTraits,
-        home: str | None,
+        holder: directory.Registration | None,
         now: float,
     ) -> Plan:
         reader = prefill or decode
         load = self.load(reader, traits)
         cached = load.cached_tokens(prompt)
-        if reader.id == home:
-            cached = prompt.shared_tokens
+        fetch_from, move_s = None, 0.0
+        if holder is not None and holder is not reader:
+            held = self.load(holder, traits).cached_tokens(prompt)
+            if held - cached >= FETCH_TOKENS:
+                fetch_from = holder
+                move_s += FETCH_S
+                move_s += _transfer_s(held - cached, holder, reader, traits)
+                cached = held
         tokens = max(1, prompt.prompt_tokens - cached)
         read_s = tokens / load.tokens_per_s(reader.stage)
-        first_s = load.wait_s(now) + read_s
         if prefill is not None:
-            moved = prompt.prompt_tokens * traits.token_bytes
-            transfer_s = moved / max(traits.link_bytes_per_s, 1.0)
-            if prefill.zone != decode.zone:
-                transfer_s *= OTHER_ZONE_TRANSFER
-            first_s += HANDOVER_S + transfer_s
+            move_s += HANDOVER_S
+            move_s += _transfer_s(prompt.prompt_tokens, prefill, decode, traits)
         return Plan(
             decode=decode,
             prefill=prefill,
+            fetch_from=fetch_from,
             read_tokens=tokens,
             read_s=read_s,
-            first_s=first_s,
+            move_s=move_s,
+            first_s=self._wait_s(reader, traits, now) + read_s + move_s,
         )
 
 
+def _transfer_s(
+    tokens: int,
+    source: directory.Registration,
+    destination: directory.Registration,
+    traits: routing.EngineTraits,
+) -> float:
+    moved_s = tokens * traits.token_bytes / max(traits.link_bytes_per_s, 1.0)
+    if source.zone != destination.zone:
+        moved_s *= OTHER_ZONE_TRANSFER
+    return moved_s
+
+
 def find_home(
     prompt: prompt_module.Prompt, engines: list[directory.Registration]
-) -> str | None:
-    """Returns the id of the engine where a prompt's shared part lives."""
+) -> directory.Registration | None:
+    """Returns the engine where a prompt's shared part lives."""
     if prompt.shared_tokens < HOME_TOKENS or not engines:
         return None
-    return rank(prompt, engines, weigh=_home_weight)[0].id
+    return rank(prompt, engines, weigh=_home_weight)[0]
 
 
 def rank(
--- /dev/null
+++ b/packages/bulrushgrade/bulrushgrade/peerqueues.py
@@ -0,0 +1,56 @@
+"""What other daemons have waiting at each engine.
+
+Load: many daemons send to the same engines. Harm: each sees only its own
+part of a queue, so that all of them send to an engine that looks idle to
+each, and its queue grows by seconds while others stand by. Every daemon
+tells the others what it has there; what is told is absolute and replaces
+what the same daemon told before, so that a lost or late message only makes
+the view a little older.
+"""
+
+from collections.abc import Mapping
+
+STALE_S = 1.5
+"""How long a message counts. Queues of seconds empty in about that time, and
+a daemon that died holds nothing any more."""
+
+
+class PeerQueues:
+    """Seconds of reading that peers have waiting, by engine."""
+
+    def __init__(self):
+        self._told: dict[str, tuple[float, int, dict[str, float]]] = {}
+
+    def tell(
+        self, peer: str, number: int, queued_s: Mapping[str, float], now: float
+    ) -> None:
+        """Takes a peer's message.
+
+        Args:
+            peer: Who sent it; another one after each start.
+            number: Grows from each of its messages to the next.
+            queued_s: Seconds of reading by engine; what is missing is none.
+            now: The present time in seconds.
+        """
+        known = self._told.get(peer)
+        if known is not None and number <= known[1]:
+            return
+        self._told[peer] = (now, number, dict(queued_s))
+
+    def queued_s(self, engine: str, now: float) -> float:
+        """Returns what all peers have waiting at an engine."""
+        return sum(
+            queued_s.get(engine, 0.0)
+            for at, _, queued_s in self._told.values()
+            if now - at < STALE_S
+        )
+
+    def forget(self, now: float) -> None:
+        """Drops peers that have long been silent."""
+        for peer, (at, _, _) in list(self._told.items()):
+            if now - at >= STALE_S:
+                del self._told[peer]
+
+    def heard_since(self, now: float) -> int:
+        """Returns how many peers are heard of."""
+        return sum(now - at < STALE_S for at, _, _ in self._told.values())
--- a/packages/bulrushgrade/tests/test_engineplan.py
+++ b/packages/bulrushgrade/tests/test_engineplan.py
@@ -60,7 +60,7 @@
     for number in range(200):
         prompt = make_prompt(f"s{number}")
         before = engineplan.find_home(prompt, ENGINES)
-        if before != ENGINES[-1].id:
+        if before is not ENGINES[-1]:
             assert engineplan.find_home(prompt, left) == before
 
 
@@ -69,7 +69,8 @@
         prompt = make_prompt(f"s{number}")
         plan = make_plan(prompt)
         reader = plan.prefill or plan.decode
-        assert reader.id == engineplan.find_home(prompt, ENGINES)
+        assert reader is engineplan.find_home(prompt, ENGINES)
+        assert plan.fetch_from is None
 
 
 def test_short_prompt_is_never_handed_over():
@@ -80,21 +81,22 @@
 def test_long_queue_at_home_spills():
     """Bursts of long prompts hit the home of a popular part.
 
-    Waiting behind seconds of work there is worse for the caller than reading
-    the part again elsewhere; behind a tenth of a second it is not.
+    Waiting behind seconds of work there is worse for the caller than having
+    the part fetched by another engine, which takes some ten milliseconds
+    where reading it again would take hundreds; a short queue is not.
     """
     prompt = make_prompt("s1")
     home = engineplan.find_home(prompt, ENGINES)
-    engine = next(e for e in ENGINES if e.id == home)
     for queued_s, stays in ((0.05, True), (3.0, False)):
         planner = engineplan.EnginePlanner(zone="z1")
-        planner.load(engine, TRAITS).begin(
+        planner.load(home, TRAITS).begin(
             None,
             engineload.Reading(expected_s=queued_s, since=0.0, tokens=0),
         )
         plan = make_plan(prompt, planner=planner)
         reader = plan.prefill or plan.decode
-        assert (reader.id == home) is stays
+        assert (reader is home) is stays
+        assert plan.fetch_from is (None if stays else home)
 
 
 def test_without_generating_engines_there_is_no_plan():
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/choosing.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/choosing.py
@@ -9,6 +9,7 @@
 from bulrushgrade import directory as directory_module
 from bulrushgrade import engineload
 from bulrushgrade import engineplan
+from bulrushgrade import peerqueues
 from bulrushgrade import routing
 from bulrushgrade_daemon import decisionlog
 from bulrushgrade_daemon import inflight
@@ -24,6 +25,7 @@
         zone: str,
         table: Callable[[], routing.RouteTable | None],
         endpoints: directory_module.Directory,
+        others: peerqueues.PeerQueues,
         log: decisionlog.DecisionLog,
         rng: random.Random,
     ):
@@ -34,6 +36,7 @@
             zone: The availability zone of this host.
             table: Returns the routes in force, or None before the first.
             endpoints: The endpoints that are known.
+            others: What other daemons have waiting at engines.
             log: Gets a line for each ejection.
             rng: Breaks ties.
         """
@@ -43,6 +46,7 @@
         self._endpoints = endpoints
         self._log = log
         self._balancer = balance.Balancer(zone=zone, rng=rng)
+        self._others = others
         self._planners: dict[str, engineplan.EnginePlanner] = {}
 
     def choose(
@@ -147,7 +151,7 @@
             return lambda began: None
         load = self._planner(request.service).load(engine, traits)
         reading = engineload.Reading(
-            expected_s=plan.read_s if reads else engineplan.HANDOVER_S,
+            expected_s=plan.read_s if reads else plan.move_s,
             since=self._timers.now,
             tokens=plan.read_tokens if reads else 0,
         )
@@ -161,6 +165,26 @@
 
         return ended
 
+    def apply_cache(
+        self,
+        engine: directory_module.Registration,
+        changes: tuple[engineload.CacheChange, ...],
+        *,
+        anew: bool,
+    ) -> None:
+        """Takes what an engine says of its cache."""
+        traits = self._traits(engine.service)
+        if traits is not None:
+            load = self._planner(engine.service).load(engine, traits)
+            load.apply(changes, anew=anew)
+
+    def queued_s(self) -> dict[str, float]:
+        """Returns the seconds of reading that wait, by engine's id."""
+        queued_s: dict[str, float] = {}
+        for planner in self._planners.values():
+            queued_s.update(planner.queued_s())
+        return queued_s
+
     def forget_gone(self) -> None:
         """Drops what is known of endpoints that are gone."""
         live = {r.incarnation for r in self._endpoints.registrations}
@@ -176,6 +200,8 @@
     def _planner(self, service: str) -> engineplan.EnginePlanner:
         planner = self._planners.get(service)
         if planner is None:
-            planner = engineplan.EnginePlanner(zone=self._zone)
+            planner = engineplan.EnginePlanner(
+                zone=self._zone, others=self._others
+            )
             self._planners[service] = planner
         return planner
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/dialect.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/dialect.py
@@ -55,6 +55,8 @@
         last_event_id: The event after which a stream goes on, or None.
         prefill_only: Whether only the prompt is to be read.
         prefilled_by: Where the prompt was read already, or None.
+        fetch_from: The engine, ``IP:PORT``, from which to fetch cached parts
+            before reading, or None.
         urgency: 0 first to 9 last, or None to leave it to the endpoint.
     """
 
@@ -63,6 +65,7 @@
     last_event_id: str | None = None
     prefill_only: bool = False
     prefilled_by: PrefilledBy | None = None
+    fetch_from: str | None = None
     urgency: int | None = None
 
 
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointcalls.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointcalls.py
@@ -58,6 +58,7 @@
             left_s=0.0,
             last_event_id=request.cutter.last_id or request.asked.last_event_id,
             prefilled_by=prefilled,
+            fetch_from=None if prefilled else _fetch_address(request),
         )
         sent = await self._send(request, sending)
         if isinstance(sent, inflight.AttemptEnd):
@@ -75,7 +76,10 @@
     ) -> dialect_module.PrefilledBy | inflight.AttemptEnd:
         """Has an engine read a prompt for the one that will generate."""
         sending = dialect_module.Sending(
-            endpoint=engine, left_s=0.0, prefill_only=True
+            endpoint=engine,
+            left_s=0.0,
+            prefill_only=True,
+            fetch_from=_fetch_address(request),
         )
         sent = await self._send(request, sending)
         if isinstance(sent, inflight.AttemptEnd):
@@ -173,3 +177,8 @@
                 reason="answer to another request",
             )
         return None
+
+
+def _fetch_address(request: inflight.InFlight) -> str | None:
+    source = request.plan.fetch_from if request.plan else None
+    return f"{source.host}:{source.port}" if source else None
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gateway.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gateway.py
@@ -14,8 +14,10 @@
 
 from bulrushgrade import directory as directory_module
 from bulrushgrade import kernel as kernel_module
+from bulrushgrade import peerqueues
 from bulrushgrade import retryshare
 from bulrushgrade import routing
+from bulrushgrade_daemon import cachewatch
 from bulrushgrade_daemon import choosing
 from bulrushgrade_daemon import clock
 from bulrushgrade_daemon import decisionlog
@@ -25,6 +27,7 @@
 from bulrushgrade_daemon import forwarder
 from bulrushgrade_daemon import front
 from bulrushgrade_daemon import gatewaysettings
+from bulrushgrade_daemon import loadgossip
 from bulrushgrade_daemon import metrics
 from bulrushgrade_daemon import pages
 
@@ -50,6 +53,10 @@
 """Hosts that the fixed part of the retry budget is divided by. The settings
 don't tell how many hosts there are."""
 
+PEERS_WAIT_S = 15.0
+"""How long a read of the gateways' topic waits. It changes only when a host
+starts; until a peer is known, work is placed without its word."""
+
 FORGET_S = 60.0
 """How long an endpoint that is gone is remembered, so that late copies of its
 records are known as such."""
@@ -83,6 +90,8 @@
         decode_configuration: Returns the configuration in a record of a key,
             None where the key holds something else, or a failure.
         decode_registration: Returns an endpoint's registration or a failure.
+        read_cache_changes: Returns what changed in an engine's cache.
+        membership: The topic in which gateways find each other.
     """
 
     dialect: dialect_module.Dialect
@@ -90,6 +99,8 @@
     endpoint_reader: follower.KeyedReader
     decode_configuration: Any
     decode_registration: Any
+    read_cache_changes: cachewatch.ReadChanges
+    membership: loadgossip.Membership
 
 
 class Gateway:
@@ -215,11 +226,13 @@
             take=self._take_endpoints,
             take_all=self._take_all_endpoints,
         )
+        self._peer_queues = peerqueues.PeerQueues()
         self._chooser = choosing.Chooser(
             timers=self._timers,
             zone=settings.host.zone,
             table=lambda: self._table,
             endpoints=self._endpoints,
+            others=self._peer_queues,
             log=self._log,
             rng=self._rng,
         )
@@ -232,11 +245,40 @@
             limits=self._caller_limits,
             handle=self._forwarder.handle,
         )
+        self._cache_watch = cachewatch.CacheWatch(
+            timers=self._timers,
+            engines=self._engines,
+            read=self._adapter.read_cache_changes,
+            apply=self._chooser.apply_cache,
+            on_broken=self._kernel.fail,
+        )
+        self._gossip = loadgossip.LoadGossip(
+            reactor=reactor,
+            timers=self._timers,
+            host_name=settings.host.name,
+            incarnation=f"{self._rng.getrandbits(32):08x}",
+            listen=settings.listen.peers,
+            membership=self._adapter.membership,
+            queues=self._peer_queues,
+            read_own=self._chooser.queued_s,
+            log=self._log,
+            on_broken=self._kernel.fail,
+        )
+        self._follow_peers = self._new_follower(
+            "peers",
+            self._adapter.membership.reader,
+            wait_s=PEERS_WAIT_S,
+            pause_s=0.0,
+            take=self._gossip.take_records,
+        )
         for service in (
             self._metrics,
             self._timers,
             self._follow_configuration,
             self._follow_endpoints,
+            self._gossip,
+            self._follow_peers,
+            self._cache_watch,
             self._forwarder,
             self._front,
             self._new_pages("ready", settings.listen.ready, self._ready_page),
@@ -334,6 +376,11 @@
                 "Reads of the configuration's topic.",
                 lambda: self._follow_configuration.counts,
             ),
+            (
+                "cache_reads_total",
+                "Reads of engines' cache changes.",
+                lambda: self._cache_watch.counts,
+            ),
             (
                 "endpoint_reads_total",
                 "Reads of the endpoints' topic.",
@@ -347,6 +394,9 @@
             read=lambda: self._forwarder.open_requests,
         )
 
+    def _engines(self) -> list[directory_module.Registration]:
+        return [r for r in self._endpoints.registrations if r.stage is not None]
+
     def _caller_limits(self) -> routing.CallerLimits:
         if self._table is None:
             return _DEFAULT_LIMITS
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaysettings.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaysettings.py
@@ -36,11 +36,13 @@
         callers: For callers.
         ready: Where the balancer asks whether to send callers.
         admin: For operators: metrics and dumps.
+        peers: For datagrams of other gateways.
     """
 
     callers: keys.Address = _key(keys.address(0))
     ready: keys.Address = _key(keys.address(0))
     admin: keys.Address = _key(keys.address(0))
+    peers: keys.Address = _key(keys.address(0))
 
 
 @attrs.frozen(kw_only=True)
--- /dev/null
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadgossip.py
@@ -0,0 +1,218 @@
+"""Tells peers what this daemon has waiting at engines, and hears them.
+
+Datagrams fit better than connections here: each message replaces the one
+before, so that a lost one needs no repeat, and there is no connection that
+could go silent unnoticed or hold memory for a peer that is gone. Peers find
+each other in a topic on the platform's store where each writes its address
+once when it starts.
+"""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+import msgspec
+from returns.result import Failure
+from returns.result import Result
+from twisted.internet import protocol
+
+from bulrushgrade import peerqueues
+from bulrushgrade_daemon import decisionlog
+from bulrushgrade_daemon import follower
+from bulrushgrade_daemon import task
+
+PERIOD_S = 0.1
+"""Between two messages to a peer in a small fleet: a fraction of the time in
+which a queue of engines builds up."""
+
+MESSAGES_PER_S = 100.0
+"""Messages that a daemon sends a second at most. With more peers each hears
+less often, so that the cost stays the same."""
+
+ANNOUNCE_RETRY_S = 1.0
+"""Between two attempts to write the own address while the store is away."""
+
+
+class _Announcement(msgspec.Struct):
+    address: str
+
+
+class _Message(msgspec.Struct, array_like=True):
+    peer: str
+    number: int
+    queued_ms: dict[str, int]
+
+
+_message_encoder = msgspec.msgpack.Encoder()
+_message_decoder = msgspec.msgpack.Decoder(_Message)
+_announcement_decoder = msgspec.json.Decoder(_Announcement)
+
+
+@attrs.frozen(kw_only=True)
+class Membership:
+    """The topic in which daemons find each other.
+
+    Attributes:
+        reader: Reads it.
+        write: Writes the newest record of a key.
+    """
+
+    reader: follower.KeyedReader
+    write: Callable[[str, bytes], Awaitable[Result[None, follower.StoreAway]]]
+
+
+class LoadGossip(protocol.DatagramProtocol):
+    """Owns the socket for messages among peers."""
+
+    name = "loadgossip"
+    requires = ("timer",)
+
+    def __init__(
+        self,
+        *,
+        reactor: Any,
+        timers: Any,
+        host_name: str,
+        incarnation: str,
+        listen: Any,
+        membership: Membership,
+        queues: peerqueues.PeerQueues,
+        read_own: Callable[[], dict[str, float]],
+        log: decisionlog.DecisionLog,
+        on_broken: Callable[[str], None],
+    ):
+        """Makes the service.
+
+        Args:
+            reactor: Where it listens.
+            timers: The timer service.
+            host_name: The key of this host's record.
+            incarnation: Another one after each start of this daemon.
+            listen: The address for datagrams.
+            membership: Where daemons find each other.
+            queues: Takes what peers tell.
+            read_own: Returns seconds of reading by engine.
+            log: Gets a line for each peer that comes.
+            on_broken: Called with the reason where an invariant is broken.
+        """
+        self._reactor = reactor
+        self._timers = timers
+        self._host_name = host_name
+        self._incarnation = incarnation
+        self._listen = listen
+        self._membership = membership
+        self._queues = queues
+        self._read_own = read_own
+        self._log = log
+        self._on_broken = on_broken
+        self._peers: dict[str, tuple[str, int]] = {}
+        self._number = 0
+        self._unreadable = 0
+        self._port: Any = None
+        self._announcing: Any = None
+        self._tick: Any = None
+
+    @property
+    def counts(self) -> dict[str, int]:
+        """Messages sent, and received ones that could not be read."""
+        return {"rounds": self._number, "unreadable": self._unreadable}
+
+    async def start(self) -> None:
+        """Listens, announces this host and begins to tell."""
+        self._port = self._reactor.listenUDP(
+            self._listen.port, self, interface=self._listen.host
+        )
+        self._announcing = task.spawn(
+            self._announce(), name=self.name, on_broken=self._on_broken
+        )
+        self._schedule()
+
+    async def stop(self) -> None:
+        """Tells nobody any more."""
+        if self._announcing is not None:
+            self._announcing.cancel()
+        if self._tick is not None:
+            self._tick.cancel()
+        if self._port is not None:
+            await self._port.stopListening()
+
+    def receive(self, message: Any) -> None:
+        """Takes no messages."""
+
+    def dump(self) -> dict[str, Any]:
+        """Returns who is told."""
+        return {"peers": sorted(self._peers), **self.counts}
+
+    def take_records(self, records: tuple[follower.KeyedRecord, ...]) -> None:
+        """Takes hosts' announcements."""
+        for record in records:
+            if record.key == self._host_name:
+                continue
+            if record.value is None:
+                self._peers.pop(record.key, None)
+                continue
+            address = _read_address(record.value)
+            if address is None:
+                self._unreadable += 1
+                self._log.note("record_unreadable", key=record.key)
+            elif self._peers.get(record.key) != address:
+                self._peers[record.key] = address
+                self._log.note("peer_known", peer=record.key, address=address)
+
+    def datagramReceived(  # noqa: N802
+        self, datagram: bytes, addr: tuple[str, int]
+    ) -> None:
+        """Takes a peer's message."""
+        try:
+            message = _message_decoder.decode(datagram)
+        except msgspec.DecodeError:
+            # Counted only: anyone can send such datagrams as fast as a line
+            # could be written about them.
+            self._unreadable += 1
+            return
+        queued_s = {e: ms / 1000 for e, ms in message.queued_ms.items()}
+        self._queues.tell(
+            message.peer, message.number, queued_s, self._timers.now
+        )
+
+    async def _announce(self) -> None:
+        host = self._port.getHost()
+        announcement = _Announcement(address=f"{host.host}:{host.port}")
+        value = msgspec.json.encode(announcement)
+        while True:
+            written = await self._membership.write(self._host_name, value)
+            if not isinstance(written, Failure):
+                return
+            await self._timers.sleep(ANNOUNCE_RETRY_S)
+
+    def _schedule(self) -> None:
+        period_s = max(PERIOD_S, len(self._peers) / MESSAGES_PER_S)
+        self._tick = self._timers.after(period_s, self._tell_peers)
+
+    def _tell_peers(self) -> None:
+        self._number += 1
+        queued_ms = {
+            engine: round(seconds * 1000)
+            for engine, seconds in self._read_own().items()
+        }
+        message = _message_encoder.encode(
+            _Message(
+                peer=f"{self._host_name}/{self._incarnation}",
+                number=self._number,
+                queued_ms=queued_ms,
+            )
+        )
+        for address in self._peers.values():
+            self.transport.write(message, address)
+        self._queues.forget(self._timers.now)
+        self._schedule()
+
+
+def _read_address(value: bytes) -> tuple[str, int] | None:
+    try:
+        text = _announcement_decoder.decode(value).address
+        host, _, port = text.rpartition(":")
+        return host, int(port)
+    except (msgspec.DecodeError, ValueError):
+        return None
