Refuse on arrival what can't begin in time; keep generating engines clear

Traces: prompts waited 2 to 3 s at prefill engines, past the time after which a caller of a stream leaves; and streams stood at decode engines for 3 s because those read long prompts in between.

Ruled out: generation itself; one decode engine could generate for all.

Change: the plan's first event has to come within the caller's patience and 0.6 of the time left, else the request is refused at once with when to come back. Reading at an engine that generates counts 16 times, so long prompts go there last. Homes are at engines that only read. The route's priority is told to engines.

--- a/packages/bulrushgrade/bulrushgrade/engineplan.py
+++ b/packages/bulrushgrade/bulrushgrade/engineplan.py
@@ -10,9 +10,7 @@
 out alike from the part's id and the engines' ids, without a message.
 """
 
-from collections.abc import Callable
 from collections.abc import Iterable
-import math
 
 import attrs
 import xxhash
@@ -27,10 +25,6 @@
 """Prompts whose shared parts have fewer tokens have no home: reading those
 anywhere takes some milliseconds, less than a queue."""
 
-PREFILL_HOME_WEIGHT = 2.0
-"""Homes a prefill engine has for each of a decode engine; it reads twice as
-fast."""
-
 REREAD_WEIGHT = 1.0
 """What a second of reading costs others, beside the second that it costs the
 request itself: it takes the place of someone else's prompt."""
@@ -42,6 +36,11 @@
 """What a second of fetching counts as, beside the second itself: it takes the
 links of two engines."""
 
+DISTURB_WEIGHT = 16.0
+"""What a second of reading at an engine that generates costs others: each of
+its streams stands still for that time, piece by piece, and a stream whose
+events come too slowly is late as a whole."""
+
 FETCH_TOKENS = 1000
 """Fewer missing tokens than these are read, not fetched."""
 
@@ -62,6 +61,12 @@
 """A transfer between zones takes this many times as long."""
 
 
+FIRST_EVENT_SHARE = 0.6
+"""Of the time that is left, in which the first event has to come: the other
+events need the rest. A stream that is cut at its deadline has cost as much as
+one that was served."""
+
+
 @attrs.frozen(kw_only=True)
 class Plan:
     """Where a request goes.
@@ -161,9 +166,10 @@
             reader = plan.prefill or plan.decode
             if holder is None and home is not None and reader is not home:
                 away += AWAY_FROM_HOME_S
+            weight = DISTURB_WEIGHT if plan.prefill is None else REREAD_WEIGHT
             return (
                 plan.first_s
-                + REREAD_WEIGHT * plan.read_s
+                + weight * plan.read_s
                 + FETCH_WEIGHT * plan.move_s
                 + away
             )
@@ -197,7 +203,7 @@
         decoders = _generating(engines)
         if not decoders:
             return None
-        ranked = rank(prompt, decoders, weigh=lambda engine: 1.0)
+        ranked = rank(prompt, decoders)
 
         def cost(place: int) -> float:
             waits_s = self._wait_s(ranked[place], traits, now)
@@ -267,6 +273,23 @@
         )
 
 
+def lateness_s(plan: Plan, *, left_s: float, patience_s: float) -> float:
+    """Returns how much too late the first event is expected; 0 or less is not.
+
+    Load: more long prompts than the engines can read. Harm: every one of them
+    waits until its caller leaves or its deadline cuts it, and the reading
+    that was done for it is lost to those that could have been served. So what
+    can't begin in time is refused when it arrives, before it has cost
+    anything, and its caller can come back when the queue is shorter.
+
+    Args:
+        plan: The best plan there is.
+        left_s: Until the request's deadline.
+        patience_s: How much longer its caller waits for the first event.
+    """
+    return plan.first_s - min(left_s * FIRST_EVENT_SHARE, patience_s)
+
+
 def _transfer_s(
     tokens: int,
     source: directory.Registration,
@@ -282,29 +305,28 @@
 def find_home(
     prompt: prompt_module.Prompt, engines: list[directory.Registration]
 ) -> directory.Registration | None:
-    """Returns the engine where a prompt's shared part lives."""
+    """Returns the engine where a prompt's shared part is read first.
+
+    One that only reads, where there is one.
+    """
     if prompt.shared_tokens < HOME_TOKENS or not engines:
         return None
-    return rank(prompt, engines, weigh=_home_weight)[0]
+    readers = [e for e in engines if e.stage is directory.Stage.PREFILL]
+    return rank(prompt, readers or engines)[0]
 
 
 def rank(
-    prompt: prompt_module.Prompt,
-    engines: list[directory.Registration],
-    *,
-    weigh: Callable[[directory.Registration], float],
+    prompt: prompt_module.Prompt, engines: list[directory.Registration]
 ) -> list[directory.Registration]:
-    """Returns engines in an order that depends on ids and weights alone.
+    """Returns engines in an order that depends on ids alone.
 
-    Weighted rendezvous hashing: an engine that comes or goes moves only the
-    parts that it gets or had.
+    Rendezvous hashing: an engine that comes or goes moves only the parts that
+    it gets or had.
     """
     key = prompt.parts[0].id if prompt.parts else ""
 
-    def score(engine: directory.Registration) -> float:
-        digest = xxhash.xxh3_64_intdigest(f"{key}/{engine.id}".encode())
-        uniform = (digest + 1) / (2**64 + 1)
-        return -weigh(engine) / math.log(uniform)
+    def score(engine: directory.Registration) -> int:
+        return xxhash.xxh3_64_intdigest(f"{key}/{engine.id}".encode())
 
     return sorted(engines, key=score, reverse=True)
 
@@ -313,9 +335,3 @@
     engines: list[directory.Registration],
 ) -> list[directory.Registration]:
     return [e for e in engines if e.stage is not directory.Stage.PREFILL]
-
-
-def _home_weight(engine: directory.Registration) -> float:
-    if engine.stage is directory.Stage.PREFILL:
-        return PREFILL_HOME_WEIGHT
-    return 1.0
--- a/packages/bulrushgrade/bulrushgrade/routing.py
+++ b/packages/bulrushgrade/bulrushgrade/routing.py
@@ -9,6 +9,13 @@
 
 import attrs
 
+LEAST_PATIENCE_S = 2.0
+PATIENCE_TARGETS = 4.0
+PATIENCE_GAPS = 8.0
+"""How long callers of a stream wait for the next event before they leave: two
+seconds, four targets or eight gaps, whichever is longest. The users' callers
+do so; an event that comes later reaches nobody."""
+
 
 class RequestKind(enum.Enum):
     """What may be done with a request whose outcome is unknown."""
@@ -70,6 +77,17 @@
             return self.resumable
         return self.kind is RequestKind.IDEMPOTENT
 
+    @property
+    def patience_s(self) -> float:
+        """How long a caller waits for the first or the next event."""
+        if self.kind is not RequestKind.STREAM:
+            return self.timeout_s
+        return max(
+            LEAST_PATIENCE_S,
+            PATIENCE_TARGETS * self.target_s,
+            PATIENCE_GAPS * (self.gap_s or 0.0),
+        )
+
 
 @attrs.frozen(kw_only=True)
 class EngineTraits:
--- a/packages/bulrushgrade/tests/test_routing.py
+++ b/packages/bulrushgrade/tests/test_routing.py
@@ -97,6 +97,14 @@
     assert {routing.pick_service(route, rng) for _ in range(200)} == {"old"}
 
 
+def test_patience_of_streams():
+    stream = routing.RequestKind.STREAM
+    patient = make_route(kind=stream, target_s=0.8, gap_s=0.4)
+    assert patient.patience_s == 3.2
+    assert make_route(kind=stream, target_s=0.1).patience_s == 2.0
+    assert make_route(timeout_s=1.5).patience_s == 1.5
+
+
 _segments = st.lists(st.sampled_from(["a", "b", "ab", ""]), max_size=4)
 
 
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointcalls.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointcalls.py
@@ -18,6 +18,9 @@
 """Opening a connection takes a round trip of a few milliseconds; a lost first
 packet is sent again after 0.2 s or more. Longer means a dead or cut host."""
 
+LEAST_URGENT = 9
+"""The largest urgency that engines know."""
+
 FREE_TIMEOUT_S = 0.5
 """For freeing a prompt that nobody takes; it goes by itself seconds later."""
 
@@ -58,6 +61,7 @@
             left_s=0.0,
             last_event_id=request.cutter.last_id or request.asked.last_event_id,
             prefilled_by=prefilled,
+            urgency=_urgency(request),
             fetch_from=None if prefilled else _fetch_address(request),
         )
         sent = await self._send(request, sending)
@@ -79,6 +83,7 @@
             endpoint=engine,
             left_s=0.0,
             prefill_only=True,
+            urgency=_urgency(request),
             fetch_from=_fetch_address(request),
         )
         sent = await self._send(request, sending)
@@ -182,3 +187,9 @@
 def _fetch_address(request: inflight.InFlight) -> str | None:
     source = request.plan.fetch_from if request.plan else None
     return f"{source.host}:{source.port}" if source else None
+
+
+def _urgency(request: inflight.InFlight) -> int | None:
+    if request.plan is None:
+        return None
+    return min(request.route.priority, LEAST_URGENT)
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
@@ -13,6 +13,7 @@
 from twisted.web import http
 
 from bulrushgrade import attempts
+from bulrushgrade import engineplan
 from bulrushgrade import retryshare
 from bulrushgrade import routing
 from bulrushgrade_daemon import answerpass
@@ -216,9 +217,16 @@
                 return
 
     def _predicted_lateness_s(self, request: inflight.InFlight) -> float:
+        """Returns how much too late the first event is expected to be."""
         if request.plan is None:
             return 0.0
-        return request.plan.first_s - request.left_s(self._timers.now)
+        now = self._timers.now
+        waited_s = now - request.caller.arrived_at
+        return engineplan.lateness_s(
+            request.plan,
+            left_s=request.left_s(now),
+            patience_s=request.route.patience_s - waited_s,
+        )
 
     async def _attempt(
         self, request: inflight.InFlight
