Keep engines' queues short enough for the largest prompts

Queues were as long as the callers' patience, so only small prompts still began in time.

Change: a prompt is refused where it would wait longer than 0.4 of the caller's patience, alike for small and large.

What binds in bursts of long prompts is that two of five engines read; their role would have to follow the mix.

--- a/packages/bulrushgrade/bulrushgrade/engineplan.py
+++ b/packages/bulrushgrade/bulrushgrade/engineplan.py
@@ -66,6 +66,11 @@
 events need the rest. A stream that is cut at its deadline has cost as much as
 one that was served."""
 
+WAIT_SHARE = 0.4
+"""Of the caller's patience that a prompt may wait for others. The rest is for
+reading the prompt itself, up to the largest: with longer queues only small
+prompts would still begin in time, and the large ones never."""
+
 
 @attrs.frozen(kw_only=True)
 class Plan:
@@ -77,6 +82,7 @@
             generating one reads it itself.
         fetch_from: Who has the shared parts that the reading engine lacks,
             or None where it has them or has to read them.
+        wait_s: How long it is expected to wait before that.
         read_tokens: How many tokens are expected to be read.
         read_s: How long that should take by itself.
         move_s: How long KV cache is moved between engines for it.
@@ -86,6 +92,7 @@
     decode: directory.Registration
     prefill: directory.Registration | None
     fetch_from: directory.Registration | None
+    wait_s: float
     read_tokens: int
     read_s: float
     move_s: float
@@ -262,14 +269,16 @@
         if prefill is not None:
             move_s += HANDOVER_S
             move_s += _transfer_s(prompt.prompt_tokens, prefill, decode, traits)
+        wait_s = self._wait_s(reader, traits, now)
         return Plan(
             decode=decode,
             prefill=prefill,
             fetch_from=fetch_from,
+            wait_s=wait_s,
             read_tokens=tokens,
             read_s=read_s,
             move_s=move_s,
-            first_s=self._wait_s(reader, traits, now) + read_s + move_s,
+            first_s=wait_s + read_s + move_s,
         )
 
 
@@ -287,7 +296,8 @@
         left_s: Until the request's deadline.
         patience_s: How much longer its caller waits for the first event.
     """
-    return plan.first_s - min(left_s * FIRST_EVENT_SHARE, patience_s)
+    late_s = plan.first_s - min(left_s * FIRST_EVENT_SHARE, patience_s)
+    return max(late_s, plan.wait_s - patience_s * WAIT_SHARE)
 
 
 def _transfer_s(
