End the demo with one line where its address is taken

Cause: Twisted's CannotListenError is no OSError, so the clause written for a taken address never saw it; `bulrushgrade demo` with port 8080 taken ended in a traceback. The daemon's own start and the gateway's had the same clause.

Measured: the test fails before (a traceback of many lines) and passes after.

--- a/packages/bulrushgrade_cli/bulrushgrade_cli/demo.py
+++ b/packages/bulrushgrade_cli/bulrushgrade_cli/demo.py
@@ -11,6 +11,7 @@
 
 import attrs
 from twisted.internet import defer
+from twisted.internet import error as internet_error
 
 from bulrushgrade_cli import checking
 from bulrushgrade_cli import demodocuments
@@ -76,8 +77,11 @@
     system = _build(reactor, listen)
     try:
         await system.daemon.kernel.start()
-    except OSError as error:
-        return outcome.refuse(f"{listen} can't be opened: {error}")
+    except internet_error.CannotListenError as error:
+        return outcome.refuse(
+            f"{error.interface}:{error.port} can't be opened:"
+            f" {error.socketError.strerror}; --listen takes another address"
+        )
 
     # Ctrl-C stops the reactor; the requests in flight are finished first.
     reactor.addSystemEventTrigger(
--- a/packages/bulrushgrade_cli/tests/test_demo.py
+++ b/packages/bulrushgrade_cli/tests/test_demo.py
@@ -4,6 +4,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 
@@ -71,3 +72,27 @@
     caller.close()
     assert demo.wait(processes.LIMIT_S) == 0
     assert demo.stdout.read().strip() == "stopped"
+
+
+def test_taken_address_is_one_line_that_names_it():
+    """Another program listens where the demo wants to.
+
+    A first-time user would see a traceback through the reactor, with nothing
+    in it about which address to change and how.
+    """
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        taken.listen()
+        address = f"127.0.0.1:{taken.getsockname()[1]}"
+        command = [sys.executable, "-m", "bulrushgrade_cli", "demo"]
+        ended = subprocess.run(
+            [*command, "--listen", address],
+            env=dict(os.environ, PYTHONPATH=os.pathsep.join(sys.path)),
+            capture_output=True,
+            text=True,
+            timeout=processes.LIMIT_S,
+        )
+    assert ended.returncode == 1
+    (line,) = ended.stderr.strip().splitlines()
+    assert address in line
+    assert "--listen" in line
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/__main__.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/__main__.py
@@ -7,6 +7,7 @@
 
 from absl import logging
 from returns.result import Failure
+from twisted.internet import error as internet_error
 import typer
 
 from bulrushgrade_daemon import host
@@ -51,7 +52,7 @@
     async def _open(self) -> None:
         try:
             await self._daemon.kernel.start()
-        except OSError as error:
+        except internet_error.CannotListenError as error:
             self._broken(f"can't open an address: {error}")
             return
         addresses = {
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayprocess.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayprocess.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from returns.result import Failure
+from twisted.internet import error as internet_error
 
 from bulrushgrade_daemon import gateway as gateway_module
 from bulrushgrade_daemon import gatewaysettings
@@ -70,7 +71,7 @@
     async def _open(self) -> None:
         try:
             await self._gateway.start()
-        except OSError as error:
+        except internet_error.CannotListenError as error:
             self._broken(f"can't open an address: {error}")
 
     def _stop(self) -> None:
