--- /dev/null
+++ b/packages/bulrushgrade/tests/test_peerqueues.py
@@ -0,0 +1,32 @@
+"""Tests of what peers have waiting."""
+
+from bulrushgrade import peerqueues
+
+
+def test_queues_add_up_and_replace():
+    found = peerqueues.PeerQueues()
+    found.tell("a", 1, {"e1": 0.5}, 0.0)
+    found.tell("b", 1, {"e1": 0.25, "e2": 1.0}, 0.0)
+    assert found.queued_s("e1", 0.1) == 0.75
+    found.tell("a", 2, {}, 0.2)
+    assert found.queued_s("e1", 0.2) == 0.25
+
+
+def test_message_that_was_overtaken_is_no_news():
+    found = peerqueues.PeerQueues()
+    found.tell("a", 2, {"e1": 0.5}, 0.0)
+    found.tell("a", 1, {"e1": 9.0}, 0.1)
+    assert found.queued_s("e1", 0.1) == 0.5
+
+
+def test_silent_peer_holds_nothing():
+    """A daemon is killed with work told to its peers.
+
+    Its endpoints would look busy for ever to those that are left.
+    """
+    found = peerqueues.PeerQueues()
+    found.tell("a", 1, {"e1": 0.5}, 0.0)
+    assert found.heard_since(1.0) == 1
+    assert found.queued_s("e1", peerqueues.STALE_S) == 0.0
+    found.forget(peerqueues.STALE_S)
+    assert found.heard_since(0.0) == 0
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/decisionlog.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/decisionlog.py
@@ -13,6 +13,11 @@
 
 import msgspec
 
+STDOUT = 1
+
+FLUSH_S = 1.0
+"""Between two attempts to write what a slow reader has left."""
+
 MAX_LINES_QUEUED = 2000
 """About 500 KB; a reader that stalls for longer has lost its lines."""
 
@@ -48,6 +53,10 @@
             clock: Paces the lines.
         """
         self._host = host
+        if write is None:
+            # A pipe whose reader stalls would otherwise hold the process up
+            # in the write.
+            os.set_blocking(STDOUT, False)
         self._write = write or _write_stdout
         self._wall_clock = wall_clock
         self._clock = clock
@@ -126,4 +135,4 @@
 
 
 def _write_stdout(line: bytes) -> int:
-    return os.write(1, line)
+    return os.write(STDOUT, line)
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gateway.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gateway.py
@@ -168,6 +168,7 @@
     async def start(self) -> None:
         """Starts every service."""
         await self._kernel.start()
+        self._timers.every(decisionlog.FLUSH_S, self._log.flush)
         self._log.always(
             "started",
             callers=self._front.address,
--- /dev/null
+++ b/packages/bulrushgrade_daemon/tests/test_decisionlog.py
@@ -0,0 +1,98 @@
+"""Tests of the log of decisions."""
+
+import json
+
+from bulrushgrade_daemon import decisionlog
+
+
+class Sink:
+    """Takes lines until it is full."""
+
+    def __init__(self, room=10**9):
+        self.room = room
+        self.taken = b""
+
+    def write(self, line):
+        if self.room <= 0:
+            raise BlockingIOError()
+        part = line[: self.room]
+        self.room -= len(part)
+        self.taken += part
+        return len(part)
+
+    @property
+    def lines(self):
+        return [json.loads(line) for line in self.taken.splitlines()]
+
+
+def make(sink, now):
+    return decisionlog.DecisionLog(
+        host="h1",
+        write=sink.write,
+        wall_clock=lambda: 12.3456,
+        clock=lambda: now[0],
+    )
+
+
+def test_line_holds_what_decided():
+    sink = Sink()
+    make(sink, [0.0]).note("refused", request="q1", age_s=0.5)
+    (line,) = sink.lines
+    assert line == {
+        "t": 12.346,
+        "host": "h1",
+        "event": "refused",
+        "request": "q1",
+        "age_s": 0.5,
+    }
+
+
+def test_flood_is_bounded_and_counted():
+    """An endpoint fails every request of a flood.
+
+    A line each would be a second load on the host just when it is busy.
+    """
+    sink, now = Sink(), [0.0]
+    log = make(sink, now)
+    for _ in range(5000):
+        log.note("attempt_ended")
+    assert len(sink.lines) == decisionlog.BURST_LINES
+    assert log.counts["dropped"] == 5000 - decisionlog.BURST_LINES
+    now[0] = 1.0
+    log.note("attempt_ended")
+    assert sink.lines[-1]["lines_dropped"] == log.counts["dropped"]
+
+
+def test_starts_and_stops_are_never_dropped_for_the_rate():
+    sink = Sink()
+    log = make(sink, [0.0])
+    for _ in range(1000):
+        log.note("x")
+    log.always("stopping")
+    assert sink.lines[-1]["event"] == "stopping"
+
+
+def test_slow_reader_never_holds_the_process_up():
+    """Whoever reads the output stalls, and its pipe is full.
+
+    A write that waited would stop every request of this host.
+    """
+    sink, now = Sink(room=150), [0.0]
+    log = make(sink, now)
+    for _ in range(decisionlog.MAX_LINES_QUEUED + 500):
+        now[0] += 1.0
+        log.note("x")
+    assert log.counts["dropped"] > 0
+    sink.room = 10**9
+    log.flush()
+    assert len(sink.lines) >= decisionlog.MAX_LINES_QUEUED
+
+
+def test_reader_that_is_gone_is_no_error():
+    def write(line):
+        raise BrokenPipeError()
+
+    log = decisionlog.DecisionLog(host="h", write=write)
+    log.always("started")
+    log.always("stopped")
+    assert log.counts["written"] == 0
