Scale the wait that a prompt may have by its size

The lines of refusals show large prompts refused by the same limit as small ones, and again when they came back with less time.

--- a/packages/bulrushgrade/bulrushgrade/engineplan.py
+++ b/packages/bulrushgrade/bulrushgrade/engineplan.py
@@ -71,6 +71,15 @@
 reading the prompt itself, up to the largest: with longer queues only small
 prompts would still begin in time, and the large ones never."""
 
+LEAST_SIZE, GREATEST_SIZE = 0.8, 1.5
+"""Bounds of a prompt's size, against the mean, by which its wait is scaled.
+Prompts of all sizes arrive at the same queue, but a large one that is refused
+and comes back has used up more of the time that it needs; with one limit for
+all, half as many of the largest tenth were served as of all."""
+
+SIZE_WEIGHT = 0.05
+"""Of each prompt in the running mean of sizes: some twenty prompts."""
+
 
 @attrs.frozen(kw_only=True)
 class Plan:
@@ -82,6 +91,7 @@
             generating one reads it itself.
         fetch_from: Who has the shared parts that the reading engine lacks,
             or None where it has them or has to read them.
+        relative_size: The whole prompt's tokens against the mean.
         wait_s: How long it is expected to wait before that.
         read_tokens: How many tokens are expected to be read.
         read_s: How long that should take by itself.
@@ -92,6 +102,7 @@
     decode: directory.Registration
     prefill: directory.Registration | None
     fetch_from: directory.Registration | None
+    relative_size: float
     wait_s: float
     read_tokens: int
     read_s: float
@@ -113,6 +124,7 @@
         """
         self._zone = zone
         self._others = others or peerqueues.PeerQueues()
+        self._mean_tokens = 0.0
         self._loads: dict[tuple[str, int], engineload.EngineLoad] = {}
 
     def load(
@@ -161,6 +173,8 @@
         decoders = _generating(engines)
         if not decoders:
             return None
+        if prompt.prompt_tokens >= HOME_TOKENS:
+            self._note_size(prompt.prompt_tokens)
         home = find_home(prompt, engines)
         holder = self._find_holder(prompt, engines, traits)
 
@@ -194,6 +208,11 @@
             ]
         return min(plans, key=cost)
 
+    def _note_size(self, tokens: int) -> None:
+        if self._mean_tokens == 0.0:
+            self._mean_tokens = tokens
+        self._mean_tokens += SIZE_WEIGHT * (tokens - self._mean_tokens)
+
     def receiver(
         self,
         prompt: prompt_module.Prompt,
@@ -274,6 +293,7 @@
             decode=decode,
             prefill=prefill,
             fetch_from=fetch_from,
+            relative_size=prompt.prompt_tokens / max(self._mean_tokens, 1.0),
             wait_s=wait_s,
             read_tokens=tokens,
             read_s=read_s,
@@ -297,7 +317,8 @@
         patience_s: How much longer its caller waits for the first event.
     """
     late_s = plan.first_s - min(left_s * FIRST_EVENT_SHARE, patience_s)
-    return max(late_s, plan.wait_s - patience_s * WAIT_SHARE)
+    size = min(max(plan.relative_size, LEAST_SIZE), GREATEST_SIZE)
+    return max(late_s, plan.wait_s - patience_s * WAIT_SHARE * size)
 
 
 def _transfer_s(
