Name the size from which prompts are read apart; test both sides of it

Cause: the limit of 100 tokens stood as a bare number, the test still had the old rule, and before the first long prompt a short one counted as the largest.

Change: a named constant, tests for tiny and short prompts, a size of 1 before a mean is known.

--- a/packages/bulrushgrade/bulrushgrade/engineplan.py
+++ b/packages/bulrushgrade/bulrushgrade/engineplan.py
@@ -49,6 +49,10 @@
 it. Two daemons that meet a new part at the same time then read it once, at
 its home; about what reading it twice would cost."""
 
+HANDOVER_TOKENS = 100
+"""Shorter prompts are read where they are generated; the handover alone takes
+longer than reading them."""
+
 HANDOVER_S = 0.02
 """The fixed time of a handover: two requests and the setting up of a
 transfer."""
@@ -212,7 +216,7 @@
             self._read_at(prompt, engine, None, traits, holder, now)
             for engine in decoders
         ]
-        if may_hand_over and prompt.prompt_tokens >= 100:
+        if may_hand_over and prompt.prompt_tokens >= HANDOVER_TOKENS:
             receiver = self.receiver(prompt, decoders, traits, now=now)
             plans += [
                 self._read_at(prompt, receiver, engine, traits, holder, now)
@@ -221,6 +225,11 @@
             ]
         return min(plans, key=cost)
 
+    def _relative_size(self, prompt: prompt_module.Prompt) -> float:
+        if self._mean_tokens == 0.0:
+            return 1.0
+        return prompt.prompt_tokens / self._mean_tokens
+
     def _note_size(self, tokens: int) -> None:
         if self._mean_tokens == 0.0:
             self._mean_tokens = tokens
@@ -306,7 +315,7 @@
             decode=decode,
             prefill=prefill,
             fetch_from=fetch_from,
-            relative_size=prompt.prompt_tokens / max(self._mean_tokens, 1.0),
+            relative_size=self._relative_size(prompt),
             wait_s=wait_s,
             read_tokens=tokens,
             read_s=read_s,
--- a/packages/bulrushgrade/tests/test_engineplan.py
+++ b/packages/bulrushgrade/tests/test_engineplan.py
@@ -83,9 +83,24 @@
         assert plan.fetch_from is None
 
 
-def test_short_prompt_is_never_handed_over():
+def test_tiny_prompt_is_never_handed_over():
+    tiny = make_prompt("s1", shared_tokens=40, own_tokens=50)
+    assert make_plan(tiny).prefill is None
+
+
+def test_short_prompts_are_read_apart_where_few_engines_generate():
+    """Short prompts arrive at a rate that would fill an engine that generates.
+
+    Each holds its streams up for ten milliseconds; a hundred a second would
+    hold them up all the time, while the engines that read have room.
+    """
+    planner = engineplan.EnginePlanner(zone="z1")
     short = make_prompt("s1", shared_tokens=90, own_tokens=290)
-    assert make_plan(short).prefill is None
+    assert make_plan(short, planner=planner).prefill is not None
+    for engine in ENGINES[:2]:
+        queued = engineload.Reading(expected_s=1.0, since=0.0, tokens=0)
+        planner.load(engine, TRAITS).begin(None, queued)
+    assert make_plan(short, planner=planner).prefill is None
 
 
 def test_long_queue_at_home_spills():
