Have one daemon follow each engine's cache and tell the others

Cause: every daemon asked every engine for its cache changes twice a second.

Change: rendezvous hashing over the daemons that hear each other picks who follows an engine; what changes goes to the peers with the next message about queues. Only parts that are worth fetching are told.

--- a/packages/bulrushgrade/bulrushgrade/directory.py
+++ b/packages/bulrushgrade/bulrushgrade/directory.py
@@ -124,6 +124,11 @@
         """Every endpoint that has a record, draining ones too."""
         return [e.known for e in self._entries.values() if not e.gone]
 
+    def find(self, id: str) -> Registration | None:
+        """Returns the endpoint of an id that has a record, or None."""
+        entry = self._entries.get(id)
+        return None if entry is None or entry.gone else entry.known
+
     def put(self, found: Registration, *, now: float) -> Change | None:
         """Takes a record; returns what it changed, or None.
 
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/cachewatch.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/cachewatch.py
@@ -85,7 +85,7 @@
 
         Args:
             timers: The timer service.
-            engines: Returns the engines to follow.
+            engines: Returns the engines that this daemon is to follow.
             read: Returns an engine's changes from a number on.
             apply: Takes an engine, its changes, and `anew`.
             on_broken: Called with the reason where an invariant is broken.
@@ -158,5 +158,8 @@
             place.epoch, place.next, place.due = found.epoch, 0, 0.0
             self._apply(engine, (), anew=True)
             return
+        # What was dropped before the first read was seen by whoever followed
+        # the engine before.
+        anew = found.lost and place.epoch is not None
         place.epoch, place.next = found.epoch, found.end
-        self._apply(engine, found.changes, anew=found.lost)
+        self._apply(engine, found.changes, anew=anew)
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gateway.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gateway.py
@@ -13,6 +13,8 @@
 from returns.result import Failure
 
 from bulrushgrade import directory as directory_module
+from bulrushgrade import engineload
+from bulrushgrade import engineplan
 from bulrushgrade import kernel as kernel_module
 from bulrushgrade import orderturn
 from bulrushgrade import peerqueues
@@ -255,9 +257,9 @@
         )
         self._cache_watch = cachewatch.CacheWatch(
             timers=self._timers,
-            engines=self._engines,
+            engines=self._followed_engines,
             read=self._adapter.read_cache_changes,
-            apply=self._chooser.apply_cache,
+            apply=self._take_cache_changes,
             on_broken=self._kernel.fail,
         )
         self._gossip = loadgossip.LoadGossip(
@@ -269,6 +271,7 @@
             membership=self._adapter.membership,
             queues=self._peer_queues,
             read_own=self._chooser.queued_s,
+            take_changes=self._take_told_changes,
             log=self._log,
             on_broken=self._kernel.fail,
         )
@@ -432,8 +435,36 @@
             read=lambda: self._forwarder.open_requests,
         )
 
-    def _engines(self) -> list[directory_module.Registration]:
-        return [r for r in self._endpoints.registrations if r.stage is not None]
+    def _followed_engines(self) -> list[directory_module.Registration]:
+        return [
+            registration
+            for registration in self._endpoints.registrations
+            if registration.stage is not None
+            and self._gossip.follows(registration.id)
+        ]
+
+    def _take_cache_changes(
+        self,
+        engine: directory_module.Registration,
+        changes: tuple[engineload.CacheChange, ...],
+        *,
+        anew: bool,
+    ) -> None:
+        # Short parts are read faster than fetched; nobody asks for them.
+        useful = tuple(
+            change
+            for change in changes
+            if change.tokens >= engineplan.FETCH_TOKENS or change.tokens == 0
+        )
+        self._chooser.apply_cache(engine, useful, anew=anew)
+        self._gossip.tell_changes(engine.id, useful)
+
+    def _take_told_changes(
+        self, engine: str, changes: tuple[engineload.CacheChange, ...]
+    ) -> None:
+        known = self._endpoints.find(engine)
+        if known is not None:
+            self._chooser.apply_cache(known, changes, anew=False)
 
     def _caller_limits(self) -> routing.CallerLimits:
         if self._table is None:
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadgossip.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadgossip.py
@@ -16,7 +16,9 @@
 from returns.result import Failure
 from returns.result import Result
 from twisted.internet import protocol
+import xxhash
 
+from bulrushgrade import engineload
 from bulrushgrade import peerqueues
 from bulrushgrade_daemon import decisionlog
 from bulrushgrade_daemon import follower
@@ -30,6 +32,10 @@
 """Messages that a daemon sends a second at most. With more peers each hears
 less often, so that the cost stays the same."""
 
+MOST_CHANGES = 40
+"""Of one engine's cache in a message, so that a datagram stays within what a
+link carries in one piece. What is left out costs a better place, no more."""
+
 ANNOUNCE_RETRY_S = 1.0
 """Between two attempts to write the own address while the store is away."""
 
@@ -42,6 +48,9 @@
     peer: str
     number: int
     queued_ms: dict[str, int]
+    # What changed in the caches that the peer follows, by engine: parts with
+    # the tokens that are kept now.
+    kept: dict[str, list[tuple[str, int]]] = {}
 
 
 _message_encoder = msgspec.msgpack.Encoder()
@@ -79,6 +88,7 @@
         membership: Membership,
         queues: peerqueues.PeerQueues,
         read_own: Callable[[], dict[str, float]],
+        take_changes: Callable[[str, tuple[engineload.CacheChange, ...]], None],
         log: decisionlog.DecisionLog,
         on_broken: Callable[[str], None],
     ):
@@ -93,6 +103,7 @@
             membership: Where daemons find each other.
             queues: Takes what peers tell.
             read_own: Returns seconds of reading by engine.
+            take_changes: Takes what a peer saw of an engine's cache.
             log: Gets a line for each peer that comes.
             on_broken: Called with the reason where an invariant is broken.
         """
@@ -104,6 +115,8 @@
         self._membership = membership
         self._queues = queues
         self._read_own = read_own
+        self._take_changes = take_changes
+        self._kept: dict[str, dict[str, int]] = {}
         self._log = log
         self._on_broken = on_broken
         self._peers: dict[str, tuple[str, int]] = {}
@@ -113,6 +126,10 @@
         self._announcing: Any = None
         self._tick: Any = None
 
+    @property
+    def _own_name(self) -> str:
+        return f"{self._host_name}/{self._incarnation}"
+
     @property
     def counts(self) -> dict[str, int]:
         """Messages sent, and received ones that could not be read."""
@@ -176,6 +193,33 @@
             message.peer, message.number, queued_s, self._timers.now
         )
 
+        for engine, kept in message.kept.items():
+            changes = tuple(
+                engineload.CacheChange(part=part, tokens=tokens)
+                for part, tokens in kept
+            )
+            self._take_changes(engine, changes)
+
+    def tell_changes(
+        self, engine: str, changes: tuple[engineload.CacheChange, ...]
+    ) -> None:
+        """Has peers told what changed in an engine's cache."""
+        if not self._peers:
+            return
+        kept = self._kept.setdefault(engine, {})
+        for change in changes:
+            kept[change.part] = change.tokens
+
+    def follows(self, engine: str) -> bool:
+        """Returns whether this daemon is the one to follow an engine's cache.
+
+        Of those that hear each other the one that rendezvous hashing picks,
+        so that each engine is asked by one daemon however many there are.
+        """
+        heard = self._queues.heard(self._timers.now)
+        own = self._own_name
+        return own == max((*heard, own), key=lambda name: _score(engine, name))
+
     async def _announce(self) -> None:
         host = self._port.getHost()
         announcement = _Announcement(address=f"{host.host}:{host.port}")
@@ -192,15 +236,21 @@
 
     def _tell_peers(self) -> None:
         self._number += 1
+        told, self._kept = self._kept, {}
+        kept = {
+            engine: list(parts.items())[:MOST_CHANGES]
+            for engine, parts in told.items()
+        }
         queued_ms = {
             engine: round(seconds * 1000)
             for engine, seconds in self._read_own().items()
         }
         message = _message_encoder.encode(
             _Message(
-                peer=f"{self._host_name}/{self._incarnation}",
+                peer=self._own_name,
                 number=self._number,
                 queued_ms=queued_ms,
+                kept=kept,
             )
         )
         for address in self._peers.values():
@@ -209,6 +259,10 @@
         self._schedule()
 
 
+def _score(engine: str, name: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{engine}/{name}".encode())
+
+
 def _read_address(value: bytes) -> tuple[str, int] | None:
     try:
         text = _announcement_decoder.decode(value).address
