--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/cachewatch.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/cachewatch.py
@@ -143,9 +143,7 @@
         self._reads += 1
         read = await self._read(engine, place.next)
         place.reading = False
-        import sys
 
-        print(read, file=sys.stderr)
         if isinstance(read, Failure):
             self._failures += 1
             place.due = self._timers.now + FAILED_PERIOD_S
