--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,9 @@
 VENV ?= .venv
 PY := $(VENV)/bin/python
 PACKAGES := packages/bulrushgrade packages/bulrushgrade_daemon \
-	packages/bulrushgrade_standins packages/bulrushgrade_cli
+	packages/bulrushgrade_standins packages/bulrushgrade_cli platform
 
-.PHONY: demo test lint format long
+.PHONY: demo test lint format long soak
 
 $(VENV)/.ready: requirements.lock $(addsuffix /pyproject.toml,$(PACKAGES))
 	python3 -m venv $(VENV)
@@ -28,3 +28,6 @@
 long: $(VENV)/.ready  ## run the state machines longer; prints its seed
 	@seed=$${SEED:-$$(date +%s)}; echo "hypothesis seed: $$seed"; \
 	HYPOTHESIS_PROFILE=long $(PY) -m pytest -k machine -n 4 --hypothesis-seed=$$seed
+
+soak: $(VENV)/.ready  ## harm gateways at random; SEED and SECONDS may be set
+	$(PY) platform/tests/soak.py --seed $${SEED:-1} --seconds $${SECONDS:-60}
--- a/packages/bulrushgrade/bulrushgrade/retryshare.py
+++ b/packages/bulrushgrade/bulrushgrade/retryshare.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+from collections.abc import Callable
 
 RATIO_USED = 0.9
 """The part of the ratio that is used. Requests of a window are counted when
@@ -17,12 +18,15 @@
 class RetryShare:
     """Retries to one service that this daemon may still send."""
 
-    def __init__(self, *, ratio: float, extra: float, window_s: float):
+    def __init__(
+        self, *, ratio: float, extra: Callable[[], float], window_s: float
+    ):
         """Makes a share with nothing spent.
 
         Args:
             ratio: Retries for each request of the window.
-            extra: Retries a window beside, this daemon's part.
+            extra: Returns this daemon's part of the retries a window beside;
+                it shrinks when more daemons are known.
             window_s: The length of the window in seconds.
         """
         self._ratio = ratio * RATIO_USED
@@ -39,7 +43,7 @@
     def spend(self, now: float) -> bool:
         """Takes one retry, or returns False where none is left."""
         self._drop_old(now)
-        allowed = self._ratio * len(self._requests) + self._extra
+        allowed = self._ratio * len(self._requests) + self._extra()
         if len(self._retries) + 1 > allowed:
             return False
         self._retries.append(now)
--- a/packages/bulrushgrade/tests/test_retryshare.py
+++ b/packages/bulrushgrade/tests/test_retryshare.py
@@ -6,9 +6,8 @@
 from bulrushgrade import retryshare
 
 
-def make(**changes):
-    values = {"ratio": 0.2, "extra": 1.0, "window_s": 10.0}
-    return retryshare.RetryShare(**(values | changes))
+def make(extra=1.0):
+    return retryshare.RetryShare(ratio=0.2, extra=lambda: extra, window_s=10.0)
 
 
 def test_retries_follow_requests():
--- a/packages/bulrushgrade_cli/tests/test_pages.py
+++ b/packages/bulrushgrade_cli/tests/test_pages.py
@@ -28,6 +28,13 @@
     },
 }  # fmt: skip
 
+# Words of the platform that only its adapter may know.
+PLATFORM_WORDS = re.compile(
+    r"x-(?:kv-|not-executed|expect-|prompt-prefix|serving-stage)"
+    r"|kv-(?:fetch|events|handle)|log-(?:read|newest|append)|keyed\.",
+    re.IGNORECASE,
+)
+
 
 def _read_commands(page):
     """Yields the lines of a page's indented and fenced blocks."""
@@ -88,8 +95,26 @@
             assert re.search(defined, text, re.MULTILINE), name
 
 
+def test_only_the_adapter_knows_the_platforms_words():
+    found = {
+        path.name
+        for path in ROOT.glob("packages/*/*/*.py")
+        if "tests" not in path.parts and PLATFORM_WORDS.search(path.read_text())
+    }
+    assert found == set()
+
+
+def test_the_adapter_is_small():
+    paths = ROOT.glob("platform/bulrushgrade_platform/*.py")
+    assert sum(len(path.read_text().splitlines()) for path in paths) < 1500
+
+
 def test_every_module_has_a_docstring():
-    paths = [*ROOT.glob("packages/*/*/*.py"), *ROOT.glob("examples/*.py")]
+    paths = [
+        *ROOT.glob("packages/*/*/*.py"),
+        *ROOT.glob("platform/*/*.py"),
+        *ROOT.glob("examples/*.py"),
+    ]
     assert len(paths) > len(PAGES)
     bare = [p for p in paths if not ast.get_docstring(ast.parse(p.read_text()))]
     assert bare == []
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gateway.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gateway.py
@@ -53,9 +53,14 @@
 """Reads of the configuration in its bound when nothing changes. A read waits
 for a change, so this only limits how long a silent store goes unnoticed."""
 
-MOST_HOSTS = 64
-"""Hosts that the fixed part of the retry budget is divided by. The settings
-don't tell how many hosts there are."""
+LEAST_HOSTS = 64
+"""Hosts that the fixed part of the retry budget is divided by at least. The
+settings don't tell how many there are, and a host that has just started does
+not know its peers yet."""
+
+HOSTS_SPARED = 2
+"""Times the known hosts that it is divided by where those are many: room for
+as many that start at the same moment."""
 
 PEERS_WAIT_S = 15.0
 """How long a read of the gateways' topic waits. It changes only when a host
@@ -386,10 +391,14 @@
         bounds = self._settings.bounds
         return retryshare.RetryShare(
             ratio=bounds.retry_ratio,
-            extra=bounds.retry_extra / MOST_HOSTS,
+            extra=self._retry_extra,
             window_s=bounds.retry_window_s,
         )
 
+    def _retry_extra(self) -> float:
+        hosts = max(LEAST_HOSTS, HOSTS_SPARED * self._gossip.known_hosts)
+        return self._settings.bounds.retry_extra / hosts
+
     def _add_counts(self) -> None:
         for name, doc, read in (
             (
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadgossip.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadgossip.py
@@ -130,6 +130,11 @@
     def _own_name(self) -> str:
         return f"{self._host_name}/{self._incarnation}"
 
+    @property
+    def known_hosts(self) -> int:
+        """How many hosts have announced themselves, this one included."""
+        return len(self._peers) + 1
+
     @property
     def counts(self) -> dict[str, int]:
         """Messages sent, and received ones that could not be read."""
