--- /dev/null
+++ b/packages/bulrushgrade/tests/test_orderturn.py
@@ -0,0 +1,121 @@
+"""Tests of whose turn it is to order engines about."""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from bulrushgrade import orderturn
+
+LEASE_S = 3.0
+HOSTS = ("a", "b", "c")
+
+
+def make(holder="a"):
+    return orderturn.OrderTurn(holder=holder, lease_s=LEASE_S)
+
+
+def test_empty_topic_is_anyones():
+    assert make().may_append(0.0)
+
+
+def test_own_records_do_not_hold_up():
+    turn = make()
+    turn.take("a", 0, now=1.0)
+    assert turn.may_append(1.0)
+    assert turn.end == 1
+
+
+def test_another_hosts_record_holds_up_from_when_it_is_seen():
+    """A host starts and finds an order of unknown age in the topic.
+
+    Counted from its writing, by clocks that can't be compared, the two hosts'
+    orders might come within a lease.
+    """
+    turn = make()
+    turn.take("b", 7, now=10.0)
+    assert not turn.may_append(10.0 + LEASE_S)
+    whole_s = LEASE_S + orderturn.SEND_WITHIN_S + orderturn.GUARD_S
+    assert turn.may_append(10.0 + whole_s)
+
+
+def test_unreadable_record_counts_as_another_hosts():
+    turn = make()
+    turn.take(None, 0, now=5.0)
+    assert not turn.may_append(6.0)
+
+
+def test_dropped_records_count_as_another_hosts():
+    turn = make()
+    turn.skip_to(40, now=5.0)
+    assert turn.end == 40
+    assert not turn.may_append(6.0)
+
+
+def test_paused_host_does_not_send():
+    """A host is paused between its append and the write of its order.
+
+    By the time it wakes another host may have ordered the engine about.
+    """
+    assert make().may_send(0.0, orderturn.SEND_WITHIN_S)
+    assert not make().may_send(10.0, 10.1 + orderturn.SEND_WITHIN_S)
+
+
+class TurnMachine(stateful.RuleBasedStateMachine):
+    """Hosts read, append and send at any time, with pauses between.
+
+    Orders of two hosts must be a lease apart, numbers must grow.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.topic = []
+        self.turns = {host: make(host) for host in HOSTS}
+        self.appended = {}
+        self.orders = []
+
+    @stateful.rule(step=st.floats(0.01, 4.0))
+    def wait(self, step):
+        self.now += step
+
+    @stateful.rule(host=st.sampled_from(HOSTS))
+    def restart(self, host):
+        self.turns[host] = make(f"{host}+")
+        self.turns[host] = make(host)
+        self.appended.pop(host, None)
+
+    @stateful.rule(host=st.sampled_from(HOSTS))
+    def read(self, host):
+        turn = self.turns[host]
+        for offset in range(turn.end, len(self.topic)):
+            turn.take(self.topic[offset], offset, now=self.now)
+
+    @stateful.rule(host=st.sampled_from(HOSTS))
+    def append(self, host):
+        turn = self.turns[host]
+        if turn.end != len(self.topic) or not turn.may_append(self.now):
+            return
+        self.appended[host] = (self.now, len(self.topic))
+        turn.take(host, len(self.topic), now=self.now)
+        self.topic.append(host)
+
+    @stateful.rule(host=st.sampled_from(HOSTS))
+    def send(self, host):
+        if host not in self.appended:
+            return
+        at, number = self.appended.pop(host)
+        if self.turns[host].may_send(at, self.now):
+            self.orders.append((self.now, host, number))
+
+    @stateful.invariant()
+    def orders_are_apart_and_numbered(self):
+        for before, after in zip(self.orders, self.orders[1:], strict=False):
+            assert before[2] < after[2]
+            if before[1] != after[1]:
+                assert after[0] - before[0] >= LEASE_S
+
+
+TestTurnMachine = TurnMachine.TestCase
+TestTurnMachine.settings = hypothesis.settings(
+    max_examples=150, stateful_step_count=40, deadline=None
+)
--- /dev/null
+++ b/packages/bulrushgrade_daemon/tests/test_cachewatch.py
@@ -0,0 +1,97 @@
+"""Tests of following engines' caches."""
+
+import fakes
+from returns.result import Failure
+
+from bulrushgrade import directory
+from bulrushgrade import engineload
+from bulrushgrade_daemon import cachewatch
+from bulrushgrade_daemon import outbound
+
+ENGINE = directory.Registration(
+    id="p1",
+    born_ms=1,
+    service="llm",
+    host="10.0.0.1",
+    port=80,
+    zone="z",
+    slots=4,
+    state=directory.EndpointState.READY,
+    cold_s=0.0,
+    stage=directory.Stage.PREFILL,
+    sequence=1,
+)
+KEPT = engineload.CacheChange(part="a", tokens=5000)
+
+
+def found(epoch="1", end=3, lost=False, changes=(KEPT,)):
+    return cachewatch.CacheChanges(
+        epoch=epoch, end=end, lost=lost, changes=changes
+    )
+
+
+def make(*answers):
+    reactor, timers, broken = fakes.make_timers()
+    read = fakes.Answers(*answers)
+    applied = []
+
+    def apply(engine, changes, *, anew):
+        applied.append((engine.id, changes, anew))
+
+    engines = [ENGINE]
+    watch = cachewatch.CacheWatch(
+        timers=timers,
+        engines=lambda: engines,
+        read=read,
+        apply=apply,
+        on_broken=broken.append,
+    )
+    fakes.run(watch.start())
+    return reactor, read, applied, engines
+
+
+def test_changes_are_read_from_where_the_last_ended():
+    reactor, read, applied, _ = make(found(end=3), found(end=9, changes=()))
+    reactor.pump([0.25] * 6)
+    assert [since for _, since in read.calls][:2] == [0, 3]
+    assert applied[0] == ("p1", (KEPT,), False)
+
+
+def test_gap_makes_the_belief_void():
+    reactor, _, applied, _ = make(found(), found(end=90, lost=True))
+    reactor.pump([0.25] * 6)
+    assert [anew for _, _, anew in applied[:2]] == [False, True]
+
+
+def test_first_read_does_not_void_what_another_daemon_told():
+    """The daemon that followed an engine dies and this one takes over.
+
+    The engine has dropped its oldest changes long ago; this daemon heard them
+    from the other one.
+    """
+    reactor, _, applied, _ = make(found(lost=True))
+    reactor.pump([0.25] * 2)
+    assert applied[0][2] is False
+
+
+def test_restarted_engine_is_read_anew():
+    reactor, read, applied, _ = make(found(), found(epoch="2", end=1))
+    reactor.pump([0.25] * 8)
+    assert ("p1", (), True) in applied
+    assert [since for _, since in read.calls][:3] == [0, 3, 0]
+
+
+def test_silent_engine_is_asked_less_often():
+    failure = Failure(outbound.CallFailed(written=True, reason="timeout"))
+    reactor, read, _, _ = make(failure)
+    reactor.pump([0.25] * 16)
+    assert len(read.calls) <= 3
+
+
+def test_engine_that_is_gone_is_not_asked():
+    reactor, read, _, engines = make(found())
+    reactor.pump([0.25] * 2)
+    engines.clear()
+    asked = len(read.calls)
+    reactor.pump([0.25] * 8)
+    assert len(read.calls) == asked
--- /dev/null
+++ b/packages/bulrushgrade_daemon/tests/test_gatewaysettings.py
@@ -0,0 +1,55 @@
+"""Tests of a gateway's settings."""
+
+from returns.result import Failure
+
+from bulrushgrade_daemon import gatewaysettings
+
+TEXT = """\
+[host]
+name = Front_1
+zone = z1
+[listen]
+callers = 127.0.0.1:8080
+ready = 127.0.0.1:8081
+admin = 127.0.0.1:8082
+peers = 127.0.0.1:8082
+[store]
+address = 10.0.0.1:7000
+[bounds]
+drain_s = 2000e-3
+configuration_s = 2
+stop_s = 8
+retry_ratio = 0.2
+retry_extra = 52
+retry_window_s = 10
+order_lease_s = 3000e-3
+"""
+
+
+def parse(text):
+    return gatewaysettings.parse_settings(text, file="f.ini")
+
+
+def test_every_section_is_read():
+    found = parse(TEXT).unwrap()
+    assert found.host.name == "Front_1"
+    assert str(found.store.address) == "10.0.0.1:7000"
+    assert found.bounds.drain_s == 2.0
+
+
+def test_every_error_is_named_at_once():
+    wrong = TEXT.replace("10.0.0.1:7000", "store:7000")
+    wrong = wrong.replace("stop_s = 8", "stop_s = soon")
+    wrong = wrong.replace("retry_extra = 52\n", "")
+    wrong = wrong.replace("zone = z1", "zone = z1\nrack = 7")
+    found = parse(wrong)
+    assert isinstance(found, Failure)
+    keys = {error.key for error in found.failure()}
+    assert keys == {"address", "stop_s", "retry_extra", "rack"}
+
+
+def test_unknown_section_and_broken_file():
+    assert isinstance(parse(TEXT + "[extra]\na = 1\n"), Failure)
+    assert isinstance(parse("no section\n"), Failure)
+    missing = gatewaysettings.read_settings("/nonexistent/f.ini")
+    assert "f.ini" in missing.failure()[0].file
--- /dev/null
+++ b/packages/bulrushgrade_daemon/tests/test_stagecontrol.py
@@ -0,0 +1,145 @@
+"""Tests of ordering engines to change their role."""
+
+import attrs
+import fakes
+from returns.result import Failure
+from returns.result import Success
+import test_cachewatch
+
+from bulrushgrade import directory
+from bulrushgrade import orderturn
+from bulrushgrade_daemon import follower
+from bulrushgrade_daemon import outbound
+from bulrushgrade_daemon import stagecontrol
+
+PREFILL, DECODE = directory.Stage.PREFILL, directory.Stage.DECODE
+
+
+def engine(id, stage):
+    return attrs.evolve(test_cachewatch.ENGINE, id=id, stage=stage)
+
+
+ENGINES = [
+    engine("p1", PREFILL),
+    engine("d1", DECODE),
+    engine("d2", DECODE),
+    engine("d3", DECODE),
+]
+REPORT = stagecontrol.EngineReport(stage=DECODE, busy=False, orders=4)
+
+
+class Scene:
+    """One host's control with prepared answers."""
+
+    def __init__(self, *, read=None, append=0, report=REPORT, leads=True):
+        self.reactor, timers, self.broken = fakes.make_timers()
+        self.timers = timers
+        self.lines = fakes.Lines()
+        self.read = fakes.Answers((0, ()) if read is None else read)
+        self.append = fakes.Answers(append)
+        self.report = fakes.Answers(report)
+        self.sent = []
+        self.before_send = lambda: None
+        self.blocked = []
+        self.turn = orderturn.OrderTurn(holder="me", lease_s=3.0)
+        self.waits_s = {"p1": 2.0}
+        control = stagecontrol.StageControl(
+            timers=timers,
+            holder="me",
+            turn=self.turn,
+            topic=stagecontrol.OrderTopic(read=self.read, append=self.append),
+            control=stagecontrol.EngineControl(
+                report=self.report, order=self._order
+            ),
+            leads=lambda: leads,
+            views=self._views,
+            block=lambda e, until: self.blocked.append((e.id, until)),
+            log=self.lines.make(),
+            on_broken=self.broken.append,
+        )
+        fakes.run(control.start())
+
+    def _views(self):
+        return [
+            stagecontrol.View(
+                service="llm",
+                engines=ENGINES,
+                waits_s=self.waits_s,
+                change_s=3.0,
+            )
+        ]
+
+    async def _order(self, order, check):
+        self.before_send()
+        if not check():
+            return Failure(
+                outbound.CallFailed(written=False, reason="withheld")
+            )
+        self.sent.append(order)
+        return Success(True)
+
+    def pump(self, seconds):
+        self.reactor.pump([0.25] * int(seconds / 0.25))
+
+
+def test_order_is_appended_first_and_bears_the_records_number():
+    scene = Scene(append=17)
+    scene.pump(3.0)
+    (order,) = scene.sent
+    assert (order.engine.id, order.stage) == ("d1", PREFILL)
+    assert (order.number, order.orders_before) == (17, 4)
+    (record, at) = scene.append.calls[0]
+    assert (record.holder, record.engine, at) == ("me", "d1", 0)
+    assert [id for id, _ in scene.blocked] == ["d1"]
+    assert scene.broken == []
+
+
+def test_host_that_does_not_lead_orders_nothing():
+    scene = Scene(leads=False)
+    scene.pump(5.0)
+    assert scene.append.calls == []
+
+
+def test_recent_order_of_another_host_is_waited_out():
+    scene = Scene(read=(0, ("other",)))
+    scene.pump(4.0)
+    assert scene.append.calls == []
+
+
+def test_lost_append_sends_nothing():
+    """The append's answer is lost; the record may be there or not.
+
+    An order without a number that is its own would be one of two with the
+    same number.
+    """
+    away = Failure(follower.StoreAway(reason="timeout"))
+    scene = Scene(append=away)
+    scene.pump(5.0)
+    assert scene.append.calls
+    assert scene.sent == []
+
+
+def test_topic_that_moved_sends_nothing():
+    scene = Scene(append=Failure(stagecontrol.Moved(end=3)))
+    scene.pump(5.0)
+    assert scene.sent == []
+
+
+def test_pause_between_append_and_write_sends_nothing():
+    """The host is paused after its append, for seconds.
+
+    Another host's turn may have come meanwhile; the check in the turn of the
+    write sees how much time has passed.
+    """
+    scene = Scene()
+    scene.before_send = lambda: scene.reactor.advance(2.0)
+    scene.pump(5.0)
+    assert scene.append.calls
+    assert scene.sent == []
+
+
+def test_busy_engine_is_left_alone():
+    busy = stagecontrol.EngineReport(stage=DECODE, busy=True, orders=1)
+    scene = Scene(report=busy)
+    scene.pump(5.0)
+    assert scene.append.calls == []
