Weigh four engines of a role for each prompt; read the store less often

Change: four engines by rendezvous hashing, others for each prompt, beside the one that has its part. The endpoints' topic is read 2.2 times in its bound instead of 3, the configuration's wait is the whole bound.

The test shows the same view of twelve engines no longer picked by all.

--- a/packages/bulrushgrade/bulrushgrade/engineplan.py
+++ b/packages/bulrushgrade/bulrushgrade/engineplan.py
@@ -29,6 +29,13 @@
 """What a second of reading costs others, beside the second that it costs the
 request itself: it takes the place of someone else's prompt."""
 
+CANDIDATES = 4
+"""Engines of a role that are weighed for a prompt, beside the one that has its
+part. What is known of queues is as old as the last messages; were all daemons
+to pick the best of all engines by it, they would pick the same one until the
+next messages. Four of them, others for each prompt, nearly always include one
+with a short queue."""
+
 FETCH_S = 0.01
 """The fixed time of fetching cached parts from another engine."""
 
@@ -214,14 +221,13 @@
 
         plans = [
             self._read_at(prompt, engine, None, traits, holder, now)
-            for engine in decoders
+            for engine in rank(prompt, decoders)[:CANDIDATES]
         ]
         if may_hand_over and prompt.prompt_tokens >= HANDOVER_TOKENS:
             receiver = self.receiver(prompt, decoders, traits, now=now)
             plans += [
                 self._read_at(prompt, receiver, engine, traits, holder, now)
-                for engine in engines
-                if engine.stage is directory.Stage.PREFILL
+                for engine in _reading_candidates(prompt, engines, holder)
             ]
         return min(plans, key=cost)
 
@@ -251,7 +257,7 @@
         decoders = _generating(engines)
         if not decoders:
             return None
-        ranked = rank(prompt, decoders)
+        ranked = rank(prompt, decoders)[:CANDIDATES]
 
         def cost(place: int) -> float:
             waits_s = self._wait_s(ranked[place], traits, now)
@@ -376,7 +382,7 @@
     Rendezvous hashing: an engine that comes or goes moves only the parts that
     it gets or had.
     """
-    key = prompt.parts[0].id if prompt.parts else ""
+    key = _spread_key(prompt)
 
     def score(engine: directory.Registration) -> int:
         return xxhash.xxh3_64_intdigest(f"{key}/{engine.id}".encode())
@@ -384,6 +390,30 @@
     return sorted(engines, key=score, reverse=True)
 
 
+def _spread_key(prompt: prompt_module.Prompt) -> str:
+    """Returns what decides the order of engines for a prompt.
+
+    Prompts with much in common keep together; all others are spread by what
+    only they have.
+    """
+    if not prompt.parts:
+        return ""
+    has_home = prompt.shared_tokens >= HOME_TOKENS
+    return prompt.parts[0 if has_home else -1].id
+
+
+def _reading_candidates(
+    prompt: prompt_module.Prompt,
+    engines: list[directory.Registration],
+    holder: directory.Registration | None,
+) -> list[directory.Registration]:
+    readers = [e for e in engines if e.stage is directory.Stage.PREFILL]
+    found = rank(prompt, readers)[:CANDIDATES]
+    if holder in readers and holder not in found:
+        found.append(holder)
+    return found
+
+
 def _generating(
     engines: list[directory.Registration],
 ) -> list[directory.Registration]:
--- a/packages/bulrushgrade/tests/test_engineplan.py
+++ b/packages/bulrushgrade/tests/test_engineplan.py
@@ -168,6 +168,24 @@
     assert planner.receiver(prompt, ENGINES[:2], TRAITS, now=2.0) is None
 
 
+def test_daemons_with_the_same_old_view_do_not_pick_the_same_engine():
+    """Many daemons have heard that one engine of twelve is idle.
+
+    Until they hear again, all of them would send it all that comes.
+    """
+    engines = [make(f"p{n}", stage=PREFILL) for n in range(12)]
+    engines += [make(f"d{n}", stage=DECODE) for n in range(4)]
+    picked = collections.Counter()
+    for number in range(200):
+        planner = engineplan.EnginePlanner(zone="z1")
+        for engine in engines[1:12]:
+            queued = engineload.Reading(expected_s=0.3, since=0.0, tokens=0)
+            planner.load(engine, TRAITS).begin(None, queued)
+        plan = make_plan(make_prompt(f"s{number}"), engines, planner)
+        picked[(plan.prefill or plan.decode).id] += 1
+    assert picked.most_common(1)[0][1] < 100
+
+
 def test_forget_keeps_live_and_busy_engines():
     planner = engineplan.EnginePlanner(zone="z1")
     busy, idle = ENGINES[0], ENGINES[1]
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gateway.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gateway.py
@@ -44,14 +44,16 @@
 where there is no other. What is left covers the age of this host's view and
 the way of the last request."""
 
-ENDPOINT_READS_A_BOUND = 3.0
+ENDPOINT_READS_A_BOUND = 2.2
 """Reads of the endpoints' topic in a drain bound. Endpoints' heartbeats move
-the topic all the time, so a read that waits would return with each of them;
-three reads leave room for one that fails."""
+the topic all the time, so a read that waits would return with each of them.
+One read that fails, with its time limit and the pause after it, still leaves
+the next within the bound."""
 
-CONFIGURATION_READS_A_BOUND = 1.5
+CONFIGURATION_READS_A_BOUND = 1.0
 """Reads of the configuration in its bound when nothing changes. A read waits
-for a change, so this only limits how long a silent store goes unnoticed."""
+for a change and returns with it, so this only limits how long it takes to
+notice that a store or a path went silent in the middle of a read."""
 
 LEAST_HOSTS = 64
 """Hosts that the fixed part of the retry budget is divided by at least. The
