Keep three engines generating; change back only where none is left

Change: three engines, or all but one, go on generating; a reader changes back only where none generates.

--- a/packages/bulrushgrade/bulrushgrade/stageplan.py
+++ b/packages/bulrushgrade/bulrushgrade/stageplan.py
@@ -26,9 +26,10 @@
 """Of the engines that go on generating at least. One generates for some four
 that read: a prompt takes tens of times as long to read as a token to make."""
 
-LEAST_GENERATING = 2
-"""Where there are more than three engines: with one, its loss would end all
-answers until another has changed."""
+LEAST_GENERATING = 3
+"""In any fleet, or all but one. With two, one that crashes while the other
+leaves or changes ended all answers for the seconds that a change back takes:
+686 requests of one day."""
 
 SETTLE_S = 2.0
 """Beside the change itself, before the next one: until an engine's new role
@@ -88,9 +89,9 @@
         if now < self._quiet_until:
             return None
         needed = _needed(len(readers) + len(makers))
-        if len(makers) < needed and len(readers) > 1:
+        if not makers and len(readers) > 1:
             return _change(
-                readers, waits_s, directory.Stage.DECODE, "too few generate"
+                readers, waits_s, directory.Stage.DECODE, "none generates"
             )
         if self._wait_s > PRESSURE_S and len(makers) > needed:
             reason = f"prompts wait {self._wait_s:.2f} s"
@@ -114,7 +115,7 @@
 
 def _needed(engines: int) -> int:
     """Returns how many engines have to generate."""
-    least = LEAST_GENERATING if engines > 3 else 1
+    least = min(LEAST_GENERATING, engines - 1)
     return max(least, math.ceil(engines * GENERATING_SHARE))
 
 
