Read short prompts where there is room; pass over engines that refuse orders

Change: reading a short prompt at a generating engine no longer counts 16 times; an engine that takes no order is left for 5 s and another is tried after 0.5 s.

--- a/packages/bulrushgrade/bulrushgrade/engineplan.py
+++ b/packages/bulrushgrade/bulrushgrade/engineplan.py
@@ -43,6 +43,26 @@
 """What a second of fetching counts as, beside the second itself: it takes the
 links of two engines."""
 
+DISTURB_WEIGHT = 16.0
+"""What a second of reading a long prompt at an engine that generates costs
+others: each of its streams stands still for that time, piece by piece, and a
+stream whose events come too slowly is late as a whole. A short prompt holds
+them up for less than the time between two events."""
+
+CANDIDATES = 4
+"""Engines of a role that are weighed for a prompt, beside the one that has its
+part. What is known of queues is as old as the last messages; were all daemons
+to pick the best of all engines by it, they would pick the same one until the
+next messages. Four of them, others for each prompt, nearly always include one
+with a short queue."""
+
+FETCH_S = 0.01
+"""The fixed time of fetching cached parts from another engine."""
+
+FETCH_WEIGHT = 2.0
+"""What a second of fetching counts as, beside the second itself: it takes the
+links of two engines."""
+
 DISTURB_WEIGHT = 16.0
 """What a second of reading at an engine that generates costs others: each of
 its streams stands still for that time, piece by piece, and a stream whose
@@ -211,7 +231,9 @@
             reader = plan.prefill or plan.decode
             if holder is None and home is not None and reader is not home:
                 away += AWAY_FROM_HOME_S
-            weight = DISTURB_WEIGHT if plan.prefill is None else REREAD_WEIGHT
+            weight = REREAD_WEIGHT
+            if plan.prefill is None and prompt.prompt_tokens >= HOME_TOKENS:
+                weight = DISTURB_WEIGHT
             return (
                 plan.first_s
                 + weight * plan.read_s
--- a/packages/bulrushgrade/bulrushgrade/stageplan.py
+++ b/packages/bulrushgrade/bulrushgrade/stageplan.py
@@ -31,6 +31,13 @@
 leaves or changes ended all answers for the seconds that a change back takes:
 686 requests of one day."""
 
+RETRY_S = 0.5
+"""After an order that was not taken, before another engine is tried."""
+
+SKIP_S = 5.0
+"""How long an engine is left alone that did not take an order; it may have
+crashed, or carry out another one."""
+
 SETTLE_S = 2.0
 """Beside the change itself, before the next one: until an engine's new role
 is known everywhere and the queues show what it brought."""
@@ -58,6 +65,7 @@
         self._wait_s = 0.0
         self._seen_at: float | None = None
         self._quiet_until = 0.0
+        self._skip_until: dict[str, float] = {}
 
     @property
     def wait_s(self) -> float:
@@ -69,6 +77,11 @@
         self._quiet_until = now + change_s + SETTLE_S
         self._wait_s = 0.0
 
+    def note_refusal(self, engine: str, now: float) -> None:
+        """Notes that an engine did not take an order."""
+        self._quiet_until = now + RETRY_S
+        self._skip_until[engine] = now + SKIP_S
+
     def propose(
         self,
         engines: list[directory.Registration],
@@ -90,14 +103,28 @@
             return None
         needed = _needed(len(readers) + len(makers))
         if not makers and len(readers) > 1:
-            return _change(
-                readers, waits_s, directory.Stage.DECODE, "none generates"
-            )
+            stage, reason = directory.Stage.DECODE, "none generates"
+            return self._change(readers, waits_s, stage, reason, now)
         if self._wait_s > PRESSURE_S and len(makers) > needed:
+            stage = directory.Stage.PREFILL
             reason = f"prompts wait {self._wait_s:.2f} s"
-            return _change(makers, waits_s, directory.Stage.PREFILL, reason)
+            return self._change(makers, waits_s, stage, reason, now)
         return None
 
+    def _change(
+        self,
+        engines: list[directory.Registration],
+        waits_s: dict[str, float],
+        stage: directory.Stage,
+        reason: str,
+        now: float,
+    ) -> StageChange | None:
+        able = [e for e in engines if self._skip_until.get(e.id, 0.0) <= now]
+        if not able:
+            return None
+        idlest = min(able, key=lambda e: (waits_s.get(e.id, 0.0), e.id))
+        return StageChange(engine=idlest, stage=stage, reason=reason)
+
     def _smooth(
         self,
         readers: list[directory.Registration],
@@ -117,13 +144,3 @@
     """Returns how many engines have to generate."""
     least = min(LEAST_GENERATING, engines - 1)
     return max(least, math.ceil(engines * GENERATING_SHARE))
-
-
-def _change(
-    engines: list[directory.Registration],
-    waits_s: dict[str, float],
-    stage: directory.Stage,
-    reason: str,
-) -> StageChange:
-    idlest = min(engines, key=lambda e: (waits_s.get(e.id, 0.0), e.id))
-    return StageChange(engine=idlest, stage=stage, reason=reason)
--- a/packages/bulrushgrade/tests/test_stageplan.py
+++ b/packages/bulrushgrade/tests/test_stageplan.py
@@ -72,6 +72,20 @@
     assert at == 0.0
 
 
+def test_engine_that_does_not_take_the_order_is_passed_over():
+    """The engines that generate crash, and so does an idle reader.
+
+    An order to that reader fails; waiting as after a change that was made
+    would leave all callers without an answer for seconds more.
+    """
+    plan, engines = stageplan.StagePlan(), make_engines(3, 0)
+    first, at = watch(plan, engines, {}, seconds=1.0)
+    plan.note_refusal(first.engine.id, at)
+    second, later = watch(plan, engines, {}, seconds=3.0, start=at)
+    assert second.engine.id != first.engine.id
+    assert later - at <= stageplan.RETRY_S + STEP_S
+
+
 def test_next_change_waits_until_the_last_has_settled():
     plan, engines = stageplan.StagePlan(), make_engines(2, 5)
     waits_s = {"p0": 2.0, "p1": 2.0}
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/stagecontrol.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/stagecontrol.py
@@ -20,6 +20,9 @@
 from bulrushgrade_daemon import outbound
 from bulrushgrade_daemon import task
 
+TAKEN = "taken"
+UNANSWERED = "no answer"
+
 LOOK_S = 0.25
 """Between two looks at the queues."""
 
@@ -225,11 +228,14 @@
             outcome = await self._order(change)
         finally:
             self._ordering = False
-        # Whatever came of it, the queues are looked at anew some time later:
-        # an order without an answer may still be carried out.
-        plan.note_change(self._timers.now, view.change_s)
-        if outcome == "taken":
-            self._block(change.engine, self._timers.now + view.change_s)
+        now = self._timers.now
+        if outcome in (TAKEN, UNANSWERED):
+            # An order without an answer may still be carried out.
+            plan.note_change(now, view.change_s)
+        else:
+            plan.note_refusal(change.engine.id, now)
+        if outcome == TAKEN:
+            self._block(change.engine, now + view.change_s)
         self._log.note(
             "stage_order",
             engine=change.engine.id,
@@ -284,8 +290,9 @@
         sent = await self._control.order(order, may_send)
         self._orders += 1
         if isinstance(sent, Failure):
-            return f"no answer: {sent.failure().reason}"
-        return "taken" if sent.unwrap() else "refused"
+            failed = sent.failure()
+            return UNANSWERED if failed.written else failed.reason
+        return TAKEN if sent.unwrap() else "refused"
 
     def _take_records(
         self, first: int, holders: tuple[str | None, ...]
--- a/packages/bulrushgrade_daemon/tests/test_stagecontrol.py
+++ b/packages/bulrushgrade_daemon/tests/test_stagecontrol.py
@@ -24,6 +24,7 @@
     engine("d1", DECODE),
     engine("d2", DECODE),
     engine("d3", DECODE),
+    engine("d4", DECODE),
 ]
 REPORT = stagecontrol.EngineReport(stage=DECODE, busy=False, orders=4)
 
