--- a/packages/bulrushgrade_cli/tests/test_pages.py
+++ b/packages/bulrushgrade_cli/tests/test_pages.py
@@ -84,7 +84,11 @@
 
 def test_proofs_name_tests_that_exist():
     page = (ROOT / "docs" / "PROOFS.md").read_text()
-    files = {path.name: path for path in ROOT.glob("packages/*/tests/*.py")}
+    paths = [
+        *ROOT.glob("packages/*/tests/*.py"),
+        *ROOT.glob("platform/tests/*.py"),
+    ]
+    files = {path.name: path for path in paths}
     current = ""
     for file, name in re.findall(r"`(test_\w+\.py)?(?:::(\w+))?`", page):
         current = file or current
