Time by a steady clock; tell an opening that times out from a cancelled one

Two causes, by trace. Twisted times its calls by the time of day: set back by 5 s, every timer of the process stood still so long.

Ruled out: the age of the view and orders; the clocks of the timer service were printed and run on.

Change: both daemons' reactors go by the boot-time clock; an opening knows whether it was cancelled.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/__main__.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/__main__.py
@@ -10,6 +10,7 @@
 from twisted.internet import error as internet_error
 import typer
 
+from bulrushgrade_daemon import clock
 from bulrushgrade_daemon import host
 from bulrushgrade_daemon import settings as settings_module
 from bulrushgrade_daemon import task
@@ -29,6 +30,7 @@
     """The life of the daemon's process, from start to its exit code."""
 
     def __init__(self, *, settings: settings_module.Settings, reactor):
+        clock.use_steady_clock(reactor)
         self._settings = settings
         self._reactor = reactor
         self._exit_code = EXIT_OK
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/clock.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/clock.py
@@ -24,6 +24,16 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+def use_steady_clock(reactor: Any) -> None:
+    """Has a reactor time its calls by a clock that nobody sets.
+
+    Twisted goes by the time of day. Where that is set back, every timer of
+    the process stands still for as long as the jump: nothing is read from the
+    store, no deadline passes. Call this before anything is scheduled.
+    """
+    reactor.seconds = read_boottime
+
+
 class TimerService:
     """Drives `bulrushgrade.timer.Timers` from a reactor."""
 
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayprocess.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayprocess.py
@@ -8,6 +8,7 @@
 from twisted.internet import error as internet_error
 
 from bulrushgrade_daemon import adapter
+from bulrushgrade_daemon import clock
 from bulrushgrade_daemon import gateway as gateway_module
 from bulrushgrade_daemon import gatewaysettings
 from bulrushgrade_daemon import settings as settings_module
@@ -39,6 +40,7 @@
             build_adapter: Returns the adapter from settings and reactor.
             reactor: The reactor.
         """
+        clock.use_steady_clock(reactor)
         self._path = path
         self._reactor = reactor
         self._exit_code = EXIT_OK
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/outbound.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/outbound.py
@@ -241,17 +241,24 @@
             made there holds for the write. None writes nothing.
         connect_timeout_s: How long the opening may take.
     """
-    opened: defer.Deferred = defer.Deferred(lambda _: connector.disconnect())
+    cancelled = False
+
+    def cancel(_: defer.Deferred) -> None:
+        nonlocal cancelled
+        cancelled = True
+        connector.disconnect()
+
+    opened: defer.Deferred = defer.Deferred(cancel)
     connector = reactor.connectTCP(
         host, port, _Factory(opened=opened), timeout=connect_timeout_s
     )
     try:
         client = await opened
-    except internet_error.UserError:
-        # The connector reports a cancelled opening in this way; it is a kind
-        # of failed connection to Twisted.
-        raise defer.CancelledError() from None
     except internet_error.ConnectError as error:
+        # Twisted has the same kinds of error for an opening that timed out
+        # and one that was cancelled.
+        if cancelled:
+            raise defer.CancelledError() from None
         return Failure(CallFailed(written=False, reason=type(error).__name__))
     made = request() if callable(request) else request
     if made is None:
