--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/front.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/front.py
@@ -134,10 +134,13 @@
         if self._too_large:
             return
         self._too_large = True
+        # The rest of the body is not read, so the connection can't go on. The
+        # request line has been read, but Twisted tells it only with the body.
+        self.channel.persistent = False
+        self.clientproto = b"HTTP/1.1"
         self.answer(
             http.REQUEST_ENTITY_TOO_LARGE, [(b"connection", b"close")], b""
         )
-        self.channel.loseConnection()
 
 
 class _Channel(http.HTTPChannel):
