--- a/packages/bulrushgrade_daemon/tests/test_failures_daemon.py
+++ b/packages/bulrushgrade_daemon/tests/test_failures_daemon.py
@@ -8,6 +8,8 @@
 import scene
 
 _TOKENS = 40
+# Times as long for each token.
+_SLOW = 20
 _FREEZE_S = 1.5
 
 
@@ -41,9 +43,12 @@
 def test_killed_daemon_gives_no_answer_for_a_whole_one(made):
     # An entry host dies with answers under way. Their callers must see that
     # these are cut; the engines stop working on them; and a new daemon in
-    # its place serves from the log alone.
+    # its place serves from the log alone. The engines are slow, so that none
+    # can be done before the kill however late that comes.
     daemon = made.start_daemon()
     callers = scene.wait_ready(daemon, engines=2)
+    for engine in made.engines:
+        scene.fault(engine.address, slow_factor=_SLOW)
     answers, thread = _stream_meanwhile(callers, "killed")
     _wait_begun(made, 4)
     daemon.send(signal.SIGKILL)
@@ -57,6 +62,8 @@
 
     processes.wait_for(dropped)
     assert {r["ended"] for r in scene.read_runs(*addresses)} == {"cut"}
+    for engine in made.engines:
+        scene.fault(engine.address)
     callers = scene.wait_ready(made.start_daemon(), engines=2)
     again = scene.stream_many(callers, ["again"], max_tokens=_TOKENS)
     scene.assert_whole(again, _TOKENS)
