--- /dev/null
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/cachesharing.py
@@ -0,0 +1,65 @@
+"""Shares among gateways what each sees of engines' caches."""
+
+from bulrushgrade import directory as directory_module
+from bulrushgrade import engineload
+from bulrushgrade import engineplan
+from bulrushgrade_daemon import choosing
+from bulrushgrade_daemon import loadgossip
+
+
+class CacheSharing:
+    """Takes changes of caches from engines and from peers."""
+
+    def __init__(
+        self,
+        *,
+        endpoints: directory_module.Directory,
+        chooser: choosing.Chooser,
+    ):
+        """Makes sharing that tells nobody yet.
+
+        Args:
+            endpoints: The endpoints that are known.
+            chooser: Learns what engines keep.
+        """
+        self._endpoints = endpoints
+        self._chooser = chooser
+        self._gossip: loadgossip.LoadGossip | None = None
+
+    def tell_by(self, gossip: loadgossip.LoadGossip) -> None:
+        """Sets what peers are told by; it needs `take_told` when it is made."""
+        self._gossip = gossip
+
+    def followed_engines(self) -> list[directory_module.Registration]:
+        """Returns the engines that this daemon is the one to follow."""
+        return [
+            registration
+            for registration in self._endpoints.registrations
+            if registration.stage is not None
+            and self._gossip.follows(registration.id)
+        ]
+
+    def take_seen(
+        self,
+        engine: directory_module.Registration,
+        changes: tuple[engineload.CacheChange, ...],
+        *,
+        anew: bool,
+    ) -> None:
+        """Takes what this daemon saw of an engine and tells it to peers."""
+        # Short parts are read faster than fetched; nobody asks for them.
+        useful = tuple(
+            change
+            for change in changes
+            if change.tokens >= engineplan.FETCH_TOKENS or change.tokens == 0
+        )
+        self._chooser.apply_cache(engine, useful, anew=anew)
+        self._gossip.tell_changes(engine.id, useful)
+
+    def take_told(
+        self, engine: str, changes: tuple[engineload.CacheChange, ...]
+    ) -> None:
+        """Takes what a peer saw of an engine."""
+        known = self._endpoints.find(engine)
+        if known is not None:
+            self._chooser.apply_cache(known, changes, anew=False)
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
@@ -339,7 +339,7 @@
             reason=reason,
             arrivals=request.history.arrivals,
             runs=request.history.runs,
-            **_describe_plan(request),
+            **request.describe_plan(),
             took_s=round(self._timers.now - request.caller.arrived_at, 4),
         )
         caller = request.caller
@@ -395,17 +395,3 @@
 
     def _count(self, what: str) -> None:
         self._counts[what] = self._counts.get(what, 0) + 1
-
-
-def _describe_plan(request: inflight.InFlight) -> dict[str, Any]:
-    """Returns what a plan was made from, for a line of the log."""
-    plan = request.plan
-    if plan is None:
-        return {}
-    reader = plan.prefill or plan.decode
-    return {
-        "reader": reader.id,
-        "read_tokens": plan.read_tokens,
-        "wait_s": round(plan.wait_s, 3),
-        "first_event_s": round(plan.first_s, 3),
-    }
--- /dev/null
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaypages.py
@@ -0,0 +1,89 @@
+"""What a gateway shows to the balancer and to operators."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from bulrushgrade import kernel as kernel_module
+from bulrushgrade_daemon import decisionlog
+from bulrushgrade_daemon import gatewayservices
+from bulrushgrade_daemon import metrics
+from bulrushgrade_daemon import pages
+
+
+def show_ready(ready: Callable[[], bool]) -> Callable[[str], pages.Page]:
+    """Returns the page that the balancer asks for."""
+
+    def find(path: str) -> pages.Page:
+        if ready():
+            return pages.Page(status=200, body=b"ready\n")
+        return pages.Page(status=503, body=b"not ready\n")
+
+    return find
+
+
+def show_admin(
+    found: metrics.Metrics, kernel: kernel_module.Kernel
+) -> Callable[[str], pages.Page]:
+    """Returns the pages for operators."""
+
+    def find(path: str) -> pages.Page:
+        if path == "/metrics":
+            return pages.Page(status=200, body=found.render())
+        if path == "/dump":
+            body = msgspec.json.encode(kernel.dump(), enc_hook=str)
+            return pages.Page(
+                status=200, body=body, content_type=b"application/json"
+            )
+        return pages.Page(status=404, body=b"no such page\n")
+
+    return find
+
+
+def add_counts(
+    services: gatewayservices.GatewayServices, log: decisionlog.DecisionLog
+) -> None:
+    """Shows what the services count as metrics."""
+    for name, doc, read in (
+        (
+            "requests_total",
+            "Requests by how they ended, attempts by what came of them.",
+            lambda: services.forwarder.counts,
+        ),
+        (
+            "log_lines_total",
+            "Lines written and dropped.",
+            lambda: log.counts,
+        ),
+        (
+            "unreadable_records_total",
+            "Records of the store that can't be decoded.",
+            lambda: services.view.counts,
+        ),
+        (
+            "configuration_reads_total",
+            "Reads of the configuration's topic.",
+            lambda: services.follow_configuration.counts,
+        ),
+        (
+            "stage_orders_total",
+            "Orders to engines to change their role.",
+            lambda: services.stage_control.counts,
+        ),
+        (
+            "cache_reads_total",
+            "Reads of engines' cache changes.",
+            lambda: services.cache_watch.counts,
+        ),
+        (
+            "endpoint_reads_total",
+            "Reads of the endpoints' topic.",
+            lambda: services.follow_endpoints.counts,
+        ),
+    ):
+        services.metrics.add_counts(name, doc, read)
+    services.metrics.gauge(
+        "open_requests",
+        "Requests under way.",
+        read=lambda: services.forwarder.open_requests,
+    )
--- /dev/null
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
@@ -0,0 +1,336 @@
+"""Makes the services of one gateway and ties them together."""
+
+from collections.abc import Callable
+import random
+from typing import Any
+
+import attrs
+
+from bulrushgrade import kernel as kernel_module
+from bulrushgrade import orderturn
+from bulrushgrade import peerqueues
+from bulrushgrade import retryshare
+from bulrushgrade import routing
+from bulrushgrade_daemon import adapter as adapter_module
+from bulrushgrade_daemon import cachesharing
+from bulrushgrade_daemon import cachewatch
+from bulrushgrade_daemon import choosing
+from bulrushgrade_daemon import clock
+from bulrushgrade_daemon import decisionlog
+from bulrushgrade_daemon import endpointcalls
+from bulrushgrade_daemon import follower
+from bulrushgrade_daemon import forwarder
+from bulrushgrade_daemon import front
+from bulrushgrade_daemon import gatewaysettings
+from bulrushgrade_daemon import loadgossip
+from bulrushgrade_daemon import metrics
+from bulrushgrade_daemon import stagecontrol
+from bulrushgrade_daemon import storeview
+
+ENDPOINT_READS_A_BOUND = 2.2
+"""Reads of the endpoints' topic in a drain bound. Endpoints' heartbeats move
+the topic all the time, so a read that waits would return with each of them.
+One read that fails, with its time limit and the pause after it, still leaves
+the next within the bound."""
+
+CONFIGURATION_READS_A_BOUND = 1.0
+"""Reads of the configuration in its bound when nothing changes. A read waits
+for a change and returns with it, so this only limits how long it takes to
+notice that a store or a path went silent in the middle of a read."""
+
+PEERS_WAIT_S = 15.0
+"""How long a read of the gateways' topic waits. It changes only when a host
+starts; until a peer is known, work is placed without its word."""
+
+LEAST_HOSTS = 64
+"""Hosts that the fixed part of the retry budget is divided by at least. The
+settings don't tell how many there are, and a host that has just started does
+not know its peers yet."""
+
+HOSTS_SPARED = 2
+"""Times the known hosts that it is divided by where those are many: room for
+as many that start at the same moment."""
+
+_DEFAULT_LIMITS = routing.CallerLimits(
+    max_header_bytes=16384,
+    max_body_bytes=4 * 1024 * 1024,
+    header_timeout_s=5.0,
+    idle_timeout_s=15.0,
+)
+
+
+@attrs.frozen(kw_only=True)
+class Context:
+    """What the services are made from.
+
+    Attributes:
+        reactor: The reactor.
+        adapter: Ties them to the platform.
+        kernel: Registers them.
+        log: Takes the lines of decisions.
+        rng: Source of random choices.
+        settings: Returns the settings in force.
+        stopping: Returns whether the gateway has been told to stop.
+    """
+
+    reactor: Any
+    adapter: adapter_module.Adapter
+    kernel: kernel_module.Kernel
+    log: decisionlog.DecisionLog
+    rng: random.Random
+    settings: Callable[[], gatewaysettings.GatewaySettings]
+    stopping: Callable[[], bool]
+
+
+class GatewayServices:
+    """The services of one gateway, registered with its kernel."""
+
+    def __init__(self, *, context: Context):
+        """Makes them; none is started.
+
+        Args:
+            context: What they are made from.
+        """
+        self._context = context
+        self._own_name = (
+            f"{context.settings().host.name}/{context.rng.getrandbits(32):08x}"
+        )
+        self._metrics = metrics.Metrics()
+        self._timers = clock.TimerService(
+            reactor=context.reactor, on_broken=context.kernel.fail
+        )
+        self._peer_queues = peerqueues.PeerQueues()
+        self._make_view()
+        self._make_chooser()
+        self._make_forwarding()
+        self._make_sharing()
+        self._make_stage_control()
+        for service in (
+            self._metrics,
+            self._timers,
+            self._follow_configuration,
+            self._follow_endpoints,
+            self._gossip,
+            self._stage_control,
+            self._follow_peers,
+            self._cache_watch,
+            self._forwarder,
+            self._front,
+        ):
+            context.kernel.register(service)
+
+    @property
+    def metrics(self) -> metrics.Metrics:
+        """Takes and renders counts."""
+        return self._metrics
+
+    @property
+    def timers(self) -> clock.TimerService:
+        """Calls those that subscribed."""
+        return self._timers
+
+    @property
+    def view(self) -> storeview.StoreView:
+        """What is believed of the store."""
+        return self._view
+
+    @property
+    def follow_configuration(self) -> follower.Follower:
+        """Follows the configuration."""
+        return self._follow_configuration
+
+    @property
+    def follow_endpoints(self) -> follower.Follower:
+        """Follows the endpoints."""
+        return self._follow_endpoints
+
+    @property
+    def forwarder(self) -> forwarder.Forwarder:
+        """Serves requests."""
+        return self._forwarder
+
+    @property
+    def front(self) -> front.Front:
+        """The side towards callers."""
+        return self._front
+
+    @property
+    def cache_watch(self) -> cachewatch.CacheWatch:
+        """Follows engines' caches."""
+        return self._cache_watch
+
+    @property
+    def stage_control(self) -> stagecontrol.StageControl:
+        """Orders engines to change roles."""
+        return self._stage_control
+
+    def _make_view(self) -> None:
+        context, bounds = self._context, self._context.settings().bounds
+        self._view = storeview.StoreView(
+            adapter=context.adapter,
+            timers=self._timers,
+            drain_s=bounds.drain_s,
+            regained_at=lambda: self._follow_endpoints.regained_at,
+            on_changed=lambda: self._chooser.forget_gone(),
+            log=context.log,
+        )
+        self._follow_configuration = self._new_follower(
+            "configuration",
+            context.adapter.configuration_reader,
+            wait_s=bounds.configuration_s / CONFIGURATION_READS_A_BOUND,
+            pause_s=0.0,
+            take=self._view.take_configuration,
+            take_all=self._view.take_configuration,
+        )
+        self._follow_endpoints = self._new_follower(
+            "endpoints",
+            context.adapter.endpoint_reader,
+            wait_s=0.0,
+            pause_s=bounds.drain_s / ENDPOINT_READS_A_BOUND,
+            take=self._view.take_endpoints,
+            take_all=self._view.take_all_endpoints,
+        )
+
+    def _make_chooser(self) -> None:
+        context = self._context
+        self._chooser = choosing.Chooser(
+            timers=self._timers,
+            zone=context.settings().host.zone,
+            table=lambda: self._view.table,
+            endpoints=self._view.endpoints,
+            others=self._peer_queues,
+            log=context.log,
+            rng=context.rng,
+        )
+
+    def _make_forwarding(self) -> None:
+        context, listen = self._context, self._context.settings().listen
+        calls = endpointcalls.EndpointCalls(
+            reactor=context.reactor,
+            now=lambda: self._timers.now,
+            dialect=context.adapter.dialect,
+            on_broken=context.kernel.fail,
+        )
+        self._forwarder = forwarder.Forwarder(
+            parts=forwarder.Parts(
+                timers=self._timers,
+                dialect=context.adapter.dialect,
+                table=lambda: self._view.table,
+                chooser=self._chooser,
+                calls=calls,
+                log=context.log,
+                rng=context.rng,
+                on_broken=context.kernel.fail,
+            ),
+            new_share=self._new_share,
+            observe=self._observe_answer,
+        )
+        self._front = front.Front(
+            reactor=context.reactor,
+            host=listen.callers.host,
+            port=listen.callers.port,
+            now=lambda: self._timers.now,
+            limits=self._caller_limits,
+            handle=self._forwarder.handle,
+        )
+
+    def _make_sharing(self) -> None:
+        context = self._context
+        sharing = cachesharing.CacheSharing(
+            endpoints=self._view.endpoints, chooser=self._chooser
+        )
+        self._gossip = loadgossip.LoadGossip(
+            reactor=context.reactor,
+            timers=self._timers,
+            host_name=context.settings().host.name,
+            own_name=self._own_name,
+            listen=context.settings().listen.peers,
+            membership=context.adapter.membership,
+            queues=self._peer_queues,
+            read_own=self._chooser.queued_s,
+            take_changes=sharing.take_told,
+            log=context.log,
+            on_broken=context.kernel.fail,
+        )
+        sharing.tell_by(self._gossip)
+        self._cache_watch = cachewatch.CacheWatch(
+            timers=self._timers,
+            engines=sharing.followed_engines,
+            read=context.adapter.read_cache_changes,
+            apply=sharing.take_seen,
+            on_broken=context.kernel.fail,
+        )
+        self._follow_peers = self._new_follower(
+            "peers",
+            context.adapter.membership.reader,
+            wait_s=PEERS_WAIT_S,
+            pause_s=0.0,
+            take=self._gossip.take_records,
+            take_all=self._gossip.take_records,
+        )
+
+    def _make_stage_control(self) -> None:
+        context = self._context
+        lease_s = context.settings().bounds.order_lease_s
+        self._stage_control = stagecontrol.StageControl(
+            timers=self._timers,
+            holder=self._own_name,
+            turn=orderturn.OrderTurn(holder=self._own_name, lease_s=lease_s),
+            topic=context.adapter.order_topic,
+            control=context.adapter.engine_control,
+            leads=self._leads,
+            views=self._chooser.engine_views,
+            block=self._chooser.block,
+            log=context.log,
+            on_broken=context.kernel.fail,
+        )
+
+    def _leads(self) -> bool:
+        """Returns whether this host is the first of those it hears."""
+        heard = self._peer_queues.heard(self._timers.now)
+        first = not heard or self._own_name < heard[0]
+        return first and not self._context.stopping()
+
+    def _new_follower(
+        self,
+        name: str,
+        reader: follower.KeyedReader,
+        *,
+        take: Callable[[tuple[follower.KeyedRecord, ...]], None],
+        take_all: Callable[[tuple[follower.KeyedRecord, ...]], None],
+        **pace: float,
+    ) -> follower.Follower:
+        return follower.Follower(
+            name=name,
+            timers=self._timers,
+            reader=reader,
+            on_all=take_all,
+            on_records=take,
+            log=self._context.log,
+            on_broken=self._context.kernel.fail,
+            **pace,
+        )
+
+    def _new_share(self) -> retryshare.RetryShare:
+        bounds = self._context.settings().bounds
+        return retryshare.RetryShare(
+            ratio=bounds.retry_ratio,
+            extra=self._retry_extra,
+            window_s=bounds.retry_window_s,
+        )
+
+    def _retry_extra(self) -> float:
+        hosts = max(LEAST_HOSTS, HOSTS_SPARED * self._gossip.known_hosts)
+        return self._context.settings().bounds.retry_extra / hosts
+
+    def _observe_answer(self, kind: str, took_s: float) -> None:
+        self._metrics.histogram(
+            "whole_answer_seconds",
+            "From arrival to the whole answer.",
+            {"kind": kind},
+        ).observe(took_s)
+
+    def _caller_limits(self) -> routing.CallerLimits:
+        if self._view.table is None:
+            return _DEFAULT_LIMITS
+        return self._view.table.configuration.limits
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/inflight.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/inflight.py
@@ -1,5 +1,7 @@
 """A caller's request while it is being served."""
 
+from typing import Any
+
 import attrs
 
 from bulrushgrade import attempts
@@ -51,6 +53,18 @@
         """Whether nobody waits for an answer any more."""
         return self.expired or self.caller.gone
 
+    def describe_plan(self) -> dict[str, Any]:
+        """Returns what its plan was made from, for a line of the log."""
+        if self.plan is None:
+            return {}
+        reader = self.plan.prefill or self.plan.decode
+        return {
+            "reader": reader.id,
+            "read_tokens": self.plan.read_tokens,
+            "wait_s": round(self.plan.wait_s, 3),
+            "first_event_s": round(self.plan.first_s, 3),
+        }
+
     def left_s(self, now: float) -> float:
         """Returns the time until its deadline."""
         return self.deadline - now
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadgossip.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadgossip.py
@@ -83,7 +83,7 @@
         reactor: Any,
         timers: Any,
         host_name: str,
-        incarnation: str,
+        own_name: str,
         listen: Any,
         membership: Membership,
         queues: peerqueues.PeerQueues,
@@ -98,7 +98,8 @@
             reactor: Where it listens.
             timers: The timer service.
             host_name: The key of this host's record.
-            incarnation: Another one after each start of this daemon.
+            own_name: This daemon's name among its peers; another one after
+                each start.
             listen: The address for datagrams.
             membership: Where daemons find each other.
             queues: Takes what peers tell.
@@ -110,7 +111,7 @@
         self._reactor = reactor
         self._timers = timers
         self._host_name = host_name
-        self._incarnation = incarnation
+        self._own_name = own_name
         self._listen = listen
         self._membership = membership
         self._queues = queues
@@ -126,10 +127,6 @@
         self._announcing: Any = None
         self._tick: Any = None
 
-    @property
-    def _own_name(self) -> str:
-        return f"{self._host_name}/{self._incarnation}"
-
     @property
     def known_hosts(self) -> int:
         """How many hosts have announced themselves, this one included."""
--- a/packages/bulrushgrade_daemon/tests/test_loadgossip.py
+++ b/packages/bulrushgrade_daemon/tests/test_loadgossip.py
@@ -45,7 +45,7 @@
             reactor=None,
             timers=timers,
             host_name=name,
-            incarnation="1",
+            own_name=f"{name}/1",
             listen=keys.Address(host="127.0.0.1", port=port),
             membership=None,
             queues=self.queues,
