Rank engines once a prompt, hear peers once a look, share what stood twice

A plan ranked all engines up to four times for one prompt, and who follows an engine's cache sorted all peers for each engine four times a second; two HTTP factories stood beside each other; a registration for tests stood three times; a follower whose read ended as cancelled when nobody cancelled it went without a word.

Change: one ranking by role a plan, peers heard once a look, one factory, one test registration; such a follower stops the process, with a test that fails before. The places that plans choose are the same.

--- a/packages/bulrushgrade/bulrushgrade/engineplan.py
+++ b/packages/bulrushgrade/bulrushgrade/engineplan.py
@@ -210,12 +210,12 @@
             now: The present time in seconds.
             may_hand_over: Whether one engine may read for another.
         """
-        decoders = _generating(engines)
+        ranked = enginerank.rank_by_role(prompt, engines)
+        decoders, home = ranked.generating[:CANDIDATES], ranked.home
         if not decoders:
             return None
         if prompt.prompt_tokens >= enginerank.HOME_TOKENS:
             self._note_size(prompt.prompt_tokens)
-        home = enginerank.find_home(prompt, engines)
         holder = self._find_holder(prompt, engines, traits)
 
         def cost(plan: Plan) -> float:
@@ -242,13 +242,13 @@
 
         plans = [
             self._read_at(prompt, engine, None, traits, holder, now)
-            for engine in enginerank.rank(prompt, decoders)[:CANDIDATES]
+            for engine in decoders
         ]
         if may_hand_over and prompt.prompt_tokens >= HANDOVER_TOKENS:
-            receiver = self.receiver(prompt, decoders, traits, now=now)
+            receiver = self._pick_receiver(decoders, traits, now)
             plans += [
                 self._read_at(prompt, receiver, engine, traits, holder, now)
-                for engine in _reading_candidates(prompt, engines, holder)
+                for engine in _reading_candidates(ranked.readers, holder)
             ]
         return min(plans, key=cost)
 
@@ -275,11 +275,16 @@
         The receiver keeps what it is handed, so the same part should go to
         the same one: on several it would push out what is at home there.
         """
-        decoders = _generating(engines)
-        if not decoders:
-            return None
-        ranked = enginerank.rank(prompt, decoders)[:CANDIDATES]
+        ranked = enginerank.rank_by_role(prompt, engines)
+        decoders = ranked.generating[:CANDIDATES]
+        return self._pick_receiver(decoders, traits, now) if decoders else None
 
+    def _pick_receiver(
+        self,
+        ranked: list[directory.Registration],
+        traits: routing.EngineTraits,
+        now: float,
+    ) -> directory.Registration:
         def cost(place: int) -> float:
             waits_s = self._wait_s(ranked[place], traits, now)
             return waits_s + (HANDOVER_S if place else 0.0)
@@ -383,18 +388,10 @@
 
 
 def _reading_candidates(
-    prompt: prompt_module.Prompt,
-    engines: list[directory.Registration],
+    readers: list[directory.Registration],
     holder: directory.Registration | None,
 ) -> list[directory.Registration]:
-    readers = [e for e in engines if e.stage is directory.Stage.PREFILL]
-    found = enginerank.rank(prompt, readers)[:CANDIDATES]
+    found = readers[:CANDIDATES]
     if holder in readers and holder not in found:
         found.append(holder)
     return found
-
-
-def _generating(
-    engines: list[directory.Registration],
-) -> list[directory.Registration]:
-    return [e for e in engines if e.stage is not directory.Stage.PREFILL]
--- a/packages/bulrushgrade/bulrushgrade/enginerank.py
+++ b/packages/bulrushgrade/bulrushgrade/enginerank.py
@@ -1,5 +1,6 @@
 """An order of engines for a prompt that all daemons work out alike."""
 
+import attrs
 import xxhash
 
 from bulrushgrade import directory
@@ -10,17 +11,34 @@
 anywhere takes some milliseconds, less than a queue."""
 
 
-def find_home(
-    prompt: prompt_module.Prompt, engines: list[directory.Registration]
-) -> directory.Registration | None:
-    """Returns the engine where a prompt's shared part is read first.
+@attrs.frozen(kw_only=True)
+class Ranked:
+    """Engines in a prompt's order, by what they do.
 
-    One that only reads, where there is one.
+    Attributes:
+        readers: Those that only read.
+        generating: Those that generate.
+        home: Where the prompt's shared part is read first, at one that only
+            reads where there is one; None where the part is short.
     """
-    if prompt.shared_tokens < HOME_TOKENS or not engines:
-        return None
-    readers = [e for e in engines if e.stage is directory.Stage.PREFILL]
-    return rank(prompt, readers or engines)[0]
+
+    readers: list[directory.Registration]
+    generating: list[directory.Registration]
+    home: directory.Registration | None
+
+
+def rank_by_role(
+    prompt: prompt_module.Prompt, engines: list[directory.Registration]
+) -> Ranked:
+    """Returns engines in an order that all daemons work out alike."""
+    readers, generating = [], []
+    for engine in rank(prompt, engines):
+        is_reader = engine.stage is directory.Stage.PREFILL
+        (readers if is_reader else generating).append(engine)
+    home = None
+    if prompt.shared_tokens >= HOME_TOKENS and engines:
+        home = (readers or generating)[0]
+    return Ranked(readers=readers, generating=generating, home=home)
 
 
 def rank(
--- a/packages/bulrushgrade/tests/test_engineplan.py
+++ b/packages/bulrushgrade/tests/test_engineplan.py
@@ -30,6 +30,10 @@
 ]
 
 
+def find_home(prompt, engines):
+    return enginerank.rank_by_role(prompt, engines).home
+
+
 def make_plan(prompt, engines=ENGINES, planner=None, **changes):
     values = {"now": 0.0, "may_hand_over": True} | changes
     planner = planner or engineplan.EnginePlanner(zone="z1")
@@ -40,14 +44,13 @@
     for number in range(50):
         prompt = make_prompt(f"s{number}")
         shuffled = [ENGINES[i] for i in (3, 0, 4, 2, 1)]
-        home = enginerank.find_home(prompt, ENGINES)
-        assert enginerank.find_home(prompt, shuffled) == home
+        home = find_home(prompt, ENGINES)
+        assert find_home(prompt, shuffled) == home
 
 
 def test_homes_are_spread_over_the_engines_that_only_read():
     homes = collections.Counter(
-        enginerank.find_home(make_prompt(f"s{n}"), ENGINES).id
-        for n in range(1000)
+        find_home(make_prompt(f"s{n}"), ENGINES).id for n in range(1000)
     )
     assert set(homes) == {"p1", "p2"}
     assert min(homes.values()) > 400
@@ -55,8 +58,7 @@
 
 def test_without_engines_that_only_read_all_are_homes():
     homes = {
-        enginerank.find_home(make_prompt(f"s{n}"), ENGINES[2:]).id
-        for n in range(100)
+        find_home(make_prompt(f"s{n}"), ENGINES[2:]).id for n in range(100)
     }
     assert homes == {"d1", "d2", "d3"}
 
@@ -70,9 +72,9 @@
     left = ENGINES[1:]
     for number in range(200):
         prompt = make_prompt(f"s{number}")
-        before = enginerank.find_home(prompt, ENGINES)
+        before = find_home(prompt, ENGINES)
         if before is not ENGINES[0]:
-            assert enginerank.find_home(prompt, left) is before
+            assert find_home(prompt, left) is before
 
 
 def test_long_prompt_is_read_at_home():
@@ -80,7 +82,7 @@
         prompt = make_prompt(f"s{number}")
         plan = make_plan(prompt)
         reader = plan.prefill or plan.decode
-        assert reader is enginerank.find_home(prompt, ENGINES)
+        assert reader is find_home(prompt, ENGINES)
         assert plan.fetch_from is None
 
 
@@ -113,7 +115,7 @@
     where reading it again would take hundreds; a short queue is not.
     """
     prompt = make_prompt("s1")
-    home = enginerank.find_home(prompt, ENGINES)
+    home = find_home(prompt, ENGINES)
     for queued_s, stays in ((0.01, True), (3.0, False)):
         planner = engineplan.EnginePlanner(zone="z1")
         load = planner.load(home, TRAITS)
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/cachesharing.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/cachesharing.py
@@ -32,12 +32,13 @@
 
     def followed_engines(self) -> list[directory_module.Registration]:
         """Returns the engines that this daemon is the one to follow."""
-        return [
-            registration
+        engines = {
+            registration.id: registration
             for registration in self._endpoints.registrations
             if registration.stage is not None
-            and self._gossip.follows(registration.id)
-        ]
+        }
+        followed = self._gossip.pick_followed(engines)
+        return [engines[id] for id in sorted(followed)]
 
     def take_seen(
         self,
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/follower.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/follower.py
@@ -13,6 +13,7 @@
 import attrs
 from returns.result import Failure
 from returns.result import Result
+from twisted.internet import defer
 
 from bulrushgrade_daemon import decisionlog
 from bulrushgrade_daemon import task
@@ -140,6 +141,7 @@
         self._regained_at: float | None = None
         self._reads = 0
         self._running: Any = None
+        self._stopping = False
 
     @property
     def known(self) -> bool:
@@ -171,6 +173,7 @@
 
     async def stop(self) -> None:
         """Reads no more."""
+        self._stopping = True
         if self._running is not None:
             self._running.cancel()
 
@@ -182,6 +185,16 @@
         return {"next": self._next, "age_s": self.age_s, "reads": self._reads}
 
     async def _run(self) -> None:
+        try:
+            await self._read_on()
+        except defer.CancelledError:
+            # A read that ends as cancelled when nobody cancelled it would end
+            # the follower without a word, and everything would go on by what
+            # was known then. A restarted process reads all anew.
+            if not self._stopping:
+                self._on_broken(f"{self.name}: a read ended as cancelled")
+
+    async def _read_on(self) -> None:
         while True:
             began = self._timers.now
             failed = await self._read_once()
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/front.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/front.py
@@ -13,6 +13,7 @@
 from twisted.web import http
 
 from bulrushgrade import routing
+from bulrushgrade_daemon import httpfactory
 
 
 class CallerRequest(http.Request):
@@ -161,31 +162,12 @@
         super().connectionLost(reason)
 
 
-class _Factory(http.HTTPFactory):
-    noisy = False
+class _Factory(httpfactory.RequestFactory):
+    """Keeps the connections that are open."""
 
     def __init__(self, *, reactor: Any, make: Callable[..., CallerRequest]):
-        super().__init__(reactor=reactor)
+        super().__init__(reactor=reactor, make=make, channel_type=_Channel)
         self.channels: set[_Channel] = set()
-        self._make = make
-
-    def startFactory(self) -> None:  # noqa: N802
-        """Opens no access log; decisions have lines of their own."""
-
-    def stopFactory(self) -> None:  # noqa: N802
-        """Has no access log to close."""
-
-    def log(self, request: Any) -> None:
-        """Writes no access log."""
-
-    def buildProtocol(self, addr: Any) -> _Channel:  # noqa: N802
-        channel = _Channel()
-        channel.factory = self
-        channel.requestFactory = self._make
-        channel.timeOut = self.timeOut
-        channel._reactor = self.reactor
-        channel.callLater = self.reactor.callLater
-        return channel
 
 
 class Front:
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadgossip.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadgossip.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterable
 from typing import Any
 
 import attrs
@@ -212,15 +213,19 @@
         for change in changes:
             kept[change.part] = change.tokens
 
-    def follows(self, engine: str) -> bool:
-        """Returns whether this daemon is the one to follow an engine's cache.
+    def pick_followed(self, engines: Iterable[str]) -> set[str]:
+        """Returns the engines whose caches this daemon is the one to follow.
 
         Of those that hear each other the one that rendezvous hashing picks,
         so that each engine is asked by one daemon however many there are.
         """
-        heard = self._queues.heard(self._timers.now)
         own = self._own_name
-        return own == max((*heard, own), key=lambda name: _score(engine, name))
+        heard = self._queues.heard(self._timers.now)
+        return {
+            engine
+            for engine in engines
+            if all(_score(engine, own) >= _score(engine, h) for h in heard)
+        }
 
     async def _announce(self) -> None:
         host = self._port.getHost()
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/pages.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/pages.py
@@ -6,6 +6,8 @@
 import attrs
 from twisted.web import http
 
+from bulrushgrade_daemon import httpfactory
+
 
 @attrs.frozen(kw_only=True)
 class Page:
@@ -37,19 +39,6 @@
         self.finish()
 
 
-class _Factory(http.HTTPFactory):
-    noisy = False
-
-    def startFactory(self) -> None:  # noqa: N802
-        """Opens no access log."""
-
-    def stopFactory(self) -> None:  # noqa: N802
-        """Has no access log to close."""
-
-    def log(self, request: Any) -> None:
-        """Writes no access log."""
-
-
 class Pages:
     """Serves pages at one address."""
 
@@ -94,15 +83,7 @@
             request.find = self._find
             return request
 
-        factory = _Factory(reactor=self._reactor)
-        build = factory.buildProtocol
-
-        def build_protocol(addr: Any) -> Any:
-            channel = build(addr)
-            channel.requestFactory = make
-            return channel
-
-        factory.buildProtocol = build_protocol
+        factory = httpfactory.RequestFactory(reactor=self._reactor, make=make)
         self._port = self._reactor.listenTCP(
             self._port_number, factory, interface=self._host
         )
--- a/packages/bulrushgrade_daemon/tests/test_cachewatch.py
+++ b/packages/bulrushgrade_daemon/tests/test_cachewatch.py
@@ -2,25 +2,14 @@
 
 import fakes
 from returns.result import Failure
+from test_directory import make as make_registration
 
 from bulrushgrade import directory
 from bulrushgrade import engineload
 from bulrushgrade_daemon import cachewatch
 from bulrushgrade_daemon import outbound
 
-ENGINE = directory.Registration(
-    id="p1",
-    born_ms=1,
-    service="llm",
-    host="10.0.0.1",
-    port=80,
-    zone="z",
-    slots=4,
-    state=directory.EndpointState.READY,
-    cold_s=0.0,
-    stage=directory.Stage.PREFILL,
-    sequence=1,
-)
+ENGINE = make_registration("p1", stage=directory.Stage.PREFILL)
 KEPT = engineload.CacheChange(part="a", tokens=5000)
 
 
--- a/packages/bulrushgrade_daemon/tests/test_follower.py
+++ b/packages/bulrushgrade_daemon/tests/test_follower.py
@@ -2,6 +2,7 @@
 
 import fakes
 from returns.result import Failure
+from twisted.internet import defer
 
 from bulrushgrade_daemon import follower
 
@@ -26,6 +27,7 @@
         **values,
     )
     fakes.run(made.start())
+    made.broken = broken
     return made, reactor, lines, whole, taken
 
 
@@ -72,3 +74,27 @@
     assert made.known
     assert lines.count("dependency_regained") == 1
     assert made.regained_at is not None
+
+
+def test_read_that_ends_as_cancelled_is_not_the_silent_end():
+    """A read fails as if it had been cancelled, and nobody did.
+
+    The follower ended, and its gateway served for ever by what it knew.
+    """
+
+    async def read_all():
+        raise defer.CancelledError()
+
+    made, _, _, _, _ = make(read_all, None)
+    assert len(made.broken) == 1
+
+
+def test_stopped_follower_is_not_broken():
+    waiting = defer.Deferred()
+
+    async def read_all():
+        await waiting
+
+    made, _, _, _, _ = make(read_all, None)
+    fakes.run(made.stop())
+    assert made.broken == []
--- a/packages/bulrushgrade_daemon/tests/test_loadgossip.py
+++ b/packages/bulrushgrade_daemon/tests/test_loadgossip.py
@@ -103,11 +103,12 @@
     reactor, _, net, hosts = make()
     reactor.pump([0.1] * 3)
     for number in range(30):
-        following = [h for h in hosts if h.gossip.follows(f"e{number}")]
+        engine = f"e{number}"
+        following = [h for h in hosts if h.gossip.pick_followed([engine])]
         assert len(following) == 1
     net.cut = True
     reactor.pump([0.1] * 20)
-    assert all(host.gossip.follows("e1") for host in hosts)
+    assert all(host.gossip.pick_followed(["e1"]) for host in hosts)
 
 
 def test_cache_changes_reach_the_others_once():
