Judge waiting work by the pace of the answers under way; wait for an outcome as told

Cause of the red test (a refusal after 2.4 to 2.96 s where the limit is 2 s): work that waits was refused at the latest start that it was queued with, and that was taken from the first guess of the time between tokens, 26 ms, as at engines that turned slow no answer had ended yet (56 ms in truth).

Ruled out: a slow look at the queue (every 50 ms), and the client's own threads (first refusals at 0.09 to 0.6 s with 24 busy processes).

Change: waiting work is judged again by the observed pace at the quickest engine, known after a second of its answers. The pure test fails before.

test_same_key_at_several_daemons_at_once failed once (409 'running' from a host that had not read the outcome yet; the log's reader is a few ms behind). That answer is allowed (docs/ONCE.md): the test took it for sure that the outcome had been read. It now comes back once, when told to, and must get the first answer; a new test shows the allowed case with the log silent.

--- a/packages/bulrushgrade/bulrushgrade/admission.py
+++ b/packages/bulrushgrade/bulrushgrade/admission.py
@@ -102,6 +102,7 @@
     model: cost.CostModel,
     uncached_tokens: float,
     tokens_done: int = 0,
+    step_ratio: float = 1.0,
 ) -> float:
     """Returns when work has to be placed, on an idle engine, to be in time.
 
@@ -110,12 +111,14 @@
         model: What its endpoints cost.
         uncached_tokens: Prompt tokens that are still to be read.
         tokens_done: Tokens of the answer that the caller already has.
+        step_ratio: Observed to predicted time between tokens, at the engine
+            that is quickest now.
     """
     if not item.model:
         return item.deadline - model.plain_s
     first_s = model.first_token_s(uncached_tokens)
     left = max(0, item.output_tokens - tokens_done)
-    answer_s = left * model.step_s(cost.TYPICAL_BATCH)
+    answer_s = left * model.step_s(cost.TYPICAL_BATCH) * step_ratio
     start = item.deadline - (first_s + answer_s) / MARGIN
     if item.first_token_deadline is not None:
         start = min(start, item.first_token_deadline - first_s / MARGIN)
--- a/packages/bulrushgrade/bulrushgrade/pool.py
+++ b/packages/bulrushgrade/bulrushgrade/pool.py
@@ -85,6 +85,15 @@
         """Whether an engine for answers is in service."""
         return bool(self._decoders)
 
+    @property
+    def step_ratio(self) -> float:
+        """Observed to predicted time between tokens at the quickest engine.
+
+        At least 1: that one engine is quick says nothing of its room.
+        """
+        ratios = (self.loads[a].step_ratio for _, a in self._decoders)
+        return max(1.0, min(ratios, default=1.0))
+
     def fellows(self, role: work.Role) -> list[ejection.Health]:
         """Returns the health of all endpoints in service with this role."""
         return [
--- a/packages/bulrushgrade/bulrushgrade/queueing.py
+++ b/packages/bulrushgrade/bulrushgrade/queueing.py
@@ -28,6 +28,10 @@
 work take the large work's share at four times the load."""
 
 
+LatestStart = Callable[[lane.Waiting], float]
+"""Returns when an item has to be placed to be in time."""
+
+
 @attrs.define(kw_only=True)
 class PoolQueue:
     """What waits for one pool of endpoints.
@@ -102,11 +106,18 @@
                 if head is not None:
                     yield head
 
-    def take_expired(self, now: float) -> Iterator[lane.Waiting]:
-        """Removes and yields the items that can't be in time any more."""
+    def take_expired(
+        self, now: float, latest_start: LatestStart
+    ) -> Iterator[lane.Waiting]:
+        """Removes and yields the items that can't be in time any more.
+
+        Args:
+            now: The present time.
+            latest_start: Judges the head of a lane by what is known now.
+        """
         for queue in self._queues.values():
             for waiting in queue.lanes.values():
-                while (head := waiting.head()) and head.latest_start < now:
+                while (head := waiting.head()) and latest_start(head) < now:
                     self.remove(head, now)
                     yield head
 
--- a/packages/bulrushgrade/bulrushgrade/scheduler.py
+++ b/packages/bulrushgrade/bulrushgrade/scheduler.py
@@ -321,8 +321,13 @@
         return work.Queued(request_id=wanted.request_id, wait_s=wait_s)
 
     def _dispatch(self, state: pools.PoolState, now: float) -> None:
-        for item in state.queue.take_expired(now):
-            request_id, late_s = item.work.request_id, now - item.latest_start
+        step_ratio = state.pool.step_ratio
+
+        def latest_start(item: lane.Waiting) -> float:
+            return self._latest_start(state.pool, item, step_ratio)
+
+        for item in state.queue.take_expired(now, latest_start):
+            request_id, late_s = item.work.request_id, now - latest_start(item)
             del self._waiting[request_id]
             self._asked.lost(item)
             refused = self._refuse(item.work, work.RefusalCode.LATE, late_s)
@@ -336,6 +341,27 @@
 
         queueing.dispatch(state.queue, attempt, now)
 
+    def _latest_start(
+        self, pool: pool.Pool, item: lane.Waiting, step_ratio: float
+    ) -> float:
+        """Returns when an item has to be placed by what is known now.
+
+        What it was queued with is a guess where nothing had ended yet at
+        engines that turned slow: their answers teach their pace while they go
+        on, and work that waits behind them is told within about a second of
+        it that it is late, instead of at the guess.
+        """
+        if step_ratio <= 1.0:
+            return item.latest_start
+        judged = admission.latest_start(
+            item.work,
+            pool.model,
+            item.reading_s / pool.model.prefill_s(1.0),
+            item.tokens_done,
+            step_ratio,
+        )
+        return min(item.latest_start, judged)
+
     def _place(
         self, state: pools.PoolState, item: lane.Waiting, now: float
     ) -> bool:
--- a/packages/bulrushgrade/tests/test_scheduler.py
+++ b/packages/bulrushgrade/tests/test_scheduler.py
@@ -201,3 +201,24 @@
     # a lease, while engines that can do the work stand idle.
     made = _scheduler(_engine(1, role=role), _engine(2, role=role))
     assert isinstance(made.offer(_work("a"), 0.0), work.Placed)
+
+
+def test_waiting_work_learns_that_engines_turned_slow():
+    # All engines take twice as long for a token as they were known to, and no
+    # answer has ended yet. A caller that waits behind them was told nothing
+    # until the latest start by the old pace, 2.4 s into its 4 s. The tokens
+    # of the answers under way tell it after their first second.
+    made = _scheduler(_engine(1, slots=16))
+    running = [f"running-{number}" for number in range(16)]
+    for name in running:
+        placed = made.offer(_work(name, output=60, deadline=9.0), 0.0)
+        assert isinstance(placed, work.Placed)
+        made.first_token(name, 0.1)
+    waiting = _work("waiting", output=60, deadline=4.0)
+    assert isinstance(made.offer(waiting, 0.0), work.Queued)
+    assert made.poll(1.1) == ()
+    for name in running:
+        made.tokens(name, 18, 1.2)
+    (refused,) = made.poll(1.25)
+    assert refused.request_id == "waiting"
+    assert refused.code is work.RefusalCode.LATE
--- a/packages/bulrushgrade_daemon/tests/test_failures_once.py
+++ b/packages/bulrushgrade_daemon/tests/test_failures_once.py
@@ -89,6 +89,17 @@
     assert error["ran"] == "unknown"
 
 
+def _ask_again(pair, number):
+    """Books again as a client does that comes back once when told to."""
+    answer = pair.post(number)
+    if answer.code != 409:
+        return answer
+    _assert_under_way(answer)
+    assert answer.json["error"]["code"] == "running"
+    time.sleep(answer.json["error"]["retry_after_s"])
+    return pair.post(number)
+
+
 def test_same_key_at_several_daemons_at_once(world):
     # A client that lost patience, and a balancer that sends each try to
     # another host: the same booking reaches three daemons in one moment.
@@ -103,7 +114,7 @@
             assert answer.body == first[0].body
         else:
             _assert_under_way(answer)
-    again = pair.post(1)
+    again = _ask_again(pair, 1)
     assert (again.code, again.body) == (200, first[0].body)
     assert again.headers["x-idempotent-replay"] == "true"
     other = pair.post(2, body="cake")
@@ -111,6 +122,28 @@
     assert len(pair.runs) == 1
 
 
+def test_asked_again_before_the_outcome_is_read(world):
+    # A client gets its answer and asks another host for it in the same
+    # moment. That host has not read the outcome, as the log has gone silent,
+    # and still takes the key for running. It says so and when to come back;
+    # once the log is back it gives the first answer.
+    pair = _Pair(world=world)
+    asked = pair.begin(0)
+    processes.wait_for(lambda: len(pair.runs) == 1)
+    scene.fault(world.log, silent=True)
+    first = asked.result()
+    assert first.code == 200
+    early = pair.post(1)
+    _assert_under_way(early)
+    assert early.json["error"]["code"] == "running"
+    scene.fault(world.log)
+    processes.wait_for(lambda: pair.post(1).code == 200)
+    again = pair.post(1)
+    assert again.body == first.body
+    assert again.headers["x-idempotent-replay"] == "true"
+    assert len(pair.runs) == 1
+
+
 def test_killed_before_the_claim_stands(world):
     # The log does not answer, so the claim never got there, and the host
     # dies. The retry through another host is the first that runs.
--- a/packages/bulrushgrade_daemon/tests/test_failures_refusals.py
+++ b/packages/bulrushgrade_daemon/tests/test_failures_refusals.py
@@ -124,7 +124,8 @@
     # An answer takes more than half of this deadline, so that after half of
     # it nothing that has not begun can be in time.
     not_begun = [a for a in refused if a.ran == "not_run"]
-    assert max(a.took_s for a in not_begun) < _URGENT_S / 2
+    late = [a for a in not_begun if a.took_s >= _URGENT_S / 2]
+    assert not late
     # What was refused on arrival was not held for any time at all.
     on_arrival = [a for a in not_begun if a.error["code"] == "overloaded"]
     assert all(a.took_s < 1.0 for a in on_arrival)
