Ask who keeps the book of an engine and of a part before a long prompt is placed

Change: one daemon keeps the book of an engine's queue, and one that of a part, picked by rendezvous hashing among those that hear each other. A part that is being read counts for prompts behind it at that engine, and not for fetching it from there. A fetch counts as the engine's time.

--- a/packages/bulrushgrade/bulrushgrade/engineload.py
+++ b/packages/bulrushgrade/bulrushgrade/engineload.py
@@ -39,6 +39,10 @@
 LEARN_TOKENS = 1000
 """Prompts with less to read tell of fixed costs, not of the speed."""
 
+COMING_S = 3.0
+"""How long a part that was sent to an engine is expected there. A prompt that
+has not been read by then has met a queue that nobody should join."""
+
 CACHE_SHARE = 0.8
 """Of an engine's memory that cached parts can be counted on to have; running
 requests take the rest."""
@@ -65,11 +69,13 @@
         expected_s: What its reading alone should take.
         since: When it was sent.
         tokens: How many tokens it should have to read.
+        parts: Shared parts that the engine will then have.
     """
 
     expected_s: float
     since: float
     tokens: int
+    parts: tuple[prompt_module.PromptPart, ...] = ()
 
 
 class EngineLoad:
@@ -86,6 +92,8 @@
             collections.OrderedDict()
         )
         self._cached_tokens = 0
+        # Until when parts are expected that are being read.
+        self._coming: dict[str, float] = {}
         self._readings: dict[Reading, None] = {}
         self._delay_s = 0.0
         self._delay_at = 0.0
@@ -103,6 +111,23 @@
             return self._tokens_per_s
         return self._tokens_per_s * DECODE_SPEED
 
+    def expected_tokens(self, prompt: prompt_module.Prompt, now: float) -> int:
+        """Returns how many leading tokens it should not have to read.
+
+        It reads in the order of arrival, so what is being read there now is
+        in its cache when the prompt's turn comes.
+        """
+        found = 0
+        for part in prompt.shared_parts:
+            if self._coming.get(part.id, now) > now:
+                found += part.tokens
+                continue
+            kept = min(self._cached.get(part.id, 0), part.tokens)
+            found += kept
+            if kept < part.tokens:
+                break
+        return found
+
     def cached_tokens(self, prompt: prompt_module.Prompt) -> int:
         """Returns how many leading tokens it should have in its cache."""
         found = 0
@@ -122,6 +147,7 @@
                 a gap.
         """
         if anew:
+            self._coming.clear()
             self._cached.clear()
             self._cached_tokens = 0
         for change in changes:
@@ -132,6 +158,15 @@
         """Seconds of reading that this daemon has there."""
         return sum(reading.expected_s for reading in self._readings)
 
+    def known_wait_s(self, now: float, queued_s: float) -> float:
+        """Returns how long new work would wait, where the queue is known.
+
+        Args:
+            now: The present time in seconds.
+            queued_s: What is left to be read there, of all daemons.
+        """
+        return max(queued_s, self._overdue_s(now), self.blocked_s(now))
+
     def wait_s(self, now: float, *, others_s: float = 0.0) -> float:
         """Returns how long new work would wait before it is read.
 
@@ -141,12 +176,18 @@
         """
         age_s = now - self._delay_at
         seen_s = self._delay_s * math.exp(-age_s / DELAY_DECAY_S)
-        overdue_s = 0.0
-        if self._readings:
-            oldest = next(iter(self._readings))
-            overdue_s = now - oldest.since - oldest.expected_s
-        blocked_s = self.blocked_s(now)
-        return max(self.queued_s + others_s, seen_s, overdue_s, blocked_s)
+        return max(
+            self.queued_s + others_s,
+            seen_s,
+            self._overdue_s(now),
+            self.blocked_s(now),
+        )
+
+    def _overdue_s(self, now: float) -> float:
+        if not self._readings:
+            return 0.0
+        oldest = next(iter(self._readings))
+        return now - oldest.since - oldest.expected_s
 
     def blocked_s(self, now: float) -> float:
         """Returns how much longer it takes no work, as it changes its role."""
@@ -156,13 +197,23 @@
         """Notes until when it takes no work."""
         self._blocked_until = until
 
-    def begin(
-        self, prompt: prompt_module.Prompt | None, reading: Reading
-    ) -> None:
+    def begin(self, reading: Reading) -> None:
         """Notes a request that was sent there."""
         self._readings[reading] = None
-        if prompt is not None:
-            self._remember(prompt)
+        self.expect(reading.parts, reading.since)
+
+    def expect(
+        self, parts: Iterable[prompt_module.PromptPart], now: float
+    ) -> None:
+        """Notes parts that are being read there."""
+        for part in parts:
+            self._coming[part.id] = now + COMING_S
+
+    def keep(self, parts: Iterable[prompt_module.PromptPart]) -> None:
+        """Notes parts that have been read there."""
+        for part in parts:
+            self._coming.pop(part.id, None)
+            self._keep(part.id, part.tokens)
 
     def answered(
         self, reading: Reading, stage: directory.Stage | None, now: float
@@ -171,6 +222,7 @@
         if reading not in self._readings:
             return
         del self._readings[reading]
+        self.keep(reading.parts)
         took_s = max(now - reading.since, 1e-4)
         delay_s = max(0.0, took_s - reading.expected_s)
         faded_s = self._delay_s * math.exp(
@@ -183,7 +235,9 @@
 
     def dropped(self, reading: Reading) -> None:
         """Notes that a request ended without an answer."""
-        self._readings.pop(reading, None)
+        if self._readings.pop(reading, self) is not self:
+            for part in reading.parts:
+                self._coming.pop(part.id, None)
 
     def _learn_speed(self, seen: float, stage: directory.Stage | None) -> None:
         if stage is not directory.Stage.PREFILL:
@@ -191,10 +245,6 @@
         weight = RISE if seen > self._tokens_per_s else FALL
         self._tokens_per_s += weight * (seen - self._tokens_per_s)
 
-    def _remember(self, prompt: prompt_module.Prompt) -> None:
-        for part in prompt.shared_parts:
-            self._keep(part.id, part.tokens)
-
     def _keep(self, part: str, tokens: int) -> None:
         self._cached_tokens += tokens - self._cached.pop(part, 0)
         if tokens > 0:
--- a/packages/bulrushgrade/bulrushgrade/engineplan.py
+++ b/packages/bulrushgrade/bulrushgrade/engineplan.py
@@ -11,6 +11,7 @@
 """
 
 from collections.abc import Iterable
+from collections.abc import Mapping
 
 import attrs
 
@@ -45,25 +46,6 @@
 stream whose events come too slowly is late as a whole. A short prompt holds
 them up for less than the time between two events."""
 
-CANDIDATES = 4
-"""Engines of a role that are weighed for a prompt, beside the one that has its
-part. What is known of queues is as old as the last messages; were all daemons
-to pick the best of all engines by it, they would pick the same one until the
-next messages. Four of them, others for each prompt, nearly always include one
-with a short queue."""
-
-FETCH_S = 0.01
-"""The fixed time of fetching cached parts from another engine."""
-
-FETCH_WEIGHT = 2.0
-"""What a second of fetching counts as, beside the second itself: it takes the
-links of two engines."""
-
-DISTURB_WEIGHT = 16.0
-"""What a second of reading at an engine that generates costs others: each of
-its streams stands still for that time, piece by piece, and a stream whose
-events come too slowly is late as a whole."""
-
 FETCH_TOKENS = 1000
 """Fewer missing tokens than these are read, not fetched."""
 
@@ -122,6 +104,8 @@
         wait_s: How long it is expected to wait before that.
         read_tokens: How many tokens are expected to be read.
         read_s: How long that should take by itself.
+        busy_s: How long it keeps the reading engine from the next prompt:
+            reading it and fetching what it lacks.
         move_s: How long KV cache is moved between engines for it.
         first_s: When the first event is expected, seconds from now.
     """
@@ -133,10 +117,24 @@
     wait_s: float
     read_tokens: int
     read_s: float
+    busy_s: float
     move_s: float
     first_s: float
 
 
+@attrs.frozen(kw_only=True)
+class _Place:
+    """What a prompt would meet at an engine.
+
+    Attributes:
+        wait_s: How long it would wait before it is read.
+        has_tokens: Its leading tokens that the engine has by then.
+    """
+
+    wait_s: float
+    has_tokens: int
+
+
 class EnginePlanner:
     """Plans requests for the engines of one service."""
 
@@ -200,6 +198,7 @@
         *,
         now: float,
         may_hand_over: bool,
+        known_s: Mapping[str, float] | None = None,
     ) -> Plan | None:
         """Returns the best plan, or None where no engine generates.
 
@@ -209,7 +208,10 @@
             traits: What they have in common.
             now: The present time in seconds.
             may_hand_over: Whether one engine may read for another.
+            known_s: How long it would wait at engines, by id, where that is
+                known from their books.
         """
+        known_s = known_s or {}
         ranked = enginerank.rank_by_role(prompt, engines)
         decoders, home = ranked.generating[:CANDIDATES], ranked.home
         if not decoders:
@@ -218,6 +220,13 @@
             self._note_size(prompt.prompt_tokens)
         holder = self._find_holder(prompt, engines, traits)
 
+        def place(engine: directory.Registration) -> _Place:
+            load, known = self.load(engine, traits), known_s.get(engine.id)
+            return _Place(
+                wait_s=self._wait_s(engine, traits, now, known_s=known),
+                has_tokens=load.expected_tokens(prompt, now),
+            )
+
         def cost(plan: Plan) -> float:
             away = sum(
                 OTHER_ZONE_S
@@ -241,17 +250,57 @@
             )
 
         plans = [
-            self._read_at(prompt, engine, None, traits, holder, now)
+            self._read_at(prompt, engine, None, traits, holder, place(engine))
             for engine in decoders
         ]
         if may_hand_over and prompt.prompt_tokens >= HANDOVER_TOKENS:
             receiver = self._pick_receiver(decoders, traits, now)
             plans += [
-                self._read_at(prompt, receiver, engine, traits, holder, now)
-                for engine in _reading_candidates(ranked.readers, holder)
+                self._read_at(
+                    prompt, receiver, engine, traits, holder, place(engine)
+                )
+                for engine in self._readers(prompt, ranked, traits, holder, now)
             ]
         return min(plans, key=cost)
 
+    def reading_candidates(
+        self,
+        prompt: prompt_module.Prompt,
+        engines: list[directory.Registration],
+        traits: routing.EngineTraits,
+        *,
+        now: float,
+    ) -> list[directory.Registration]:
+        """Returns the engines that are weighed for reading a prompt."""
+        ranked = enginerank.rank_by_role(prompt, engines)
+        holder = self._find_holder(prompt, engines, traits)
+        if not ranked.readers:
+            return ranked.generating[:CANDIDATES]
+        return self._readers(prompt, ranked, traits, holder, now)
+
+    def _readers(
+        self,
+        prompt: prompt_module.Prompt,
+        ranked: enginerank.Ranked,
+        traits: routing.EngineTraits,
+        holder: directory.Registration | None,
+        now: float,
+    ) -> list[directory.Registration]:
+        """Returns some readers, with those that have the parts or get them."""
+        found = ranked.readers[:CANDIDATES]
+        if prompt.shared_tokens < enginerank.HOME_TOKENS:
+            return found
+
+        def expected(engine: directory.Registration) -> int:
+            return self.load(engine, traits).expected_tokens(prompt, now)
+
+        best = max(ranked.readers, key=expected, default=None)
+        if best is not None and expected(best) >= FETCH_TOKENS:
+            found.append(best)
+        if holder in ranked.readers:
+            found.append(holder)
+        return list(dict.fromkeys(found))
+
     def _relative_size(self, prompt: prompt_module.Prompt) -> float:
         if self._mean_tokens == 0.0:
             return 1.0
@@ -296,9 +345,14 @@
         engine: directory.Registration,
         traits: routing.EngineTraits,
         now: float,
+        *,
+        known_s: float | None = None,
     ) -> float:
+        load = self.load(engine, traits)
+        if known_s is not None:
+            return load.known_wait_s(now, known_s)
         others_s = self._others.queued_s(engine.id, now)
-        return self.load(engine, traits).wait_s(now, others_s=others_s)
+        return load.wait_s(now, others_s=others_s)
 
     def _find_holder(
         self,
@@ -324,35 +378,36 @@
         prefill: directory.Registration | None,
         traits: routing.EngineTraits,
         holder: directory.Registration | None,
-        now: float,
+        place: _Place,
     ) -> Plan:
         reader = prefill or decode
         load = self.load(reader, traits)
-        cached = load.cached_tokens(prompt)
-        fetch_from, move_s = None, 0.0
+        cached = place.has_tokens
+        fetch_from, fetch_s, move_s = None, 0.0, 0.0
         if holder is not None and holder is not reader:
             held = self.load(holder, traits).cached_tokens(prompt)
             if held - cached >= FETCH_TOKENS:
                 fetch_from = holder
-                move_s += FETCH_S
-                move_s += _transfer_s(held - cached, holder, reader, traits)
+                fetch_s = FETCH_S
+                fetch_s += _transfer_s(held - cached, holder, reader, traits)
+                move_s += fetch_s
                 cached = held
         tokens = max(1, prompt.prompt_tokens - cached)
         read_s = tokens / load.tokens_per_s(reader.stage)
         if prefill is not None:
             move_s += HANDOVER_S
             move_s += _transfer_s(prompt.prompt_tokens, prefill, decode, traits)
-        wait_s = self._wait_s(reader, traits, now)
         return Plan(
             decode=decode,
             prefill=prefill,
             fetch_from=fetch_from,
             relative_size=self._relative_size(prompt),
-            wait_s=wait_s,
+            wait_s=place.wait_s,
             read_tokens=tokens,
             read_s=read_s,
+            busy_s=read_s + fetch_s,
             move_s=move_s,
-            first_s=wait_s + read_s + move_s,
+            first_s=place.wait_s + read_s + move_s,
         )
 
 
@@ -385,13 +440,3 @@
     if source.zone != destination.zone:
         moved_s *= OTHER_ZONE_TRANSFER
     return moved_s
-
-
-def _reading_candidates(
-    readers: list[directory.Registration],
-    holder: directory.Registration | None,
-) -> list[directory.Registration]:
-    found = readers[:CANDIDATES]
-    if holder in readers and holder not in found:
-        found.append(holder)
-    return found
--- /dev/null
+++ b/packages/bulrushgrade/bulrushgrade/partbook.py
@@ -0,0 +1,89 @@
+"""Which engines were lately sent a shared part, kept by one daemon for all.
+
+Load: requests with the same long shared part come to many daemons within a
+second or two. Harm: what an engine has in its cache is heard of a second
+after it was read, and until then each daemon has the part read again, at
+another engine: a quarter of all reading in a fleet of 60 daemons. So one
+daemon keeps the book of a part; whoever sends the part to an engine tells it,
+and whoever has a prompt with it asks first.
+"""
+
+import enum
+
+import attrs
+
+from bulrushgrade import prompt as prompt_module
+
+LIFE_S = 5.0
+"""How long an entry counts. By then whoever follows the engine's cache has
+told of it, also of what pushed it out again."""
+
+
+class PartState(enum.StrEnum):
+    """How far an engine is with a part."""
+
+    COMING = "coming"
+    KEPT = "kept"
+    GONE = "gone"
+
+
+@attrs.frozen(kw_only=True)
+class PartHolder:
+    """An engine that was sent a part.
+
+    Attributes:
+        engine: The engine's id.
+        state: How far it is with it.
+        parts: The part and those that were sent behind it, in order.
+    """
+
+    engine: str
+    state: PartState
+    parts: tuple[prompt_module.PromptPart, ...]
+
+
+@attrs.frozen(kw_only=True)
+class _Entry:
+    holder: PartHolder
+    at: float
+
+
+class PartBook:
+    """The holders of the parts that a daemon is asked about."""
+
+    def __init__(self):
+        self._entries: dict[str, dict[str, _Entry]] = {}
+
+    def __len__(self) -> int:
+        return sum(len(holders) for holders in self._entries.values())
+
+    def note(self, holder: PartHolder, now: float) -> None:
+        """Enters what an engine was sent, has read, or gave up.
+
+        Args:
+            holder: The engine with at least one part.
+            now: The present time in seconds.
+        """
+        first = holder.parts[0].id
+        if holder.state is PartState.GONE:
+            self._entries.get(first, {}).pop(holder.engine, None)
+            return
+        entry = _Entry(holder=holder, at=now)
+        self._entries.setdefault(first, {})[holder.engine] = entry
+
+    def find(self, part: str, now: float) -> list[PartHolder]:
+        """Returns the engines that were lately sent a part."""
+        return [
+            entry.holder
+            for entry in self._entries.get(part, {}).values()
+            if now - entry.at < LIFE_S
+        ]
+
+    def forget(self, now: float) -> None:
+        """Drops entries that count no more."""
+        for part, holders in list(self._entries.items()):
+            for engine, entry in list(holders.items()):
+                if now - entry.at >= LIFE_S:
+                    del holders[engine]
+            if not holders:
+                del self._entries[part]
--- a/packages/bulrushgrade/tests/test_engineload.py
+++ b/packages/bulrushgrade/tests/test_engineload.py
@@ -23,36 +23,72 @@
     return engineload.EngineLoad(memory_tokens=memory_tokens)
 
 
-def reading(expected_s=0.1, since=0.0, tokens=0):
-    return engineload.Reading(expected_s=expected_s, since=since, tokens=tokens)
+def reading(expected_s=0.1, since=0.0, tokens=0, prompt=None):
+    return engineload.Reading(
+        expected_s=expected_s,
+        since=since,
+        tokens=tokens,
+        parts=prompt.shared_parts if prompt else (),
+    )
+
+
+def read_through(load, prompt):
+    """Has an engine read a prompt."""
+    sent = reading(prompt=prompt)
+    load.begin(sent)
+    load.answered(sent, PREFILL, 0.1)
 
 
-def test_parts_that_were_sent_count_as_cached():
+def test_parts_are_cached_once_they_were_read():
     load = make_load()
-    load.begin(make_prompt("s1"), reading())
+    read_through(load, make_prompt("s1"))
     assert load.cached_tokens(make_prompt("s1")) == 10_000
     assert load.cached_tokens(make_prompt("s2")) == 0
 
 
+def test_parts_that_are_being_read_need_not_be_read_behind_it():
+    # Two prompts with one long part come within the time of reading it. The
+    # second was sent to another engine and the part read twice, or had it
+    # fetched from where it was not yet. Behind the first it costs nothing.
+    load, prompt = make_load(), make_prompt("s1")
+    sent = reading(prompt=prompt)
+    load.begin(sent)
+    assert load.expected_tokens(prompt, 0.0) == 10_000
+    assert load.cached_tokens(prompt) == 0
+    load.answered(sent, PREFILL, 0.3)
+    assert load.expected_tokens(prompt, 0.3) == 10_000
+    assert load.cached_tokens(prompt) == 10_000
+
+
+def test_parts_of_a_prompt_that_was_not_read_are_not_expected():
+    load, prompt = make_load(), make_prompt("s1")
+    sent = reading(prompt=prompt)
+    load.begin(sent)
+    load.dropped(sent)
+    assert load.expected_tokens(prompt, 0.1) == 0
+    load.expect(prompt.shared_parts, 1.0)
+    assert load.expected_tokens(prompt, 1.0 + engineload.COMING_S) == 0
+
+
 def test_least_recently_used_parts_yield():
     load = make_load(memory_tokens=30_000)
     for name in ("s1", "s2", "s1", "s3"):
-        load.begin(make_prompt(name), reading())
+        read_through(load, make_prompt(name))
     assert load.cached_tokens(make_prompt("s1")) == 10_000
     assert load.cached_tokens(make_prompt("s2")) == 0
 
 
 def test_own_queue_adds_up():
     load = make_load()
-    load.begin(None, reading(expected_s=0.2))
-    load.begin(None, reading(expected_s=0.3))
+    load.begin(reading(expected_s=0.2))
+    load.begin(reading(expected_s=0.3))
     assert load.wait_s(0.0) == 0.5
 
 
 def test_seen_delay_fades():
     load = make_load()
     sent = reading(expected_s=0.1, since=0.0)
-    load.begin(None, sent)
+    load.begin(sent)
     load.answered(sent, DECODE, 1.1)
     assert load.wait_s(1.1) == 1.0 * engineload.DELAY_WEIGHT
     assert load.wait_s(9.0) < 0.01
@@ -65,7 +101,7 @@
     age of the oldest unanswered request grows without any message.
     """
     load = make_load()
-    load.begin(None, reading(expected_s=0.1, since=0.0))
+    load.begin(reading(expected_s=0.1, since=0.0))
     assert load.wait_s(0.5) == 0.4
     assert load.wait_s(2.1) == 2.0
 
@@ -73,7 +109,7 @@
 def test_dropped_reading_leaves_no_trace():
     load = make_load()
     sent = reading()
-    load.begin(None, sent)
+    load.begin(sent)
     load.dropped(sent)
     load.answered(sent, DECODE, 5.0)
     assert load.wait_s(5.0) == 0.0
@@ -84,12 +120,12 @@
     before = load.tokens_per_s(PREFILL)
     for number in range(20):
         sent = reading(expected_s=0.1, since=number, tokens=10_000)
-        load.begin(None, sent)
+        load.begin(sent)
         load.answered(sent, PREFILL, number + 0.1)
     fast = load.tokens_per_s(PREFILL)
     assert fast > before
     waited = reading(expected_s=0.1, since=50.0, tokens=10_000)
-    load.begin(None, waited)
+    load.begin(waited)
     load.answered(waited, PREFILL, 53.0)
     assert load.tokens_per_s(PREFILL) > 0.95 * fast
 
--- a/packages/bulrushgrade/tests/test_engineplan.py
+++ b/packages/bulrushgrade/tests/test_engineplan.py
@@ -103,7 +103,7 @@
     assert make_plan(short, planner=planner).prefill is None
     for engine in ENGINES[2:]:
         queued = engineload.Reading(expected_s=0.2, since=0.0, tokens=0)
-        planner.load(engine, TRAITS).begin(None, queued)
+        planner.load(engine, TRAITS).begin(queued)
     assert make_plan(short, planner=planner).prefill is not None
 
 
@@ -122,7 +122,7 @@
         kept = engineload.CacheChange(part="s1", tokens=10_000)
         load.apply([kept], anew=False)
         queued = engineload.Reading(expected_s=queued_s, since=0.0, tokens=0)
-        load.begin(None, queued)
+        load.begin(queued)
         plan = make_plan(prompt, planner=planner)
         reader = plan.prefill or plan.decode
         assert (reader is home) is stays
@@ -184,7 +184,7 @@
         planner = engineplan.EnginePlanner(zone="z1")
         for engine in engines[1:12]:
             queued = engineload.Reading(expected_s=0.3, since=0.0, tokens=0)
-            planner.load(engine, TRAITS).begin(None, queued)
+            planner.load(engine, TRAITS).begin(queued)
         plan = make_plan(make_prompt(f"s{number}"), engines, planner)
         picked[(plan.prefill or plan.decode).id] += 1
     assert picked.most_common(1)[0][1] < 100
@@ -194,7 +194,7 @@
     planner = engineplan.EnginePlanner(zone="z1")
     busy, idle = ENGINES[0], ENGINES[1]
     sent = engineload.Reading(expected_s=1.0, since=0.0, tokens=0)
-    planner.load(busy, TRAITS).begin(None, sent)
+    planner.load(busy, TRAITS).begin(sent)
     planner.load(idle, TRAITS)
     planner.forget([])
     assert planner.load(busy, TRAITS).readings == 1
@@ -209,7 +209,7 @@
     planner = engineplan.EnginePlanner(zone="z1")
     for engine in ENGINES[:2]:
         queued = engineload.Reading(expected_s=1.0, since=0.0, tokens=0)
-        planner.load(engine, TRAITS).begin(None, queued)
+        planner.load(engine, TRAITS).begin(queued)
     assert make_plan(make_prompt("s1"), planner=planner).prefill is not None
 
 
@@ -230,7 +230,7 @@
             load = planner.load(engine, TRAITS)
             kept = engineload.CacheChange(part="s1", tokens=10_000)
             load.apply([kept], anew=False)
-            load.begin(None, queued)
+            load.begin(queued)
         for prompt in (small, large):
             plan = make_plan(prompt, planner=planner)
             late_s = engineplan.lateness_s(plan, left_s=5.0, patience_s=3.2)
@@ -267,10 +267,13 @@
         free_at[reader.id] = done
         late += done - now > 3.2
         reading = engineload.Reading(
-            expected_s=plan.read_s, since=now, tokens=plan.read_tokens
+            expected_s=plan.read_s,
+            since=now,
+            tokens=plan.read_tokens,
+            parts=prompt.shared_parts,
         )
         load = planner.load(reader, TRAITS)
-        load.begin(prompt, reading)
+        load.begin(reading)
         entry = (done, number, load, reading, reader.stage)
         heapq.heappush(under_way, entry)
     assert refused > 80
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/choosing.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/choosing.py
@@ -9,9 +9,13 @@
 from bulrushgrade import directory as directory_module
 from bulrushgrade import engineload
 from bulrushgrade import engineplan
+from bulrushgrade import enginerank
+from bulrushgrade import partbook
 from bulrushgrade import peerqueues
+from bulrushgrade import prompt as prompt_module
 from bulrushgrade import routing
 from bulrushgrade_daemon import decisionlog
+from bulrushgrade_daemon import enginebooks
 from bulrushgrade_daemon import inflight
 from bulrushgrade_daemon import stagecontrol
 
@@ -27,6 +31,7 @@
         table: Callable[[], routing.RouteTable | None],
         endpoints: directory_module.Directory,
         others: peerqueues.PeerQueues,
+        books: enginebooks.EngineBooks,
         log: decisionlog.DecisionLog,
         rng: random.Random,
     ):
@@ -38,6 +43,7 @@
             table: Returns the routes in force, or None before the first.
             endpoints: The endpoints that are known.
             others: What other daemons have waiting at engines.
+            books: What waits at engines now.
             log: Gets a line for each ejection.
             rng: Breaks ties.
         """
@@ -48,8 +54,45 @@
         self._log = log
         self._balancer = balance.Balancer(zone=zone, rng=rng)
         self._others = others
+        self._books = books
         self._planners: dict[str, engineplan.EnginePlanner] = {}
 
+    async def ask_peers(self, request: inflight.InFlight) -> None:
+        """Learns where a long prompt's parts are and what waits there."""
+        request.waits_s = {}
+        prompt, traits = request.asked.prompt, self._traits(request.service)
+        if traits is None or prompt is None:
+            return
+        if prompt.prompt_tokens < enginerank.HOME_TOKENS:
+            return
+        if prompt.shared_tokens >= enginerank.HOME_TOKENS:
+            for holder in await self._books.ask_part(prompt.parts[0].id):
+                self._take_holder(holder, request.service, traits)
+        now = self._timers.now
+        usable = self._endpoints.usable(request.service, now=now)
+        engines = self._planner(request.service).reading_candidates(
+            prompt,
+            self._balancer.eligible(usable, avoid=request.avoid, now=now),
+            traits,
+            now=now,
+        )
+        request.waits_s = await self._books.ask_waits(e.id for e in engines)
+
+    def _take_holder(
+        self,
+        holder: partbook.PartHolder,
+        service: str,
+        traits: routing.EngineTraits,
+    ) -> None:
+        engine = self._endpoints.find(holder.engine)
+        if engine is None or engine.service != service:
+            return
+        load = self._planner(service).load(engine, traits)
+        if holder.state is partbook.PartState.KEPT:
+            load.keep(holder.parts)
+        else:
+            load.expect(holder.parts, self._timers.now)
+
     def choose(
         self, request: inflight.InFlight
     ) -> directory_module.Registration | None:
@@ -72,6 +115,7 @@
             traits,
             now=now,
             may_hand_over=request.history.arrivals == 0,
+            known_s=request.waits_s,
         )
         return request.plan.decode if request.plan else None
 
@@ -151,14 +195,18 @@
         if plan is None or traits is None:
             return lambda began: None
         load = self._planner(request.service).load(engine, traits)
+        prompt = request.asked.prompt
         reading = engineload.Reading(
-            expected_s=plan.read_s if reads else plan.move_s,
+            expected_s=plan.busy_s if reads else plan.move_s,
             since=self._timers.now,
             tokens=plan.read_tokens if reads else 0,
+            parts=prompt.shared_parts if reads else (),
         )
-        load.begin(request.asked.prompt if reads else None, reading)
+        tell_end = self._tell_begin(engine, reading, prompt, load)
+        load.begin(reading)
 
         def ended(began: bool) -> None:
+            tell_end(began)
             if began:
                 load.answered(reading, engine.stage, self._timers.now)
             else:
@@ -166,6 +214,21 @@
 
         return ended
 
+    def _tell_begin(
+        self,
+        engine: directory_module.Registration,
+        reading: engineload.Reading,
+        prompt: prompt_module.Prompt,
+        load: engineload.EngineLoad,
+    ) -> Callable[[bool], None]:
+        """Tells peers of a long reading; returns what tells of its end."""
+        if reading.tokens < enginerank.HOME_TOKENS:
+            return lambda began: None
+        # Nothing new is read of parts that it has already.
+        is_new = load.cached_tokens(prompt) < prompt.shared_tokens
+        parts = reading.parts if is_new else ()
+        return self._books.begin(engine.id, reading.expected_s, parts)
+
     def apply_cache(
         self,
         engine: directory_module.Registration,
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
@@ -188,6 +188,7 @@
 
     async def _try_until_answered(self, request: inflight.InFlight) -> None:
         while True:
+            await self._chooser.ask_peers(request)
             endpoint = self._chooser.choose(request)
             if endpoint is None:
                 self._finish(request, None, "no endpoint")
--- /dev/null
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaymessages.py
@@ -0,0 +1,154 @@
+"""Datagrams among gateways.
+
+Every message fits one datagram, may be lost, late or come twice, and is of
+no use to anything but better places for prompts.
+"""
+
+import msgspec
+
+from bulrushgrade import partbook
+
+
+class Load(msgspec.Struct, array_like=True, tag="load"):
+    """What a daemon has waiting, and what it saw of engines' caches.
+
+    Attributes:
+        peer: Who says it; another one after each start.
+        number: Grows from each of its messages to the next.
+        queued_ms: Reading that it has waiting, by engine.
+        kept: What changed in the caches that it follows, by engine: parts
+            with the tokens that are kept now.
+    """
+
+    peer: str
+    number: int
+    queued_ms: dict[str, int]
+    kept: dict[str, list[tuple[str, int]]] = {}
+
+
+class Question(msgspec.Struct, array_like=True, tag="question"):
+    """Asks how long a prompt would wait at engines.
+
+    Attributes:
+        peer: Who asks.
+        number: Its own number of the question.
+        engines: The engines' ids.
+    """
+
+    peer: str
+    number: int
+    engines: list[str]
+
+
+class Reply(msgspec.Struct, array_like=True, tag="reply"):
+    """Answers a question.
+
+    Attributes:
+        peer: Who answers.
+        number: The question's number.
+        waits_ms: How long a prompt would wait, by engine.
+    """
+
+    peer: str
+    number: int
+    waits_ms: dict[str, int]
+
+
+class Begun(msgspec.Struct, array_like=True, tag="begun"):
+    """Says that a prompt was sent to an engine.
+
+    Attributes:
+        peer: Who sent it.
+        number: Its own number of the prompt.
+        engine: The engine's id.
+        reading_ms: How long reading it should take by itself.
+    """
+
+    peer: str
+    number: int
+    engine: str
+    reading_ms: int
+
+
+class Ended(msgspec.Struct, array_like=True, tag="ended"):
+    """Says that a prompt was read or given up.
+
+    Attributes:
+        peer: Who had sent it.
+        number: Its own number of the prompt.
+        engine: The engine's id.
+    """
+
+    peer: str
+    number: int
+    engine: str
+
+
+class PartQuestion(msgspec.Struct, array_like=True, tag="part_question"):
+    """Asks which engines were lately sent a shared part.
+
+    Attributes:
+        peer: Who asks.
+        number: Its own number of the question.
+        part: The part's id.
+    """
+
+    peer: str
+    number: int
+    part: str
+
+
+class PartNews(msgspec.Struct, array_like=True, tag="part_news"):
+    """Says that an engine was sent parts, has read them, or did not.
+
+    Attributes:
+        engine: The engine's id.
+        state: How far it is.
+        parts: In order, with their tokens.
+    """
+
+    engine: str
+    state: partbook.PartState
+    parts: list[tuple[str, int]]
+
+
+class PartReply(msgspec.Struct, array_like=True, tag="part_reply"):
+    """Answers a question about a part.
+
+    Attributes:
+        peer: Who answers.
+        number: The question's number.
+        holders: Engines with what they were sent.
+    """
+
+    peer: str
+    number: int
+    holders: list[PartNews]
+
+
+Message = (
+    Load
+    | Question
+    | Reply
+    | Begun
+    | Ended
+    | PartQuestion
+    | PartReply
+    | PartNews
+)
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Message)
+
+
+def serialize(message: Message) -> bytes:
+    """Returns a message's datagram."""
+    return _encoder.encode(message)
+
+
+def parse(datagram: bytes) -> Message | None:
+    """Returns a datagram's message, or None where it is none."""
+    try:
+        return _decoder.decode(datagram)
+    except msgspec.DecodeError:
+        return None
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
@@ -18,6 +18,7 @@
 from bulrushgrade_daemon import clock
 from bulrushgrade_daemon import decisionlog
 from bulrushgrade_daemon import endpointcalls
+from bulrushgrade_daemon import enginebooks
 from bulrushgrade_daemon import follower
 from bulrushgrade_daemon import forwarder
 from bulrushgrade_daemon import front
@@ -111,6 +112,7 @@
             self._follow_configuration,
             self._follow_endpoints,
             self._gossip,
+            self._books,
             self._stage_control,
             self._follow_peers,
             self._cache_watch,
@@ -193,12 +195,19 @@
 
     def _make_chooser(self) -> None:
         context = self._context
+        self._books = enginebooks.EngineBooks(
+            timers=self._timers,
+            own_name=self._own_name,
+            find_keeper=lambda engine: self._gossip.find_keeper(engine),
+            send=lambda peer, message: self._gossip.send(peer, message),
+        )
         self._chooser = choosing.Chooser(
             timers=self._timers,
             zone=context.settings().host.zone,
             table=lambda: self._view.table,
             endpoints=self._view.endpoints,
             others=self._peer_queues,
+            books=self._books,
             log=context.log,
             rng=context.rng,
         )
@@ -249,6 +258,7 @@
             queues=self._peer_queues,
             read_own=self._chooser.queued_s,
             take_changes=sharing.take_told,
+            take_other=self._books.receive,
             log=context.log,
             on_broken=context.kernel.fail,
         )
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/inflight.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/inflight.py
@@ -1,5 +1,6 @@
 """A caller's request while it is being served."""
 
+from collections.abc import Mapping
 from typing import Any
 
 import attrs
@@ -31,6 +32,7 @@
         endpoint: Who had it last, or None.
         expired: Whether its deadline has passed.
         plan: Which engines have it, or None for a plain service.
+        waits_s: How long it would wait at engines, as their books say now.
     """
 
     caller: front.CallerRequest
@@ -47,6 +49,7 @@
     endpoint: directory.Registration | None = None
     expired: bool = False
     plan: engineplan.Plan | None = None
+    waits_s: Mapping[str, float] = attrs.field(factory=dict)
 
     @property
     def over(self) -> bool:
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadgossip.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadgossip.py
@@ -23,6 +23,7 @@
 from bulrushgrade import peerqueues
 from bulrushgrade_daemon import decisionlog
 from bulrushgrade_daemon import follower
+from bulrushgrade_daemon import gatewaymessages
 from bulrushgrade_daemon import task
 
 PERIOD_S = 0.1
@@ -45,17 +46,6 @@
     address: str
 
 
-class _Message(msgspec.Struct, array_like=True):
-    peer: str
-    number: int
-    queued_ms: dict[str, int]
-    # What changed in the caches that the peer follows, by engine: parts with
-    # the tokens that are kept now.
-    kept: dict[str, list[tuple[str, int]]] = {}
-
-
-_message_encoder = msgspec.msgpack.Encoder()
-_message_decoder = msgspec.msgpack.Decoder(_Message)
 _announcement_decoder = msgspec.json.Decoder(_Announcement)
 
 
@@ -90,6 +80,7 @@
         queues: peerqueues.PeerQueues,
         read_own: Callable[[], dict[str, float]],
         take_changes: Callable[[str, tuple[engineload.CacheChange, ...]], None],
+        take_other: Callable[[gatewaymessages.Message], None],
         log: decisionlog.DecisionLog,
         on_broken: Callable[[str], None],
     ):
@@ -106,6 +97,7 @@
             queues: Takes what peers tell.
             read_own: Returns seconds of reading by engine.
             take_changes: Takes what a peer saw of an engine's cache.
+            take_other: Takes the messages that are not about the load.
             log: Gets a line for each peer that comes.
             on_broken: Called with the reason where an invariant is broken.
         """
@@ -118,6 +110,7 @@
         self._queues = queues
         self._read_own = read_own
         self._take_changes = take_changes
+        self._take_other = take_other
         self._kept: dict[str, dict[str, int]] = {}
         self._log = log
         self._on_broken = on_broken
@@ -184,18 +177,29 @@
         self, datagram: bytes, addr: tuple[str, int]
     ) -> None:
         """Takes a peer's message."""
-        try:
-            message = _message_decoder.decode(datagram)
-        except msgspec.DecodeError:
+        message = gatewaymessages.parse(datagram)
+        if message is None:
             # Counted only: anyone can send such datagrams as fast as a line
             # could be written about them.
             self._unreadable += 1
-            return
+        elif isinstance(message, gatewaymessages.Load):
+            self._take_load(message)
+        else:
+            self._take_other(message)
+
+    def send(self, peer: str, message: gatewaymessages.Message) -> bool:
+        """Sends a message to a peer; returns whether its address is known."""
+        address = self._peers.get(peer.rpartition("/")[0])
+        if address is None or self.transport is None:
+            return False
+        self.transport.write(gatewaymessages.serialize(message), address)
+        return True
+
+    def _take_load(self, message: gatewaymessages.Load) -> None:
         queued_s = {e: ms / 1000 for e, ms in message.queued_ms.items()}
         self._queues.tell(
             message.peer, message.number, queued_s, self._timers.now
         )
-
         for engine, kept in message.kept.items():
             changes = tuple(
                 engineload.CacheChange(part=part, tokens=tokens)
@@ -219,14 +223,18 @@
         Of those that hear each other the one that rendezvous hashing picks,
         so that each engine is asked by one daemon however many there are.
         """
-        own = self._own_name
-        heard = self._queues.heard(self._timers.now)
+        names = [self._own_name, *self._queues.heard(self._timers.now)]
         return {
             engine
             for engine in engines
-            if all(_score(engine, own) >= _score(engine, h) for h in heard)
+            if _pick(engine, names) == self._own_name
         }
 
+    def find_keeper(self, engine: str) -> str:
+        """Returns who of those that hear each other keeps an engine's book."""
+        names = [self._own_name, *self._queues.heard(self._timers.now)]
+        return _pick(engine, names)
+
     async def _announce(self) -> None:
         host = self._port.getHost()
         announcement = _Announcement(address=f"{host.host}:{host.port}")
@@ -252,8 +260,8 @@
             engine: round(seconds * 1000)
             for engine, seconds in self._read_own().items()
         }
-        message = _message_encoder.encode(
-            _Message(
+        message = gatewaymessages.serialize(
+            gatewaymessages.Load(
                 peer=self._own_name,
                 number=self._number,
                 queued_ms=queued_ms,
@@ -266,8 +274,13 @@
         self._schedule()
 
 
-def _score(engine: str, name: str) -> int:
-    return xxhash.xxh3_64_intdigest(f"{engine}/{name}".encode())
+def _pick(engine: str, names: list[str]) -> str:
+    """Returns the name that rendezvous hashing picks for an engine."""
+
+    def score(name: str) -> tuple[int, str]:
+        return xxhash.xxh3_64_intdigest(f"{engine}/{name}".encode()), name
+
+    return max(names, key=score)
 
 
 def _read_address(value: bytes) -> tuple[str, int] | None:
--- /dev/null
+++ b/packages/bulrushgrade_daemon/tests/test_enginebooks.py
@@ -0,0 +1,122 @@
+"""Tests of the books of engines and parts among daemons."""
+
+import fakes
+from twisted.internet import defer
+
+from bulrushgrade import partbook
+from bulrushgrade import prompt as prompt_module
+from bulrushgrade_daemon import enginebooks
+from bulrushgrade_daemon import gatewaymessages
+
+PARTS = (prompt_module.PromptPart(id="p", tokens=9_000),)
+
+
+class Fleet:
+    """Daemons whose messages arrive in the next turn, or not at all."""
+
+    def __init__(self, *names, keeper):
+        self.reactor, self.timers, _ = fakes.make_timers()
+        self.sent = []
+        self.books = {
+            name: enginebooks.EngineBooks(
+                timers=self.timers,
+                own_name=name,
+                find_keeper=lambda engine: keeper,
+                send=self.send,
+            )
+            for name in names
+        }
+
+    def send(self, peer, message):
+        self.sent.append(message)
+        datagram = gatewaymessages.serialize(message)
+        self.reactor.callLater(0.0, self.deliver, peer, datagram)
+        return True
+
+    def deliver(self, peer, datagram):
+        if peer in self.books:
+            self.books[peer].receive(gatewaymessages.parse(datagram))
+
+    def settle(self):
+        for _ in range(4):
+            self.reactor.advance(0.001)
+
+    def result_of(self, coroutine):
+        found = []
+        defer.ensureDeferred(coroutine).addCallback(found.append)
+        self.settle()
+        return found[0]
+
+    def waits(self, name, *engines):
+        return self.result_of(self.books[name].ask_waits(engines))
+
+    def holders(self, name):
+        found = self.result_of(self.books[name].ask_part("p"))
+        return [(holder.engine, holder.state.value) for holder in found]
+
+
+def test_what_one_daemon_sent_another_learns():
+    fleet = Fleet("h1", "h2", "h3", keeper="h3")
+    end = fleet.books["h1"].begin("e", 0.4)
+    waits = fleet.waits("h2", "e", "f")
+    assert abs(waits["e"] - 0.4) < 0.01
+    assert waits["f"] == 0.0
+    end(True)
+    assert fleet.waits("h2", "e") == {"e": 0.0}
+
+
+def test_the_keeper_asks_nobody():
+    fleet = Fleet("h1", "h2", keeper="h1")
+    fleet.books["h1"].begin("e", 0.4, PARTS)
+    assert fleet.waits("h1", "e") == {"e": 0.4}
+    assert fleet.holders("h1") == [("e", "coming")]
+    assert fleet.sent == []
+
+
+def test_a_keeper_that_is_gone_leaves_its_engines_out():
+    fleet = Fleet("h1", keeper="gone")
+    found = []
+    asked = defer.ensureDeferred(fleet.books["h1"].ask_waits(["e"]))
+    asked.addCallback(found.append)
+    fleet.reactor.advance(1.0)
+    assert found == [{}]
+
+
+def test_a_part_is_known_while_it_is_read():
+    # The same long part comes to two daemons within the time of reading it.
+    # Each had it read, as it only heard of the other's a second later.
+    fleet = Fleet("h1", "h2", "h3", keeper="h3")
+    end = fleet.books["h1"].begin("e", 0.4, PARTS)
+    assert fleet.holders("h2") == [("e", "coming")]
+    end(True)
+    end(False)
+    assert fleet.holders("h2") == [("e", "kept")]
+
+
+def test_a_part_that_was_not_read_is_not_waited_for():
+    fleet = Fleet("h1", "h2", "h3", keeper="h3")
+    end = fleet.books["h1"].begin("e", 0.4, PARTS)
+    end(False)
+    assert fleet.holders("h2") == []
+
+
+def test_an_entry_that_nobody_ends_is_dropped():
+    fleet = Fleet("h1", "h2", keeper="h2")
+    keeper = fleet.books["h2"]
+    defer.ensureDeferred(keeper.start())
+    fleet.books["h1"].begin("e", 60.0, PARTS)
+    fleet.settle()
+    assert keeper.dump()["readings"] == keeper.dump()["parts"] == 1
+    for _ in range(12):
+        fleet.reactor.advance(1.0)
+    assert keeper.dump()["readings"] == keeper.dump()["parts"] == 0
+    defer.ensureDeferred(keeper.stop())
+
+
+def test_news_without_parts_is_none():
+    fleet = Fleet("h1", keeper="h1")
+    news = gatewaymessages.PartNews(
+        engine="e", state=partbook.PartState.KEPT, parts=[]
+    )
+    fleet.books["h1"].receive(news)
+    assert fleet.books["h1"].dump()["parts"] == 0
--- /dev/null
+++ b/packages/bulrushgrade_daemon/tests/test_gatewaymessages.py
@@ -0,0 +1,38 @@
+"""Tests of datagrams among gateways."""
+
+import pytest
+
+from bulrushgrade import partbook
+from bulrushgrade_daemon import gatewaymessages
+
+NEWS = gatewaymessages.PartNews(
+    engine="e", state=partbook.PartState.COMING, parts=[("p", 9)]
+)
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        gatewaymessages.Load(
+            peer="h", number=1, queued_ms={"e": 2}, kept={"e": [("p", 3)]}
+        ),
+        gatewaymessages.Question(peer="h", number=1, engines=["e"]),
+        gatewaymessages.Reply(peer="h", number=1, waits_ms={"e": 2}),
+        gatewaymessages.Begun(peer="h", number=1, engine="e", reading_ms=2),
+        gatewaymessages.Ended(peer="h", number=1, engine="e"),
+        gatewaymessages.PartQuestion(peer="h", number=1, part="p"),
+        gatewaymessages.PartReply(peer="h", number=1, holders=[NEWS]),
+        NEWS,
+    ],
+    ids=lambda message: type(message).__name__,
+)
+def test_a_message_comes_back_equal(message):
+    datagram = gatewaymessages.serialize(message)
+    assert gatewaymessages.parse(datagram) == message
+
+
+@pytest.mark.parametrize(
+    "datagram", [b"", b"\x00nonsense", b"\x91\xa4load", b"\x92\xa5begun\x01"]
+)
+def test_a_datagram_that_is_no_message_is_none(datagram):
+    assert gatewaymessages.parse(datagram) is None
--- a/packages/bulrushgrade_daemon/tests/test_loadgossip.py
+++ b/packages/bulrushgrade_daemon/tests/test_loadgossip.py
@@ -51,6 +51,7 @@
             queues=self.queues,
             read_own=lambda: self.own,
             take_changes=lambda e, c: self.changes.append((e, c)),
+            take_other=None,
             log=self.lines.make(),
             on_broken=None,
         )
