Tell all hosts of a change of role; tell all that caches drop, twice

Of the fetches that met an engine without the part, half were from engines whose follower had seen the part go: what did not fit a message was never told, and most of what was told were short parts that nobody knew of.

Change: the ordering host tells a change to all, twice, and each leaves the engine alone until it has read the record with the new role; what caches drop is told if it was told to be kept, all of it in turn, in two messages each. The engines' own notion of being blocked goes.

--- a/packages/bulrushgrade/bulrushgrade/engineload.py
+++ b/packages/bulrushgrade/bulrushgrade/engineload.py
@@ -97,7 +97,6 @@
         self._readings: dict[Reading, None] = {}
         self._delay_s = 0.0
         self._delay_at = 0.0
-        self._blocked_until = 0.0
         self._tokens_per_s = START_TOKENS_PER_S
 
     @property
@@ -165,7 +164,7 @@
             now: The present time in seconds.
             queued_s: What is left to be read there, of all daemons.
         """
-        return max(queued_s, self._overdue_s(now), self.blocked_s(now))
+        return max(queued_s, self._overdue_s(now))
 
     def wait_s(self, now: float, *, others_s: float = 0.0) -> float:
         """Returns how long new work would wait before it is read.
@@ -176,12 +175,7 @@
         """
         age_s = now - self._delay_at
         seen_s = self._delay_s * math.exp(-age_s / DELAY_DECAY_S)
-        return max(
-            self.queued_s + others_s,
-            seen_s,
-            self._overdue_s(now),
-            self.blocked_s(now),
-        )
+        return max(self.queued_s + others_s, seen_s, self._overdue_s(now))
 
     def _overdue_s(self, now: float) -> float:
         if not self._readings:
@@ -189,14 +183,6 @@
         oldest = next(iter(self._readings))
         return now - oldest.since - oldest.expected_s
 
-    def blocked_s(self, now: float) -> float:
-        """Returns how much longer it takes no work, as it changes its role."""
-        return max(0.0, self._blocked_until - now)
-
-    def block(self, until: float) -> None:
-        """Notes until when it takes no work."""
-        self._blocked_until = until
-
     def begin(self, reading: Reading) -> None:
         """Notes a request that was sent there."""
         self._readings[reading] = None
--- a/packages/bulrushgrade/bulrushgrade/engineplan.py
+++ b/packages/bulrushgrade/bulrushgrade/engineplan.py
@@ -162,17 +162,13 @@
             self._loads[engine.incarnation] = load
         return load
 
-    def queued_s(self, now: float) -> dict[str, float]:
-        """Returns the seconds that this daemon knows work to wait, by engine.
-
-        An engine that changes its role on this daemon's order counts as one
-        with work until it is back.
-        """
-        found = {
-            incarnation[0]: max(load.queued_s, load.blocked_s(now))
+    def queued_s(self) -> dict[str, float]:
+        """Returns the seconds of reading that wait for this daemon."""
+        return {
+            incarnation[0]: load.queued_s
             for incarnation, load in self._loads.items()
+            if load.readings
         }
-        return {engine: seconds for engine, seconds in found.items() if seconds}
 
     def waits_s(
         self,
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/cachesharing.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/cachesharing.py
@@ -25,6 +25,8 @@
         self._endpoints = endpoints
         self._chooser = chooser
         self._gossip: loadgossip.LoadGossip | None = None
+        # Parts that peers were told to be kept, by engine.
+        self._told: dict[tuple[str, int], set[str]] = {}
 
     def tell_by(self, gossip: loadgossip.LoadGossip) -> None:
         """Sets what peers are told by; it needs `take_told` when it is made."""
@@ -38,7 +40,12 @@
             if registration.stage is not None
         }
         followed = self._gossip.pick_followed(engines)
-        return [engines[id] for id in sorted(followed)]
+        found = [engines[id] for id in sorted(followed)]
+        self._told = {
+            engine.incarnation: self._told.get(engine.incarnation, set())
+            for engine in found
+        }
+        return found
 
     def take_seen(
         self,
@@ -49,13 +56,32 @@
     ) -> None:
         """Takes what this daemon saw of an engine and tells it to peers."""
         # Short parts are read faster than fetched; nobody asks for them.
-        useful = tuple(
+        applied = tuple(
             change
             for change in changes
             if change.tokens >= engineplan.FETCH_TOKENS or change.tokens == 0
         )
-        self._chooser.apply_cache(engine, useful, anew=anew)
-        self._gossip.tell_changes(engine.id, useful)
+        self._chooser.apply_cache(engine, applied, anew=anew)
+        told = tuple(c for c in applied if self._is_news(engine, c))
+        self._gossip.tell_changes(engine.id, told)
+
+    def _is_news(
+        self,
+        engine: directory_module.Registration,
+        change: engineload.CacheChange,
+    ) -> bool:
+        """Returns whether peers don't know of a change; notes that they do.
+
+        Most of what engines drop are short parts that nobody was told of.
+        """
+        told = self._told.setdefault(engine.incarnation, set())
+        if change.tokens >= engineplan.FETCH_TOKENS:
+            told.add(change.part)
+            return True
+        if change.part in told:
+            told.discard(change.part)
+            return True
+        return False
 
     def take_told(
         self, engine: str, changes: tuple[engineload.CacheChange, ...]
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/choosing.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/choosing.py
@@ -14,6 +14,7 @@
 from bulrushgrade import peerqueues
 from bulrushgrade import prompt as prompt_module
 from bulrushgrade import routing
+from bulrushgrade import stagechanges
 from bulrushgrade_daemon import decisionlog
 from bulrushgrade_daemon import enginebooks
 from bulrushgrade_daemon import inflight
@@ -56,6 +57,7 @@
         self._others = others
         self._books = books
         self._planners: dict[str, engineplan.EnginePlanner] = {}
+        self._changes = stagechanges.StageChanges()
 
     async def ask_peers(self, request: inflight.InFlight) -> None:
         """Learns where a long prompt's parts are and what waits there."""
@@ -69,7 +71,7 @@
             for holder in await self._books.ask_part(prompt.parts[0].id):
                 self._take_holder(holder, request.service, traits)
         now = self._timers.now
-        usable = self._endpoints.usable(request.service, now=now)
+        usable = self._usable(request.service, now)
         engines = self._planner(request.service).reading_candidates(
             prompt,
             self._balancer.eligible(usable, avoid=request.avoid, now=now),
@@ -98,7 +100,7 @@
     ) -> directory_module.Registration | None:
         """Returns the endpoint for the next attempt and notes the plan."""
         now = self._timers.now
-        usable = self._endpoints.usable(request.service, now=now)
+        usable = self._usable(request.service, now)
         traits = self._traits(request.service)
         prompt = request.asked.prompt
         if traits is None or prompt is None:
@@ -128,7 +130,7 @@
         have begun to leave.
         """
         now = self._timers.now
-        usable = self._endpoints.usable(request.service, now=now)
+        usable = self._usable(request.service, now)
         traits = self._traits(request.service)
         if traits is None or request.asked.prompt is None:
             return None
@@ -246,7 +248,7 @@
         """Returns the seconds of reading that wait, by engine's id."""
         queued_s: dict[str, float] = {}
         for planner in self._planners.values():
-            queued_s.update(planner.queued_s(self._timers.now))
+            queued_s.update(planner.queued_s())
         return queued_s
 
     def engine_views(self) -> list[stagecontrol.View]:
@@ -257,7 +259,7 @@
             traits = self._traits(service)
             if traits is None:
                 continue
-            usable = self._endpoints.usable(service, now=now)
+            usable = self._usable(service, now)
             engines = self._balancer.eligible(
                 usable, avoid=frozenset(), now=now
             )
@@ -270,21 +272,35 @@
             found.append(view)
         return found
 
-    def block(
-        self, engine: directory_module.Registration, until: float
+    def note_stage_change(
+        self, engine: str, stage: directory_module.Stage, change_s: float
     ) -> None:
-        """Notes until when an engine takes no work."""
-        traits = self._traits(engine.service)
-        if traits is not None:
-            self._planner(engine.service).load(engine, traits).block(until)
+        """Notes that an engine was ordered to change its role.
+
+        Args:
+            engine: The engine's id.
+            stage: Its new role.
+            change_s: How long it takes from now on.
+        """
+        known = self._endpoints.find(engine)
+        if known is not None:
+            now = self._timers.now
+            self._changes.note(known, stage, change_s=change_s, now=now)
 
     def forget_gone(self) -> None:
         """Drops what is known of endpoints that are gone."""
         live = {r.incarnation for r in self._endpoints.registrations}
         self._balancer.forget(live)
+        self._changes.forget(self._timers.now)
         for planner in self._planners.values():
             planner.forget(live)
 
+    def _usable(
+        self, service: str, now: float
+    ) -> list[directory_module.Registration]:
+        usable = self._endpoints.usable(service, now=now)
+        return self._changes.settle(usable, now)
+
     def _traits(self, service: str) -> routing.EngineTraits | None:
         table = self._table()
         found = table.configuration.services.get(service) if table else None
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaymessages.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaymessages.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from bulrushgrade import directory
 from bulrushgrade import partbook
 
 
@@ -126,6 +127,20 @@
     holders: list[PartNews]
 
 
+class StageNews(msgspec.Struct, array_like=True, tag="stage_news"):
+    """Says that an engine was ordered to change its role.
+
+    Attributes:
+        engine: The engine's id.
+        stage: Its new role.
+        change_ms: How long the change takes by itself.
+    """
+
+    engine: str
+    stage: directory.Stage
+    change_ms: int
+
+
 Message = (
     Load
     | Question
@@ -135,6 +150,7 @@
     | PartQuestion
     | PartReply
     | PartNews
+    | StageNews
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
@@ -11,6 +11,7 @@
 from bulrushgrade import peerqueues
 from bulrushgrade import retryshare
 from bulrushgrade import routing
+from bulrushgrade import stageplan
 from bulrushgrade_daemon import adapter as adapter_module
 from bulrushgrade_daemon import cachesharing
 from bulrushgrade_daemon import cachewatch
@@ -22,6 +23,7 @@
 from bulrushgrade_daemon import follower
 from bulrushgrade_daemon import forwarder
 from bulrushgrade_daemon import front
+from bulrushgrade_daemon import gatewaymessages
 from bulrushgrade_daemon import gatewaysettings
 from bulrushgrade_daemon import loadgossip
 from bulrushgrade_daemon import metrics
@@ -43,6 +45,10 @@
 """How long a read of the gateways' topic waits. It changes only when a host
 starts; until a peer is known, work is placed without its word."""
 
+STAGE_NEWS_AGAIN_S = 0.1
+"""After which a change of role is told a second time, as datagrams get lost;
+a small part of the seconds that the change takes."""
+
 LEAST_HOSTS = 64
 """Hosts that the fixed part of the retry budget is divided by at least. The
 settings don't tell how many there are, and a host that has just started does
@@ -258,7 +264,7 @@
             queues=self._peer_queues,
             read_own=self._chooser.queued_s,
             take_changes=sharing.take_told,
-            take_other=self._books.receive,
+            take_other=self._take_message,
             log=context.log,
             on_broken=context.kernel.fail,
         )
@@ -290,11 +296,35 @@
             control=context.adapter.engine_control,
             leads=self._leads,
             views=self._chooser.engine_views,
-            block=self._chooser.block,
+            announce=self._announce_stage,
             log=context.log,
             on_broken=context.kernel.fail,
         )
 
+    def _take_message(self, message: gatewaymessages.Message) -> None:
+        if isinstance(message, gatewaymessages.StageNews):
+            change_s = message.change_ms / 1000
+            self._chooser.note_stage_change(
+                message.engine, message.stage, change_s
+            )
+        else:
+            self._books.receive(message)
+
+    def _announce_stage(
+        self, change: stageplan.StageChange, change_s: float
+    ) -> None:
+        news = gatewaymessages.StageNews(
+            engine=change.engine.id,
+            stage=change.stage,
+            change_ms=round(change_s * 1000),
+        )
+        self._take_message(news)
+        self._gossip.tell_all(news)
+        # A peer that missed both goes by the engine's own record, later.
+        self._timers.after(
+            STAGE_NEWS_AGAIN_S, lambda: self._gossip.tell_all(news)
+        )
+
     def _leads(self) -> bool:
         """Returns whether this host is the first of those it hears."""
         heard = self._peer_queues.heard(self._timers.now)
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadgossip.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadgossip.py
@@ -35,8 +35,13 @@
 less often, so that the cost stays the same."""
 
 MOST_CHANGES = 40
-"""Of one engine's cache in a message, so that a datagram stays within what a
-link carries in one piece. What is left out costs a better place, no more."""
+"""Of caches in a message, so that a datagram stays within what a link carries
+in one piece. The others come with the next messages."""
+
+TIMES_TOLD = 2
+"""Messages that a change of a cache is in. One that never arrives has prompts
+sent for a part that is gone for as long as nobody else has it read again; one
+datagram in some tens is lost on a bad link, both of two hardly ever."""
 
 ANNOUNCE_RETRY_S = 1.0
 """Between two attempts to write the own address while the store is away."""
@@ -111,7 +116,7 @@
         self._read_own = read_own
         self._take_changes = take_changes
         self._take_other = take_other
-        self._kept: dict[str, dict[str, int]] = {}
+        self._untold: dict[tuple[str, str], _Untold] = {}
         self._log = log
         self._on_broken = on_broken
         self._peers: dict[str, tuple[str, int]] = {}
@@ -195,6 +200,25 @@
         self.transport.write(gatewaymessages.serialize(message), address)
         return True
 
+    def tell_all(self, message: gatewaymessages.Message) -> None:
+        """Sends a message to all known peers, once."""
+        datagram = gatewaymessages.serialize(message)
+        for address in self._peers.values():
+            self.transport.write(datagram, address)
+
+    def _take_untold(self) -> dict[str, list[tuple[str, int]]]:
+        """Returns the changes for a message, the oldest first."""
+        kept: dict[str, list[tuple[str, int]]] = {}
+        for key, untold in list(self._untold.items())[:MOST_CHANGES]:
+            engine, part = key
+            kept.setdefault(engine, []).append((part, untold.tokens))
+            untold.times_left -= 1
+            # Behind all that was not told yet.
+            del self._untold[key]
+            if untold.times_left:
+                self._untold[key] = untold
+        return kept
+
     def _take_load(self, message: gatewaymessages.Load) -> None:
         queued_s = {e: ms / 1000 for e, ms in message.queued_ms.items()}
         self._queues.tell(
@@ -213,9 +237,10 @@
         """Has peers told what changed in an engine's cache."""
         if not self._peers:
             return
-        kept = self._kept.setdefault(engine, {})
         for change in changes:
-            kept[change.part] = change.tokens
+            # What was to be told of the part before is no longer so.
+            self._untold.pop((engine, change.part), None)
+            self._untold[engine, change.part] = _Untold(tokens=change.tokens)
 
     def pick_followed(self, engines: Iterable[str]) -> set[str]:
         """Returns the engines whose caches this daemon is the one to follow.
@@ -251,11 +276,6 @@
 
     def _tell_peers(self) -> None:
         self._number += 1
-        told, self._kept = self._kept, {}
-        kept = {
-            engine: list(parts.items())[:MOST_CHANGES]
-            for engine, parts in told.items()
-        }
         queued_ms = {
             engine: round(seconds * 1000)
             for engine, seconds in self._read_own().items()
@@ -265,7 +285,7 @@
                 peer=self._own_name,
                 number=self._number,
                 queued_ms=queued_ms,
-                kept=kept,
+                kept=self._take_untold(),
             )
         )
         for address in self._peers.values():
@@ -274,6 +294,12 @@
         self._schedule()
 
 
+@attrs.define(kw_only=True)
+class _Untold:
+    tokens: int
+    times_left: int = TIMES_TOLD
+
+
 def _pick(engine: str, names: list[str]) -> str:
     """Returns the name that rendezvous hashing picks for an engine."""
 
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/stagecontrol.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/stagecontrol.py
@@ -148,7 +148,7 @@
         control: EngineControl,
         leads: Callable[[], bool],
         views: Callable[[], list[View]],
-        block: Callable[[directory_module.Registration, float], None],
+        announce: Callable[[stageplan.StageChange, float], None],
         log: decisionlog.DecisionLog,
         on_broken: Callable[[str], None],
     ):
@@ -162,7 +162,8 @@
             control: Asks engines and orders them about.
             leads: Returns whether this host is the one to look.
             views: Returns what is known of the engines by service.
-            block: Notes until when an engine takes no work.
+            announce: Tells all hosts of a change and the seconds that it
+                takes.
             log: Gets a line for each order.
             on_broken: Called with the reason where an invariant is broken.
         """
@@ -173,7 +174,7 @@
         self._control = control
         self._leads = leads
         self._views = views
-        self._block = block
+        self._announce = announce
         self._log = log
         self._on_broken = on_broken
         self._plans: dict[str, stageplan.StagePlan] = {}
@@ -235,7 +236,7 @@
         else:
             plan.note_refusal(change.engine.id, now)
         if outcome == TAKEN:
-            self._block(change.engine, now + view.change_s)
+            self._announce(change, view.change_s)
         self._log.note(
             "stage_order",
             engine=change.engine.id,
--- a/packages/bulrushgrade_daemon/tests/test_gatewaymessages.py
+++ b/packages/bulrushgrade_daemon/tests/test_gatewaymessages.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from bulrushgrade import directory
 from bulrushgrade import partbook
 from bulrushgrade_daemon import gatewaymessages
 
@@ -23,6 +24,9 @@
         gatewaymessages.PartQuestion(peer="h", number=1, part="p"),
         gatewaymessages.PartReply(peer="h", number=1, holders=[NEWS]),
         NEWS,
+        gatewaymessages.StageNews(
+            engine="e", stage=directory.Stage.PREFILL, change_ms=3000
+        ),
     ],
     ids=lambda message: type(message).__name__,
 )
