--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaypages.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaypages.py
@@ -75,6 +75,11 @@
             "Reads of engines' cache changes.",
             lambda: services.cache_watch.counts,
         ),
+        (
+            "peer_questions_total",
+            "Rounds of questions to peers, and those without all replies.",
+            lambda: services.books.counts,
+        ),
         (
             "endpoint_reads_total",
             "Reads of the endpoints' topic.",
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
@@ -167,6 +167,11 @@
         """Follows engines' caches."""
         return self._cache_watch
 
+    @property
+    def books(self) -> enginebooks.EngineBooks:
+        """Asks peers where long prompts are best read."""
+        return self._books
+
     @property
     def stage_control(self) -> stagecontrol.StageControl:
         """Orders engines to change roles."""
