--- /dev/null
+++ b/packages/bulrushgrade/bulrushgrade/engineadmission.py
@@ -0,0 +1,43 @@
+"""Whether a prompt can begin to be answered in time.
+
+Load: more long prompts than the engines can read. Harm: every one of them
+waits until its caller leaves or its deadline cuts it, and the reading that was
+done for it is lost to those that could have been served. So what can't begin
+in time is refused when it arrives, before it has cost anything, and its caller
+can come back when the queue is shorter.
+"""
+
+from bulrushgrade import engineplan
+
+FIRST_EVENT_SHARE = 0.6
+"""Of the time that is left, in which the first event has to come: the other
+events need the rest. A stream that is cut at its deadline has cost as much as
+one that was served."""
+
+WAIT_SHARE = 0.4
+"""Of the caller's patience that a prompt may wait for others. The rest is for
+reading the prompt itself, up to the largest: with longer queues only small
+prompts would still begin in time, and the large ones never."""
+
+LEAST_SIZE, GREATEST_SIZE = 0.8, 1.5
+"""Bounds of a prompt's size, against the mean, by which its wait is scaled.
+Prompts of all sizes arrive at the same queue, but a large one that is refused
+and comes back has used up more of the time that it needs; with one limit for
+all, half as many of the largest tenth were served as of all."""
+
+
+def lateness_s(
+    plan: engineplan.Plan, *, left_s: float, patience_s: float
+) -> float:
+    """Returns how much too late the first event is expected; 0 or less is not.
+
+    Args:
+        plan: The best plan there is.
+        left_s: Until the request's deadline.
+        patience_s: How much longer its caller waits for the first event.
+    """
+    first_s = plan.first_s * plan.stretch
+    late_s = first_s - min(left_s * FIRST_EVENT_SHARE, patience_s)
+    size = min(max(plan.relative_size, LEAST_SIZE), GREATEST_SIZE)
+    wait_s = plan.wait_s * plan.stretch
+    return max(late_s, wait_s - patience_s * WAIT_SHARE * size)
--- a/packages/bulrushgrade/bulrushgrade/engineplan.py
+++ b/packages/bulrushgrade/bulrushgrade/engineplan.py
@@ -12,7 +12,6 @@
 
 from collections.abc import Iterable
 from collections.abc import Mapping
-import math
 
 import attrs
 
@@ -21,6 +20,7 @@
 from bulrushgrade import enginerank
 from bulrushgrade import peerqueues
 from bulrushgrade import prompt as prompt_module
+from bulrushgrade import readstretch
 from bulrushgrade import routing
 
 REREAD_WEIGHT = 1.0
@@ -71,42 +71,10 @@
 """A transfer between zones takes this many times as long."""
 
 
-FIRST_EVENT_SHARE = 0.6
-"""Of the time that is left, in which the first event has to come: the other
-events need the rest. A stream that is cut at its deadline has cost as much as
-one that was served."""
-
-WAIT_SHARE = 0.4
-"""Of the caller's patience that a prompt may wait for others. The rest is for
-reading the prompt itself, up to the largest: with longer queues only small
-prompts would still begin in time, and the large ones never."""
-
-LEAST_SIZE, GREATEST_SIZE = 0.8, 1.5
-"""Bounds of a prompt's size, against the mean, by which its wait is scaled.
-Prompts of all sizes arrive at the same queue, but a large one that is refused
-and comes back has used up more of the time that it needs; with one limit for
-all, half as many of the largest tenth were served as of all."""
-
 SIZE_WEIGHT = 0.05
 """Of each prompt in the running mean of sizes: some twenty prompts."""
 
 
-STRETCH_FIXED_S = 0.06
-"""Of the time of a reading that does not grow with the queue before it: the
-way there and back, and the first step."""
-
-STRETCH_WEIGHT = 0.1
-"""Of each reading in the observed stretch: some ten readings, about a second
-of a busy host."""
-
-STRETCH_FADE_S = 3.0
-"""In which it loses two thirds of what is above one, where nothing is read: a
-burst is over by then."""
-
-MOST_STRETCH = 3.0
-"""An engine that was lost is no measure of the others' queues."""
-
-
 @attrs.frozen(kw_only=True)
 class Plan:
     """Where a request goes.
@@ -169,8 +137,7 @@
         self._zone = zone
         self._others = others or peerqueues.PeerQueues()
         self._mean_tokens = 0.0
-        self._stretch = 1.0
-        self._stretch_at = 0.0
+        self._stretch = readstretch.ReadStretch()
         self._loads: dict[tuple[str, int], engineload.EngineLoad] = {}
 
     def load(
@@ -203,25 +170,12 @@
     def note_read(self, plan: Plan, took_s: float, now: float) -> None:
         """Learns how much longer readings take than they were expected to.
 
-        Load: more prompts than the engines can read. Harm: their memories
-        overflow, parts are read again that were expected to be there, and
-        queues last longer than the sum of what is known of them. Prompts are
-        let in that end at their deadline, and what was read for them is lost.
-
         Args:
             plan: The plan of a prompt that was read.
             took_s: How long that took, with its wait.
             now: The present time in seconds.
         """
-        expected_s = plan.wait_s + plan.busy_s + STRETCH_FIXED_S
-        seen = min(max(took_s / expected_s, 1.0), MOST_STRETCH)
-        faded = self._faded_stretch(now)
-        self._stretch = faded + STRETCH_WEIGHT * (seen - faded)
-        self._stretch_at = now
-
-    def _faded_stretch(self, now: float) -> float:
-        age_s = now - self._stretch_at
-        return 1.0 + (self._stretch - 1.0) * math.exp(-age_s / STRETCH_FADE_S)
+        self._stretch.note(plan.wait_s + plan.busy_s, took_s, now)
 
     def forget(self, live: Iterable[tuple[str, int]]) -> None:
         """Drops what is believed of engines that are gone and idle."""
@@ -302,7 +256,7 @@
                 for engine in self._readers(prompt, ranked, traits, holder, now)
             ]
         best = min(plans, key=cost)
-        return attrs.evolve(best, stretch=self._faded_stretch(now))
+        return attrs.evolve(best, stretch=self._stretch.at(now))
 
     def reading_candidates(
         self,
@@ -452,27 +406,6 @@
         )
 
 
-def lateness_s(plan: Plan, *, left_s: float, patience_s: float) -> float:
-    """Returns how much too late the first event is expected; 0 or less is not.
-
-    Load: more long prompts than the engines can read. Harm: every one of them
-    waits until its caller leaves or its deadline cuts it, and the reading
-    that was done for it is lost to those that could have been served. So what
-    can't begin in time is refused when it arrives, before it has cost
-    anything, and its caller can come back when the queue is shorter.
-
-    Args:
-        plan: The best plan there is.
-        left_s: Until the request's deadline.
-        patience_s: How much longer its caller waits for the first event.
-    """
-    first_s = plan.first_s * plan.stretch
-    late_s = first_s - min(left_s * FIRST_EVENT_SHARE, patience_s)
-    size = min(max(plan.relative_size, LEAST_SIZE), GREATEST_SIZE)
-    wait_s = plan.wait_s * plan.stretch
-    return max(late_s, wait_s - patience_s * WAIT_SHARE * size)
-
-
 def _transfer_s(
     tokens: int,
     source: directory.Registration,
--- a/packages/bulrushgrade/tests/test_engineplan.py
+++ b/packages/bulrushgrade/tests/test_engineplan.py
@@ -7,6 +7,7 @@
 from test_engineload import make_prompt
 
 from bulrushgrade import directory
+from bulrushgrade import engineadmission
 from bulrushgrade import engineload
 from bulrushgrade import engineplan
 from bulrushgrade import enginerank
@@ -233,7 +234,9 @@
             load.begin(queued)
         for prompt in (small, large):
             plan = make_plan(prompt, planner=planner)
-            late_s = engineplan.lateness_s(plan, left_s=5.0, patience_s=3.2)
+            late_s = engineadmission.lateness_s(
+                plan, left_s=5.0, patience_s=3.2
+            )
             taken.append(late_s <= 0)
         for engine in ENGINES:
             planner.load(engine, TRAITS).dropped(queued)
@@ -258,7 +261,7 @@
             done, _, load, reading, stage = heapq.heappop(under_way)
             load.answered(reading, stage, done)
         plan = make_plan(prompt, planner=planner, now=now)
-        if engineplan.lateness_s(plan, left_s=5.0, patience_s=3.2) > 0:
+        if engineadmission.lateness_s(plan, left_s=5.0, patience_s=3.2) > 0:
             refused += 1
             continue
         taken += 1
@@ -321,12 +324,12 @@
     prompt = make_prompt("s1")
     known_s = {"p1": 1.0, "p2": 1.0, "d1": 1.0, "d2": 1.0, "d3": 1.0}
     plan = make_plan(prompt, planner=planner, known_s=known_s)
-    assert engineplan.lateness_s(plan, left_s=5.0, patience_s=3.2) <= 0
+    assert engineadmission.lateness_s(plan, left_s=5.0, patience_s=3.2) <= 0
     for number in range(20):
         took_s = 2.0 * (plan.wait_s + plan.busy_s)
         planner.note_read(plan, took_s, 0.1 * number)
     late = make_plan(prompt, planner=planner, known_s=known_s, now=2.0)
     assert late.wait_s == plan.wait_s
-    assert engineplan.lateness_s(late, left_s=5.0, patience_s=3.2) > 0
+    assert engineadmission.lateness_s(late, left_s=5.0, patience_s=3.2) > 0
     calm = make_plan(prompt, planner=planner, known_s=known_s, now=12.0)
-    assert engineplan.lateness_s(calm, left_s=5.0, patience_s=3.2) <= 0
+    assert engineadmission.lateness_s(calm, left_s=5.0, patience_s=3.2) <= 0
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
@@ -13,7 +13,7 @@
 from twisted.web import http
 
 from bulrushgrade import attempts
-from bulrushgrade import engineplan
+from bulrushgrade import engineadmission
 from bulrushgrade import retryshare
 from bulrushgrade import routing
 from bulrushgrade_daemon import answerpass
@@ -214,7 +214,7 @@
             return 0.0
         now = self._timers.now
         waited_s = now - request.caller.arrived_at
-        return engineplan.lateness_s(
+        return engineadmission.lateness_s(
             request.plan,
             left_s=request.left_s(now),
             patience_s=request.route.patience_s - waited_s,
