--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/choosing.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/choosing.py
@@ -287,6 +287,13 @@
             change_s: How long it takes from now on.
         """
         known = self._endpoints.find(engine)
+        self._log.note(
+            "engine_changes",
+            endpoint=engine,
+            stage=stage.value,
+            change_s=change_s,
+            known=known is not None,
+        )
         if known is not None:
             now = self._timers.now
             self._changes.note(known, stage, change_s=change_s, now=now)
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/inflight.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/inflight.py
@@ -66,6 +66,8 @@
             "read_tokens": self.plan.read_tokens,
             "wait_s": round(self.plan.wait_s, 3),
             "first_event_s": round(self.plan.first_s, 3),
+            "stretch": round(self.plan.stretch, 2),
+            "wait_known": reader.id in self.waits_s,
         }
 
     def left_s(self, now: float) -> float:
