--- a/packages/bulrushgrade/bulrushgrade/engineplan.py
+++ b/packages/bulrushgrade/bulrushgrade/engineplan.py
@@ -363,8 +363,10 @@
             held = self.load(engine, traits).cached_tokens(prompt)
             return held, engine.zone == self._zone
 
-        best = max(engines, key=kept)
-        return best if kept(best)[0] >= FETCH_TOKENS else None
+        best = max(engines, key=kept, default=None)
+        if best is None or kept(best)[0] < FETCH_TOKENS:
+            return None
+        return best
 
     def _read_at(
         self,
--- a/packages/bulrushgrade/tests/test_engineplan.py
+++ b/packages/bulrushgrade/tests/test_engineplan.py
@@ -333,3 +333,12 @@
     assert engineadmission.lateness_s(late, left_s=5.0, patience_s=3.2) > 0
     calm = make_plan(prompt, planner=planner, known_s=known_s, now=12.0)
     assert engineadmission.lateness_s(calm, left_s=5.0, patience_s=3.2) <= 0
+
+
+def test_without_engines_there_is_nobody_to_ask():
+    # A host has just started: it knows the routes and no endpoint yet. The
+    # first long prompt ended the process, and with it every other request.
+    planner = engineplan.EnginePlanner(zone="z1")
+    prompt = make_prompt("s1")
+    assert planner.reading_candidates(prompt, [], TRAITS, now=0.0) == []
+    assert make_plan(prompt, engines=[]) is None
