Tell nobody of a change of role after the stop

Cause, found by reading: the second message is due a tenth of a second after the first, and a host that is stopped in between has closed its socket; the timer would fail and the stop end as a broken invariant. The test fails before with an AttributeError.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadgossip.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadgossip.py
@@ -41,13 +41,13 @@
 
 TIMES_TOLD = 2
 """Messages that a change of a cache is in. One that never arrives has prompts
-sent for a part that is gone for as long as nobody else has it read again; one
-datagram in some tens is lost on a bad link, both of two hardly ever."""
+sent for a part that is gone for as long as nobody else has it read again; a
+bad link that loses one in ten datagrams loses both of two once in a hundred."""
 
 SILENT_PERIODS = 3.5
-"""Messages without which a peer counts as gone. One in some tens is lost on a
-bad link; were one enough, hosts would disagree all the time on who is there
-and so on whom to ask. Three in a row are lost once in many hours."""
+"""Messages without which a peer counts as gone. Bad links lose some; were one
+enough, hosts would disagree all the time on who is there and so on whom to
+ask."""
 
 LEAST_SILENT_S = 1.5
 """In a small fleet: longer than a host that is busy or paused for a moment
@@ -218,7 +218,9 @@
         return True
 
     def tell_all(self, message: gatewaymessages.Message) -> None:
-        """Sends a message to all known peers, once."""
+        """Sends a message to all known peers, once; after the stop to none."""
+        if self.transport is None:
+            return
         datagram = gatewaymessages.serialize(message)
         for address in self._peers.values():
             self.transport.write(datagram, address)
--- a/packages/bulrushgrade_daemon/tests/test_loadgossip.py
+++ b/packages/bulrushgrade_daemon/tests/test_loadgossip.py
@@ -2,9 +2,11 @@
 
 import fakes
 
+from bulrushgrade import directory
 from bulrushgrade import engineload
 from bulrushgrade import peerqueues
 from bulrushgrade_daemon import follower
+from bulrushgrade_daemon import gatewaymessages
 from bulrushgrade_daemon import keys
 from bulrushgrade_daemon import loadgossip
 
@@ -40,6 +42,7 @@
         self.queues = peerqueues.PeerQueues()
         self.own = {}
         self.changes = []
+        self.others = []
         self.lines = fakes.Lines()
         self.gossip = loadgossip.LoadGossip(
             reactor=None,
@@ -51,7 +54,7 @@
             queues=self.queues,
             read_own=lambda: self.own,
             take_changes=lambda e, c: self.changes.append((e, c)),
-            take_other=None,
+            take_other=self.others.append,
             log=self.lines.make(),
             on_broken=None,
         )
@@ -195,6 +198,22 @@
     assert one.heard() == []
 
 
+def test_news_that_is_due_after_the_stop_goes_nowhere():
+    # A host orders a change of role and is stopped in the tenth of a second
+    # before it tells of it again. The socket is closed by then, and the stop
+    # ended as a failure.
+    _, _, _, (one, two, _) = make()
+    news = gatewaymessages.StageNews(
+        engine="e", stage=directory.Stage.PREFILL, change_ms=3000
+    )
+    one.gossip.tell_all(news)
+    assert two.others == [news]
+    one.gossip.transport = None
+    one.gossip.tell_all(news)
+    assert not one.gossip.send("h2/1", news)
+    assert two.others == [news]
+
+
 def test_a_restarted_host_is_there_once():
     # Its old name would be asked for the books that it kept, for seconds.
     reactor, _, _, (one, two, _) = make()
