Tell news twice where the socket is; build questions one way

Cause, by reading the whole change as a newcomer: the module that ties services together decided how often news is sent and kept a timer for it; two ways of making a question stood side by side; the names that rendezvous hashing picks from were put together in two places; and the books' pages said one daemon keeps them where two do.

Ruled out, by the list of shared lines: answerpass's two ways of passing an answer share their interface only; the headers, messages and data classes in it are alike in shape, not in logic; ranking engines anew after the questions is meant, as the view may have changed while replies were waited for.

--- a/packages/bulrushgrade/bulrushgrade/enginebook.py
+++ b/packages/bulrushgrade/bulrushgrade/enginebook.py
@@ -1,11 +1,11 @@
-"""What waits at each engine, kept by one daemon for all.
+"""What waits at each engine, kept by few daemons for all.
 
 Load: many daemons send long prompts to the same engines, and each takes tens
 to hundreds of milliseconds to read. Harm: what daemons tell each other now
 and then is as old as the last message. In a fleet of 60 that was 0.6 s, in
 which some 30 prompts are placed: half of them queued behind others, with
-idle engines beside, and took twice their time. So one daemon keeps the book
-of an engine; whoever has a long prompt asks it, and tells it what it sends.
+idle engines beside, and took twice their time. So few daemons keep the book
+of an engine; whoever has a long prompt asks one, and tells them what it sends.
 """
 
 import collections
--- a/packages/bulrushgrade/bulrushgrade/partbook.py
+++ b/packages/bulrushgrade/bulrushgrade/partbook.py
@@ -1,4 +1,4 @@
-"""Which engines were lately sent a shared part, kept by one daemon for all.
+"""Which engines were lately sent a shared part, kept by few daemons for all.
 
 Load: requests with the same long shared part come to many daemons within a
 second or two. Harm: what an engine has in its cache is heard of a second
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/choosing.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/choosing.py
@@ -284,7 +284,7 @@
         Args:
             engine: The engine's id.
             stage: Its new role.
-            change_s: How long it takes from now on.
+            change_s: How long it takes by itself.
         """
         known = self._endpoints.find(engine)
         self._log.note(
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/enginebooks.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/enginebooks.py
@@ -109,7 +109,9 @@
         own = asked.pop(self._own_name, [])
         replies = await self._questions.ask(
             {
-                keeper: functools.partial(self._question, engines=its)
+                keeper: functools.partial(
+                    gatewaymessages.Question, self._own_name, engines=its
+                )
                 for keeper, its in asked.items()
             }
         )
@@ -129,12 +131,9 @@
         keeper = self._find_keepers(part)[0]
         if keeper == self._own_name:
             return self._parts.find(part, self._timers.now)
-
-        def question(number: int) -> gatewaymessages.PartQuestion:
-            return gatewaymessages.PartQuestion(
-                peer=self._own_name, number=number, part=part
-            )
-
+        question = functools.partial(
+            gatewaymessages.PartQuestion, self._own_name, part=part
+        )
         replies = await self._questions.ask({keeper: question})
         return [
             _read_holder(holder)
@@ -208,13 +207,6 @@
             else:
                 self._send(keeper, message)
 
-    def _question(
-        self, number: int, *, engines: list[str]
-    ) -> gatewaymessages.Question:
-        return gatewaymessages.Question(
-            peer=self._own_name, number=number, engines=engines
-        )
-
     def _reply(self, number: int, engines: list[str]) -> gatewaymessages.Reply:
         now = self._timers.now
         return gatewaymessages.Reply(
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
@@ -45,10 +45,6 @@
 """How long a read of the gateways' topic waits. It changes only when a host
 starts; until a peer is known, work is placed without its word."""
 
-STAGE_NEWS_AGAIN_S = 0.1
-"""After which a change of role is told a second time, as datagrams get lost;
-a small part of the seconds that the change takes."""
-
 LEAST_HOSTS = 64
 """Hosts that the fixed part of the retry budget is divided by at least. The
 settings don't tell how many there are, and a host that has just started does
@@ -325,10 +321,6 @@
         )
         self._take_message(news)
         self._gossip.tell_all(news)
-        # A peer that missed both goes by the engine's own record, later.
-        self._timers.after(
-            STAGE_NEWS_AGAIN_S, lambda: self._gossip.tell_all(news)
-        )
 
     def _leads(self) -> bool:
         """Returns whether this host is the first of those it hears."""
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadgossip.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadgossip.py
@@ -58,6 +58,10 @@
 a fleet of 89 with bad links a quarter of them, had a book of its own, and
 prompts queued for a second behind others that were in another book."""
 
+TELL_AGAIN_S = 0.1
+"""After which news for all is sent a second time, as datagrams get lost; a
+small part of the seconds that a change of role takes."""
+
 ANNOUNCE_RETRY_S = 1.0
 """Between two attempts to write the own address while the store is away."""
 
@@ -218,7 +222,15 @@
         return True
 
     def tell_all(self, message: gatewaymessages.Message) -> None:
-        """Sends a message to all known peers, once; after the stop to none."""
+        """Sends a message to all known peers, and once more a moment later.
+
+        A peer that misses both goes by what it reads itself, later.
+        """
+        self._send_all(message)
+        self._timers.after(TELL_AGAIN_S, lambda: self._send_all(message))
+
+    def _send_all(self, message: gatewaymessages.Message) -> None:
+        # The second time may come after the stop.
         if self.transport is None:
             return
         datagram = gatewaymessages.serialize(message)
@@ -273,11 +285,11 @@
         Of those that hear each other the one that rendezvous hashing picks,
         so that each engine is asked by one daemon however many there are.
         """
-        names = [self._own_name, *self.heard()]
+        names = self._names_there()
         return {
             engine
             for engine in engines
-            if _pick(engine, names) == self._own_name
+            if max(names, key=_rate(engine)) == self._own_name
         }
 
     def heard(self) -> list[str]:
@@ -291,8 +303,10 @@
         asked; a host that does not hear it asks the next, which others tell
         the same.
         """
-        names = [self._own_name, *self.heard()]
-        return heapq.nlargest(KEEPERS, names, key=_rate(key))
+        return heapq.nlargest(KEEPERS, self._names_there(), key=_rate(key))
+
+    def _names_there(self) -> list[str]:
+        return [self._own_name, *self.heard()]
 
     async def _announce(self) -> None:
         host = self._port.getHost()
@@ -343,12 +357,9 @@
     return peer.rpartition("/")[0]
 
 
-def _pick(engine: str, names: list[str]) -> str:
-    """Returns the name that rendezvous hashing picks for an engine."""
-    return max(names, key=_rate(engine))
-
-
 def _rate(key: str) -> Callable[[str], tuple[int, str]]:
+    """Returns what rendezvous hashing compares names by for a key."""
+
     def rate(name: str) -> tuple[int, str]:
         return xxhash.xxh3_64_intdigest(f"{key}/{name}".encode()), name
 
