--- a/packages/bulrushgrade/bulrushgrade/partbook.py
+++ b/packages/bulrushgrade/bulrushgrade/partbook.py
@@ -3,9 +3,9 @@
 Load: requests with the same long shared part come to many daemons within a
 second or two. Harm: what an engine has in its cache is heard of a second
 after it was read, and until then each daemon has the part read again, at
-another engine: a quarter of all reading in a fleet of 60 daemons. So one
-daemon keeps the book of a part; whoever sends the part to an engine tells it,
-and whoever has a prompt with it asks first.
+another engine: a quarter of all reading in a fleet of 60 daemons. So few
+daemons keep the book of a part; whoever sends the part to an engine tells
+them, and whoever has a prompt with it asks one first.
 """
 
 import enum
