--- a/packages/bulrushgrade/bulrushgrade/engineplan.py
+++ b/packages/bulrushgrade/bulrushgrade/engineplan.py
@@ -6,8 +6,8 @@
 up on every engine, none keeps it, and reading it again takes more of the
 engines than all other work. So work goes where its shared part is, or has the
 part fetched from there, which takes a twentieth of the time of reading it. A
-part that no engine is known to have is read at a home that all daemons work
-out alike from the part's id and the engines' ids, without a message.
+part that no engine is known to have is read at a preferred engine, which all
+daemons derive alike from the part's id and the engines' ids without a message.
 """
 
 from collections.abc import Iterable
@@ -20,7 +20,7 @@
 from bulrushgrade import enginerank
 from bulrushgrade import peerqueues
 from bulrushgrade import prompt as prompt_module
-from bulrushgrade import readstretch
+from bulrushgrade import readslowdown
 from bulrushgrade import routing
 
 REREAD_WEIGHT = 1.0
@@ -50,10 +50,10 @@
 FETCH_TOKENS = 1000
 """Fewer missing tokens than these are read, not fetched."""
 
-AWAY_FROM_HOME_S = 0.3
+NOT_PREFERRED_S = 0.3
 """What reading a part elsewhere counts as where no engine is known to have
 it. Two daemons that meet a new part at the same time then read it once, at
-its home; about what reading it twice would cost."""
+its preferred engine; about what reading it twice would cost."""
 
 HANDOVER_TOKENS = 100
 """Shorter prompts are read where they are generated; the handover alone takes
@@ -93,7 +93,7 @@
             reading it and fetching what it lacks.
         move_s: How long KV cache is moved between engines for it.
         first_s: When the first event is expected, seconds from now.
-        stretch: Observed to expected time of recent readings, 1 or more.
+        slowdown: Observed to expected time of recent readings, 1 or more.
     """
 
     decode: directory.Registration
@@ -106,7 +106,7 @@
     busy_s: float
     move_s: float
     first_s: float
-    stretch: float = 1.0
+    slowdown: float = 1.0
 
 
 @attrs.frozen(kw_only=True)
@@ -137,7 +137,7 @@
         self._zone = zone
         self._others = others or peerqueues.PeerQueues()
         self._mean_tokens = 0.0
-        self._stretch = readstretch.ReadStretch()
+        self._slowdown = readslowdown.ReadSlowdown()
         self._loads: dict[tuple[str, int], engineload.EngineLoad] = {}
 
     def load(
@@ -175,7 +175,7 @@
             took_s: How long that took, with its wait.
             now: The present time in seconds.
         """
-        self._stretch.note(plan.wait_s + plan.busy_s, took_s, now)
+        self._slowdown.note(plan.wait_s + plan.busy_s, took_s, now)
 
     def forget(self, live: Iterable[tuple[str, int]]) -> None:
         """Drops what is believed of engines that are gone and idle."""
@@ -203,14 +203,14 @@
             now: The present time in seconds.
             may_hand_over: Whether one engine may read for another.
             known_s: How long it would wait at engines, by id, where that is
-                known from their books.
+                known from the owners of their queues.
         """
         known_s = known_s or {}
         ranked = enginerank.rank_by_role(prompt, engines)
-        decoders, home = ranked.generating[:CANDIDATES], ranked.home
+        decoders, preferred = ranked.generating[:CANDIDATES], ranked.preferred
         if not decoders:
             return None
-        if prompt.prompt_tokens >= enginerank.HOME_TOKENS:
+        if prompt.prompt_tokens >= enginerank.LONG_PROMPT_TOKENS:
             self._note_size(prompt.prompt_tokens)
         holder = self._find_holder(prompt, engines, traits)
 
@@ -228,12 +228,16 @@
                 if engine is not None and engine.zone != self._zone
             )
             reader = plan.prefill or plan.decode
-            if holder is None and home is not None and reader is not home:
-                away += AWAY_FROM_HOME_S
+            if (
+                holder is None
+                and preferred is not None
+                and reader is not preferred
+            ):
+                away += NOT_PREFERRED_S
             weight = REREAD_WEIGHT
             if (
                 plan.prefill is None
-                and prompt.prompt_tokens >= enginerank.HOME_TOKENS
+                and prompt.prompt_tokens >= enginerank.LONG_PROMPT_TOKENS
             ):
                 weight = DISTURB_WEIGHT
             return (
@@ -256,7 +260,7 @@
                 for engine in self._readers(prompt, ranked, traits, holder, now)
             ]
         best = min(plans, key=cost)
-        return attrs.evolve(best, stretch=self._stretch.at(now))
+        return attrs.evolve(best, slowdown=self._slowdown.at(now))
 
     def reading_candidates(
         self,
@@ -283,7 +287,7 @@
     ) -> list[directory.Registration]:
         """Returns some readers, with those that have the parts or get them."""
         found = ranked.readers[:CANDIDATES]
-        if prompt.shared_tokens < enginerank.HOME_TOKENS:
+        if prompt.shared_tokens < enginerank.LONG_PROMPT_TOKENS:
             return found
 
         def expected(engine: directory.Registration) -> int:
@@ -317,7 +321,7 @@
         """Returns who generates what another engine reads or has read.
 
         The receiver keeps what it is handed, so the same part should go to
-        the same one: on several it would push out what is at home there.
+        the same one: on several it would push out what is kept there.
         """
         ranked = enginerank.rank_by_role(prompt, engines)
         decoders = ranked.generating[:CANDIDATES]
@@ -356,7 +360,7 @@
         traits: routing.EngineTraits,
     ) -> directory.Registration | None:
         """Returns the engine that keeps most of a prompt's shared parts."""
-        if prompt.shared_tokens < enginerank.HOME_TOKENS:
+        if prompt.shared_tokens < enginerank.LONG_PROMPT_TOKENS:
             return None
 
         def kept(engine: directory.Registration) -> tuple[int, bool]:
--- a/packages/bulrushgrade/bulrushgrade/enginebook.py
+++ b/packages/bulrushgrade/bulrushgrade/enginequeue.py
@@ -1,11 +1,12 @@
-"""What waits at each engine, kept by few daemons for all.
+"""The queue of each engine, held by the few daemons that own its key.
 
 Load: many daemons send long prompts to the same engines, and each takes tens
-to hundreds of milliseconds to read. Harm: what daemons tell each other now
-and then is as old as the last message. In a fleet of 60 that was 0.6 s, in
-which some 30 prompts are placed: half of them queued behind others, with
-idle engines beside, and took twice their time. So few daemons keep the book
-of an engine; whoever has a long prompt asks one, and tells them what it sends.
+to hundreds of milliseconds to read. Harm: periodic messages among daemons are
+as old as the last one. In a fleet of 60 that was 0.6 s, in which some 30
+prompts are placed: half of them queued behind others, with idle engines
+beside, and took twice their time. So hashing gives each engine a few owners;
+whoever places a long prompt queries one of them first and reports to all of
+them what it sends.
 """
 
 import collections
@@ -20,7 +21,7 @@
 @attrs.define(kw_only=True)
 class _Entry:
     seconds: float
-    booked_at: float
+    added_at: float
 
 
 class _Queue:
@@ -39,7 +40,7 @@
     def add(self, key: tuple[str, int], seconds: float, now: float) -> None:
         if not self._entries:
             self._began_at = now
-        self._entries[key] = _Entry(seconds=seconds, booked_at=now)
+        self._entries[key] = _Entry(seconds=seconds, added_at=now)
 
     def remove(self, key: tuple[str, int], now: float) -> None:
         if not self._entries:
@@ -50,7 +51,7 @@
 
     def drop_old(self, now: float) -> None:
         for key, entry in list(self._entries.items()):
-            if now - entry.booked_at >= LIFE_S:
+            if now - entry.added_at >= LIFE_S:
                 self.remove(key, now)
 
     def wait_s(self, now: float) -> float:
@@ -61,11 +62,11 @@
         return sum(e.seconds for e in self._entries.values()) - done_s
 
 
-class EngineBook:
-    """The queues of the engines that a daemon is asked about.
+class EngineQueues:
+    """The queues of the engines that a daemon owns.
 
-    Whose book is asked changes as daemons come and go. A daemon that has just
-    become the one to ask knows only what is sent from then on.
+    Owners change as daemons come and go. A new owner knows only what is sent
+    from then on.
     """
 
     def __init__(self):
--- a/packages/bulrushgrade/bulrushgrade/enginerank.py
+++ b/packages/bulrushgrade/bulrushgrade/enginerank.py
@@ -6,9 +6,9 @@
 from bulrushgrade import directory
 from bulrushgrade import prompt as prompt_module
 
-HOME_TOKENS = 1000
-"""Prompts whose shared parts have fewer tokens have no home: reading those
-anywhere takes some milliseconds, less than a queue."""
+LONG_PROMPT_TOKENS = 1000
+"""Prompts whose shared parts have fewer tokens have no preferred engine:
+reading those anywhere takes some milliseconds, less than a queue."""
 
 
 @attrs.frozen(kw_only=True)
@@ -18,13 +18,13 @@
     Attributes:
         readers: Those that only read.
         generating: Those that generate.
-        home: Where the prompt's shared part is read first, at one that only
-            reads where there is one; None where the part is short.
+        preferred: Where the prompt's shared part is read first, at an engine
+            that only reads where there is one; None where the part is short.
     """
 
     readers: list[directory.Registration]
     generating: list[directory.Registration]
-    home: directory.Registration | None
+    preferred: directory.Registration | None
 
 
 def rank_by_role(
@@ -35,10 +35,10 @@
     for engine in rank(prompt, engines):
         is_reader = engine.stage is directory.Stage.PREFILL
         (readers if is_reader else generating).append(engine)
-    home = None
-    if prompt.shared_tokens >= HOME_TOKENS and engines:
-        home = (readers or generating)[0]
-    return Ranked(readers=readers, generating=generating, home=home)
+    preferred = None
+    if prompt.shared_tokens >= LONG_PROMPT_TOKENS and engines:
+        preferred = (readers or generating)[0]
+    return Ranked(readers=readers, generating=generating, preferred=preferred)
 
 
 def rank(
@@ -65,5 +65,5 @@
     """
     if not prompt.parts:
         return ""
-    has_home = prompt.shared_tokens >= HOME_TOKENS
-    return prompt.parts[0 if has_home else -1].id
+    is_long = prompt.shared_tokens >= LONG_PROMPT_TOKENS
+    return prompt.parts[0 if is_long else -1].id
--- a/packages/bulrushgrade/bulrushgrade/peerqueues.py
+++ b/packages/bulrushgrade/bulrushgrade/peerqueues.py
@@ -3,9 +3,8 @@
 Load: many daemons send to the same engines. Harm: each sees only its own
 part of a queue, so that all of them send to an engine that looks idle to
 each, and its queue grows by seconds while others stand by. Every daemon
-tells the others what it has there; what is told is absolute and replaces
-what the same daemon told before, so that a lost or late message only makes
-the view a little older.
+advertises what it has there; a message is absolute and replaces the one
+before, so that a lost or late one only makes the view a little older.
 """
 
 from collections.abc import Mapping
@@ -19,9 +18,9 @@
     """Seconds of reading that peers have waiting, by engine."""
 
     def __init__(self):
-        self._told: dict[str, tuple[float, int, dict[str, float]]] = {}
+        self._by_peer: dict[str, tuple[float, int, dict[str, float]]] = {}
 
-    def tell(
+    def update(
         self, peer: str, number: int, queued_s: Mapping[str, float], now: float
     ) -> None:
         """Takes a peer's message.
@@ -32,33 +31,33 @@
             queued_s: Seconds of reading by engine; what is missing is none.
             now: The present time in seconds.
         """
-        known = self._told.get(peer)
+        known = self._by_peer.get(peer)
         if known is not None and number <= known[1]:
             return
-        self._told[peer] = (now, number, dict(queued_s))
+        self._by_peer[peer] = (now, number, dict(queued_s))
 
     def queued_s(self, engine: str, now: float) -> float:
         """Returns what all peers have waiting at an engine."""
         return sum(
             queued_s.get(engine, 0.0)
-            for at, _, queued_s in self._told.values()
+            for at, _, queued_s in self._by_peer.values()
             if now - at < STALE_S
         )
 
     def drop(self, peer: str) -> None:
         """Forgets a peer that is known to be gone."""
-        self._told.pop(peer, None)
+        self._by_peer.pop(peer, None)
 
     def forget(self, now: float, *, silent_s: float) -> None:
         """Drops peers that have been silent for so long."""
-        for peer, (at, _, _) in list(self._told.items()):
+        for peer, (at, _, _) in list(self._by_peer.items()):
             if now - at >= silent_s:
-                del self._told[peer]
+                del self._by_peer[peer]
 
     def heard(self, now: float, *, silent_s: float) -> list[str]:
         """Returns the peers that were heard within a time, sorted."""
         return sorted(
             peer
-            for peer, (at, _, _) in self._told.items()
+            for peer, (at, _, _) in self._by_peer.items()
             if now - at < silent_s
         )
--- a/packages/bulrushgrade/bulrushgrade/partbook.py
+++ b/packages/bulrushgrade/bulrushgrade/prefixindex.py
@@ -1,11 +1,11 @@
-"""Which engines were lately sent a shared part, kept by few daemons for all.
+"""Which engines were lately sent a shared part, held by its hash owners.
 
 Load: requests with the same long shared part come to many daemons within a
 second or two. Harm: what an engine has in its cache is heard of a second
 after it was read, and until then each daemon has the part read again, at
-another engine: a quarter of all reading in a fleet of 60 daemons. So few
-daemons keep the book of a part; whoever sends the part to an engine tells
-them, and whoever has a prompt with it asks one first.
+another engine: a quarter of all reading in a fleet of 60 daemons. So hashing
+gives each part a few owners; whoever sends the part to an engine reports that
+to them, and whoever has a prompt with it queries one of them first.
 """
 
 import enum
@@ -16,10 +16,10 @@
 
 LIFE_S = 5.0
 """How long an entry counts. By then whoever follows the engine's cache has
-told of it, also of what pushed it out again."""
+advertised it, also what pushed it out again."""
 
 
-class PartState(enum.StrEnum):
+class HolderState(enum.StrEnum):
     """How far an engine is with a part."""
 
     COMING = "coming"
@@ -28,7 +28,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class PartHolder:
+class PrefixHolder:
     """An engine that was sent a part.
 
     Attributes:
@@ -38,18 +38,18 @@
     """
 
     engine: str
-    state: PartState
+    state: HolderState
     parts: tuple[prompt_module.PromptPart, ...]
 
 
 @attrs.frozen(kw_only=True)
 class _Entry:
-    holder: PartHolder
+    holder: PrefixHolder
     at: float
 
 
-class PartBook:
-    """The holders of the parts that a daemon is asked about."""
+class PrefixIndex:
+    """The holders of the parts that a daemon owns."""
 
     def __init__(self):
         self._entries: dict[str, dict[str, _Entry]] = {}
@@ -57,7 +57,7 @@
     def __len__(self) -> int:
         return sum(len(holders) for holders in self._entries.values())
 
-    def note(self, holder: PartHolder, now: float) -> None:
+    def note(self, holder: PrefixHolder, now: float) -> None:
         """Enters what an engine was sent, has read, or gave up.
 
         Args:
@@ -65,13 +65,13 @@
             now: The present time in seconds.
         """
         first = holder.parts[0].id
-        if holder.state is PartState.GONE:
+        if holder.state is HolderState.GONE:
             self._entries.get(first, {}).pop(holder.engine, None)
             return
         entry = _Entry(holder=holder, at=now)
         self._entries.setdefault(first, {})[holder.engine] = entry
 
-    def find(self, part: str, now: float) -> list[PartHolder]:
+    def find(self, part: str, now: float) -> list[PrefixHolder]:
         """Returns the engines that were lately sent a part."""
         return [
             entry.holder
--- a/packages/bulrushgrade/bulrushgrade/readstretch.py
+++ b/packages/bulrushgrade/bulrushgrade/readslowdown.py
@@ -4,7 +4,7 @@
 parts are read again that were expected to be there, and queues last longer
 than the sum of what is known of them. Prompts are let in that end at their
 deadline, and what was read for them is lost. In a fleet of 60 hosts, 149 of
-2,240 long prompts were cut in a burst, and 96 with waits that are stretched.
+2,240 long prompts were cut in a burst, and 96 with waits scaled by it.
 """
 
 import math
@@ -14,7 +14,7 @@
 way there and back, and the first step."""
 
 WEIGHT = 0.1
-"""Of each reading in the observed stretch: some ten readings, about a second
+"""Of each reading in the observed slowdown: some ten readings, about a second
 of a busy host."""
 
 FADE_S = 3.0
@@ -25,7 +25,7 @@
 """An engine that was lost is no measure of the others' queues."""
 
 
-class ReadStretch:
+class ReadSlowdown:
     """Observed to expected time of recent readings, 1 or more."""
 
     def __init__(self):
@@ -46,6 +46,6 @@
         self._noted_at = now
 
     def at(self, now: float) -> float:
-        """Returns the stretch at a time."""
+        """Returns the slowdown at a time."""
         age_s = now - self._noted_at
         return 1.0 + (self._value - 1.0) * math.exp(-age_s / FADE_S)
--- a/packages/bulrushgrade/tests/test_engineplan.py
+++ b/packages/bulrushgrade/tests/test_engineplan.py
@@ -31,8 +31,8 @@
 ]
 
 
-def find_home(prompt, engines):
-    return enginerank.rank_by_role(prompt, engines).home
+def find_preferred(prompt, engines):
+    return enginerank.rank_by_role(prompt, engines).preferred
 
 
 def make_plan(prompt, engines=ENGINES, planner=None, **changes):
@@ -41,49 +41,49 @@
     return planner.plan(prompt, engines, TRAITS, **values)
 
 
-def test_homes_are_the_same_at_every_daemon():
+def test_preferred_engines_are_the_same_at_every_daemon():
     for number in range(50):
         prompt = make_prompt(f"s{number}")
         shuffled = [ENGINES[i] for i in (3, 0, 4, 2, 1)]
-        home = find_home(prompt, ENGINES)
-        assert find_home(prompt, shuffled) == home
+        preferred = find_preferred(prompt, ENGINES)
+        assert find_preferred(prompt, shuffled) == preferred
 
 
-def test_homes_are_spread_over_the_engines_that_only_read():
-    homes = collections.Counter(
-        find_home(make_prompt(f"s{n}"), ENGINES).id for n in range(1000)
+def test_preferred_engines_are_spread_over_the_engines_that_only_read():
+    found = collections.Counter(
+        find_preferred(make_prompt(f"s{n}"), ENGINES).id for n in range(1000)
     )
-    assert set(homes) == {"p1", "p2"}
-    assert min(homes.values()) > 400
+    assert set(found) == {"p1", "p2"}
+    assert min(found.values()) > 400
 
 
-def test_without_engines_that_only_read_all_are_homes():
-    homes = {
-        find_home(make_prompt(f"s{n}"), ENGINES[2:]).id for n in range(100)
+def test_without_engines_that_only_read_all_are_preferred():
+    found = {
+        find_preferred(make_prompt(f"s{n}"), ENGINES[2:]).id for n in range(100)
     }
-    assert homes == {"d1", "d2", "d3"}
+    assert found == {"d1", "d2", "d3"}
 
 
 def test_engine_that_goes_moves_only_its_own_parts():
     """An engine is lost while long prompts keep coming.
 
-    If the homes of all parts moved, every engine would read everything again
+    If the found of all parts moved, every engine would read everything again
     at the moment when one of them is missing.
     """
     left = ENGINES[1:]
     for number in range(200):
         prompt = make_prompt(f"s{number}")
-        before = find_home(prompt, ENGINES)
+        before = find_preferred(prompt, ENGINES)
         if before is not ENGINES[0]:
-            assert find_home(prompt, left) is before
+            assert find_preferred(prompt, left) is before
 
 
-def test_long_prompt_is_read_at_home():
+def test_long_prompt_is_read_at_its_preferred_engine():
     for number in range(50):
         prompt = make_prompt(f"s{number}")
         plan = make_plan(prompt)
         reader = plan.prefill or plan.decode
-        assert reader is find_home(prompt, ENGINES)
+        assert reader is find_preferred(prompt, ENGINES)
         assert plan.fetch_from is None
 
 
@@ -109,25 +109,25 @@
 
 
 def test_long_queue_at_home_spills():
-    """Bursts of long prompts hit the home of a popular part.
+    """Bursts of long prompts hit the preferred of a popular part.
 
     Waiting behind seconds of work there is worse for the caller than having
     the part fetched by another engine, which takes some ten milliseconds
     where reading it again would take hundreds; a short queue is not.
     """
     prompt = make_prompt("s1")
-    home = find_home(prompt, ENGINES)
+    preferred = find_preferred(prompt, ENGINES)
     for queued_s, stays in ((0.01, True), (3.0, False)):
         planner = engineplan.EnginePlanner(zone="z1")
-        load = planner.load(home, TRAITS)
+        load = planner.load(preferred, TRAITS)
         kept = engineload.CacheChange(part="s1", tokens=10_000)
         load.apply([kept], anew=False)
         queued = engineload.Reading(expected_s=queued_s, since=0.0, tokens=0)
         load.begin(queued)
         plan = make_plan(prompt, planner=planner)
         reader = plan.prefill or plan.decode
-        assert (reader is home) is stays
-        assert plan.fetch_from is (None if stays else home)
+        assert (reader is preferred) is stays
+        assert plan.fetch_from is (None if stays else preferred)
 
 
 def test_without_generating_engines_there_is_no_plan():
@@ -144,7 +144,7 @@
     """What is handed over stays in the receiver's memory.
 
     Spread over all generating engines, each part would lie on all of them
-    and push out those that are at home there.
+    and push out those that are at preferred there.
     """
     receivers = collections.defaultdict(set)
     for number in range(40):
@@ -306,12 +306,12 @@
 
 
 def test_known_queues_go_before_what_was_heard():
-    # What peers told a moment ago says that the home is idle; its book says
-    # that five prompts were sent there since.
+    # By what peers advertised a moment ago the preferred engine is idle; the
+    # owner of its queue knows of five prompts that were sent there since.
     prompt = make_prompt("s1")
-    home = find_home(prompt, ENGINES)
-    other = next(e for e in ENGINES[:2] if e is not home)
-    plan = make_plan(prompt, known_s={home.id: 2.0, other.id: 0.0})
+    preferred = find_preferred(prompt, ENGINES)
+    other = next(e for e in ENGINES[:2] if e is not preferred)
+    plan = make_plan(prompt, known_s={preferred.id: 2.0, other.id: 0.0})
     assert plan.prefill is other
     assert plan.wait_s == 0.0
 
--- /dev/null
+++ b/packages/bulrushgrade/tests/test_enginequeue.py
@@ -0,0 +1,72 @@
+"""Tests of what waits at engines."""
+
+from bulrushgrade import enginequeue
+
+
+def test_a_prompt_waits_for_what_is_left_of_those_before():
+    queues = enginequeue.EngineQueues()
+    queues.begin("e", "h1", 1, 0.4, 0.0)
+    queues.begin("e", "h2", 1, 0.3, 0.1)
+    assert abs(queues.wait_s("e", 0.1) - 0.6) < 1e-9
+    assert abs(queues.wait_s("e", 0.3) - 0.4) < 1e-9
+    queues.end("e", "h1", 1, 0.5)
+    assert abs(queues.wait_s("e", 0.6) - 0.2) < 1e-9
+    queues.end("e", "h2", 1, 0.8)
+    assert queues.wait_s("e", 0.8) == 0.0
+
+
+def test_a_prompt_that_is_overdue_leaves_those_behind_it_waiting():
+    queues = enginequeue.EngineQueues()
+    queues.begin("e", "h1", 1, 0.4, 0.0)
+    queues.begin("e", "h2", 1, 0.3, 0.0)
+    assert abs(queues.wait_s("e", 5.0) - 0.3) < 1e-9
+
+
+def test_an_end_that_was_lost_is_forgotten():
+    # A daemon dies while its prompt is read, or its datagram is lost. The
+    # engine would look busy for ever, and nothing would be sent to it.
+    queues = enginequeue.EngineQueues()
+    queues.begin("e", "h1", 1, 9.0, 0.0)
+    queues.begin("e", "h2", 1, 0.3, 8.0)
+    queues.forget(10.0)
+    assert len(queues) == 1
+    assert abs(queues.wait_s("e", 10.0) - 0.3) < 1e-9
+    queues.forget(18.0)
+    assert len(queues) == 0
+
+
+def test_an_end_without_a_beginning_changes_nothing():
+    queues = enginequeue.EngineQueues()
+    queues.end("e", "h1", 1, 0.0)
+    queues.begin("e", "h1", 2, 0.5, 0.0)
+    queues.end("e", "h1", 1, 0.1)
+    assert queues.wait_s("e", 0.0) == 0.5
+
+
+def test_sixty_daemons_with_fresh_queues_fill_idle_engines():
+    # Prompts come evenly, at four fifths of what 20 engines can read. With
+    # queues that are 0.6 s old each daemon takes the same engines for idle,
+    # and prompts wait for more than one other; with fresh ones hardly any.
+    engines = [f"e{number}" for number in range(20)]
+
+    def mean_wait_s(age_s):
+        queues, seen, seen_at = enginequeue.EngineQueues(), {}, -9.0
+        ends, waits = [], []
+        for number in range(800):
+            now = number * 0.2 / (20 * 0.8)
+            for end in [end for end in ends if end[0] <= now]:
+                ends.remove(end)
+                queues.end(end[1], "h", end[2], end[0])
+            if now - seen_at >= age_s:
+                seen = {e: queues.wait_s(e, now) for e in engines}
+                seen_at = now
+            offered = [engines[(number * 7 + 3 * k) % 20] for k in range(4)]
+            engine = min(offered, key=lambda e: seen[e])
+            wait_s = queues.wait_s(engine, now)
+            waits.append(wait_s)
+            queues.begin(engine, "h", number, 0.2, now)
+            ends.append((now + wait_s + 0.2, engine, number))
+        return sum(waits) / len(waits)
+
+    assert mean_wait_s(0.0) < 0.1
+    assert mean_wait_s(0.6) > 2 * mean_wait_s(0.0)
--- /dev/null
+++ b/packages/bulrushgrade/tests/test_prefixindex.py
@@ -0,0 +1,47 @@
+"""Tests of who was lately sent a part."""
+
+import attrs
+
+from bulrushgrade import prefixindex
+from bulrushgrade import prompt as prompt_module
+
+PARTS = (
+    prompt_module.PromptPart(id="p", tokens=9_000),
+    prompt_module.PromptPart(id="q", tokens=500),
+)
+COMING = prefixindex.PrefixHolder(
+    engine="e", state=prefixindex.HolderState.COMING, parts=PARTS
+)
+KEPT = attrs.evolve(COMING, state=prefixindex.HolderState.KEPT)
+GONE = attrs.evolve(COMING, state=prefixindex.HolderState.GONE)
+
+
+def test_a_part_is_found_from_the_moment_it_is_sent():
+    index = prefixindex.PrefixIndex()
+    assert index.find("p", 0.0) == []
+    index.note(COMING, 0.0)
+    assert index.find("p", 0.1) == [COMING]
+    index.note(KEPT, 0.4)
+    assert index.find("p", 0.5) == [KEPT]
+    assert index.find("q", 0.5) == []
+
+
+def test_a_part_that_was_not_read_is_gone():
+    # The engine refused the prompt or died. Others would wait for a part
+    # that never comes.
+    index = prefixindex.PrefixIndex()
+    index.note(COMING, 0.0)
+    index.note(GONE, 0.2)
+    index.note(GONE, 0.3)
+    assert index.find("p", 0.3) == []
+
+
+def test_entries_count_until_caches_were_heard_of():
+    index = prefixindex.PrefixIndex()
+    index.note(KEPT, 0.0)
+    assert index.find("p", prefixindex.LIFE_S) == []
+    index.note(attrs.evolve(KEPT, engine="f"), 1.0)
+    index.forget(prefixindex.LIFE_S)
+    assert len(index) == 1
+    index.forget(prefixindex.LIFE_S + 1.0)
+    assert len(index) == 0
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/cachesharing.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/cachesharing.py
@@ -16,7 +16,7 @@
         endpoints: directory_module.Directory,
         chooser: choosing.Chooser,
     ):
-        """Makes sharing that tells nobody yet.
+        """Makes sharing that advertises nothing yet.
 
         Args:
             endpoints: The endpoints that are known.
@@ -25,11 +25,11 @@
         self._endpoints = endpoints
         self._chooser = chooser
         self._gossip: loadgossip.LoadGossip | None = None
-        # Parts that peers were told to be kept, by engine.
-        self._told: dict[tuple[str, int], set[str]] = {}
+        # Parts that peers know to be kept, by engine.
+        self._advertised: dict[tuple[str, int], set[str]] = {}
 
-    def tell_by(self, gossip: loadgossip.LoadGossip) -> None:
-        """Sets what peers are told by; it needs `take_told` when it is made."""
+    def advertise_by(self, gossip: loadgossip.LoadGossip) -> None:
+        """Sets what advertises; it needs `take_advertised` when it is made."""
         self._gossip = gossip
 
     def followed_engines(self) -> list[directory_module.Registration]:
@@ -41,8 +41,8 @@
         }
         followed = self._gossip.pick_followed(engines)
         found = [engines[id] for id in sorted(followed)]
-        self._told = {
-            engine.incarnation: self._told.get(engine.incarnation, set())
+        self._advertised = {
+            engine.incarnation: self._advertised.get(engine.incarnation, set())
             for engine in found
         }
         return found
@@ -54,33 +54,33 @@
         *,
         anew: bool,
     ) -> None:
-        """Takes what this daemon saw of an engine and tells it to peers."""
-        news = [c for c in changes if self._is_news(engine, c)]
-        self._gossip.tell_changes(engine.id, tuple(news))
-        # What this daemon had read itself may go without having been told of.
-        gone = [c for c in changes if c.tokens == 0 and c not in news]
-        self._chooser.apply_cache(engine, (*gone, *news), anew=anew)
+        """Takes what this daemon saw of an engine and advertises it."""
+        advertised = [c for c in changes if self._is_relevant(engine, c)]
+        self._gossip.advertise_changes(engine.id, tuple(advertised))
+        # What this daemon had read itself may go without peers knowing of it.
+        gone = [c for c in changes if c.tokens == 0 and c not in advertised]
+        self._chooser.apply_cache(engine, (*gone, *advertised), anew=anew)
 
-    def _is_news(
+    def _is_relevant(
         self,
         engine: directory_module.Registration,
         change: engineload.CacheChange,
     ) -> bool:
-        """Returns whether peers don't know of a change; notes that they do.
+        """Returns whether peers need to learn of a change; notes that they do.
 
-        Short parts are read faster than fetched, so nobody asks for them.
-        Most of what engines drop are such parts.
+        Short parts are read faster than fetched, so nobody needs to know of
+        them. Most of what engines drop are such parts.
         """
-        told = self._told.setdefault(engine.incarnation, set())
+        advertised = self._advertised.setdefault(engine.incarnation, set())
         if change.tokens >= engineplan.FETCH_TOKENS:
-            told.add(change.part)
+            advertised.add(change.part)
             return True
-        if change.part in told:
-            told.discard(change.part)
+        if change.part in advertised:
+            advertised.discard(change.part)
             return True
         return False
 
-    def take_told(
+    def take_advertised(
         self, engine: str, changes: tuple[engineload.CacheChange, ...]
     ) -> None:
         """Takes what a peer saw of an engine."""
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/choosing.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/choosing.py
@@ -10,14 +10,14 @@
 from bulrushgrade import engineload
 from bulrushgrade import engineplan
 from bulrushgrade import enginerank
-from bulrushgrade import partbook
 from bulrushgrade import peerqueues
+from bulrushgrade import prefixindex
 from bulrushgrade import prompt as prompt_module
 from bulrushgrade import routing
 from bulrushgrade import stagechanges
 from bulrushgrade_daemon import decisionlog
-from bulrushgrade_daemon import enginebooks
 from bulrushgrade_daemon import inflight
+from bulrushgrade_daemon import placementindex
 from bulrushgrade_daemon import stagecontrol
 
 
@@ -32,7 +32,7 @@
         table: Callable[[], routing.RouteTable | None],
         endpoints: directory_module.Directory,
         others: peerqueues.PeerQueues,
-        books: enginebooks.EngineBooks,
+        index: placementindex.PlacementIndex,
         log: decisionlog.DecisionLog,
         rng: random.Random,
     ):
@@ -44,7 +44,7 @@
             table: Returns the routes in force, or None before the first.
             endpoints: The endpoints that are known.
             others: What other daemons have waiting at engines.
-            books: What waits at engines now.
+            index: What waits at engines now.
             log: Gets a line for each ejection.
             rng: Breaks ties.
         """
@@ -55,20 +55,20 @@
         self._log = log
         self._balancer = balance.Balancer(zone=zone, rng=rng)
         self._others = others
-        self._books = books
+        self._index = index
         self._planners: dict[str, engineplan.EnginePlanner] = {}
         self._changes = stagechanges.StageChanges()
 
-    async def ask_peers(self, request: inflight.InFlight) -> None:
+    async def query_peers(self, request: inflight.InFlight) -> None:
         """Learns where a long prompt's parts are and what waits there."""
         request.waits_s = {}
-        prompt, traits = request.asked.prompt, self._traits(request.service)
+        prompt, traits = request.info.prompt, self._traits(request.service)
         if traits is None or prompt is None:
             return
-        if prompt.prompt_tokens < enginerank.HOME_TOKENS:
+        if prompt.prompt_tokens < enginerank.LONG_PROMPT_TOKENS:
             return
-        if prompt.shared_tokens >= enginerank.HOME_TOKENS:
-            for holder in await self._books.ask_part(prompt.parts[0].id):
+        if prompt.shared_tokens >= enginerank.LONG_PROMPT_TOKENS:
+            for holder in await self._index.query_holders(prompt.parts[0].id):
                 self._take_holder(holder, request.service, traits)
         now = self._timers.now
         usable = self._usable(request.service, now)
@@ -78,11 +78,11 @@
             traits,
             now=now,
         )
-        request.waits_s = await self._books.ask_waits(e.id for e in engines)
+        request.waits_s = await self._index.query_waits(e.id for e in engines)
 
     def _take_holder(
         self,
-        holder: partbook.PartHolder,
+        holder: prefixindex.PrefixHolder,
         service: str,
         traits: routing.EngineTraits,
     ) -> None:
@@ -90,7 +90,7 @@
         if engine is None or engine.service != service:
             return
         load = self._planner(service).load(engine, traits)
-        if holder.state is partbook.PartState.KEPT:
+        if holder.state is prefixindex.HolderState.KEPT:
             load.keep(holder.parts)
         else:
             load.expect(holder.parts, self._timers.now)
@@ -102,7 +102,7 @@
         now = self._timers.now
         usable = self._usable(request.service, now)
         traits = self._traits(request.service)
-        prompt = request.asked.prompt
+        prompt = request.info.prompt
         if traits is None or prompt is None:
             request.plan = None
             able = [
@@ -132,10 +132,10 @@
         now = self._timers.now
         usable = self._usable(request.service, now)
         traits = self._traits(request.service)
-        if traits is None or request.asked.prompt is None:
+        if traits is None or request.info.prompt is None:
             return None
         return self._planner(request.service).receiver(
-            request.asked.prompt,
+            request.info.prompt,
             self._balancer.eligible(usable, avoid=request.avoid, now=now),
             traits,
             now=now,
@@ -198,42 +198,42 @@
             return lambda began: None
         planner = self._planner(request.service)
         load = planner.load(engine, traits)
-        prompt = request.asked.prompt
+        prompt = request.info.prompt
         reading = engineload.Reading(
             expected_s=plan.busy_s if reads else plan.move_s,
             since=self._timers.now,
             tokens=plan.read_tokens if reads else 0,
             parts=prompt.shared_parts if reads else (),
         )
-        tell_end = self._tell_begin(engine, reading, prompt, load)
+        report_end = self._report_begin(engine, reading, prompt, load)
         load.begin(reading)
 
         def ended(began: bool) -> None:
-            tell_end(began)
+            report_end(began)
             now = self._timers.now
             if began:
                 load.answered(reading, engine.stage, now)
-                if reading.tokens >= enginerank.HOME_TOKENS:
+                if reading.tokens >= enginerank.LONG_PROMPT_TOKENS:
                     planner.note_read(plan, now - reading.since, now)
             else:
                 load.dropped(reading)
 
         return ended
 
-    def _tell_begin(
+    def _report_begin(
         self,
         engine: directory_module.Registration,
         reading: engineload.Reading,
         prompt: prompt_module.Prompt,
         load: engineload.EngineLoad,
     ) -> Callable[[bool], None]:
-        """Tells peers of a long reading; returns what tells of its end."""
-        if reading.tokens < enginerank.HOME_TOKENS:
+        """Reports a long reading to peers; returns what reports its end."""
+        if reading.tokens < enginerank.LONG_PROMPT_TOKENS:
             return lambda began: None
         # Nothing new is read of parts that it has already.
         is_new = load.cached_tokens(prompt) < prompt.shared_tokens
         parts = reading.parts if is_new else ()
-        return self._books.begin(engine.id, reading.expected_s, parts)
+        return self._index.begin(engine.id, reading.expected_s, parts)
 
     def apply_cache(
         self,
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/dialect.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/dialect.py
@@ -16,7 +16,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class Asked:
+class RequestInfo:
     """What a caller's headers say beside the request itself.
 
     Attributes:
@@ -102,7 +102,7 @@
     """The functions that translate.
 
     Attributes:
-        read_asked: Returns what a caller's headers say.
+        read_request_info: Returns what a caller's headers say.
         write_fields: Returns the headers of a request to an endpoint from
             the caller's headers and what is to be added.
         read_verdict: Returns what the status and headers of an answer say.
@@ -114,7 +114,7 @@
             prompt which nobody will take.
     """
 
-    read_asked: Callable[[Any], Asked]
+    read_request_info: Callable[[Any], RequestInfo]
     write_fields: Callable[[Any, Sending], Fields]
     read_verdict: Callable[[int, Any], Verdict]
     write_answer_fields: Callable[[Any], Fields]
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointcalls.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointcalls.py
@@ -59,7 +59,7 @@
         sending = dialect_module.Sending(
             endpoint=endpoint,
             left_s=0.0,
-            last_event_id=request.cutter.last_id or request.asked.last_event_id,
+            last_event_id=request.cutter.last_id or request.info.last_event_id,
             prefilled_by=prefilled,
             urgency=_urgency(request),
             fetch_from=None if prefilled else _fetch_address(request),
@@ -176,7 +176,7 @@
                 outcome=attempts.Outcome.TURNED_AWAY,
                 reason=f"status {answer.status}, not run",
             )
-        if verdict.request_id not in (None, request.asked.request_id):
+        if verdict.request_id not in (None, request.info.request_id):
             return inflight.AttemptEnd(
                 outcome=attempts.Outcome.LOST,
                 reason="answer to another request",
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
@@ -117,16 +117,16 @@
 
     def handle(self, caller: front.CallerRequest) -> None:
         """Takes a request that was read whole."""
-        asked = self._dialect.read_asked(caller.requestHeaders)
+        info = self._dialect.read_request_info(caller.requestHeaders)
         table = self._table()
         if table is None:
             self._count("refused_unconfigured")
             self._log.note(
                 "request_refused",
-                request=asked.request_id,
+                request=info.request_id,
                 reason="no configuration yet",
             )
-            self._refuse(caller, asked)
+            self._refuse(caller, info)
             return
         hostname = caller.requestHeaders.getRawHeaders(b"host", [b""])[0]
         path = caller.path.decode("latin-1")
@@ -135,27 +135,27 @@
             self._count("no_route")
             self._log.note(
                 "no_route",
-                request=asked.request_id,
+                request=info.request_id,
                 configuration=table.configuration.version,
                 hostname=hostname.decode("latin-1"),
                 path=path,
             )
             caller.answer(http.NOT_FOUND, [], b"")
             return
-        self._begin(caller, asked, route)
+        self._begin(caller, info, route)
 
     def _begin(
         self,
         caller: front.CallerRequest,
-        asked: dialect_module.Asked,
+        info: dialect_module.RequestInfo,
         route: routing.Route,
     ) -> None:
         waits_s = route.timeout_s
-        if asked.deadline_s is not None:
-            waits_s = min(waits_s, asked.deadline_s)
+        if info.deadline_s is not None:
+            waits_s = min(waits_s, info.deadline_s)
         request = inflight.InFlight(
             caller=caller,
-            asked=asked,
+            info=info,
             route=route,
             service=routing.pick_service(route, self._rng),
             deadline=caller.arrived_at + waits_s,
@@ -188,7 +188,7 @@
 
     async def _try_until_answered(self, request: inflight.InFlight) -> None:
         while True:
-            await self._chooser.ask_peers(request)
+            await self._chooser.query_peers(request)
             endpoint = self._chooser.choose(request)
             if endpoint is None:
                 self._finish(request, None, "no endpoint")
@@ -301,7 +301,7 @@
         again = self._may_try_again(request)
         self._log.note(
             "attempt_ended",
-            request=request.asked.request_id,
+            request=request.info.request_id,
             route=request.route.name,
             endpoint=endpoint.id,
             outcome=ended.outcome.value,
@@ -333,7 +333,7 @@
         self._count(f"ended_{step.value}")
         self._log.note(
             "request_ended",
-            request=request.asked.request_id,
+            request=request.info.request_id,
             route=request.route.name,
             service=request.service,
             step=step.value,
@@ -350,7 +350,7 @@
             failure = ended.failure
             caller.answer(failure.status, failure.fields, failure.body)
         elif step is attempts.Step.REFUSE:
-            self._refuse(caller, request.asked)
+            self._refuse(caller, request.info)
         else:
             caller.answer(http.BAD_GATEWAY, [], b"")
 
@@ -362,7 +362,7 @@
         self._count("ended_timeout")
         self._log.note(
             "request_timed_out",
-            request=request.asked.request_id,
+            request=request.info.request_id,
             route=request.route.name,
             endpoint=request.endpoint.id if request.endpoint else None,
             begun=request.history.begun,
@@ -375,10 +375,10 @@
             request.caller.answer(http.GATEWAY_TIMEOUT, [], b"")
 
     def _refuse(
-        self, caller: front.CallerRequest, asked: dialect_module.Asked
+        self, caller: front.CallerRequest, info: dialect_module.RequestInfo
     ) -> None:
         """Says that nothing ran, and when to come back."""
-        after_s = retryshare.return_after_s(asked.deadline_s, self._rng)
+        after_s = retryshare.return_after_s(info.deadline_s, self._rng)
         fields = [(b"retry-after", b"%.3f" % after_s)]
         caller.answer(http.SERVICE_UNAVAILABLE, fields, b"")
 
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaymessages.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaymessages.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from bulrushgrade import directory
-from bulrushgrade import partbook
+from bulrushgrade import prefixindex
 
 
 class Load(msgspec.Struct, array_like=True, tag="load"):
@@ -27,11 +27,11 @@
     kept: dict[str, list[tuple[str, int]]] = {}
 
 
-class Question(msgspec.Struct, array_like=True, tag="question"):
+class WaitQuery(msgspec.Struct, array_like=True, tag="wait_query"):
     """Asks how long a prompt would wait at engines.
 
     Attributes:
-        peer: Who asks.
+        peer: Who queries.
         number: Its own number of the question.
         engines: The engines' ids.
     """
@@ -41,7 +41,7 @@
     engines: list[str]
 
 
-class Reply(msgspec.Struct, array_like=True, tag="reply"):
+class WaitReply(msgspec.Struct, array_like=True, tag="wait_reply"):
     """Answers a question.
 
     Attributes:
@@ -85,11 +85,11 @@
     engine: str
 
 
-class PartQuestion(msgspec.Struct, array_like=True, tag="part_question"):
+class HolderQuery(msgspec.Struct, array_like=True, tag="holder_query"):
     """Asks which engines were lately sent a shared part.
 
     Attributes:
-        peer: Who asks.
+        peer: Who queries.
         number: Its own number of the question.
         part: The part's id.
     """
@@ -99,7 +99,7 @@
     part: str
 
 
-class PartNews(msgspec.Struct, array_like=True, tag="part_news"):
+class HolderUpdate(msgspec.Struct, array_like=True, tag="holder_update"):
     """Says that an engine was sent parts, has read them, or did not.
 
     Attributes:
@@ -109,11 +109,11 @@
     """
 
     engine: str
-    state: partbook.PartState
+    state: prefixindex.HolderState
     parts: list[tuple[str, int]]
 
 
-class PartReply(msgspec.Struct, array_like=True, tag="part_reply"):
+class HolderReply(msgspec.Struct, array_like=True, tag="holder_reply"):
     """Answers a question about a part.
 
     Attributes:
@@ -124,10 +124,10 @@
 
     peer: str
     number: int
-    holders: list[PartNews]
+    holders: list[HolderUpdate]
 
 
-class StageNews(msgspec.Struct, array_like=True, tag="stage_news"):
+class RoleChangeNotice(msgspec.Struct, array_like=True, tag="role_change"):
     """Says that an engine was ordered to change its role.
 
     Attributes:
@@ -143,14 +143,14 @@
 
 Message = (
     Load
-    | Question
-    | Reply
+    | WaitQuery
+    | WaitReply
     | Begun
     | Ended
-    | PartQuestion
-    | PartReply
-    | PartNews
-    | StageNews
+    | HolderQuery
+    | HolderReply
+    | HolderUpdate
+    | RoleChangeNotice
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaypages.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaypages.py
@@ -77,8 +77,8 @@
         ),
         (
             "peer_questions_total",
-            "Rounds of questions to peers, and those without all replies.",
-            lambda: services.books.counts,
+            "Rounds of queries to peers, and those without all replies.",
+            lambda: services.index.counts,
         ),
         (
             "endpoint_reads_total",
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
@@ -19,7 +19,6 @@
 from bulrushgrade_daemon import clock
 from bulrushgrade_daemon import decisionlog
 from bulrushgrade_daemon import endpointcalls
-from bulrushgrade_daemon import enginebooks
 from bulrushgrade_daemon import follower
 from bulrushgrade_daemon import forwarder
 from bulrushgrade_daemon import front
@@ -27,6 +26,7 @@
 from bulrushgrade_daemon import gatewaysettings
 from bulrushgrade_daemon import loadgossip
 from bulrushgrade_daemon import metrics
+from bulrushgrade_daemon import placementindex
 from bulrushgrade_daemon import stagecontrol
 from bulrushgrade_daemon import storeview
 
@@ -73,7 +73,7 @@
         log: Takes the lines of decisions.
         rng: Source of random choices.
         settings: Returns the settings in force.
-        stopping: Returns whether the gateway has been told to stop.
+        stopping: Returns whether the gateway is stopping.
     """
 
     reactor: Any
@@ -114,7 +114,7 @@
             self._follow_configuration,
             self._follow_endpoints,
             self._gossip,
-            self._books,
+            self._index,
             self._stage_control,
             self._follow_peers,
             self._cache_watch,
@@ -164,9 +164,9 @@
         return self._cache_watch
 
     @property
-    def books(self) -> enginebooks.EngineBooks:
+    def index(self) -> placementindex.PlacementIndex:
         """Asks peers where long prompts are best read."""
-        return self._books
+        return self._index
 
     @property
     def stage_control(self) -> stagecontrol.StageControl:
@@ -202,10 +202,10 @@
 
     def _make_chooser(self) -> None:
         context = self._context
-        self._books = enginebooks.EngineBooks(
+        self._index = placementindex.PlacementIndex(
             timers=self._timers,
             own_name=self._own_name,
-            find_keepers=lambda key: self._gossip.find_keepers(key),
+            find_owners=lambda key: self._gossip.find_owners(key),
             send=lambda peer, message: self._gossip.send(peer, message),
         )
         self._chooser = choosing.Chooser(
@@ -214,7 +214,7 @@
             table=lambda: self._view.table,
             endpoints=self._view.endpoints,
             others=self._peer_queues,
-            books=self._books,
+            index=self._index,
             log=context.log,
             rng=context.rng,
         )
@@ -264,12 +264,12 @@
             membership=context.adapter.membership,
             queues=self._peer_queues,
             read_own=self._chooser.queued_s,
-            take_changes=sharing.take_told,
+            take_changes=sharing.take_advertised,
             take_other=self._take_message,
             log=context.log,
             on_broken=context.kernel.fail,
         )
-        sharing.tell_by(self._gossip)
+        sharing.advertise_by(self._gossip)
         self._cache_watch = cachewatch.CacheWatch(
             timers=self._timers,
             engines=sharing.followed_engines,
@@ -303,24 +303,24 @@
         )
 
     def _take_message(self, message: gatewaymessages.Message) -> None:
-        if isinstance(message, gatewaymessages.StageNews):
+        if isinstance(message, gatewaymessages.RoleChangeNotice):
             change_s = message.change_ms / 1000
             self._chooser.note_stage_change(
                 message.engine, message.stage, change_s
             )
         else:
-            self._books.receive(message)
+            self._index.receive(message)
 
     def _announce_stage(
         self, change: stageplan.StageChange, change_s: float
     ) -> None:
-        news = gatewaymessages.StageNews(
+        notice = gatewaymessages.RoleChangeNotice(
             engine=change.engine.id,
             stage=change.stage,
             change_ms=round(change_s * 1000),
         )
-        self._take_message(news)
-        self._gossip.tell_all(news)
+        self._take_message(notice)
+        self._gossip.broadcast(notice)
 
     def _leads(self) -> bool:
         """Returns whether this host is the first of those it hears."""
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/inflight.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/inflight.py
@@ -21,7 +21,7 @@
 
     Attributes:
         caller: The request as it came, and the way to answer it.
-        asked: What its headers say.
+        info: What its headers say.
         route: Where it goes.
         service: The service that was picked for it.
         deadline: When it has to be answered.
@@ -32,11 +32,12 @@
         endpoint: Who had it last, or None.
         expired: Whether its deadline has passed.
         plan: Which engines have it, or None for a plain service.
-        waits_s: How long it would wait at engines, as their books say now.
+        waits_s: How long it would wait at engines, from the owners of their
+            queues.
     """
 
     caller: front.CallerRequest
-    asked: dialect.Asked
+    info: dialect.RequestInfo
     route: routing.Route
     service: str
     deadline: float
@@ -66,7 +67,7 @@
             "read_tokens": self.plan.read_tokens,
             "wait_s": round(self.plan.wait_s, 3),
             "first_event_s": round(self.plan.first_s, 3),
-            "stretch": round(self.plan.stretch, 2),
+            "slowdown": round(self.plan.slowdown, 2),
             "wait_known": reader.id in self.waits_s,
         }
 
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadgossip.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadgossip.py
@@ -1,4 +1,4 @@
-"""Tells peers what this daemon has waiting at engines, and hears them.
+"""Advertises what this daemon has waiting at engines, and hears peers.
 
 Datagrams fit better than connections here: each message replaces the one
 before, so that a lost one needs no repeat, and there is no connection that
@@ -39,7 +39,7 @@
 """Of caches in a message, so that a datagram stays within what a link carries
 in one piece. The others come with the next messages."""
 
-TIMES_TOLD = 2
+ADVERTISED_TIMES = 2
 """Messages that a change of a cache is in. One that never arrives has prompts
 sent for a part that is gone for as long as nobody else has it read again; a
 bad link that loses one in ten datagrams loses both of two once in a hundred."""
@@ -47,19 +47,19 @@
 SILENT_PERIODS = 3.5
 """Messages without which a peer counts as gone. Bad links lose some; were one
 enough, hosts would disagree all the time on who is there and so on whom to
-ask."""
+query."""
 
 LEAST_SILENT_S = 1.5
 """In a small fleet: longer than a host that is busy or paused for a moment
 stays silent."""
 
-KEEPERS = 2
-"""Hosts that keep the same book. With one, each host that did not hear it, in
-a fleet of 89 with bad links a quarter of them, had a book of its own, and
-prompts queued for a second behind others that were in another book."""
+OWNERS = 2
+"""Hosts that own the same key. With one, each host that did not hear it, in a
+fleet of 89 with bad links a quarter of them, had a queue of its own, and
+prompts waited for a second behind others that were in another queue."""
 
-TELL_AGAIN_S = 0.1
-"""After which news for all is sent a second time, as datagrams get lost; a
+REPEAT_BROADCAST_S = 0.1
+"""After which a broadcast is sent a second time, as datagrams get lost; a
 small part of the seconds that a change of role takes."""
 
 ANNOUNCE_RETRY_S = 1.0
@@ -118,7 +118,7 @@
                 each start.
             listen: The address for datagrams.
             membership: Where daemons find each other.
-            queues: Takes what peers tell.
+            queues: Takes what peers advertise.
             read_own: Returns seconds of reading by engine.
             take_changes: Takes what a peer saw of an engine's cache.
             take_other: Takes the messages that are not about the load.
@@ -135,7 +135,7 @@
         self._read_own = read_own
         self._take_changes = take_changes
         self._take_other = take_other
-        self._untold: dict[tuple[str, str], _Untold] = {}
+        self._pending: dict[tuple[str, str], _PendingChange] = {}
         self._log = log
         self._on_broken = on_broken
         self._peers: dict[str, tuple[str, int]] = {}
@@ -158,7 +158,7 @@
         return {"rounds": self._number, "unreadable": self._unreadable}
 
     async def start(self) -> None:
-        """Listens, announces this host and begins to tell."""
+        """Listens, announces this host and begins to advertise."""
         self._port = self._reactor.listenUDP(
             self._listen.port, self, interface=self._listen.host
         )
@@ -168,7 +168,7 @@
         self._schedule()
 
     async def stop(self) -> None:
-        """Tells nobody any more."""
+        """Sends nothing any more."""
         if self._announcing is not None:
             self._announcing.cancel()
         if self._tick is not None:
@@ -180,7 +180,7 @@
         """Takes no messages."""
 
     def dump(self) -> dict[str, Any]:
-        """Returns who is told."""
+        """Returns who is sent to."""
         return {"peers": sorted(self._peers), **self.counts}
 
     def take_records(self, records: tuple[follower.KeyedRecord, ...]) -> None:
@@ -221,13 +221,13 @@
         self.transport.write(gatewaymessages.serialize(message), address)
         return True
 
-    def tell_all(self, message: gatewaymessages.Message) -> None:
+    def broadcast(self, message: gatewaymessages.Message) -> None:
         """Sends a message to all known peers, and once more a moment later.
 
         A peer that misses both goes by what it reads itself, later.
         """
         self._send_all(message)
-        self._timers.after(TELL_AGAIN_S, lambda: self._send_all(message))
+        self._timers.after(REPEAT_BROADCAST_S, lambda: self._send_all(message))
 
     def _send_all(self, message: gatewaymessages.Message) -> None:
         # The second time may come after the stop.
@@ -237,17 +237,17 @@
         for address in self._peers.values():
             self.transport.write(datagram, address)
 
-    def _take_untold(self) -> dict[str, list[tuple[str, int]]]:
+    def _take_pending(self) -> dict[str, list[tuple[str, int]]]:
         """Returns the changes for a message, the oldest first."""
         kept: dict[str, list[tuple[str, int]]] = {}
-        for key, untold in list(self._untold.items())[:MOST_CHANGES]:
+        for key, change in list(self._pending.items())[:MOST_CHANGES]:
             engine, part = key
-            kept.setdefault(engine, []).append((part, untold.tokens))
-            untold.times_left -= 1
-            # Behind all that was not told yet.
-            del self._untold[key]
-            if untold.times_left:
-                self._untold[key] = untold
+            kept.setdefault(engine, []).append((part, change.tokens))
+            change.times_left -= 1
+            # Behind all that was not sent yet.
+            del self._pending[key]
+            if change.times_left:
+                self._pending[key] = change
         return kept
 
     def _take_load(self, message: gatewaymessages.Load) -> None:
@@ -258,7 +258,7 @@
             self._names[host] = message.peer
             self._queues.drop(before or "")
         queued_s = {e: ms / 1000 for e, ms in message.queued_ms.items()}
-        self._queues.tell(
+        self._queues.update(
             message.peer, message.number, queued_s, self._timers.now
         )
         for engine, kept in message.kept.items():
@@ -268,22 +268,24 @@
             )
             self._take_changes(engine, changes)
 
-    def tell_changes(
+    def advertise_changes(
         self, engine: str, changes: tuple[engineload.CacheChange, ...]
     ) -> None:
-        """Has peers told what changed in an engine's cache."""
+        """Has what changed in an engine's cache sent to peers."""
         if not self._peers:
             return
         for change in changes:
-            # What was to be told of the part before is no longer so.
-            self._untold.pop((engine, change.part), None)
-            self._untold[engine, change.part] = _Untold(tokens=change.tokens)
+            # What was to be sent of the part before is no longer so.
+            self._pending.pop((engine, change.part), None)
+            self._pending[engine, change.part] = _PendingChange(
+                tokens=change.tokens
+            )
 
     def pick_followed(self, engines: Iterable[str]) -> set[str]:
         """Returns the engines whose caches this daemon is the one to follow.
 
         Of those that hear each other the one that rendezvous hashing picks,
-        so that each engine is asked by one daemon however many there are.
+        so that each engine is read by one daemon however many there are.
         """
         names = self._names_there()
         return {
@@ -296,14 +298,14 @@
         """Returns the peers that are there, sorted by their names."""
         return self._queues.heard(self._timers.now, silent_s=self._silent_s())
 
-    def find_keepers(self, key: str) -> list[str]:
-        """Returns who keeps the book of an engine or a part.
+    def find_owners(self, key: str) -> list[str]:
+        """Returns the hash owners of an engine's queue or a part.
 
         All hosts that hear the same peers find the same ones. The first is
-        asked; a host that does not hear it asks the next, which others tell
-        the same.
+        queried; a host that does not hear it queries the next, which others
+        report the same to.
         """
-        return heapq.nlargest(KEEPERS, self._names_there(), key=_rate(key))
+        return heapq.nlargest(OWNERS, self._names_there(), key=_rate(key))
 
     def _names_there(self) -> list[str]:
         return [self._own_name, *self.heard()]
@@ -319,7 +321,7 @@
             await self._timers.sleep(ANNOUNCE_RETRY_S)
 
     def _schedule(self) -> None:
-        self._tick = self._timers.after(self._period_s(), self._tell_peers)
+        self._tick = self._timers.after(self._period_s(), self._advertise)
 
     def _period_s(self) -> float:
         return max(PERIOD_S, len(self._peers) / MESSAGES_PER_S)
@@ -327,7 +329,7 @@
     def _silent_s(self) -> float:
         return max(LEAST_SILENT_S, SILENT_PERIODS * self._period_s())
 
-    def _tell_peers(self) -> None:
+    def _advertise(self) -> None:
         self._number += 1
         queued_ms = {
             engine: round(seconds * 1000)
@@ -338,7 +340,7 @@
                 peer=self._own_name,
                 number=self._number,
                 queued_ms=queued_ms,
-                kept=self._take_untold(),
+                kept=self._take_pending(),
             )
         )
         for address in self._peers.values():
@@ -348,9 +350,9 @@
 
 
 @attrs.define(kw_only=True)
-class _Untold:
+class _PendingChange:
     tokens: int
-    times_left: int = TIMES_TOLD
+    times_left: int = ADVERTISED_TIMES
 
 
 def _host_of(peer: str) -> str:
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/peerquestions.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/peerqueries.py
@@ -12,11 +12,11 @@
 REPLY_LIMIT_S = 0.03
 """How long replies are waited for. Within a region they take 1 to 5 ms; a
 daemon that is slower, or gone, is not worth more than a tenth of the reading
-of a usual long prompt, and what peers tell now and then is used instead."""
+of a usual long prompt, and the periodic messages of peers are used instead."""
 
-Question = gatewaymessages.Question | gatewaymessages.PartQuestion
-Reply = gatewaymessages.Reply | gatewaymessages.PartReply
-MakeQuestion = Callable[[int], Question]
+Question = gatewaymessages.WaitQuery | gatewaymessages.HolderQuery
+Reply = gatewaymessages.WaitReply | gatewaymessages.HolderReply
+MakeQuery = Callable[[int], Question]
 """Returns a question with its number."""
 
 
@@ -40,7 +40,7 @@
             self.done.callback(None)
 
 
-class PeerQuestions:
+class PeerQueries:
     """Asks peers and waits for what they reply."""
 
     def __init__(
@@ -49,7 +49,7 @@
         timers: Any,
         send: Callable[[str, gatewaymessages.Message], bool],
     ):
-        """Makes a state without questions.
+        """Makes a state without queries.
 
         Args:
             timers: The timer service.
@@ -60,34 +60,34 @@
         self._send = send
         self._open: dict[int, _Open] = {}
         self._numbers = itertools.count(1)
-        self._counts = {"questions": 0, "late_replies": 0}
+        self._counts = {"queries": 0, "late_replies": 0}
 
     @property
     def counts(self) -> dict[str, int]:
-        """Rounds of questions, and those without all replies in time."""
+        """Rounds of queries, and those without all replies in time."""
         return dict(self._counts)
 
-    async def ask(self, questions: Mapping[str, MakeQuestion]) -> list[Reply]:
+    async def query(self, queries: Mapping[str, MakeQuery]) -> list[Reply]:
         """Returns the replies that came within the limit.
 
         Args:
-            questions: One a peer.
+            queries: One a peer.
         """
         number = next(self._numbers)
-        asked = self._open[number] = _Open()
+        opened = self._open[number] = _Open()
         limit = None
         try:
-            asked.missing = set(questions)
-            for peer, make in questions.items():
+            opened.missing = set(queries)
+            for peer, make in queries.items():
                 if not self._send(peer, make(number)):
-                    asked.missing.discard(peer)
-            if asked.missing:
-                self._counts["questions"] += 1
+                    opened.missing.discard(peer)
+            if opened.missing:
+                self._counts["queries"] += 1
                 limit = self._timers.after(
-                    REPLY_LIMIT_S, lambda: self._give_up(asked)
+                    REPLY_LIMIT_S, lambda: self._give_up(opened)
                 )
-                await asked.done
-            return asked.replies
+                await opened.done
+            return opened.replies
         finally:
             if limit is not None:
                 limit.cancel()
@@ -95,10 +95,10 @@
 
     def take(self, reply: Reply) -> None:
         """Takes a reply; one that comes too late says nothing any more."""
-        asked = self._open.get(reply.number)
-        if asked is not None:
-            asked.take(reply)
+        opened = self._open.get(reply.number)
+        if opened is not None:
+            opened.take(reply)
 
-    def _give_up(self, asked: _Open) -> None:
+    def _give_up(self, opened: _Open) -> None:
         self._counts["late_replies"] += 1
-        asked.finish()
+        opened.finish()
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/enginebooks.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/placementindex.py
@@ -1,9 +1,9 @@
-"""Asks peers where a long prompt is best read, and tells them of it.
+"""Queries peers for where a long prompt is best read, and reports it there.
 
-The book of each engine, and that of each shared part, is kept by two daemons,
-the same in the eyes of all that hear the same peers. A question costs a few
-milliseconds; a prompt that is sent behind others, or a part that is read
-again, costs hundreds.
+The queue of each engine, and the holders of each shared part, are known to
+the daemons that own them by hashing, the same in the eyes of all that hear
+the same peers. A query costs a few milliseconds; a prompt that is sent behind
+others, or a part that is read again, costs hundreds.
 """
 
 from collections.abc import Callable
@@ -12,20 +12,20 @@
 import itertools
 from typing import Any
 
-from bulrushgrade import enginebook
-from bulrushgrade import partbook
+from bulrushgrade import enginequeue
+from bulrushgrade import prefixindex
 from bulrushgrade import prompt as prompt_module
 from bulrushgrade_daemon import gatewaymessages
-from bulrushgrade_daemon import peerquestions
+from bulrushgrade_daemon import peerqueries
 
 FORGET_S = 1.0
 """Between two searches for entries that nobody ended."""
 
 
-class EngineBooks:
-    """The books that this daemon keeps, and the way to those of others."""
+class PlacementIndex:
+    """Queues and parts that this daemon owns, and the way to other owners."""
 
-    name = "enginebooks"
+    name = "placementindex"
     requires = ("timer",)
 
     def __init__(
@@ -33,7 +33,7 @@
         *,
         timers: Any,
         own_name: str,
-        find_keepers: Callable[[str], list[str]],
+        find_owners: Callable[[str], list[str]],
         send: Callable[[str, gatewaymessages.Message], bool],
     ):
         """Makes the service.
@@ -41,25 +41,25 @@
         Args:
             timers: The timer service.
             own_name: This daemon's name among its peers.
-            find_keepers: Returns who keeps the book of an engine or a part,
-                whom to ask first.
+            find_owners: Returns the owners of an engine's queue or a part,
+                whom to query first.
             send: Sends a message to a peer; returns whether it is known
                 where that is.
         """
         self._timers = timers
         self._own_name = own_name
-        self._find_keepers = find_keepers
+        self._find_owners = find_owners
         self._send = send
-        self._questions = peerquestions.PeerQuestions(timers=timers, send=send)
-        self._queues = enginebook.EngineBook()
-        self._parts = partbook.PartBook()
+        self._queries = peerqueries.PeerQueries(timers=timers, send=send)
+        self._queues = enginequeue.EngineQueues()
+        self._parts = prefixindex.PrefixIndex()
         self._numbers = itertools.count(1)
         self._tick: Any = None
 
     @property
     def counts(self) -> dict[str, int]:
         """Questions to peers, and those without all replies in time."""
-        return self._questions.counts
+        return self._queries.counts
 
     async def start(self) -> None:
         """Begins to drop what nobody ended."""
@@ -71,48 +71,48 @@
             self._tick.cancel()
 
     def receive(self, message: Any) -> None:
-        """Takes what peers ask and tell about engines and parts."""
+        """Takes peers' queries, replies and reports on engines and parts."""
         now = self._timers.now
         match message:
-            case gatewaymessages.Question(peer, number, engines):
+            case gatewaymessages.WaitQuery(peer, number, engines):
                 self._send(peer, self._reply(number, engines))
-            case gatewaymessages.PartQuestion(peer, number, part):
+            case gatewaymessages.HolderQuery(peer, number, part):
                 self._send(peer, self._reply_part(number, part))
-            case gatewaymessages.Reply() | gatewaymessages.PartReply():
-                self._questions.take(message)
+            case gatewaymessages.WaitReply() | gatewaymessages.HolderReply():
+                self._queries.take(message)
             case gatewaymessages.Begun(peer, number, engine, reading_ms):
                 self._queues.begin(engine, peer, number, reading_ms / 1000, now)
             case gatewaymessages.Ended(peer, number, engine):
                 self._queues.end(engine, peer, number, now)
-            case gatewaymessages.PartNews(parts=parts) if parts:
+            case gatewaymessages.HolderUpdate(parts=parts) if parts:
                 self._parts.note(_read_holder(message), now)
 
     def dump(self) -> dict[str, Any]:
-        """Returns how much is in the books."""
+        """Returns how much this daemon owns."""
         return {
             "readings": len(self._queues),
             "parts": len(self._parts),
             **self.counts,
         }
 
-    async def ask_waits(self, engines: Iterable[str]) -> dict[str, float]:
+    async def query_waits(self, engines: Iterable[str]) -> dict[str, float]:
         """Returns how long a prompt would wait, by engine.
 
-        Engines whose keeper did not reply in time are left out.
+        Engines whose owner did not reply in time are left out.
 
         Args:
             engines: The engines' ids.
         """
-        asked: dict[str, list[str]] = {}
+        queried: dict[str, list[str]] = {}
         for engine in engines:
-            asked.setdefault(self._find_keepers(engine)[0], []).append(engine)
-        own = asked.pop(self._own_name, [])
-        replies = await self._questions.ask(
+            queried.setdefault(self._find_owners(engine)[0], []).append(engine)
+        own = queried.pop(self._own_name, [])
+        replies = await self._queries.query(
             {
-                keeper: functools.partial(
-                    gatewaymessages.Question, self._own_name, engines=its
+                owner: functools.partial(
+                    gatewaymessages.WaitQuery, self._own_name, engines=its
                 )
-                for keeper, its in asked.items()
+                for owner, its in queried.items()
             }
         )
         waits_ms = self._reply(0, own).waits_ms
@@ -120,21 +120,21 @@
             waits_ms |= reply.waits_ms
         return {engine: ms / 1000 for engine, ms in waits_ms.items()}
 
-    async def ask_part(self, part: str) -> list[partbook.PartHolder]:
+    async def query_holders(self, part: str) -> list[prefixindex.PrefixHolder]:
         """Returns the engines that were lately sent a shared part.
 
-        None are known where its keeper did not reply in time.
+        None are known where its owner did not reply in time.
 
         Args:
             part: The part's id.
         """
-        keeper = self._find_keepers(part)[0]
-        if keeper == self._own_name:
+        owner = self._find_owners(part)[0]
+        if owner == self._own_name:
             return self._parts.find(part, self._timers.now)
         question = functools.partial(
-            gatewaymessages.PartQuestion, self._own_name, part=part
+            gatewaymessages.HolderQuery, self._own_name, part=part
         )
-        replies = await self._questions.ask({keeper: question})
+        replies = await self._queries.query({owner: question})
         return [
             _read_holder(holder)
             for reply in replies
@@ -148,7 +148,7 @@
         seconds: float,
         parts: tuple[prompt_module.PromptPart, ...] = (),
     ) -> Callable[[bool], None]:
-        """Tells that a prompt is sent; returns what tells of its end.
+        """Reports that a prompt is sent; returns what reports its end.
 
         The returned function takes whether it was read. Only its first call
         counts.
@@ -158,58 +158,60 @@
             seconds: How long reading it should take by itself.
             parts: Shared parts that the engine will then have.
         """
-        keepers, number = self._find_keepers(engine), next(self._numbers)
+        owners, number = self._find_owners(engine), next(self._numbers)
         begun = gatewaymessages.Begun(
             peer=self._own_name,
             number=number,
             engine=engine,
             reading_ms=round(seconds * 1000),
         )
-        self._tell(keepers, begun)
-        self._tell_parts(engine, partbook.PartState.COMING, parts)
-        is_told = False
+        self._report(owners, begun)
+        self._report_parts(engine, prefixindex.HolderState.COMING, parts)
+        is_reported = False
 
         def end(was_read: bool) -> None:
-            nonlocal is_told
-            if is_told:
+            nonlocal is_reported
+            if is_reported:
                 return
-            is_told = True
+            is_reported = True
             ended = gatewaymessages.Ended(
                 peer=self._own_name, number=number, engine=engine
             )
-            self._tell(keepers, ended)
-            state = partbook.PartState.GONE
+            self._report(owners, ended)
+            state = prefixindex.HolderState.GONE
             if was_read:
-                state = partbook.PartState.KEPT
-            self._tell_parts(engine, state, parts)
+                state = prefixindex.HolderState.KEPT
+            self._report_parts(engine, state, parts)
 
         return end
 
-    def _tell_parts(
+    def _report_parts(
         self,
         engine: str,
-        state: partbook.PartState,
+        state: prefixindex.HolderState,
         parts: tuple[prompt_module.PromptPart, ...],
     ) -> None:
         if parts:
-            holder = partbook.PartHolder(
+            holder = prefixindex.PrefixHolder(
                 engine=engine, state=state, parts=parts
             )
-            keepers = self._find_keepers(parts[0].id)
-            self._tell(keepers, _make_news(holder))
+            owners = self._find_owners(parts[0].id)
+            self._report(owners, _make_update(holder))
 
-    def _tell(
-        self, keepers: list[str], message: gatewaymessages.Message
+    def _report(
+        self, owners: list[str], message: gatewaymessages.Message
     ) -> None:
-        for keeper in keepers:
-            if keeper == self._own_name:
+        for owner in owners:
+            if owner == self._own_name:
                 self.receive(message)
             else:
-                self._send(keeper, message)
+                self._send(owner, message)
 
-    def _reply(self, number: int, engines: list[str]) -> gatewaymessages.Reply:
+    def _reply(
+        self, number: int, engines: list[str]
+    ) -> gatewaymessages.WaitReply:
         now = self._timers.now
-        return gatewaymessages.Reply(
+        return gatewaymessages.WaitReply(
             peer=self._own_name,
             number=number,
             waits_ms={
@@ -218,12 +220,14 @@
             },
         )
 
-    def _reply_part(self, number: int, part: str) -> gatewaymessages.PartReply:
+    def _reply_part(
+        self, number: int, part: str
+    ) -> gatewaymessages.HolderReply:
         holders = self._parts.find(part, self._timers.now)
-        return gatewaymessages.PartReply(
+        return gatewaymessages.HolderReply(
             peer=self._own_name,
             number=number,
-            holders=[_make_news(holder) for holder in holders],
+            holders=[_make_update(holder) for holder in holders],
         )
 
     def _forget(self) -> None:
@@ -231,20 +235,24 @@
         self._parts.forget(self._timers.now)
 
 
-def _make_news(holder: partbook.PartHolder) -> gatewaymessages.PartNews:
-    return gatewaymessages.PartNews(
+def _make_update(
+    holder: prefixindex.PrefixHolder,
+) -> gatewaymessages.HolderUpdate:
+    return gatewaymessages.HolderUpdate(
         engine=holder.engine,
         state=holder.state,
         parts=[(part.id, part.tokens) for part in holder.parts],
     )
 
 
-def _read_holder(news: gatewaymessages.PartNews) -> partbook.PartHolder:
-    return partbook.PartHolder(
-        engine=news.engine,
-        state=news.state,
+def _read_holder(
+    update: gatewaymessages.HolderUpdate,
+) -> prefixindex.PrefixHolder:
+    return prefixindex.PrefixHolder(
+        engine=update.engine,
+        state=update.state,
         parts=tuple(
             prompt_module.PromptPart(id=part, tokens=tokens)
-            for part, tokens in news.parts
+            for part, tokens in update.parts
         ),
     )
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/stagecontrol.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/stagecontrol.py
@@ -1,7 +1,7 @@
-"""Changes engines' roles when the queues ask for it.
+"""Changes engines' roles when the queues call for it.
 
 One host at a time does so: the first by name of those that hear each other
-looks at the queues, and the topic of orders decides whose turn it is.
+watches the queues, and the topic of orders decides whose turn it is.
 """
 
 from collections.abc import Awaitable
@@ -23,8 +23,8 @@
 TAKEN = "taken"
 UNANSWERED = "no answer"
 
-LOOK_S = 0.25
-"""Between two looks at the queues."""
+CHECK_PERIOD_S = 0.25
+"""Between two checks of the queues."""
 
 
 @attrs.frozen(kw_only=True)
@@ -63,7 +63,7 @@
 
 @attrs.frozen(kw_only=True)
 class EngineReport:
-    """What an engine says of itself when it is asked.
+    """What an engine says of itself.
 
     Attributes:
         stage: Its role.
@@ -133,7 +133,7 @@
 
 
 class StageControl:
-    """Looks at the queues and orders changes."""
+    """Watches the queues and orders changes."""
 
     name = "stagecontrol"
     requires = ("timer",)
@@ -160,7 +160,7 @@
             turn: What is known of the topic of orders.
             topic: The topic of orders.
             control: Asks engines and orders them about.
-            leads: Returns whether this host is the one to look.
+            leads: Returns whether this host is the one to decide.
             views: Returns what is known of the engines by service.
             announce: Tells all hosts of a change and the seconds that it
                 takes.
@@ -188,11 +188,11 @@
         return {"orders": self._orders}
 
     async def start(self) -> None:
-        """Begins to look."""
-        self._tick = self._timers.every(LOOK_S, self._look)
+        """Begins to watch."""
+        self._tick = self._timers.every(CHECK_PERIOD_S, self._check)
 
     async def stop(self) -> None:
-        """Looks no more."""
+        """Watches no more."""
         if self._tick is not None:
             self._tick.cancel()
 
@@ -204,7 +204,7 @@
         waits = {name: plan.wait_s for name, plan in self._plans.items()}
         return {"waits_s": waits, "end": self._turn.end, **self.counts}
 
-    def _look(self) -> None:
+    def _check(self) -> None:
         for view in self._views():
             plan = self._plans.setdefault(view.service, stageplan.StagePlan())
             change = plan.propose(
@@ -255,10 +255,10 @@
         self._take_records(*read.unwrap())
         if not self._turn.may_append(self._timers.now):
             return "another host's turn"
-        asked = await self._control.report(change.engine)
-        if isinstance(asked, Failure):
-            return f"no report: {asked.failure().reason}"
-        report = asked.unwrap()
+        reported = await self._control.report(change.engine)
+        if isinstance(reported, Failure):
+            return f"no report: {reported.failure().reason}"
+        report = reported.unwrap()
         if report.busy or report.stage is change.stage:
             return "busy or changed already"
         return await self._append_and_send(change, report)
--- a/packages/bulrushgrade_daemon/tests/test_cachesharing.py
+++ b/packages/bulrushgrade_daemon/tests/test_cachesharing.py
@@ -27,7 +27,7 @@
 
     told: list = attrs.field(factory=list)
 
-    def tell_changes(self, engine, changes):
+    def advertise_changes(self, engine, changes):
         self.told += [(c.part, c.tokens) for c in changes]
 
     def pick_followed(self, engines):
@@ -39,7 +39,7 @@
     endpoints.put(ENGINE, now=0.0)
     chooser, gossip = Chooser(), Gossip()
     sharing = cachesharing.CacheSharing(endpoints=endpoints, chooser=chooser)
-    sharing.tell_by(gossip)
+    sharing.advertise_by(gossip)
     return sharing, chooser, gossip
 
 
--- a/packages/bulrushgrade_daemon/tests/test_gatewaymessages.py
+++ b/packages/bulrushgrade_daemon/tests/test_gatewaymessages.py
@@ -3,11 +3,11 @@
 import pytest
 
 from bulrushgrade import directory
-from bulrushgrade import partbook
+from bulrushgrade import prefixindex
 from bulrushgrade_daemon import gatewaymessages
 
-NEWS = gatewaymessages.PartNews(
-    engine="e", state=partbook.PartState.COMING, parts=[("p", 9)]
+NEWS = gatewaymessages.HolderUpdate(
+    engine="e", state=prefixindex.HolderState.COMING, parts=[("p", 9)]
 )
 
 
@@ -17,14 +17,14 @@
         gatewaymessages.Load(
             peer="h", number=1, queued_ms={"e": 2}, kept={"e": [("p", 3)]}
         ),
-        gatewaymessages.Question(peer="h", number=1, engines=["e"]),
-        gatewaymessages.Reply(peer="h", number=1, waits_ms={"e": 2}),
+        gatewaymessages.WaitQuery(peer="h", number=1, engines=["e"]),
+        gatewaymessages.WaitReply(peer="h", number=1, waits_ms={"e": 2}),
         gatewaymessages.Begun(peer="h", number=1, engine="e", reading_ms=2),
         gatewaymessages.Ended(peer="h", number=1, engine="e"),
-        gatewaymessages.PartQuestion(peer="h", number=1, part="p"),
-        gatewaymessages.PartReply(peer="h", number=1, holders=[NEWS]),
+        gatewaymessages.HolderQuery(peer="h", number=1, part="p"),
+        gatewaymessages.HolderReply(peer="h", number=1, holders=[NEWS]),
         NEWS,
-        gatewaymessages.StageNews(
+        gatewaymessages.RoleChangeNotice(
             engine="e", stage=directory.Stage.PREFILL, change_ms=3000
         ),
     ],
--- a/packages/bulrushgrade_daemon/tests/test_loadgossip.py
+++ b/packages/bulrushgrade_daemon/tests/test_loadgossip.py
@@ -121,7 +121,7 @@
     # time it was read anew.
     reactor, _, net, (one, two, _) = make()
     change = engineload.CacheChange(part="p", tokens=0)
-    one.gossip.tell_changes("e1", (change,))
+    one.gossip.advertise_changes("e1", (change,))
     net.cut = True
     reactor.advance(0.1)
     net.cut = False
@@ -139,7 +139,7 @@
     changes = tuple(
         engineload.CacheChange(part=f"p{n}", tokens=0) for n in range(count)
     )
-    one.gossip.tell_changes("e1", changes)
+    one.gossip.advertise_changes("e1", changes)
     reactor.pump([0.1] * 3)
     told = {change.part for _, some in two.changes for change in some}
     assert told == {change.part for change in changes}
@@ -149,7 +149,7 @@
     reactor, _, _, (one, two, _) = make()
     for tokens in (5_000, 0):
         change = engineload.CacheChange(part="p", tokens=tokens)
-        one.gossip.tell_changes("e1", (change,))
+        one.gossip.advertise_changes("e1", (change,))
         reactor.advance(0.1)
     reactor.pump([0.1] * 5)
     told = [change.tokens for _, some in two.changes for change in some]
@@ -159,9 +159,9 @@
 def test_cache_changes_reach_the_others():
     reactor, _, _, (one, two, _) = make()
     change = engineload.CacheChange(part="a", tokens=5000)
-    one.gossip.tell_changes("e1", (change,))
+    one.gossip.advertise_changes("e1", (change,))
     reactor.pump([0.1] * 5)
-    assert two.changes == [("e1", (change,))] * loadgossip.TIMES_TOLD
+    assert two.changes == [("e1", (change,))] * loadgossip.ADVERTISED_TIMES
 
 
 def test_foreign_datagrams_and_records_are_counted():
@@ -188,7 +188,7 @@
     reactor.pump([0.1] * 25)
     one, two = hosts[0].gossip, hosts[1].gossip
     assert "h2/1" in one.heard()
-    assert one.find_keepers("e") == two.find_keepers("e")
+    assert one.find_owners("e") == two.find_owners("e")
     net.cut = True
     reactor.pump([0.1] * 20)
     net.cut = False
@@ -198,18 +198,18 @@
     assert one.heard() == []
 
 
-def test_news_that_is_due_after_the_stop_goes_nowhere():
+def test_a_broadcast_that_is_due_after_the_stop_goes_nowhere():
     # A host orders a change of role and is stopped in the tenth of a second
     # before it tells of it again. The socket is closed by then, and the stop
     # ended as a failure.
     _, _, _, (one, two, _) = make()
-    news = gatewaymessages.StageNews(
+    news = gatewaymessages.RoleChangeNotice(
         engine="e", stage=directory.Stage.PREFILL, change_ms=3000
     )
-    one.gossip.tell_all(news)
+    one.gossip.broadcast(news)
     assert two.others == [news]
     one.gossip.transport = None
-    one.gossip.tell_all(news)
+    one.gossip.broadcast(news)
     assert not one.gossip.send("h2/1", news)
     assert two.others == [news]
 
--- /dev/null
+++ b/packages/bulrushgrade_daemon/tests/test_peerqueries.py
@@ -0,0 +1,110 @@
+"""Tests of queries to peers."""
+
+import fakes
+from twisted.internet import defer
+
+from bulrushgrade_daemon import gatewaymessages
+from bulrushgrade_daemon import peerqueries
+
+
+class Peers:
+    """Some peers that reply on command."""
+
+    def __init__(self, *known):
+        self.reactor, self.timers, _ = fakes.make_timers()
+        self.known = known
+        self.numbers = {}
+        self.queries = peerqueries.PeerQueries(
+            timers=self.timers, send=self.send
+        )
+
+    def send(self, peer, message):
+        self.numbers[peer] = message.number
+        return peer in self.known
+
+    def query(self, *peers):
+        def make(number):
+            return gatewaymessages.WaitQuery(
+                peer="me", number=number, engines=[]
+            )
+
+        self.replies = []
+        pending = defer.ensureDeferred(
+            self.queries.query(dict.fromkeys(peers, make))
+        )
+        pending.addCallback(self.replies.extend)
+        return pending
+
+    def reply(self, peer, *, number=None):
+        self.queries.take(
+            gatewaymessages.WaitReply(
+                peer=peer, number=number or self.numbers[peer], waits_ms={}
+            )
+        )
+
+    def replied(self):
+        return [reply.peer for reply in self.replies]
+
+
+def test_all_replies_end_the_wait():
+    peers = Peers("h1", "h2")
+    pending = peers.query("h1", "h2")
+    peers.reply("h2")
+    assert not pending.called
+    peers.reply("h1")
+    assert pending.called
+    assert peers.replied() == ["h2", "h1"]
+    peers.reactor.advance(1.0)
+    assert peers.queries.counts == {"queries": 1, "late_replies": 0}
+
+
+def test_a_peer_that_does_not_reply_holds_nobody_up():
+    # A host is cut off or paused. Each long prompt whose engines it owns would
+    # wait for its reply; it waits for the limit, and goes on with the others'.
+    peers = Peers("h1", "h2")
+    pending = peers.query("h1", "h2")
+    peers.reply("h1")
+    peers.reactor.advance(peerqueries.REPLY_LIMIT_S / 2)
+    assert not pending.called
+    peers.reactor.advance(peerqueries.REPLY_LIMIT_S)
+    assert peers.replied() == ["h1"]
+    assert peers.queries.counts == {"queries": 1, "late_replies": 1}
+
+
+def test_peers_without_an_address_are_not_waited_for():
+    peers = Peers("h1")
+    assert peers.query("gone").called
+    pending = peers.query("gone", "h1")
+    assert not pending.called
+    peers.reply("h1")
+    assert peers.replied() == ["h1"]
+
+
+def test_nobody_to_query_is_no_query():
+    peers = Peers("h1")
+    assert peers.query().called
+    assert peers.queries.counts["queries"] == 0
+
+
+def test_a_reply_to_an_earlier_query_says_nothing():
+    # The reply to a query that was given up arrives while the next one is
+    # open. What it says is old.
+    peers = Peers("h1")
+    peers.query("h1")
+    first = peers.numbers["h1"]
+    peers.reactor.advance(1.0)
+    pending = peers.query("h1")
+    peers.reply("h1", number=first)
+    assert not pending.called
+    peers.reply("h1")
+    assert pending.called
+
+
+def test_a_caller_that_leaves_takes_its_query_along():
+    peers = Peers("h1")
+    pending = peers.query("h1")
+    pending.addErrback(lambda failure: failure.trap(defer.CancelledError))
+    pending.cancel()
+    peers.reply("h1")
+    peers.reactor.advance(1.0)
+    assert peers.queries.counts["late_replies"] == 0
--- a/packages/bulrushgrade_daemon/tests/test_enginebooks.py
+++ b/packages/bulrushgrade_daemon/tests/test_placementindex.py
@@ -1,12 +1,12 @@
-"""Tests of the books of engines and parts among daemons."""
+"""Tests of who owns queues and parts among daemons."""
 
 import fakes
 from twisted.internet import defer
 
-from bulrushgrade import partbook
+from bulrushgrade import prefixindex
 from bulrushgrade import prompt as prompt_module
-from bulrushgrade_daemon import enginebooks
 from bulrushgrade_daemon import gatewaymessages
+from bulrushgrade_daemon import placementindex
 
 PARTS = (prompt_module.PromptPart(id="p", tokens=9_000),)
 
@@ -14,15 +14,15 @@
 class Fleet:
     """Daemons whose messages arrive in the next turn, or not at all."""
 
-    def __init__(self, *names, keeper):
+    def __init__(self, *names, owner):
         self.reactor, self.timers, _ = fakes.make_timers()
         self.sent = []
-        self.keepers = [keeper]
-        self.books = {
-            name: enginebooks.EngineBooks(
+        self.owners = [owner]
+        self.indexes = {
+            name: placementindex.PlacementIndex(
                 timers=self.timers,
                 own_name=name,
-                find_keepers=lambda key: list(self.keepers),
+                find_owners=lambda key: list(self.owners),
                 send=self.send,
             )
             for name in names
@@ -35,8 +35,8 @@
         return True
 
     def deliver(self, peer, datagram):
-        if peer in self.books:
-            self.books[peer].receive(gatewaymessages.parse(datagram))
+        if peer in self.indexes:
+            self.indexes[peer].receive(gatewaymessages.parse(datagram))
 
     def settle(self):
         for _ in range(4):
@@ -49,16 +49,16 @@
         return found[0]
 
     def waits(self, name, *engines):
-        return self.result_of(self.books[name].ask_waits(engines))
+        return self.result_of(self.indexes[name].query_waits(engines))
 
     def holders(self, name):
-        found = self.result_of(self.books[name].ask_part("p"))
+        found = self.result_of(self.indexes[name].query_holders("p"))
         return [(holder.engine, holder.state.value) for holder in found]
 
 
 def test_what_one_daemon_sent_another_learns():
-    fleet = Fleet("h1", "h2", "h3", keeper="h3")
-    end = fleet.books["h1"].begin("e", 0.4)
+    fleet = Fleet("h1", "h2", "h3", owner="h3")
+    end = fleet.indexes["h1"].begin("e", 0.4)
     waits = fleet.waits("h2", "e", "f")
     assert abs(waits["e"] - 0.4) < 0.01
     assert waits["f"] == 0.0
@@ -66,19 +66,19 @@
     assert fleet.waits("h2", "e") == {"e": 0.0}
 
 
-def test_the_keeper_asks_nobody():
-    fleet = Fleet("h1", "h2", keeper="h1")
-    fleet.books["h1"].begin("e", 0.4, PARTS)
+def test_the_owner_queries_nobody():
+    fleet = Fleet("h1", "h2", owner="h1")
+    fleet.indexes["h1"].begin("e", 0.4, PARTS)
     assert fleet.waits("h1", "e") == {"e": 0.4}
     assert fleet.holders("h1") == [("e", "coming")]
     assert fleet.sent == []
 
 
-def test_a_keeper_that_is_gone_leaves_its_engines_out():
-    fleet = Fleet("h1", keeper="gone")
+def test_an_owner_that_is_gone_leaves_its_engines_out():
+    fleet = Fleet("h1", owner="gone")
     found = []
-    asked = defer.ensureDeferred(fleet.books["h1"].ask_waits(["e"]))
-    asked.addCallback(found.append)
+    pending = defer.ensureDeferred(fleet.indexes["h1"].query_waits(["e"]))
+    pending.addCallback(found.append)
     fleet.reactor.advance(1.0)
     assert found == [{}]
 
@@ -86,8 +86,8 @@
 def test_a_part_is_known_while_it_is_read():
     # The same long part comes to two daemons within the time of reading it.
     # Each had it read, as it only heard of the other's a second later.
-    fleet = Fleet("h1", "h2", "h3", keeper="h3")
-    end = fleet.books["h1"].begin("e", 0.4, PARTS)
+    fleet = Fleet("h1", "h2", "h3", owner="h3")
+    end = fleet.indexes["h1"].begin("e", 0.4, PARTS)
     assert fleet.holders("h2") == [("e", "coming")]
     end(True)
     end(False)
@@ -95,46 +95,46 @@
 
 
 def test_a_part_that_was_not_read_is_not_waited_for():
-    fleet = Fleet("h1", "h2", "h3", keeper="h3")
-    end = fleet.books["h1"].begin("e", 0.4, PARTS)
+    fleet = Fleet("h1", "h2", "h3", owner="h3")
+    end = fleet.indexes["h1"].begin("e", 0.4, PARTS)
     end(False)
     assert fleet.holders("h2") == []
 
 
-def test_a_host_that_does_not_hear_the_first_keeper_asks_the_next():
-    # A link is cut between two hosts, so that they do not agree on who keeps
-    # a book. Each had one of its own, with some of the prompts in it.
-    fleet = Fleet("h1", "h2", "h3", "h4", keeper="h3")
-    fleet.keepers = ["h3", "h4"]
-    end = fleet.books["h1"].begin("e", 0.4, PARTS)
+def test_a_host_that_does_not_hear_the_first_owner_queries_the_next():
+    # A link is cut between two hosts, so that they do not agree on who owns
+    # a queue. Each had a queue of its own, with some of the prompts in it.
+    fleet = Fleet("h1", "h2", "h3", "h4", owner="h3")
+    fleet.owners = ["h3", "h4"]
+    end = fleet.indexes["h1"].begin("e", 0.4, PARTS)
     fleet.settle()
-    fleet.keepers = ["h4"]
+    fleet.owners = ["h4"]
     assert fleet.waits("h2", "e")["e"] > 0.3
     assert fleet.holders("h2") == [("e", "coming")]
-    fleet.keepers = ["h3", "h4"]
+    fleet.owners = ["h3", "h4"]
     end(True)
     fleet.settle()
-    fleet.keepers = ["h4"]
+    fleet.owners = ["h4"]
     assert fleet.waits("h2", "e") == {"e": 0.0}
 
 
 def test_an_entry_that_nobody_ends_is_dropped():
-    fleet = Fleet("h1", "h2", keeper="h2")
-    keeper = fleet.books["h2"]
-    defer.ensureDeferred(keeper.start())
-    fleet.books["h1"].begin("e", 60.0, PARTS)
+    fleet = Fleet("h1", "h2", owner="h2")
+    owner = fleet.indexes["h2"]
+    defer.ensureDeferred(owner.start())
+    fleet.indexes["h1"].begin("e", 60.0, PARTS)
     fleet.settle()
-    assert keeper.dump()["readings"] == keeper.dump()["parts"] == 1
+    assert owner.dump()["readings"] == owner.dump()["parts"] == 1
     for _ in range(12):
         fleet.reactor.advance(1.0)
-    assert keeper.dump()["readings"] == keeper.dump()["parts"] == 0
-    defer.ensureDeferred(keeper.stop())
+    assert owner.dump()["readings"] == owner.dump()["parts"] == 0
+    defer.ensureDeferred(owner.stop())
 
 
-def test_news_without_parts_is_none():
-    fleet = Fleet("h1", keeper="h1")
-    news = gatewaymessages.PartNews(
-        engine="e", state=partbook.PartState.KEPT, parts=[]
+def test_an_update_without_parts_is_ignored():
+    fleet = Fleet("h1", owner="h1")
+    update = gatewaymessages.HolderUpdate(
+        engine="e", state=prefixindex.HolderState.KEPT, parts=[]
     )
-    fleet.books["h1"].receive(news)
-    assert fleet.books["h1"].dump()["parts"] == 0
+    fleet.indexes["h1"].receive(update)
+    assert fleet.indexes["h1"].dump()["parts"] == 0
