Keep the latency of a reading apart from its speed

Cause: an engine's speed was learned as tokens by the whole time to an answer. Ruled out: the fixed time occupying the engine (46 prompts in a second were read by one of them). Change: readtimes learns both apart, from readings that met no known wait; readqueue counts a prompt until it is read, not until its answer begins; enginecache is split off from engineload. The fixed times of a reading and a handover that two deployments gave are gone.

Roles still change at once: what waits binds no less while three engines generate.

--- a/packages/bulrushgrade/bulrushgrade/engineload.py
+++ b/packages/bulrushgrade/bulrushgrade/engineload.py
@@ -1,24 +1,21 @@
-"""What one daemon believes of an engine: its cache, its queue, its speed.
+"""What one daemon believes of an engine: its queue, its speed, its cache.
 
 A daemon sees its own requests only. Three signs tell it how long new work
-would wait: the work it has sent there that has not begun to answer, how much
-longer than expected recent answers took, and how long the oldest unanswered
-request is overdue. The last one grows by itself, so that an engine that went
-silent is avoided before anything times out.
+would wait: the work it has sent there that has not been read, how much longer
+than expected recent answers took, and how long the oldest unanswered request
+is overdue. The last one grows by itself, so that an engine that went silent is
+avoided before anything times out.
 """
 
-import collections
-from collections.abc import Iterable
 import math
 
 import attrs
 
 from bulrushgrade import directory
+from bulrushgrade import enginecache
 from bulrushgrade import prompt as prompt_module
-
-START_TOKENS_PER_S = 40_000.0
-"""Prompt tokens that an engine which only reads takes in a second, until its
-own answers tell: between the two deployments' 36,700 and 48,200."""
+from bulrushgrade import readqueue
+from bulrushgrade import readtimes
 
 DECODE_SPEED = 0.5
 """An engine that generates reads at half that speed, between tokens."""
@@ -31,73 +28,71 @@
 """Of a new observation of the delay: two or three tell a queue from a single
 long prompt before it."""
 
-RISE, FALL = 0.3, 0.02
-"""Weights of an observed speed above and below the believed one. A request
-that waited shows a lower speed than the engine has, never a higher one, so
-the belief follows the upper edge of what is seen."""
-
-LEARN_TOKENS = 1000
-"""Prompts with less to read tell of fixed costs, not of the speed."""
-
-COMING_S = 3.0
-"""How long a part that was sent to an engine is expected there. A prompt that
-has not been read by then has met a queue that nobody should join."""
-
-CACHE_SHARE = 0.8
-"""Of an engine's memory that cached parts can be counted on to have; running
-requests take the rest."""
-
-
-@attrs.frozen(kw_only=True)
-class CacheChange:
-    """What an engine says that it keeps of a part.
-
-    Attributes:
-        part: The part's id.
-        tokens: How many of its tokens are kept now; 0 for none.
-    """
-
-    part: str
-    tokens: int
+OWN_READINGS = 3
+"""Readings of an engine from which on its own speed is used, and before which
+that of all engines: speeds within a fleet differ by a third."""
 
 
 @attrs.define(kw_only=True, eq=False)
 class Reading:
-    """A request of this daemon that an engine is to read.
+    """A request of this daemon that an engine is to read or to take over.
 
     Attributes:
-        expected_s: What its reading alone should take.
+        expected_s: How long it should keep the engine busy.
         since: When it was sent.
         tokens: How many tokens it should have to read.
+        wait_s: How long it should wait before.
+        latency_s: From the end of that work to the beginning of the answer.
+        fetch_s: The part of the work in which cached parts are fetched.
+        way: Whether and where it is read.
         parts: Shared parts that the engine will then have.
     """
 
     expected_s: float
     since: float
     tokens: int
+    wait_s: float = 0.0
+    latency_s: float = 0.0
+    fetch_s: float = 0.0
+    way: readtimes.Way = readtimes.Way.IN_PLACE
     parts: tuple[prompt_module.PromptPart, ...] = ()
 
+    @property
+    def due_s(self) -> float:
+        """How long it should take in all, from its sending."""
+        return self.wait_s + self.expected_s + self.latency_s
+
+    @property
+    def is_calm(self) -> bool:
+        """Whether it met hardly any other work, as far as is known."""
+        own_s = self.expected_s + self.latency_s
+        return self.wait_s <= readtimes.CALM_SHARE * own_s
+
 
 class EngineLoad:
     """One incarnation of an engine."""
 
-    def __init__(self, *, memory_tokens: int):
+    def __init__(
+        self, *, memory_tokens: int, times: readtimes.ReadTimes | None = None
+    ):
         """Makes the load of an engine that nothing is known of.
 
         Args:
             memory_tokens: Tokens that fit its memory.
+            times: What is known of all engines of its service.
         """
-        self._cache_tokens = memory_tokens * CACHE_SHARE
-        self._cached: collections.OrderedDict[str, int] = (
-            collections.OrderedDict()
-        )
-        self._cached_tokens = 0
-        # Until when parts are expected that are being read.
-        self._coming: dict[str, float] = {}
+        self._cache = enginecache.EngineCache(memory_tokens=memory_tokens)
+        self._times = times or readtimes.ReadTimes()
+        self._speed = readtimes.Speed()
+        self._queue = readqueue.ReadQueue()
         self._readings: dict[Reading, None] = {}
         self._delay_s = 0.0
         self._delay_at = 0.0
-        self._tokens_per_s = START_TOKENS_PER_S
+
+    @property
+    def cache(self) -> enginecache.EngineCache:
+        """What it should have in its prefix cache."""
+        return self._cache
 
     @property
     def readings(self) -> int:
@@ -106,56 +101,16 @@
 
     def tokens_per_s(self, stage: directory.Stage | None) -> float:
         """Returns how fast it reads in a role."""
+        speed = self._times.speed
+        if self._speed.readings >= OWN_READINGS:
+            speed = self._speed
         if stage is directory.Stage.PREFILL:
-            return self._tokens_per_s
-        return self._tokens_per_s * DECODE_SPEED
-
-    def expected_tokens(self, prompt: prompt_module.Prompt, now: float) -> int:
-        """Returns how many leading tokens it should not have to read.
+            return speed.tokens_per_s
+        return speed.tokens_per_s * DECODE_SPEED
 
-        It reads in the order of arrival, so what is being read there now is
-        in its cache when the prompt's turn comes.
-        """
-        found = 0
-        for part in prompt.shared_parts:
-            if self._coming.get(part.id, now) > now:
-                found += part.tokens
-                continue
-            kept = min(self._cached.get(part.id, 0), part.tokens)
-            found += kept
-            if kept < part.tokens:
-                break
-        return found
-
-    def cached_tokens(self, prompt: prompt_module.Prompt) -> int:
-        """Returns how many leading tokens it should have in its cache."""
-        found = 0
-        for part in prompt.shared_parts:
-            kept = min(self._cached.get(part.id, 0), part.tokens)
-            found += kept
-            if kept < part.tokens:
-                break
-        return found
-
-    def apply(self, changes: Iterable[CacheChange], *, anew: bool) -> None:
-        """Takes what the engine says of its cache.
-
-        Args:
-            changes: In their order.
-            anew: Whether what is believed so far is void, after a restart or
-                a gap.
-        """
-        if anew:
-            self._coming.clear()
-            self._cached.clear()
-            self._cached_tokens = 0
-        for change in changes:
-            self._keep(change.part, change.tokens)
-
-    @property
-    def queued_s(self) -> float:
-        """Seconds of reading that this daemon has there."""
-        return sum(reading.expected_s for reading in self._readings)
+    def queued_s(self, now: float) -> float:
+        """Returns the seconds of reading that this daemon has there."""
+        return self._queue.wait_s(now)
 
     def known_wait_s(self, now: float, queued_s: float) -> float:
         """Returns how long new work would wait, where the queue is known.
@@ -173,33 +128,22 @@
             now: The present time in seconds.
             others_s: Seconds of reading that other daemons have there.
         """
-        age_s = now - self._delay_at
-        seen_s = self._delay_s * math.exp(-age_s / DELAY_DECAY_S)
-        return max(self.queued_s + others_s, seen_s, self._overdue_s(now))
-
-    def _overdue_s(self, now: float) -> float:
-        if not self._readings:
-            return 0.0
-        oldest = next(iter(self._readings))
-        return now - oldest.since - oldest.expected_s
+        unknown_s = self._delay_s * math.exp(
+            -(now - self._delay_at) / DELAY_DECAY_S
+        )
+        queued_s = self._queue.wait_s(now) + others_s
+        return max(queued_s + unknown_s, self._overdue_s(now))
 
     def begin(self, reading: Reading) -> None:
         """Notes a request that was sent there."""
         self._readings[reading] = None
-        self.expect(reading.parts, reading.since)
-
-    def expect(
-        self, parts: Iterable[prompt_module.PromptPart], now: float
-    ) -> None:
-        """Notes parts that are being read there."""
-        for part in parts:
-            self._coming[part.id] = now + COMING_S
-
-    def keep(self, parts: Iterable[prompt_module.PromptPart]) -> None:
-        """Notes parts that have been read there."""
-        for part in parts:
-            self._coming.pop(part.id, None)
-            self._keep(part.id, part.tokens)
+        self._queue.add(
+            reading,
+            reading.expected_s,
+            reading.since,
+            latency_s=reading.latency_s,
+        )
+        self._cache.expect(reading.parts, reading.since)
 
     def answered(
         self, reading: Reading, stage: directory.Stage | None, now: float
@@ -208,33 +152,42 @@
         if reading not in self._readings:
             return
         del self._readings[reading]
-        self.keep(reading.parts)
-        took_s = max(now - reading.since, 1e-4)
-        delay_s = max(0.0, took_s - reading.expected_s)
+        self._queue.remove(reading, now)
+        self._cache.keep(reading.parts)
+        took_s = now - reading.since
+        self._note_delay(max(0.0, took_s - reading.due_s), now)
+        if reading.is_calm:
+            self._learn(reading, took_s - reading.wait_s, stage)
+
+    def dropped(self, reading: Reading, now: float) -> None:
+        """Notes that a request ended without an answer."""
+        if self._readings.pop(reading, self) is not self:
+            self._queue.remove(reading, now)
+            self._cache.give_up(reading.parts)
+
+    def _overdue_s(self, now: float) -> float:
+        if not self._readings:
+            return 0.0
+        oldest = next(iter(self._readings))
+        return now - oldest.since - oldest.due_s
+
+    def _note_delay(self, delay_s: float, now: float) -> None:
         faded_s = self._delay_s * math.exp(
             -(now - self._delay_at) / DELAY_DECAY_S
         )
         self._delay_s = faded_s + DELAY_WEIGHT * (delay_s - faded_s)
         self._delay_at = now
-        if reading.tokens >= LEARN_TOKENS:
-            self._learn_speed(reading.tokens / took_s, stage)
-
-    def dropped(self, reading: Reading) -> None:
-        """Notes that a request ended without an answer."""
-        if self._readings.pop(reading, self) is not self:
-            for part in reading.parts:
-                self._coming.pop(part.id, None)
 
-    def _learn_speed(self, seen: float, stage: directory.Stage | None) -> None:
+    def _learn(
+        self, reading: Reading, own_s: float, stage: directory.Stage | None
+    ) -> None:
+        if reading.tokens <= readtimes.SHORT_TOKENS:
+            seen_s = own_s - reading.expected_s
+            self._times.note_latency(reading.way, seen_s)
+        if reading.tokens == 0:
+            return
+        read_s = max(own_s - reading.latency_s - reading.fetch_s, 0.0)
         if stage is not directory.Stage.PREFILL:
-            seen /= DECODE_SPEED
-        weight = RISE if seen > self._tokens_per_s else FALL
-        self._tokens_per_s += weight * (seen - self._tokens_per_s)
-
-    def _keep(self, part: str, tokens: int) -> None:
-        self._cached_tokens += tokens - self._cached.pop(part, 0)
-        if tokens > 0:
-            self._cached[part] = tokens
-        while self._cached_tokens > self._cache_tokens and self._cached:
-            _, dropped = self._cached.popitem(last=False)
-            self._cached_tokens -= dropped
+            read_s *= DECODE_SPEED
+        for speed in (self._times.speed, self._speed):
+            speed.note(reading.tokens, read_s)
--- a/packages/bulrushgrade/bulrushgrade/engineplan.py
+++ b/packages/bulrushgrade/bulrushgrade/engineplan.py
@@ -21,6 +21,7 @@
 from bulrushgrade import peerqueues
 from bulrushgrade import prompt as prompt_module
 from bulrushgrade import readslowdown
+from bulrushgrade import readtimes
 from bulrushgrade import routing
 
 REREAD_WEIGHT = 1.0
@@ -59,9 +60,9 @@
 """Shorter prompts are read where they are generated; the handover alone takes
 longer than reading them."""
 
-HANDOVER_S = 0.02
-"""The fixed time of a handover: two requests and the setting up of a
-transfer."""
+OTHER_RECEIVER_S = 0.02
+"""What another receiver than the first in a prompt's order counts as: what it
+is handed stays in its memory and pushes out other parts."""
 
 OTHER_ZONE_S = 0.01
 """What another availability zone counts as, in seconds of waiting: it takes
@@ -92,6 +93,9 @@
         busy_s: How long it keeps the reading engine from the next prompt:
             reading it and fetching what it lacks.
         move_s: How long KV cache is moved between engines for it.
+        latency_s: From the end of the reading to its answer.
+        take_over_s: From then to the first event, without the move itself,
+            where another engine generates.
         first_s: When the first event is expected, seconds from now.
         slowdown: Observed to expected time of recent readings, 1 or more.
     """
@@ -105,6 +109,8 @@
     read_s: float
     busy_s: float
     move_s: float
+    latency_s: float
+    take_over_s: float
     first_s: float
     slowdown: float = 1.0
 
@@ -138,6 +144,7 @@
         self._others = others or peerqueues.PeerQueues()
         self._mean_tokens = 0.0
         self._slowdown = readslowdown.ReadSlowdown()
+        self._times = readtimes.ReadTimes()
         self._loads: dict[tuple[str, int], engineload.EngineLoad] = {}
 
     def load(
@@ -146,14 +153,16 @@
         """Returns what is believed of an engine."""
         load = self._loads.get(engine.incarnation)
         if load is None:
-            load = engineload.EngineLoad(memory_tokens=traits.memory_tokens)
+            load = engineload.EngineLoad(
+                memory_tokens=traits.memory_tokens, times=self._times
+            )
             self._loads[engine.incarnation] = load
         return load
 
-    def queued_s(self) -> dict[str, float]:
+    def queued_s(self, now: float) -> dict[str, float]:
         """Returns the seconds of reading that wait for this daemon."""
         return {
-            incarnation[0]: load.queued_s
+            incarnation[0]: load.queued_s(now)
             for incarnation, load in self._loads.items()
             if load.readings
         }
@@ -175,7 +184,8 @@
             took_s: How long that took, with its wait.
             now: The present time in seconds.
         """
-        self._slowdown.note(plan.wait_s + plan.busy_s, took_s, now)
+        due_s = plan.wait_s + plan.busy_s + plan.latency_s
+        self._slowdown.note(due_s, took_s, now)
 
     def forget(self, live: Iterable[tuple[str, int]]) -> None:
         """Drops what is believed of engines that are gone and idle."""
@@ -218,7 +228,7 @@
             load, known = self.load(engine, traits), known_s.get(engine.id)
             return _Place(
                 wait_s=self._wait_s(engine, traits, now, known_s=known),
-                has_tokens=load.expected_tokens(prompt, now),
+                has_tokens=load.cache.expected_tokens(prompt, now),
             )
 
         def cost(plan: Plan) -> float:
@@ -291,7 +301,7 @@
             return found
 
         def expected(engine: directory.Registration) -> int:
-            return self.load(engine, traits).expected_tokens(prompt, now)
+            return self.load(engine, traits).cache.expected_tokens(prompt, now)
 
         best = max(ranked.readers, key=expected, default=None)
         if best is not None and expected(best) >= FETCH_TOKENS:
@@ -335,7 +345,7 @@
     ) -> directory.Registration:
         def cost(place: int) -> float:
             waits_s = self._wait_s(ranked[place], traits, now)
-            return waits_s + (HANDOVER_S if place else 0.0)
+            return waits_s + (OTHER_RECEIVER_S if place else 0.0)
 
         return ranked[min(range(len(ranked)), key=cost)]
 
@@ -364,7 +374,7 @@
             return None
 
         def kept(engine: directory.Registration) -> tuple[int, bool]:
-            held = self.load(engine, traits).cached_tokens(prompt)
+            held = self.load(engine, traits).cache.cached_tokens(prompt)
             return held, engine.zone == self._zone
 
         best = max(engines, key=kept, default=None)
@@ -386,7 +396,7 @@
         cached = place.has_tokens
         fetch_from, fetch_s, move_s = None, 0.0, 0.0
         if holder is not None and holder is not reader:
-            held = self.load(holder, traits).cached_tokens(prompt)
+            held = self.load(holder, traits).cache.cached_tokens(prompt)
             if held - cached >= FETCH_TOKENS:
                 fetch_from = holder
                 fetch_s = FETCH_S
@@ -395,8 +405,11 @@
                 cached = held
         tokens = max(1, prompt.prompt_tokens - cached)
         read_s = tokens / load.tokens_per_s(reader.stage)
+        latency_s = self._times.latency_s(readtimes.Way.IN_PLACE)
+        take_over_s = 0.0
         if prefill is not None:
-            move_s += HANDOVER_S
+            latency_s = self._times.latency_s(readtimes.Way.APART)
+            take_over_s = self._times.latency_s(readtimes.Way.TAKEN_OVER)
             move_s += _transfer_s(prompt.prompt_tokens, prefill, decode, traits)
         return Plan(
             decode=decode,
@@ -408,7 +421,9 @@
             read_s=read_s,
             busy_s=read_s + fetch_s,
             move_s=move_s,
-            first_s=place.wait_s + read_s + move_s,
+            latency_s=latency_s,
+            take_over_s=take_over_s,
+            first_s=place.wait_s + read_s + move_s + latency_s + take_over_s,
         )
 
 
--- a/packages/bulrushgrade/bulrushgrade/enginequeue.py
+++ b/packages/bulrushgrade/bulrushgrade/enginequeue.py
@@ -9,57 +9,14 @@
 them what it sends.
 """
 
-import collections
-
-import attrs
+from bulrushgrade import readqueue
 
 LIFE_S = 10.0
 """After which an entry without an end is dropped: its daemon is gone, or its
 message was lost. Longer than any caller waits for a first event."""
 
-
-@attrs.define(kw_only=True)
-class _Entry:
-    seconds: float
-    added_at: float
-
-
-class _Queue:
-    """The prompts at one engine, in the order in which they were sent."""
-
-    def __init__(self):
-        self._entries: collections.OrderedDict[tuple[str, int], _Entry] = (
-            collections.OrderedDict()
-        )
-        # When the engine came to the first entry.
-        self._began_at = 0.0
-
-    def __len__(self) -> int:
-        return len(self._entries)
-
-    def add(self, key: tuple[str, int], seconds: float, now: float) -> None:
-        if not self._entries:
-            self._began_at = now
-        self._entries[key] = _Entry(seconds=seconds, added_at=now)
-
-    def remove(self, key: tuple[str, int], now: float) -> None:
-        if not self._entries:
-            return
-        first = next(iter(self._entries))
-        if self._entries.pop(key, None) is not None and key == first:
-            self._began_at = now
-
-    def drop_old(self, now: float) -> None:
-        for key, entry in list(self._entries.items()):
-            if now - entry.added_at >= LIFE_S:
-                self.remove(key, now)
-
-    def wait_s(self, now: float) -> float:
-        if not self._entries:
-            return 0.0
-        first = next(iter(self._entries.values()))
-        done_s = min(first.seconds, max(0.0, now - self._began_at))
-        return sum(e.seconds for e in self._entries.values()) - done_s
+Key = tuple[str, int]
+"""A prompt's daemon, another one after each start, and its number there."""
 
 
 class EngineQueues:
@@ -70,31 +27,37 @@
     """
 
     def __init__(self):
-        self._queues: dict[str, _Queue] = {}
+        self._queues: dict[str, readqueue.ReadQueue] = {}
 
     def __len__(self) -> int:
         return sum(len(queue) for queue in self._queues.values())
 
     def begin(
-        self, engine: str, daemon: str, number: int, seconds: float, now: float
+        self,
+        engine: str,
+        key: Key,
+        seconds: float,
+        now: float,
+        *,
+        latency_s: float,
     ) -> None:
         """Enters a prompt that a daemon sends.
 
         Args:
             engine: The engine's id.
-            daemon: Who sends it; another one after each start.
-            number: The daemon's own number of it.
+            key: Names the prompt.
             seconds: How long reading it should take by itself.
             now: The present time in seconds.
+            latency_s: From the end of the reading to the answer's beginning.
         """
-        queue = self._queues.setdefault(engine, _Queue())
-        queue.add((daemon, number), seconds, now)
+        queue = self._queues.setdefault(engine, readqueue.ReadQueue())
+        queue.add(key, seconds, now, latency_s=latency_s)
 
-    def end(self, engine: str, daemon: str, number: int, now: float) -> None:
-        """Notes that a prompt is read, or given up."""
+    def end(self, engine: str, key: Key, now: float) -> None:
+        """Notes that a prompt's answer begins, or that it is given up."""
         queue = self._queues.get(engine)
         if queue is not None:
-            queue.remove((daemon, number), now)
+            queue.remove(key, now)
 
     def wait_s(self, engine: str, now: float) -> float:
         """Returns how long a prompt sent now would wait to be read."""
@@ -104,6 +67,6 @@
     def forget(self, now: float) -> None:
         """Drops entries that nobody ended, and engines without any."""
         for engine, queue in list(self._queues.items()):
-            queue.drop_old(now)
+            queue.drop_older(now, life_s=LIFE_S)
             if not len(queue):
                 del self._queues[engine]
--- a/packages/bulrushgrade/bulrushgrade/readslowdown.py
+++ b/packages/bulrushgrade/bulrushgrade/readslowdown.py
@@ -9,10 +9,6 @@
 
 import math
 
-FIXED_S = 0.06
-"""Of the time of a reading that does not grow with the queue before it: the
-way there and back, and the first step."""
-
 WEIGHT = 0.1
 """Of each reading in the observed slowdown: some ten readings, about a second
 of a busy host."""
@@ -21,6 +17,10 @@
 """In which it loses two thirds of what is above one, where nothing is read: a
 burst is over by then."""
 
+LEAST_EXPECTED_S = 0.02
+"""Shorter readings are measured against this: some milliseconds of jitter say
+nothing of queues."""
+
 MOST = 3.0
 """An engine that was lost is no measure of the others' queues."""
 
@@ -36,11 +36,12 @@
         """Takes in a reading.
 
         Args:
-            expected_s: How long it was expected to take, with its wait.
+            expected_s: How long it was expected to take, with its wait and
+                latency.
             took_s: How long it took.
             now: The present time in seconds.
         """
-        seen = min(max(took_s / (expected_s + FIXED_S), 1.0), MOST)
+        seen = min(max(took_s / max(expected_s, LEAST_EXPECTED_S), 1.0), MOST)
         faded = self.at(now)
         self._value = faded + WEIGHT * (seen - faded)
         self._noted_at = now
--- a/packages/bulrushgrade/tests/test_engineload.py
+++ b/packages/bulrushgrade/tests/test_engineload.py
@@ -1,8 +1,10 @@
 """Tests of what a daemon believes of an engine."""
 
 from bulrushgrade import directory
+from bulrushgrade import enginecache
 from bulrushgrade import engineload
 from bulrushgrade import prompt as prompt_module
+from bulrushgrade import readtimes
 
 PREFILL, DECODE = directory.Stage.PREFILL, directory.Stage.DECODE
 
@@ -42,8 +44,8 @@
 def test_parts_are_cached_once_they_were_read():
     load = make_load()
     read_through(load, make_prompt("s1"))
-    assert load.cached_tokens(make_prompt("s1")) == 10_000
-    assert load.cached_tokens(make_prompt("s2")) == 0
+    assert load.cache.cached_tokens(make_prompt("s1")) == 10_000
+    assert load.cache.cached_tokens(make_prompt("s2")) == 0
 
 
 def test_parts_that_are_being_read_need_not_be_read_behind_it():
@@ -53,29 +55,29 @@
     load, prompt = make_load(), make_prompt("s1")
     sent = reading(prompt=prompt)
     load.begin(sent)
-    assert load.expected_tokens(prompt, 0.0) == 10_000
-    assert load.cached_tokens(prompt) == 0
+    assert load.cache.expected_tokens(prompt, 0.0) == 10_000
+    assert load.cache.cached_tokens(prompt) == 0
     load.answered(sent, PREFILL, 0.3)
-    assert load.expected_tokens(prompt, 0.3) == 10_000
-    assert load.cached_tokens(prompt) == 10_000
+    assert load.cache.expected_tokens(prompt, 0.3) == 10_000
+    assert load.cache.cached_tokens(prompt) == 10_000
 
 
 def test_parts_of_a_prompt_that_was_not_read_are_not_expected():
     load, prompt = make_load(), make_prompt("s1")
     sent = reading(prompt=prompt)
     load.begin(sent)
-    load.dropped(sent)
-    assert load.expected_tokens(prompt, 0.1) == 0
-    load.expect(prompt.shared_parts, 1.0)
-    assert load.expected_tokens(prompt, 1.0 + engineload.COMING_S) == 0
+    load.dropped(sent, 0.1)
+    assert load.cache.expected_tokens(prompt, 0.1) == 0
+    load.cache.expect(prompt.shared_parts, 1.0)
+    assert load.cache.expected_tokens(prompt, 1.0 + enginecache.COMING_S) == 0
 
 
 def test_least_recently_used_parts_yield():
     load = make_load(memory_tokens=30_000)
     for name in ("s1", "s2", "s1", "s3"):
         read_through(load, make_prompt(name))
-    assert load.cached_tokens(make_prompt("s1")) == 10_000
-    assert load.cached_tokens(make_prompt("s2")) == 0
+    assert load.cache.cached_tokens(make_prompt("s1")) == 10_000
+    assert load.cache.cached_tokens(make_prompt("s2")) == 0
 
 
 def test_own_queue_adds_up():
@@ -110,24 +112,88 @@
     load = make_load()
     sent = reading()
     load.begin(sent)
-    load.dropped(sent)
+    load.dropped(sent, 0.1)
     load.answered(sent, DECODE, 5.0)
     assert load.wait_s(5.0) == 0.0
 
 
-def test_speed_follows_the_upper_edge():
+def answer(load, *, tokens, took_s, expected_s, wait_s=0.0, now=0.0):
+    sent = engineload.Reading(
+        expected_s=expected_s,
+        since=now,
+        tokens=tokens,
+        wait_s=wait_s,
+        latency_s=0.06,
+        way=readtimes.Way.APART,
+    )
+    load.begin(sent)
+    load.answered(sent, PREFILL, now + took_s)
+
+
+def test_latency_is_not_taken_for_slow_reading():
+    """Answers begin 60 ms after a prompt was read, however short it is.
+
+    Engines that read 140 tokens in a millisecond looked as if they read 35;
+    prompts were refused for queues that were not there.
+    """
+    load = make_load()
+    for number in range(40):
+        load_s = 2_000 / load.tokens_per_s(PREFILL)
+        answer(
+            load,
+            tokens=2_000,
+            took_s=0.06 + 2_000 / 140_000,
+            expected_s=load_s,
+            now=float(number),
+        )
+    assert 120_000 < load.tokens_per_s(PREFILL) < 160_000
+
+
+def test_waits_do_not_teach_the_speed():
+    """A burst keeps an engine's queue full for seconds.
+
+    Readings in it last many times their own time. Were the engine believed
+    to be that slow, it would go on refusing after the burst.
+    """
+    load = make_load()
+    before = load.tokens_per_s(PREFILL)
+    for number in range(40):
+        answer(
+            load,
+            tokens=4_000,
+            took_s=0.8,
+            expected_s=4_000 / before,
+            wait_s=0.5,
+            now=float(number),
+        )
+    assert load.tokens_per_s(PREFILL) == before
+
+
+def test_an_engine_that_turned_slow_is_believed_to_be_slow():
     load = make_load()
     before = load.tokens_per_s(PREFILL)
+    for number in range(40):
+        expected_s = 4_000 / load.tokens_per_s(PREFILL)
+        answer(
+            load,
+            tokens=4_000,
+            took_s=0.06 + 5 * 4_000 / before,
+            expected_s=expected_s,
+            now=float(number),
+        )
+    assert load.tokens_per_s(PREFILL) < before / 3
+
+
+def test_an_engine_without_readings_of_its_own_has_the_speed_of_the_others():
+    times = readtimes.ReadTimes()
+    known = engineload.EngineLoad(memory_tokens=100_000, times=times)
     for number in range(20):
-        sent = reading(expected_s=0.1, since=number, tokens=10_000)
-        load.begin(sent)
-        load.answered(sent, PREFILL, number + 0.1)
-    fast = load.tokens_per_s(PREFILL)
-    assert fast > before
-    waited = reading(expected_s=0.1, since=50.0, tokens=10_000)
-    load.begin(waited)
-    load.answered(waited, PREFILL, 53.0)
-    assert load.tokens_per_s(PREFILL) > 0.95 * fast
+        answer(
+            known, tokens=4_000, took_s=0.1, expected_s=0.1, now=float(number)
+        )
+    fresh = engineload.EngineLoad(memory_tokens=100_000, times=times)
+    assert fresh.tokens_per_s(PREFILL) == times.speed.tokens_per_s
+    assert fresh.tokens_per_s(PREFILL) > 60_000
 
 
 def test_generating_engine_reads_at_half_speed():
--- a/packages/bulrushgrade/tests/test_engineplan.py
+++ b/packages/bulrushgrade/tests/test_engineplan.py
@@ -8,6 +8,7 @@
 
 from bulrushgrade import directory
 from bulrushgrade import engineadmission
+from bulrushgrade import enginecache
 from bulrushgrade import engineload
 from bulrushgrade import engineplan
 from bulrushgrade import enginerank
@@ -120,8 +121,8 @@
     for queued_s, stays in ((0.01, True), (3.0, False)):
         planner = engineplan.EnginePlanner(zone="z1")
         load = planner.load(preferred, TRAITS)
-        kept = engineload.CacheChange(part="s1", tokens=10_000)
-        load.apply([kept], anew=False)
+        kept = enginecache.CacheChange(part="s1", tokens=10_000)
+        load.cache.apply([kept], anew=False)
         queued = engineload.Reading(expected_s=queued_s, since=0.0, tokens=0)
         load.begin(queued)
         plan = make_plan(prompt, planner=planner)
@@ -229,8 +230,8 @@
         queued = engineload.Reading(expected_s=queued_s, since=0.0, tokens=0)
         for engine in ENGINES:
             load = planner.load(engine, TRAITS)
-            kept = engineload.CacheChange(part="s1", tokens=10_000)
-            load.apply([kept], anew=False)
+            kept = enginecache.CacheChange(part="s1", tokens=10_000)
+            load.cache.apply([kept], anew=False)
             load.begin(queued)
         for prompt in (small, large):
             plan = make_plan(prompt, planner=planner)
@@ -239,7 +240,7 @@
             )
             taken.append(late_s <= 0)
         for engine in ENGINES:
-            planner.load(engine, TRAITS).dropped(queued)
+            planner.load(engine, TRAITS).dropped(queued, 0.0)
     assert taken == [True, True, False, True, False, False]
 
 
@@ -266,13 +267,15 @@
             continue
         taken += 1
         reader = plan.prefill or plan.decode
-        done = max(now, free_at[reader.id]) + plan.read_s
-        free_at[reader.id] = done
+        free_at[reader.id] = max(now, free_at[reader.id]) + plan.read_s
+        done = free_at[reader.id] + plan.latency_s
         late += done - now > 3.2
         reading = engineload.Reading(
             expected_s=plan.read_s,
             since=now,
             tokens=plan.read_tokens,
+            wait_s=plan.wait_s,
+            latency_s=plan.latency_s,
             parts=prompt.shared_parts,
         )
         load = planner.load(reader, TRAITS)
--- a/packages/bulrushgrade/tests/test_enginequeue.py
+++ b/packages/bulrushgrade/tests/test_enginequeue.py
@@ -5,20 +5,20 @@
 
 def test_a_prompt_waits_for_what_is_left_of_those_before():
     queues = enginequeue.EngineQueues()
-    queues.begin("e", "h1", 1, 0.4, 0.0)
-    queues.begin("e", "h2", 1, 0.3, 0.1)
+    queues.begin("e", ("h1", 1), 0.4, 0.0, latency_s=0.0)
+    queues.begin("e", ("h2", 1), 0.3, 0.1, latency_s=0.0)
     assert abs(queues.wait_s("e", 0.1) - 0.6) < 1e-9
     assert abs(queues.wait_s("e", 0.3) - 0.4) < 1e-9
-    queues.end("e", "h1", 1, 0.5)
+    queues.end("e", ("h1", 1), 0.5)
     assert abs(queues.wait_s("e", 0.6) - 0.2) < 1e-9
-    queues.end("e", "h2", 1, 0.8)
+    queues.end("e", ("h2", 1), 0.8)
     assert queues.wait_s("e", 0.8) == 0.0
 
 
 def test_a_prompt_that_is_overdue_leaves_those_behind_it_waiting():
     queues = enginequeue.EngineQueues()
-    queues.begin("e", "h1", 1, 0.4, 0.0)
-    queues.begin("e", "h2", 1, 0.3, 0.0)
+    queues.begin("e", ("h1", 1), 0.4, 0.0, latency_s=0.0)
+    queues.begin("e", ("h2", 1), 0.3, 0.0, latency_s=0.0)
     assert abs(queues.wait_s("e", 5.0) - 0.3) < 1e-9
 
 
@@ -26,8 +26,8 @@
     # A daemon dies while its prompt is read, or its datagram is lost. The
     # engine would look busy for ever, and nothing would be sent to it.
     queues = enginequeue.EngineQueues()
-    queues.begin("e", "h1", 1, 9.0, 0.0)
-    queues.begin("e", "h2", 1, 0.3, 8.0)
+    queues.begin("e", ("h1", 1), 9.0, 0.0, latency_s=0.0)
+    queues.begin("e", ("h2", 1), 0.3, 8.0, latency_s=0.0)
     queues.forget(10.0)
     assert len(queues) == 1
     assert abs(queues.wait_s("e", 10.0) - 0.3) < 1e-9
@@ -37,9 +37,9 @@
 
 def test_an_end_without_a_beginning_changes_nothing():
     queues = enginequeue.EngineQueues()
-    queues.end("e", "h1", 1, 0.0)
-    queues.begin("e", "h1", 2, 0.5, 0.0)
-    queues.end("e", "h1", 1, 0.1)
+    queues.end("e", ("h1", 1), 0.0)
+    queues.begin("e", ("h1", 2), 0.5, 0.0, latency_s=0.0)
+    queues.end("e", ("h1", 1), 0.1)
     assert queues.wait_s("e", 0.0) == 0.5
 
 
@@ -56,7 +56,7 @@
             now = number * 0.2 / (20 * 0.8)
             for end in [end for end in ends if end[0] <= now]:
                 ends.remove(end)
-                queues.end(end[1], "h", end[2], end[0])
+                queues.end(end[1], ("h", end[2]), end[0])
             if now - seen_at >= age_s:
                 seen = {e: queues.wait_s(e, now) for e in engines}
                 seen_at = now
@@ -64,7 +64,7 @@
             engine = min(offered, key=lambda e: seen[e])
             wait_s = queues.wait_s(engine, now)
             waits.append(wait_s)
-            queues.begin(engine, "h", number, 0.2, now)
+            queues.begin(engine, ("h", number), 0.2, now, latency_s=0.0)
             ends.append((now + wait_s + 0.2, engine, number))
         return sum(waits) / len(waits)
 
--- a/packages/bulrushgrade/tests/test_readslowdown.py
+++ b/packages/bulrushgrade/tests/test_readslowdown.py
@@ -6,7 +6,7 @@
 def test_readings_as_expected_stretch_nothing():
     slowdown = readslowdown.ReadSlowdown()
     for number in range(20):
-        slowdown.note(0.5, 0.5 + readslowdown.FIXED_S, 0.1 * number)
+        slowdown.note(0.5, 0.5, 0.1 * number)
         slowdown.note(0.5, 0.1, 0.1 * number)
     assert slowdown.at(2.0) == 1.0
 
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/cachesharing.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/cachesharing.py
@@ -1,7 +1,7 @@
 """Shares among gateways what each sees of engines' caches."""
 
 from bulrushgrade import directory as directory_module
-from bulrushgrade import engineload
+from bulrushgrade import enginecache
 from bulrushgrade import engineplan
 from bulrushgrade_daemon import choosing
 from bulrushgrade_daemon import loadgossip
@@ -50,7 +50,7 @@
     def take_seen(
         self,
         engine: directory_module.Registration,
-        changes: tuple[engineload.CacheChange, ...],
+        changes: tuple[enginecache.CacheChange, ...],
         *,
         anew: bool,
     ) -> None:
@@ -64,7 +64,7 @@
     def _is_relevant(
         self,
         engine: directory_module.Registration,
-        change: engineload.CacheChange,
+        change: enginecache.CacheChange,
     ) -> bool:
         """Returns whether peers need to learn of a change; notes that they do.
 
@@ -81,7 +81,7 @@
         return False
 
     def take_advertised(
-        self, engine: str, changes: tuple[engineload.CacheChange, ...]
+        self, engine: str, changes: tuple[enginecache.CacheChange, ...]
     ) -> None:
         """Takes what a peer saw of an engine."""
         known = self._endpoints.find(engine)
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/cachewatch.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/cachewatch.py
@@ -14,7 +14,7 @@
 from returns.result import Result
 
 from bulrushgrade import directory as directory_module
-from bulrushgrade import engineload
+from bulrushgrade import enginecache
 from bulrushgrade_daemon import outbound
 from bulrushgrade_daemon import task
 
@@ -40,7 +40,7 @@
     epoch: str
     end: int
     lost: bool
-    changes: tuple[engineload.CacheChange, ...]
+    changes: tuple[enginecache.CacheChange, ...]
 
 
 ReadChanges = Callable[
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/choosing.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/choosing.py
@@ -7,12 +7,14 @@
 from bulrushgrade import attempts
 from bulrushgrade import balance
 from bulrushgrade import directory as directory_module
+from bulrushgrade import enginecache
 from bulrushgrade import engineload
 from bulrushgrade import engineplan
 from bulrushgrade import enginerank
 from bulrushgrade import peerqueues
 from bulrushgrade import prefixindex
 from bulrushgrade import prompt as prompt_module
+from bulrushgrade import readtimes
 from bulrushgrade import routing
 from bulrushgrade import stagechanges
 from bulrushgrade_daemon import decisionlog
@@ -91,9 +93,9 @@
             return
         load = self._planner(service).load(engine, traits)
         if holder.state is prefixindex.HolderState.KEPT:
-            load.keep(holder.parts)
+            load.cache.keep(holder.parts)
         else:
-            load.expect(holder.parts, self._timers.now)
+            load.cache.expect(holder.parts, self._timers.now)
 
     def choose(
         self, request: inflight.InFlight
@@ -199,12 +201,7 @@
         planner = self._planner(request.service)
         load = planner.load(engine, traits)
         prompt = request.info.prompt
-        reading = engineload.Reading(
-            expected_s=plan.busy_s if reads else plan.move_s,
-            since=self._timers.now,
-            tokens=plan.read_tokens if reads else 0,
-            parts=prompt.shared_parts if reads else (),
-        )
+        reading = _make_reading(plan, prompt, self._timers.now, reads=reads)
         report_end = self._report_begin(engine, reading, prompt, load)
         load.begin(reading)
 
@@ -216,7 +213,7 @@
                 if reading.tokens >= enginerank.LONG_PROMPT_TOKENS:
                     planner.note_read(plan, now - reading.since, now)
             else:
-                load.dropped(reading)
+                load.dropped(reading, now)
 
         return ended
 
@@ -231,14 +228,14 @@
         if reading.tokens < enginerank.LONG_PROMPT_TOKENS:
             return lambda began: None
         # Nothing new is read of parts that it has already.
-        is_new = load.cached_tokens(prompt) < prompt.shared_tokens
+        is_new = load.cache.cached_tokens(prompt) < prompt.shared_tokens
         parts = reading.parts if is_new else ()
-        return self._index.begin(engine.id, reading.expected_s, parts)
+        return self._index.begin(engine.id, reading, parts)
 
     def apply_cache(
         self,
         engine: directory_module.Registration,
-        changes: tuple[engineload.CacheChange, ...],
+        changes: tuple[enginecache.CacheChange, ...],
         *,
         anew: bool,
     ) -> None:
@@ -246,13 +243,13 @@
         traits = self._traits(engine.service)
         if traits is not None:
             load = self._planner(engine.service).load(engine, traits)
-            load.apply(changes, anew=anew)
+            load.cache.apply(changes, anew=anew)
 
     def queued_s(self) -> dict[str, float]:
         """Returns the seconds of reading that wait, by engine's id."""
         queued_s: dict[str, float] = {}
         for planner in self._planners.values():
-            queued_s.update(planner.queued_s())
+            queued_s.update(planner.queued_s(self._timers.now))
         return queued_s
 
     def engine_views(self) -> list[stagecontrol.View]:
@@ -325,3 +322,31 @@
             )
             self._planners[service] = planner
         return planner
+
+
+def _make_reading(
+    plan: engineplan.Plan,
+    prompt: prompt_module.Prompt,
+    now: float,
+    *,
+    reads: bool,
+) -> engineload.Reading:
+    if not reads:
+        return engineload.Reading(
+            expected_s=plan.move_s,
+            since=now,
+            tokens=0,
+            latency_s=plan.take_over_s,
+            way=readtimes.Way.TAKEN_OVER,
+        )
+    is_apart = plan.prefill is not None
+    return engineload.Reading(
+        expected_s=plan.busy_s,
+        since=now,
+        tokens=plan.read_tokens,
+        wait_s=plan.wait_s,
+        latency_s=plan.latency_s,
+        fetch_s=plan.busy_s - plan.read_s,
+        way=readtimes.Way.APART if is_apart else readtimes.Way.IN_PLACE,
+        parts=prompt.shared_parts,
+    )
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaymessages.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaymessages.py
@@ -63,12 +63,14 @@
         number: Its own number of the prompt.
         engine: The engine's id.
         reading_ms: How long reading it should take by itself.
+        latency_ms: From the end of that to the beginning of its answer.
     """
 
     peer: str
     number: int
     engine: str
     reading_ms: int
+    latency_ms: int
 
 
 class Ended(msgspec.Struct, array_like=True, tag="ended"):
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadgossip.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadgossip.py
@@ -20,7 +20,7 @@
 from twisted.internet import protocol
 import xxhash
 
-from bulrushgrade import engineload
+from bulrushgrade import enginecache
 from bulrushgrade import peerqueues
 from bulrushgrade_daemon import decisionlog
 from bulrushgrade_daemon import follower
@@ -66,6 +66,10 @@
 """Between two attempts to write the own address while the store is away."""
 
 
+TakeChanges = Callable[[str, tuple[enginecache.CacheChange, ...]], None]
+"""Takes an engine's id and what changed in its cache."""
+
+
 class _Announcement(msgspec.Struct):
     address: str
 
@@ -103,7 +107,7 @@
         membership: Membership,
         queues: peerqueues.PeerQueues,
         read_own: Callable[[], dict[str, float]],
-        take_changes: Callable[[str, tuple[engineload.CacheChange, ...]], None],
+        take_changes: TakeChanges,
         take_other: Callable[[gatewaymessages.Message], None],
         log: decisionlog.DecisionLog,
         on_broken: Callable[[str], None],
@@ -263,13 +267,13 @@
         )
         for engine, kept in message.kept.items():
             changes = tuple(
-                engineload.CacheChange(part=part, tokens=tokens)
+                enginecache.CacheChange(part=part, tokens=tokens)
                 for part, tokens in kept
             )
             self._take_changes(engine, changes)
 
     def advertise_changes(
-        self, engine: str, changes: tuple[engineload.CacheChange, ...]
+        self, engine: str, changes: tuple[enginecache.CacheChange, ...]
     ) -> None:
         """Has what changed in an engine's cache sent to peers."""
         if not self._peers:
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/placementindex.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/placementindex.py
@@ -12,6 +12,7 @@
 import itertools
 from typing import Any
 
+from bulrushgrade import engineload
 from bulrushgrade import enginequeue
 from bulrushgrade import prefixindex
 from bulrushgrade import prompt as prompt_module
@@ -80,10 +81,16 @@
                 self._send(peer, self._reply_part(number, part))
             case gatewaymessages.WaitReply() | gatewaymessages.HolderReply():
                 self._queries.take(message)
-            case gatewaymessages.Begun(peer, number, engine, reading_ms):
-                self._queues.begin(engine, peer, number, reading_ms / 1000, now)
+            case gatewaymessages.Begun(peer, number, engine):
+                self._queues.begin(
+                    engine,
+                    (peer, number),
+                    message.reading_ms / 1000,
+                    now,
+                    latency_s=message.latency_ms / 1000,
+                )
             case gatewaymessages.Ended(peer, number, engine):
-                self._queues.end(engine, peer, number, now)
+                self._queues.end(engine, (peer, number), now)
             case gatewaymessages.HolderUpdate(parts=parts) if parts:
                 self._parts.note(_read_holder(message), now)
 
@@ -145,7 +152,7 @@
     def begin(
         self,
         engine: str,
-        seconds: float,
+        reading: engineload.Reading,
         parts: tuple[prompt_module.PromptPart, ...] = (),
     ) -> Callable[[bool], None]:
         """Reports that a prompt is sent; returns what reports its end.
@@ -155,7 +162,7 @@
 
         Args:
             engine: The engine's id.
-            seconds: How long reading it should take by itself.
+            reading: The reading.
             parts: Shared parts that the engine will then have.
         """
         owners, number = self._find_owners(engine), next(self._numbers)
@@ -163,7 +170,8 @@
             peer=self._own_name,
             number=number,
             engine=engine,
-            reading_ms=round(seconds * 1000),
+            reading_ms=round(reading.expected_s * 1000),
+            latency_ms=round(reading.latency_s * 1000),
         )
         self._report(owners, begun)
         self._report_parts(engine, prefixindex.HolderState.COMING, parts)
--- a/packages/bulrushgrade_daemon/tests/test_cachesharing.py
+++ b/packages/bulrushgrade_daemon/tests/test_cachesharing.py
@@ -4,7 +4,7 @@
 from test_directory import make as make_registration
 
 from bulrushgrade import directory
-from bulrushgrade import engineload
+from bulrushgrade import enginecache
 from bulrushgrade import engineplan
 from bulrushgrade_daemon import cachesharing
 
@@ -44,7 +44,7 @@
 
 
 def see(sharing, part, tokens):
-    change = engineload.CacheChange(part=part, tokens=tokens)
+    change = enginecache.CacheChange(part=part, tokens=tokens)
     sharing.take_seen(ENGINE, (change,), anew=False)
 
 
--- a/packages/bulrushgrade_daemon/tests/test_cachewatch.py
+++ b/packages/bulrushgrade_daemon/tests/test_cachewatch.py
@@ -5,12 +5,12 @@
 from test_directory import make as make_registration
 
 from bulrushgrade import directory
-from bulrushgrade import engineload
+from bulrushgrade import enginecache
 from bulrushgrade_daemon import cachewatch
 from bulrushgrade_daemon import outbound
 
 ENGINE = make_registration("p1", stage=directory.Stage.PREFILL)
-KEPT = engineload.CacheChange(part="a", tokens=5000)
+KEPT = enginecache.CacheChange(part="a", tokens=5000)
 
 
 def found(epoch="1", end=3, lost=False, changes=(KEPT,)):
--- a/packages/bulrushgrade_daemon/tests/test_gatewaymessages.py
+++ b/packages/bulrushgrade_daemon/tests/test_gatewaymessages.py
@@ -19,7 +19,9 @@
         ),
         gatewaymessages.WaitQuery(peer="h", number=1, engines=["e"]),
         gatewaymessages.WaitReply(peer="h", number=1, waits_ms={"e": 2}),
-        gatewaymessages.Begun(peer="h", number=1, engine="e", reading_ms=2),
+        gatewaymessages.Begun(
+            peer="h", number=1, engine="e", latency_ms=60, reading_ms=2
+        ),
         gatewaymessages.Ended(peer="h", number=1, engine="e"),
         gatewaymessages.HolderQuery(peer="h", number=1, part="p"),
         gatewaymessages.HolderReply(peer="h", number=1, holders=[NEWS]),
--- a/packages/bulrushgrade_daemon/tests/test_loadgossip.py
+++ b/packages/bulrushgrade_daemon/tests/test_loadgossip.py
@@ -3,7 +3,7 @@
 import fakes
 
 from bulrushgrade import directory
-from bulrushgrade import engineload
+from bulrushgrade import enginecache
 from bulrushgrade import peerqueues
 from bulrushgrade_daemon import follower
 from bulrushgrade_daemon import gatewaymessages
@@ -120,7 +120,7 @@
     # host that missed it had the part fetched from there for ever, and each
     # time it was read anew.
     reactor, _, net, (one, two, _) = make()
-    change = engineload.CacheChange(part="p", tokens=0)
+    change = enginecache.CacheChange(part="p", tokens=0)
     one.gossip.advertise_changes("e1", (change,))
     net.cut = True
     reactor.advance(0.1)
@@ -137,7 +137,7 @@
     reactor, _, _, (one, two, _) = make()
     count = 2 * loadgossip.MOST_CHANGES + 5
     changes = tuple(
-        engineload.CacheChange(part=f"p{n}", tokens=0) for n in range(count)
+        enginecache.CacheChange(part=f"p{n}", tokens=0) for n in range(count)
     )
     one.gossip.advertise_changes("e1", changes)
     reactor.pump([0.1] * 3)
@@ -148,7 +148,7 @@
 def test_the_newest_change_of_a_part_is_told_last():
     reactor, _, _, (one, two, _) = make()
     for tokens in (5_000, 0):
-        change = engineload.CacheChange(part="p", tokens=tokens)
+        change = enginecache.CacheChange(part="p", tokens=tokens)
         one.gossip.advertise_changes("e1", (change,))
         reactor.advance(0.1)
     reactor.pump([0.1] * 5)
@@ -158,7 +158,7 @@
 
 def test_cache_changes_reach_the_others():
     reactor, _, _, (one, two, _) = make()
-    change = engineload.CacheChange(part="a", tokens=5000)
+    change = enginecache.CacheChange(part="a", tokens=5000)
     one.gossip.advertise_changes("e1", (change,))
     reactor.pump([0.1] * 5)
     assert two.changes == [("e1", (change,))] * loadgossip.ADVERTISED_TIMES
--- a/packages/bulrushgrade_daemon/tests/test_placementindex.py
+++ b/packages/bulrushgrade_daemon/tests/test_placementindex.py
@@ -3,6 +3,7 @@
 import fakes
 from twisted.internet import defer
 
+from bulrushgrade import engineload
 from bulrushgrade import prefixindex
 from bulrushgrade import prompt as prompt_module
 from bulrushgrade_daemon import gatewaymessages
@@ -11,6 +12,10 @@
 PARTS = (prompt_module.PromptPart(id="p", tokens=9_000),)
 
 
+def make_reading(expected_s):
+    return engineload.Reading(expected_s=expected_s, since=0.0, tokens=9_000)
+
+
 class Fleet:
     """Daemons whose messages arrive in the next turn, or not at all."""
 
@@ -58,7 +63,7 @@
 
 def test_what_one_daemon_sent_another_learns():
     fleet = Fleet("h1", "h2", "h3", owner="h3")
-    end = fleet.indexes["h1"].begin("e", 0.4)
+    end = fleet.indexes["h1"].begin("e", make_reading(0.4))
     waits = fleet.waits("h2", "e", "f")
     assert abs(waits["e"] - 0.4) < 0.01
     assert waits["f"] == 0.0
@@ -68,7 +73,7 @@
 
 def test_the_owner_queries_nobody():
     fleet = Fleet("h1", "h2", owner="h1")
-    fleet.indexes["h1"].begin("e", 0.4, PARTS)
+    fleet.indexes["h1"].begin("e", make_reading(0.4), PARTS)
     assert fleet.waits("h1", "e") == {"e": 0.4}
     assert fleet.holders("h1") == [("e", "coming")]
     assert fleet.sent == []
@@ -87,7 +92,7 @@
     # The same long part comes to two daemons within the time of reading it.
     # Each had it read, as it only heard of the other's a second later.
     fleet = Fleet("h1", "h2", "h3", owner="h3")
-    end = fleet.indexes["h1"].begin("e", 0.4, PARTS)
+    end = fleet.indexes["h1"].begin("e", make_reading(0.4), PARTS)
     assert fleet.holders("h2") == [("e", "coming")]
     end(True)
     end(False)
@@ -96,7 +101,7 @@
 
 def test_a_part_that_was_not_read_is_not_waited_for():
     fleet = Fleet("h1", "h2", "h3", owner="h3")
-    end = fleet.indexes["h1"].begin("e", 0.4, PARTS)
+    end = fleet.indexes["h1"].begin("e", make_reading(0.4), PARTS)
     end(False)
     assert fleet.holders("h2") == []
 
@@ -106,7 +111,7 @@
     # a queue. Each had a queue of its own, with some of the prompts in it.
     fleet = Fleet("h1", "h2", "h3", "h4", owner="h3")
     fleet.owners = ["h3", "h4"]
-    end = fleet.indexes["h1"].begin("e", 0.4, PARTS)
+    end = fleet.indexes["h1"].begin("e", make_reading(0.4), PARTS)
     fleet.settle()
     fleet.owners = ["h4"]
     assert fleet.waits("h2", "e")["e"] > 0.3
@@ -122,7 +127,7 @@
     fleet = Fleet("h1", "h2", owner="h2")
     owner = fleet.indexes["h2"]
     defer.ensureDeferred(owner.start())
-    fleet.indexes["h1"].begin("e", 60.0, PARTS)
+    fleet.indexes["h1"].begin("e", make_reading(60.0), PARTS)
     fleet.settle()
     assert owner.dump()["readings"] == owner.dump()["parts"] == 1
     for _ in range(12):
