--- a/packages/bulrushgrade/bulrushgrade/engineadmission.py
+++ b/packages/bulrushgrade/bulrushgrade/engineadmission.py
@@ -36,8 +36,8 @@
         left_s: Until the request's deadline.
         patience_s: How much longer its caller waits for the first event.
     """
-    first_s = plan.first_s * plan.slowdown
+    first_s = plan.first_s + plan.delay_s
     late_s = first_s - min(left_s * FIRST_EVENT_SHARE, patience_s)
     size = min(max(plan.relative_size, LEAST_SIZE), GREATEST_SIZE)
-    wait_s = plan.wait_s * plan.slowdown
+    wait_s = plan.wait_s + plan.delay_s
     return max(late_s, wait_s - patience_s * WAIT_SHARE * size)
--- a/packages/bulrushgrade/bulrushgrade/engineload.py
+++ b/packages/bulrushgrade/bulrushgrade/engineload.py
@@ -13,9 +13,13 @@
 
 from bulrushgrade import directory
 from bulrushgrade import enginecache
+from bulrushgrade import linearfit
+from bulrushgrade import pausemodel
+from bulrushgrade import peerloads
 from bulrushgrade import prompt as prompt_module
 from bulrushgrade import readqueue
 from bulrushgrade import readtimes
+from bulrushgrade import streamload
 
 DECODE_SPEED = 0.5
 """An engine that generates reads at half that speed, between tokens."""
@@ -28,10 +32,6 @@
 """Of a new observation of the delay: two or three tell a queue from a single
 long prompt before it."""
 
-OWN_READINGS = 3
-"""Readings of an engine from which on its own speed is used, and before which
-that of all engines: speeds within a fleet differ by a third."""
-
 
 @attrs.define(kw_only=True, eq=False)
 class Reading:
@@ -41,8 +41,10 @@
         expected_s: How long it should keep the engine busy.
         since: When it was sent.
         tokens: How many tokens it should have to read.
+        cached_tokens: Those before them, which it should have.
         wait_s: How long it should wait before.
         latency_s: From the end of that work to the beginning of the answer.
+        urgency: 0 is read first.
         fetch_s: The part of the work in which cached parts are fetched.
         way: Whether and where it is read.
         parts: Shared parts that the engine will then have.
@@ -51,8 +53,10 @@
     expected_s: float
     since: float
     tokens: int
+    cached_tokens: int = 0
     wait_s: float = 0.0
     latency_s: float = 0.0
+    urgency: int = 0
     fetch_s: float = 0.0
     way: readtimes.Way = readtimes.Way.IN_PLACE
     parts: tuple[prompt_module.PromptPart, ...] = ()
@@ -62,6 +66,16 @@
         """How long it should take in all, from its sending."""
         return self.wait_s + self.expected_s + self.latency_s
 
+    @property
+    def queue_entry(self) -> readqueue.Entry:
+        """What waits there for as long as it is not read."""
+        return readqueue.Entry(
+            seconds=self.expected_s,
+            latency_s=self.latency_s,
+            urgency=self.urgency,
+            added_at=self.since,
+        )
+
     @property
     def is_calm(self) -> bool:
         """Whether it met hardly any other work, as far as is known."""
@@ -83,8 +97,10 @@
         """
         self._cache = enginecache.EngineCache(memory_tokens=memory_tokens)
         self._times = times or readtimes.ReadTimes()
-        self._speed = readtimes.Speed()
+        self._read_factor = readtimes.new_factor()
         self._queue = readqueue.ReadQueue()
+        self._streams = streamload.StreamLoad()
+        self._pause_factor = pausemodel.new_factor()
         self._readings: dict[Reading, None] = {}
         self._delay_s = 0.0
         self._delay_at = 0.0
@@ -94,23 +110,46 @@
         """What it should have in its prefix cache."""
         return self._cache
 
+    @property
+    def streams(self) -> streamload.StreamLoad:
+        """The streams that this daemon has running there."""
+        return self._streams
+
+    @property
+    def pause_factor(self) -> linearfit.Factor:
+        """How much longer its streams' pauses are than elsewhere."""
+        return self._pause_factor
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether this daemon has nothing there."""
+        return not self._readings and not self._streams.running
+
+    def share(self, now: float) -> peerloads.EngineShare:
+        """Returns what this daemon has there, for its peers."""
+        return peerloads.EngineShare(
+            queued_s=self._queue.by_urgency(now),
+            streams=self._streams.running,
+            tokens=self._streams.tokens,
+        )
+
     @property
     def readings(self) -> int:
         """Requests of this daemon that have not begun to answer."""
         return len(self._readings)
 
-    def tokens_per_s(self, stage: directory.Stage | None) -> float:
-        """Returns how fast it reads in a role."""
-        speed = self._times.speed
-        if self._speed.readings >= OWN_READINGS:
-            speed = self._speed
-        if stage is directory.Stage.PREFILL:
-            return speed.tokens_per_s
-        return speed.tokens_per_s * DECODE_SPEED
+    def read_s(
+        self, tokens: int, cached_tokens: int, stage: directory.Stage | None
+    ) -> float:
+        """Returns how long it reads in a role.
 
-    def queued_s(self, now: float) -> float:
-        """Returns the seconds of reading that this daemon has there."""
-        return self._queue.wait_s(now)
+        Args:
+            tokens: Tokens to be read.
+            cached_tokens: Those before them, which it has.
+            stage: Its role.
+        """
+        usual_s = self._times.read_s(tokens, cached_tokens)
+        return self._read_factor.value * usual_s / _read_speed(stage)
 
     def known_wait_s(self, now: float, queued_s: float) -> float:
         """Returns how long new work would wait, where the queue is known.
@@ -121,28 +160,27 @@
         """
         return max(queued_s, self._overdue_s(now))
 
-    def wait_s(self, now: float, *, others_s: float = 0.0) -> float:
+    def wait_s(
+        self, now: float, *, urgency: int, others_s: float = 0.0
+    ) -> float:
         """Returns how long new work would wait before it is read.
 
         Args:
             now: The present time in seconds.
-            others_s: Seconds of reading that other daemons have there.
+            urgency: Of the new work.
+            others_s: Seconds of reading of that urgency or more that other
+                daemons have there.
         """
         unknown_s = self._delay_s * math.exp(
             -(now - self._delay_at) / DELAY_DECAY_S
         )
-        queued_s = self._queue.wait_s(now) + others_s
+        queued_s = self._queue.wait_s(now, urgency=urgency) + others_s
         return max(queued_s + unknown_s, self._overdue_s(now))
 
     def begin(self, reading: Reading) -> None:
         """Notes a request that was sent there."""
         self._readings[reading] = None
-        self._queue.add(
-            reading,
-            reading.expected_s,
-            reading.since,
-            latency_s=reading.latency_s,
-        )
+        self._queue.add(reading, reading.queue_entry)
         self._cache.expect(reading.parts, reading.since)
 
     def answered(
@@ -156,8 +194,11 @@
         self._cache.keep(reading.parts)
         took_s = now - reading.since
         self._note_delay(max(0.0, took_s - reading.due_s), now)
-        if reading.is_calm:
-            self._learn(reading, took_s - reading.wait_s, stage)
+        # Work that nobody here knew of makes a reading longer, never shorter:
+        # one that was faster than expected teaches even if it had to wait.
+        own_s = reading.expected_s + reading.latency_s
+        if reading.is_calm or took_s < own_s:
+            self._learn(reading, took_s, stage)
 
     def dropped(self, reading: Reading, now: float) -> None:
         """Notes that a request ended without an answer."""
@@ -179,15 +220,26 @@
         self._delay_at = now
 
     def _learn(
-        self, reading: Reading, own_s: float, stage: directory.Stage | None
+        self, reading: Reading, took_s: float, stage: directory.Stage | None
     ) -> None:
         if reading.tokens <= readtimes.SHORT_TOKENS:
-            seen_s = own_s - reading.expected_s
-            self._times.note_latency(reading.way, seen_s)
-        if reading.tokens == 0:
+            self._times.note_latency(reading.way, took_s - reading.expected_s)
+        # An engine may have more of the shared parts than is known here, and
+        # would look many times as fast. It has none of what is the prompt's
+        # own.
+        shared_tokens = sum(part.tokens for part in reading.parts)
+        is_sure = reading.cached_tokens >= shared_tokens
+        was_fast = took_s < reading.expected_s + reading.latency_s
+        if reading.tokens == 0 or (was_fast and not is_sure):
             return
-        read_s = max(own_s - reading.latency_s - reading.fetch_s, 0.0)
-        if stage is not directory.Stage.PREFILL:
-            read_s *= DECODE_SPEED
-        for speed in (self._times.speed, self._speed):
-            speed.note(reading.tokens, read_s)
+        read_s = max(took_s - reading.latency_s - reading.fetch_s, 0.0)
+        self._times.note_read(
+            reading.tokens,
+            reading.cached_tokens,
+            read_s * _read_speed(stage),
+            self._read_factor,
+        )
+
+
+def _read_speed(stage: directory.Stage | None) -> float:
+    return 1.0 if stage is directory.Stage.PREFILL else DECODE_SPEED
--- a/packages/bulrushgrade/bulrushgrade/enginequeue.py
+++ b/packages/bulrushgrade/bulrushgrade/enginequeue.py
@@ -36,22 +36,17 @@
         self,
         engine: str,
         key: Key,
-        seconds: float,
-        now: float,
-        *,
-        latency_s: float,
+        entry: readqueue.Entry,
     ) -> None:
         """Enters a prompt that a daemon sends.
 
         Args:
             engine: The engine's id.
             key: Names the prompt.
-            seconds: How long reading it should take by itself.
-            now: The present time in seconds.
-            latency_s: From the end of the reading to the answer's beginning.
+            entry: The prompt.
         """
         queue = self._queues.setdefault(engine, readqueue.ReadQueue())
-        queue.add(key, seconds, now, latency_s=latency_s)
+        queue.add(key, entry)
 
     def end(self, engine: str, key: Key, now: float) -> None:
         """Notes that a prompt's answer begins, or that it is given up."""
@@ -59,10 +54,10 @@
         if queue is not None:
             queue.remove(key, now)
 
-    def wait_s(self, engine: str, now: float) -> float:
+    def wait_s(self, engine: str, now: float, *, urgency: int) -> float:
         """Returns how long a prompt sent now would wait to be read."""
         queue = self._queues.get(engine)
-        return queue.wait_s(now) if queue is not None else 0.0
+        return 0.0 if queue is None else queue.wait_s(now, urgency=urgency)
 
     def forget(self, now: float) -> None:
         """Drops entries that nobody ended, and engines without any."""
--- a/packages/bulrushgrade/bulrushgrade/enginerank.py
+++ b/packages/bulrushgrade/bulrushgrade/enginerank.py
@@ -5,10 +5,7 @@
 
 from bulrushgrade import directory
 from bulrushgrade import prompt as prompt_module
-
-LONG_PROMPT_TOKENS = 1000
-"""Prompts whose shared parts have fewer tokens have no preferred engine:
-reading those anywhere takes some milliseconds, less than a queue."""
+from bulrushgrade import routing
 
 
 @attrs.frozen(kw_only=True)
@@ -28,28 +25,32 @@
 
 
 def rank_by_role(
-    prompt: prompt_module.Prompt, engines: list[directory.Registration]
+    prompt: prompt_module.Prompt,
+    engines: list[directory.Registration],
+    traits: routing.EngineTraits,
 ) -> Ranked:
     """Returns engines in an order that all daemons work out alike."""
     readers, generating = [], []
-    for engine in rank(prompt, engines):
+    for engine in rank(prompt, engines, traits):
         is_reader = engine.stage is directory.Stage.PREFILL
         (readers if is_reader else generating).append(engine)
     preferred = None
-    if prompt.shared_tokens >= LONG_PROMPT_TOKENS and engines:
+    if prompt.shared_tokens >= traits.long_tokens and engines:
         preferred = (readers or generating)[0]
     return Ranked(readers=readers, generating=generating, preferred=preferred)
 
 
 def rank(
-    prompt: prompt_module.Prompt, engines: list[directory.Registration]
+    prompt: prompt_module.Prompt,
+    engines: list[directory.Registration],
+    traits: routing.EngineTraits,
 ) -> list[directory.Registration]:
     """Returns engines in an order that depends on ids alone.
 
     Rendezvous hashing: an engine that comes or goes moves only the parts that
     it gets or had.
     """
-    key = _spread_key(prompt)
+    key = _spread_key(prompt, traits)
 
     def score(engine: directory.Registration) -> int:
         return xxhash.xxh3_64_intdigest(f"{key}/{engine.id}".encode())
@@ -57,12 +58,14 @@
     return sorted(engines, key=score, reverse=True)
 
 
-def _spread_key(prompt: prompt_module.Prompt) -> str:
+def _spread_key(
+    prompt: prompt_module.Prompt, traits: routing.EngineTraits
+) -> str:
     """Returns what decides the order of engines for a prompt.
 
     Prompts with much in common keep together; all others are spread by what
     only they have.
     """
-    if prompt.shared_tokens >= LONG_PROMPT_TOKENS:
+    if prompt.shared_tokens >= traits.long_tokens:
         return prompt.anchor.id
     return prompt.parts[-1].id if prompt.parts else ""
--- a/packages/bulrushgrade/bulrushgrade/readqueue.py
+++ b/packages/bulrushgrade/bulrushgrade/readqueue.py
@@ -1,30 +1,32 @@
 """The prompts that wait to be read at one engine.
 
-An engine reads one prompt after another, but an answer begins some time after
-its prompt was read: the way there and back, and the steps up to the first
-event. A prompt in that last stretch keeps nobody waiting. Were it counted
-until its answer begins, an engine whose answers begin 60 ms after the reading
-would look as if three more prompts of 20 ms were waiting than there are.
+An engine reads one prompt after another, the more urgent first, but an answer
+begins some time after its prompt was read: the way there and back, and the
+steps up to the first event. A prompt in that last stretch keeps nobody
+waiting. Were it counted until its answer begins, an engine whose answers begin
+60 ms after the reading would look as if three more prompts of 20 ms were
+waiting than there are.
 """
 
-import collections
 from collections.abc import Hashable
 
 import attrs
 
 
 @attrs.frozen(kw_only=True)
-class _Entry:
+class Entry:
     """One prompt.
 
     Attributes:
         seconds: How long reading it should take by itself.
         latency_s: From the end of the reading to the answer's beginning.
+        urgency: 0 is read first.
         added_at: When it was sent.
     """
 
     seconds: float
     latency_s: float
+    urgency: int
     added_at: float
 
 
@@ -32,47 +34,29 @@
     """Prompts in the order in which they were sent."""
 
     def __init__(self):
-        self._entries: collections.OrderedDict[Hashable, _Entry] = (
-            collections.OrderedDict()
-        )
-        # When the engine came to the first entry.
+        self._entries: dict[Hashable, Entry] = {}
+        # What is being read, and since when.
+        self._current: Hashable | None = None
         self._began_at = 0.0
 
     def __len__(self) -> int:
         return len(self._entries)
 
-    def add(
-        self, key: Hashable, seconds: float, now: float, *, latency_s: float
-    ) -> None:
-        """Enters a prompt that is sent now.
-
-        Args:
-            key: Names it.
-            seconds: How long reading it should take by itself.
-            now: The present time in seconds.
-            latency_s: From the end of the reading to the answer's beginning.
-        """
-        if not self._entries:
-            self._began_at = now
-        self._entries[key] = _Entry(
-            seconds=seconds, latency_s=latency_s, added_at=now
-        )
-
-    def remove(self, key: Hashable, now: float) -> bool:
-        """Takes out a prompt whose answer begins, or that was given up.
-
-        Returns:
-            Whether it was there.
-        """
-        if key not in self._entries:
-            return False
-        was_first = key == next(iter(self._entries))
-        ended = self._entries.pop(key)
-        if was_first and self._entries:
-            following = next(iter(self._entries.values()))
-            read_at = now - ended.latency_s
-            self._began_at = max(read_at, following.added_at, self._began_at)
-        return True
+    def add(self, key: Hashable, entry: Entry) -> None:
+        """Enters a prompt that is sent now."""
+        self._entries[key] = entry
+        if len(self._entries) == 1:
+            self._current, self._began_at = key, entry.added_at
+
+    def remove(self, key: Hashable, now: float) -> None:
+        """Takes out a prompt whose answer begins, or that was given up."""
+        ended = self._entries.pop(key, None)
+        if ended is None or key != self._current or not self._entries:
+            return
+        self._current = min(self._entries, key=self._turn)
+        added_at = self._entries[self._current].added_at
+        read_at = now - ended.latency_s
+        self._began_at = max(read_at, added_at, self._began_at)
 
     def drop_older(self, now: float, *, life_s: float) -> None:
         """Takes out prompts that were sent at least so long ago."""
@@ -80,12 +64,43 @@
             if now - entry.added_at >= life_s:
                 self.remove(key, now)
 
-    def wait_s(self, now: float) -> float:
-        """Returns how long a prompt sent now would wait."""
-        finish = self._began_at
-        for place, entry in enumerate(self._entries.values()):
-            finish = max(finish, entry.added_at) + entry.seconds
-            if place == 0:
-                # It has not been read yet, or its answer would have begun.
-                finish = max(finish, now - entry.latency_s)
-        return max(0.0, finish - now) if self._entries else 0.0
+    def wait_s(self, now: float, *, urgency: int) -> float:
+        """Returns how long a prompt sent now would wait.
+
+        What is being read is read to its end; of the rest, only what is as
+        urgent goes first.
+
+        Args:
+            now: The present time in seconds.
+            urgency: The prompt's.
+        """
+        if not self._entries:
+            return 0.0
+        current = self._entries[self._current]
+        # It has not been read yet, or its answer would have begun.
+        finish = max(self._began_at + current.seconds, now - current.latency_s)
+        for key in sorted(self._entries, key=self._turn):
+            entry = self._entries[key]
+            if key != self._current and entry.urgency <= urgency:
+                finish = max(finish, entry.added_at) + entry.seconds
+        return max(0.0, finish - now)
+
+    def by_urgency(self, now: float) -> dict[int, float]:
+        """Returns the seconds that wait, by urgency.
+
+        What is being read counts as the most urgent: it is not set aside.
+        """
+        found: dict[int, float] = {}
+        before_s = 0.0
+        for urgency in sorted(
+            {0, *(e.urgency for e in self._entries.values())}
+        ):
+            until_s = self.wait_s(now, urgency=urgency)
+            if until_s > before_s:
+                found[urgency] = until_s - before_s
+            before_s = until_s
+        return found
+
+    def _turn(self, key: Hashable) -> tuple[int, float]:
+        entry = self._entries[key]
+        return entry.urgency, entry.added_at
--- a/packages/bulrushgrade/bulrushgrade/routing.py
+++ b/packages/bulrushgrade/bulrushgrade/routing.py
@@ -9,6 +9,15 @@
 
 import attrs
 
+LONG_SHARE = 1 / 400
+"""Of an engine's memory, from which on a prompt or its shared parts count as
+long: worth keeping in one place, and worth a query before they are placed. A
+few hundred of them fill a memory, so that parts push each other out; reading
+one takes longer than the query."""
+
+LEAST_URGENT = 9
+"""The largest urgency that engines know."""
+
 LEAST_PATIENCE_S = 2.0
 PATIENCE_TARGETS = 4.0
 PATIENCE_GAPS = 8.0
@@ -70,6 +79,11 @@
     by_prompt: bool
     targets: tuple[Target, ...]
 
+    @property
+    def urgency(self) -> int:
+        """The priority as engines know it."""
+        return min(self.priority, LEAST_URGENT)
+
     @property
     def repeatable(self) -> bool:
         """Whether a request may run more than once."""
@@ -100,6 +114,7 @@
         link_bytes_per_s: What an engine's link carries.
         handle_s: How long an engine keeps a prompt that it read for another.
         stage_change_s: How long a change of role takes.
+        event_tokens: Tokens in one event of a stream.
     """
 
     slots: int
@@ -108,6 +123,12 @@
     link_bytes_per_s: float
     handle_s: float
     stage_change_s: float
+    event_tokens: int = 1
+
+    @property
+    def long_tokens(self) -> float:
+        """Tokens from which on a prompt or a part counts as long."""
+        return LONG_SHARE * self.memory_tokens
 
 
 @attrs.frozen(kw_only=True)
@@ -159,21 +180,44 @@
     limits: CallerLimits
 
 
+@attrs.frozen(kw_only=True)
+class ServiceLimits:
+    """What all routes to a service together allow.
+
+    Attributes:
+        longest_target_s: The longest time in which an answer is not late.
+        least_gap_s: The shortest of the longest pauses between events that
+            are not late; None where no route names one.
+    """
+
+    longest_target_s: float = 0.0
+    least_gap_s: float | None = None
+
+
+NO_LIMITS = ServiceLimits()
+
+
 class RouteTable:
     """Finds the route of a request, in time independent of the routes."""
 
     def __init__(self, *, configuration: Configuration):
         self._configuration = configuration
         self._by_host: dict[str, dict[str, Route]] = {}
+        self._limits: dict[str, ServiceLimits] = {}
         for route in configuration.routes:
             prefixes = self._by_host.setdefault(route.hostname, {})
             prefixes[route.path_prefix] = route
+            self._note_limits(route)
 
     @property
     def configuration(self) -> Configuration:
         """The configuration that the table was made from."""
         return self._configuration
 
+    def limits(self, service: str) -> ServiceLimits:
+        """Returns what all routes to a service together allow."""
+        return self._limits.get(service, NO_LIMITS)
+
     def find(self, hostname: str, path: str) -> Route | None:
         """Returns the route with the longest prefix of a path, or None.
 
@@ -192,6 +236,15 @@
             end = path.rfind("/", 0, end - 1) + 1
         return None
 
+    def _note_limits(self, route: Route) -> None:
+        for target in route.targets:
+            known = self.limits(target.service)
+            gaps_s = [g for g in (known.least_gap_s, route.gap_s) if g]
+            self._limits[target.service] = ServiceLimits(
+                longest_target_s=max(known.longest_target_s, route.target_s),
+                least_gap_s=min(gaps_s, default=None),
+            )
+
 
 def _normalize(hostname: str) -> str:
     return hostname.rsplit(":", 1)[0].lower() if hostname else ""
--- a/packages/bulrushgrade/bulrushgrade/stageplan.py
+++ b/packages/bulrushgrade/bulrushgrade/stageplan.py
@@ -1,11 +1,13 @@
 """When an engine should change between reading prompts and generating.
 
-Load: long prompts come in bursts, and the engines that read are too few for
-them while those that generate have room; or the engines that generate are
-lost and nobody can answer. Harm: prompts are refused, or everything is, with
+Load: the mix of long prompts and long answers moves, or engines of one role
+are lost, so that one side is short of engines while the other has room. Harm:
+prompts wait and are refused, or streams stand still and are preempted, with
 idle engines beside. A change takes an engine away for seconds, so it is made
-only for pressure that lasts, one at a time, and never takes the last engines
-that generate.
+only for a pressure that outlasts it, and only where the other side will still
+have room without the engine: it goes both ways, and the room that one way asks
+for is less than what the other way calls crowded, so that no engine goes back
+and forth.
 """
 
 import math
@@ -14,52 +16,75 @@
 
 from bulrushgrade import directory
 
-SMALL_FLEET = 8
-"""Engines up to which one changes at a time, and only for a long wait: there a
-change takes a large part of the fleet away, and each that generates is missed.
-"""
-
-SMALL_PRESSURE_S = 0.4
-"""Mean wait at the reading engines of a small fleet that counts as pressure:
-half of the time in which a long prompt's first event is due."""
+READ_PRESSURE = 0.5
+"""Mean wait at the engines that read, in targets of the slowest route, from
+which on there are too few of them: half of the time to a first event is gone
+before its prompt is read."""
 
-PRESSURE_S = 0.2
-"""The same in a larger fleet, where a change costs little: with 89 hosts and
-45 engines 890 long prompts of 2,006 were in time instead of 715."""
+CROWDED = 0.8
+"""Mean crowding of the engines that generate from which on there are too few
+of them: what is known is a moment old, and streams grow while they run."""
 
-SPARE_S = 0.05
-"""Mean wait at the generating engines up to which a larger fleet spares one.
-They read the short prompts, whose first event is due in half of a long one's
-time; without this limit 600 of 14,335 came late that had been in time."""
+ROOM = 0.5
+"""Mean crowding that the engines that go on generating may have without the
+one that changes: a burst doubles what is generated."""
 
-SMOOTH_S = 0.7
-"""Time constant of that mean. A single large prompt passes through in less; a
-burst that is worth a change lasts longer than the change."""
+READ_ROOM = 0.1
+"""Mean wait at the engines that read, in the same targets, up to which they can
+spare one: a fifth of what would call it back."""
 
-GENERATING_SHARE = 0.25
-"""Of the engines that go on generating at least. One generates for some four
-that read: a prompt takes tens of times as long to read as a token to make."""
+SMOOTH_CHANGES = 1.0
+"""Time constant of both means, in changes of role: a pressure that passes
+sooner is over before a change that it asks for, and loads that alternate
+faster than an engine can change change nothing."""
 
 LEAST_GENERATING = 3
 """In any fleet, or all but one. With two, one that crashes while the other
 leaves or changes ended all answers for the seconds that a change back takes:
 686 requests of one day."""
 
-RETRY_S = 0.5
-"""After an order that was not taken, before another engine is tried."""
+ENGINES_A_CHANGE = 4
+"""Engines for each change that may be under way: one at a time would take
+longer than the load that asks for it where there are many. At 45 engines
+prompts were refused for 16 s while three changes were made."""
+
+RETRY_CHECKS = 2
+"""Checks after an order that was not taken, before another engine is tried."""
 
-SKIP_S = 5.0
-"""How long an engine is left alone that did not take an order; it may have
-crashed, or carry out another one."""
 
-ENGINES_A_CHANGE = 4
-"""Engines for each change that may be under way in a larger fleet: one at a
-time would take longer than the load that asks for it. At 45 engines prompts
-were refused for 16 s while three changes were made."""
+@attrs.frozen(kw_only=True)
+class EngineView:
+    """What is known of one engine.
+
+    Attributes:
+        engine: The engine.
+        wait_s: How long the least urgent work would wait there.
+        crowding: How much of its memory, its slots or the pause that routes
+            allow is taken, whichever is most; 1 for all of it.
+    """
+
+    engine: directory.Registration
+    wait_s: float
+    crowding: float
+
+
+@attrs.frozen(kw_only=True)
+class ServiceView:
+    """What is known of one service's engines.
 
-SETTLE_S = 2.0
-"""Beside the change itself, before the next one: until an engine's new role
-is known everywhere and the queues show what it brought."""
+    Attributes:
+        service: The service.
+        engines: Those that may be used.
+        target_s: The longest target of its routes.
+        change_s: How long a change of role takes.
+        settle_s: After it, until the new role is known everywhere.
+    """
+
+    service: str
+    engines: tuple[EngineView, ...]
+    target_s: float
+    change_s: float
+    settle_s: float
 
 
 @attrs.frozen(kw_only=True)
@@ -80,113 +105,148 @@
 class StagePlan:
     """Watches the engines of one service."""
 
-    def __init__(self):
+    def __init__(self, *, check_s: float):
+        """Makes a plan that has seen nothing.
+
+        Args:
+            check_s: Between two calls of `propose`.
+        """
+        self._check_s = check_s
         self._wait_s = 0.0
-        self._makers_wait_s = 0.0
+        self._crowding = 0.0
         self._seen_at: float | None = None
         self._quiet_until = 0.0
         self._skip_until: dict[str, float] = {}
 
     @property
     def wait_s(self) -> float:
-        """The smoothed mean wait at the reading engines."""
+        """The smoothed mean wait at the engines that read."""
         return self._wait_s
 
-    def note_change(self, now: float, change_s: float, engines: int) -> None:
-        """Notes that a change was ordered; none follows until it settled.
+    @property
+    def crowding(self) -> float:
+        """The smoothed mean crowding of the engines that generate."""
+        return self._crowding
+
+    def note_change(self, view: ServiceView, now: float) -> None:
+        """Notes that a change was ordered; the next waits until it settled.
 
         Args:
+            view: What the change was proposed from.
             now: The present time in seconds.
-            change_s: How long the change takes.
-            engines: How many there are.
         """
-        settled_s = change_s + SETTLE_S
-        if engines > SMALL_FLEET:
-            self._quiet_until = now + settled_s * ENGINES_A_CHANGE / engines
-        else:
-            self._quiet_until = now + settled_s
+        at_a_time = max(1, len(view.engines) // ENGINES_A_CHANGE)
+        settled_s = view.change_s + view.settle_s
+        self._quiet_until = now + settled_s / at_a_time
+        if at_a_time == 1:
+            # The queues of before say nothing of the fleet as it is now.
             self._wait_s = 0.0
 
-    def note_refusal(self, engine: str, now: float) -> None:
-        """Notes that an engine did not take an order."""
-        self._quiet_until = now + RETRY_S
-        self._skip_until[engine] = now + SKIP_S
-
-    def propose(
-        self,
-        engines: list[directory.Registration],
-        waits_s: dict[str, float],
-        *,
-        now: float,
-    ) -> StageChange | None:
-        """Returns the change that should be made now, or None.
+    def note_refusal(self, engine: str, view: ServiceView, now: float) -> None:
+        """Notes that an engine did not take an order.
 
-        Args:
-            engines: Those that may be used.
-            waits_s: How long new work would wait at each, by id.
-            now: The present time in seconds.
+        It may have crashed, or carry out another one.
         """
-        readers = [e for e in engines if e.stage is directory.Stage.PREFILL]
-        makers = [e for e in engines if e.stage is directory.Stage.DECODE]
-        self._smooth(readers, makers, waits_s, now)
+        self._quiet_until = now + RETRY_CHECKS * self._check_s
+        skip_s = view.change_s + view.settle_s
+        self._skip_until[engine] = now + skip_s
+
+    def propose(self, view: ServiceView, now: float) -> StageChange | None:
+        """Returns the change that should be made now, or None."""
+        readers = _of_stage(view, directory.Stage.PREFILL)
+        makers = _of_stage(view, directory.Stage.DECODE)
+        self._smooth(view, readers, makers, now)
         if now < self._quiet_until:
             return None
-        count = len(readers) + len(makers)
-        needed = _needed(count)
         if not makers and len(readers) > 1:
-            stage, reason = directory.Stage.DECODE, "none generates"
-            return self._change(readers, waits_s, stage, reason, now)
-        if self._presses(count) and len(makers) > needed:
-            stage = directory.Stage.PREFILL
+            return self._to_generating(readers, "none generates", now)
+        if self._may_read_more(view, readers, makers):
             reason = f"prompts wait {self._wait_s:.2f} s"
-            return self._change(makers, waits_s, stage, reason, now)
+            return self._to_reading(makers, reason, now)
+        if self._may_generate_more(view, len(readers)):
+            reason = f"generating engines are taken to {self._crowding:.2f}"
+            return self._to_generating(readers, reason, now)
         return None
 
-    def _presses(self, count: int) -> bool:
-        """Returns whether prompts wait for long enough to change an engine."""
-        if count <= SMALL_FLEET:
-            return self._wait_s > SMALL_PRESSURE_S
-        return self._wait_s > PRESSURE_S and self._makers_wait_s <= SPARE_S
+    def _may_read_more(
+        self,
+        view: ServiceView,
+        readers: list[EngineView],
+        makers: list[EngineView],
+    ) -> bool:
+        """Returns whether generating engines can give one up to reading."""
+        count = len(makers)
+        if count <= max(1, min(LEAST_GENERATING, len(readers) + count - 1)):
+            return False
+        if self._wait_s <= READ_PRESSURE * view.target_s:
+            return False
+        # Crowded at this moment is crowded, whatever it was before.
+        crowding = max(self._crowding, _mean_crowding(makers))
+        return crowding * count / (count - 1) <= ROOM
+
+    def _may_generate_more(self, view: ServiceView, readers: int) -> bool:
+        """Returns whether reading engines can give one up to generating."""
+        if readers < 2 or self._crowding <= CROWDED:
+            return False
+        return self._wait_s <= READ_ROOM * view.target_s
+
+    def _to_reading(
+        self, makers: list[EngineView], reason: str, now: float
+    ) -> StageChange | None:
+        def load(view: EngineView) -> tuple[float, float, str]:
+            return view.crowding, view.wait_s, view.engine.id
+
+        stage = directory.Stage.PREFILL
+        return self._change(sorted(makers, key=load), stage, reason, now)
+
+    def _to_generating(
+        self, readers: list[EngineView], reason: str, now: float
+    ) -> StageChange | None:
+        def load(view: EngineView) -> tuple[float, str]:
+            return view.wait_s, view.engine.id
+
+        stage = directory.Stage.DECODE
+        return self._change(sorted(readers, key=load), stage, reason, now)
 
     def _change(
         self,
-        engines: list[directory.Registration],
-        waits_s: dict[str, float],
+        ranked: list[EngineView],
         stage: directory.Stage,
         reason: str,
         now: float,
     ) -> StageChange | None:
-        able = [e for e in engines if self._skip_until.get(e.id, 0.0) <= now]
-        if not able:
-            return None
-        idlest = min(able, key=lambda e: (waits_s.get(e.id, 0.0), e.id))
-        return StageChange(engine=idlest, stage=stage, reason=reason)
+        for view in ranked:
+            if self._skip_until.get(view.engine.id, 0.0) <= now:
+                return StageChange(
+                    engine=view.engine, stage=stage, reason=reason
+                )
+        return None
 
     def _smooth(
         self,
-        readers: list[directory.Registration],
-        makers: list[directory.Registration],
-        waits_s: dict[str, float],
+        view: ServiceView,
+        readers: list[EngineView],
+        makers: list[EngineView],
         now: float,
     ) -> None:
-        if self._seen_at is not None:
-            weight = 1.0 - math.exp(-(now - self._seen_at) / SMOOTH_S)
-            read_s = _mean_wait_s(readers, waits_s)
-            made_s = _mean_wait_s(makers, waits_s)
-            self._wait_s += weight * (read_s - self._wait_s)
-            self._makers_wait_s += weight * (made_s - self._makers_wait_s)
-        self._seen_at = now
-
-
-def _mean_wait_s(
-    engines: list[directory.Registration], waits_s: dict[str, float]
-) -> float:
-    if not engines:
-        return 0.0
-    return sum(waits_s.get(e.id, 0.0) for e in engines) / len(engines)
-
-
-def _needed(engines: int) -> int:
-    """Returns how many engines have to generate."""
-    least = min(LEAST_GENERATING, engines - 1)
-    return max(least, math.ceil(engines * GENERATING_SHARE))
+        before, self._seen_at = self._seen_at, now
+        if before is None:
+            return
+        constant_s = max(SMOOTH_CHANGES * view.change_s, now - before)
+        weight = 1.0 - math.exp((before - now) / constant_s)
+        wait_s = _mean([engine.wait_s for engine in readers or makers])
+        crowding = _mean_crowding(makers)
+        self._wait_s += weight * (wait_s - self._wait_s)
+        self._crowding += weight * (crowding - self._crowding)
+
+
+def _of_stage(view: ServiceView, stage: directory.Stage) -> list[EngineView]:
+    return [found for found in view.engines if found.engine.stage is stage]
+
+
+def _mean_crowding(makers: list[EngineView]) -> float:
+    return _mean([engine.crowding for engine in makers])
+
+
+def _mean(values: list[float]) -> float:
+    return sum(values) / len(values) if values else 0.0
--- /dev/null
+++ b/packages/bulrushgrade/bulrushgrade/streamload.py
@@ -0,0 +1,68 @@
+"""The streams that one daemon has running at an engine."""
+
+import attrs
+
+
+@attrs.define(kw_only=True, eq=False)
+class Stream:
+    """One answer that is generated.
+
+    Attributes:
+        prompt_tokens: The whole prompt's.
+        made_tokens: Generated so far.
+        event_at: When its last event came; None before the first.
+    """
+
+    prompt_tokens: int
+    made_tokens: int = 0
+    event_at: float | None = None
+
+
+class StreamLoad:
+    """Streams at one incarnation of an engine."""
+
+    def __init__(self):
+        self._streams: set[Stream] = set()
+        self._tokens = 0
+
+    @property
+    def running(self) -> int:
+        """How many there are."""
+        return len(self._streams)
+
+    @property
+    def tokens(self) -> int:
+        """What they have in the engine's memory."""
+        return self._tokens
+
+    def begin(self, stream: Stream) -> None:
+        """Notes a stream that is sent there."""
+        self._streams.add(stream)
+        self._tokens += stream.prompt_tokens
+
+    def note_events(
+        self, stream: Stream, count: int, *, event_tokens: int, now: float
+    ) -> float | None:
+        """Notes events that came together.
+
+        Args:
+            stream: Whose they are.
+            count: How many.
+            event_tokens: Tokens in an event.
+            now: The present time in seconds.
+
+        Returns:
+            The pause before them, by events; None for the first.
+        """
+        made = count * event_tokens
+        stream.made_tokens += made
+        if stream in self._streams:
+            self._tokens += made
+        before, stream.event_at = stream.event_at, now
+        return None if before is None else (now - before) / count
+
+    def end(self, stream: Stream) -> None:
+        """Notes that a stream has ended, or runs elsewhere."""
+        if stream in self._streams:
+            self._streams.discard(stream)
+            self._tokens -= stream.prompt_tokens + stream.made_tokens
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/answerpass.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/answerpass.py
@@ -102,9 +102,16 @@
     request: inflight.InFlight,
     dialect: dialect_module.Dialect,
     on_heard: Callable[[], None],
+    on_events: Callable[[int], None],
 ) -> inflight.AttemptEnd | None:
     """Sends each event as soon as it is whole.
 
+    Args:
+        request: Whose answer it is.
+        dialect: Translates headers.
+        on_heard: Called with each arrival of bytes.
+        on_events: Called with how many events came together.
+
     Returns:
         None where the caller has got all of them.
     """
@@ -115,7 +122,10 @@
 
     def take(data: bytes) -> None:
         on_heard()
+        known_events = cutter.events
         whole = cutter.feed(data)
+        if cutter.events > known_events:
+            on_events(cutter.events - known_events)
         if cutter.overflowed:
             answer.abort()
         if whole and not caller.gone:
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/cachesharing.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/cachesharing.py
@@ -2,7 +2,6 @@
 
 from bulrushgrade import directory as directory_module
 from bulrushgrade import enginecache
-from bulrushgrade import engineplan
 from bulrushgrade_daemon import choosing
 from bulrushgrade_daemon import loadgossip
 
@@ -72,7 +71,7 @@
         them. Most of what engines drop are such parts.
         """
         advertised = self._advertised.setdefault(engine.incarnation, set())
-        if change.tokens >= engineplan.FETCH_TOKENS:
+        if self._chooser.is_long_part(engine, change.tokens):
             advertised.add(change.part)
             return True
         if change.part in advertised:
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/choosing.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/choosing.py
@@ -4,23 +4,43 @@
 import random
 from typing import Any
 
+import attrs
+
 from bulrushgrade import attempts
 from bulrushgrade import balance
 from bulrushgrade import directory as directory_module
 from bulrushgrade import enginecache
 from bulrushgrade import engineload
 from bulrushgrade import engineplan
-from bulrushgrade import enginerank
-from bulrushgrade import peerqueues
+from bulrushgrade import peerloads
+from bulrushgrade import plancost
 from bulrushgrade import prefixindex
 from bulrushgrade import prompt as prompt_module
 from bulrushgrade import readtimes
 from bulrushgrade import routing
 from bulrushgrade import stagechanges
+from bulrushgrade import stageplan
+from bulrushgrade import streamload
 from bulrushgrade_daemon import decisionlog
 from bulrushgrade_daemon import inflight
 from bulrushgrade_daemon import placementindex
-from bulrushgrade_daemon import stagecontrol
+
+
+def _note_nothing(*_: Any) -> None:
+    """Takes what nobody follows."""
+
+
+@attrs.frozen(kw_only=True)
+class StreamNotes:
+    """What takes note of an answer that is generated.
+
+    Attributes:
+        events: Takes how many events came together.
+        ended: Called when it has ended, any number of times.
+    """
+
+    events: Callable[[int], None] = _note_nothing
+    ended: Callable[[], None] = _note_nothing
 
 
 class Chooser:
@@ -33,8 +53,9 @@
         zone: str,
         table: Callable[[], routing.RouteTable | None],
         endpoints: directory_module.Directory,
-        others: peerqueues.PeerQueues,
+        others: peerloads.PeerLoads,
         index: placementindex.PlacementIndex,
+        settle_s: float,
         log: decisionlog.DecisionLog,
         rng: random.Random,
     ):
@@ -47,6 +68,7 @@
             endpoints: The endpoints that are known.
             others: What other daemons have waiting at engines.
             index: What waits at engines now.
+            settle_s: Until what an endpoint registers is known everywhere.
             log: Gets a line for each ejection.
             rng: Breaks ties.
         """
@@ -58,6 +80,7 @@
         self._balancer = balance.Balancer(zone=zone, rng=rng)
         self._others = others
         self._index = index
+        self._settle_s = settle_s
         self._planners: dict[str, engineplan.EnginePlanner] = {}
         self._changes = stagechanges.StageChanges()
 
@@ -67,20 +90,17 @@
         prompt, traits = request.info.prompt, self._traits(request.service)
         if traits is None or prompt is None:
             return
-        if prompt.prompt_tokens < enginerank.LONG_PROMPT_TOKENS:
+        if prompt.prompt_tokens < traits.long_tokens:
             return
-        if prompt.shared_tokens >= enginerank.LONG_PROMPT_TOKENS:
+        if prompt.shared_tokens >= traits.long_tokens:
             for holder in await self._index.query_holders(prompt.anchor.id):
                 self._take_holder(holder, request.service, traits)
-        now = self._timers.now
-        usable = self._usable(request.service, now)
         engines = self._planner(request.service).reading_candidates(
-            prompt,
-            self._balancer.eligible(usable, avoid=request.avoid, now=now),
-            traits,
-            now=now,
+            self._plan_input(request, traits)
+        )
+        request.waits_s = await self._index.query_waits(
+            (e.id for e in engines), request.route.urgency
         )
-        request.waits_s = await self._index.query_waits(e.id for e in engines)
 
     def _take_holder(
         self,
@@ -114,12 +134,8 @@
             ]
             return self._balancer.pick(able, avoid=request.avoid, now=now)
         request.plan = self._planner(request.service).plan(
-            prompt,
-            self._balancer.eligible(usable, avoid=request.avoid, now=now),
-            traits,
-            now=now,
+            self._plan_input(request, traits),
             may_hand_over=request.history.arrivals == 0,
-            known_s=request.waits_s,
         )
         return request.plan.decode if request.plan else None
 
@@ -131,18 +147,67 @@
         Reading may take seconds, in which the engine that was planned can
         have begun to leave.
         """
-        now = self._timers.now
-        usable = self._usable(request.service, now)
         traits = self._traits(request.service)
         if traits is None or request.info.prompt is None:
             return None
         return self._planner(request.service).receiver(
-            request.info.prompt,
-            self._balancer.eligible(usable, avoid=request.avoid, now=now),
-            traits,
+            self._plan_input(request, traits)
+        )
+
+    def _plan_input(
+        self, request: inflight.InFlight, traits: routing.EngineTraits
+    ) -> engineplan.PlanInput:
+        """Returns all that the planner has to know of a request."""
+        now = self._timers.now
+        route = request.route
+        return engineplan.PlanInput(
+            prompt=request.info.prompt,
+            engines=self._balancer.eligible(
+                self._usable(request.service, now),
+                avoid=request.avoid,
+                now=now,
+            ),
+            traits=traits,
+            needs=plancost.Needs(
+                target_s=route.target_s,
+                gap_s=route.gap_s,
+                least_gap_s=self._table().limits(request.service).least_gap_s,
+            ),
             now=now,
+            urgency=route.urgency,
+            known_s=request.waits_s,
         )
 
+    def begin_stream(
+        self,
+        request: inflight.InFlight,
+        engine: directory_module.Registration,
+    ) -> StreamNotes:
+        """Notes an answer that an engine is to generate."""
+        traits = self._traits(request.service)
+        if request.plan is None or traits is None:
+            return StreamNotes()
+        planner = self._planner(request.service)
+        streams = planner.load(engine, traits).streams
+        prompt_tokens = request.info.prompt.prompt_tokens
+        stream = streamload.Stream(prompt_tokens=prompt_tokens)
+        streams.begin(stream)
+
+        def note_events(count: int) -> None:
+            now = self._timers.now
+            pause_s = streams.note_events(
+                stream, count, event_tokens=traits.event_tokens, now=now
+            )
+            if pause_s is not None:
+                planner.note_pause(engine, traits, pause_s, now)
+
+        def ended() -> None:
+            streams.end(stream)
+            if stream.made_tokens:
+                planner.note_stream(stream.made_tokens // traits.event_tokens)
+
+        return StreamNotes(events=note_events, ended=ended)
+
     def begin(self, endpoint: directory_module.Registration) -> None:
         """Notes that a request goes to an endpoint."""
         self._balancer.begin(endpoint.incarnation)
@@ -201,8 +266,8 @@
         planner = self._planner(request.service)
         load = planner.load(engine, traits)
         prompt = request.info.prompt
-        reading = _make_reading(plan, prompt, self._timers.now, reads=reads)
-        report_end = self._report_begin(engine, reading, prompt, load)
+        reading = _make_reading(request, self._timers.now, reads=reads)
+        report_end = self._report_begin(engine, reading, prompt, traits)
         load.begin(reading)
 
         def ended(began: bool) -> None:
@@ -210,7 +275,7 @@
             now = self._timers.now
             if began:
                 load.answered(reading, engine.stage, now)
-                if reading.tokens >= enginerank.LONG_PROMPT_TOKENS:
+                if reading.tokens >= traits.long_tokens:
                     planner.note_read(plan, now - reading.since, now)
             else:
                 load.dropped(reading, now)
@@ -222,16 +287,24 @@
         engine: directory_module.Registration,
         reading: engineload.Reading,
         prompt: prompt_module.Prompt,
-        load: engineload.EngineLoad,
+        traits: routing.EngineTraits,
     ) -> Callable[[bool], None]:
         """Reports a long reading to peers; returns what reports its end."""
-        if reading.tokens < enginerank.LONG_PROMPT_TOKENS:
+        if reading.tokens < traits.long_tokens:
             return lambda began: None
         # Nothing new is read of parts that it has already.
-        is_new = load.cache.cached_tokens(prompt) < prompt.shared_tokens
+        cache = self._planner(engine.service).load(engine, traits).cache
+        is_new = cache.cached_tokens(prompt) < prompt.shared_tokens
         parts = reading.parts if is_new else ()
         return self._index.begin(engine.id, reading, parts)
 
+    def is_long_part(
+        self, engine: directory_module.Registration, tokens: int
+    ) -> bool:
+        """Returns whether a part is worth keeping in one place."""
+        traits = self._traits(engine.service)
+        return traits is not None and tokens >= traits.long_tokens
+
     def apply_cache(
         self,
         engine: directory_module.Registration,
@@ -245,30 +318,30 @@
             load = self._planner(engine.service).load(engine, traits)
             load.cache.apply(changes, anew=anew)
 
-    def queued_s(self) -> dict[str, float]:
-        """Returns the seconds of reading that wait, by engine's id."""
-        queued_s: dict[str, float] = {}
+    def shares(self) -> dict[str, peerloads.EngineShare]:
+        """Returns what this daemon has at engines, by id."""
+        shares: dict[str, peerloads.EngineShare] = {}
         for planner in self._planners.values():
-            queued_s.update(planner.queued_s(self._timers.now))
-        return queued_s
+            shares.update(planner.shares(self._timers.now))
+        return shares
 
-    def engine_views(self) -> list[stagecontrol.View]:
+    def engine_views(self) -> list[stageplan.ServiceView]:
         """Returns what is known of each service's engines."""
-        now = self._timers.now
-        found = []
+        now, found = self._timers.now, []
         for service, planner in self._planners.items():
             traits = self._traits(service)
             if traits is None:
                 continue
-            usable = self._usable(service, now)
             engines = self._balancer.eligible(
-                usable, avoid=frozenset(), now=now
+                self._usable(service, now), avoid=frozenset(), now=now
             )
-            view = stagecontrol.View(
+            limits = self._table().limits(service)
+            view = stageplan.ServiceView(
                 service=service,
-                engines=engines,
-                waits_s=planner.waits_s(engines, traits, now),
+                engines=planner.views(engines, traits, limits, now),
+                target_s=limits.longest_target_s,
                 change_s=traits.stage_change_s,
+                settle_s=self._settle_s,
             )
             found.append(view)
         return found
@@ -325,18 +398,17 @@
 
 
 def _make_reading(
-    plan: engineplan.Plan,
-    prompt: prompt_module.Prompt,
-    now: float,
-    *,
-    reads: bool,
+    request: inflight.InFlight, now: float, *, reads: bool
 ) -> engineload.Reading:
+    plan, prompt = request.plan, request.info.prompt
+    urgency = request.route.urgency
     if not reads:
         return engineload.Reading(
             expected_s=plan.move_s,
             since=now,
             tokens=0,
             latency_s=plan.take_over_s,
+            urgency=urgency,
             way=readtimes.Way.TAKEN_OVER,
         )
     is_apart = plan.prefill is not None
@@ -344,8 +416,10 @@
         expected_s=plan.busy_s,
         since=now,
         tokens=plan.read_tokens,
+        cached_tokens=prompt.prompt_tokens - plan.read_tokens,
         wait_s=plan.wait_s,
         latency_s=plan.latency_s,
+        urgency=urgency,
         fetch_s=plan.busy_s - plan.read_s,
         way=readtimes.Way.APART if is_apart else readtimes.Way.IN_PLACE,
         parts=prompt.shared_parts,
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointcalls.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointcalls.py
@@ -18,9 +18,6 @@
 """Opening a connection takes a round trip of a few milliseconds; a lost first
 packet is sent again after 0.2 s or more. Longer means a dead or cut host."""
 
-LEAST_URGENT = 9
-"""The largest urgency that engines know."""
-
 FREE_TIMEOUT_S = 0.5
 """For freeing a prompt that nobody takes; it goes by itself seconds later."""
 
@@ -190,6 +187,4 @@
 
 
 def _urgency(request: inflight.InFlight) -> int | None:
-    if request.plan is None:
-        return None
-    return min(request.route.priority, LEAST_URGENT)
+    return None if request.plan is None else request.route.urgency
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
@@ -261,13 +261,16 @@
         ended = self._chooser.note_reading(
             request, endpoint, reads=prefilled is None
         )
+        stream = self._chooser.begin_stream(request, endpoint)
         try:
             sent = await self._calls.run(request, endpoint, prefilled)
             if isinstance(sent, inflight.AttemptEnd):
                 return sent
             request.call = sent
             latency_s = self._timers.now - began
-            failed = await self._pass(request, lambda: ended(True))
+            failed = await self._pass(
+                request, lambda: ended(True), stream.events
+            )
             if failed is None:
                 self._chooser.succeeded(endpoint, latency_s)
             return failed
@@ -276,19 +279,24 @@
                 request.call.abort()
             request.call = None
             self._chooser.end(endpoint)
+            stream.ended()
             ended(False)
 
     async def _pass(
-        self, request: inflight.InFlight, on_heard: Callable[[], None]
+        self,
+        request: inflight.InFlight,
+        on_heard: Callable[[], None],
+        on_events: Callable[[int], None],
     ) -> inflight.AttemptEnd | None:
         status = request.call.status
         if answerpass.is_failure(status):
             return await answerpass.take_failure(request, self._dialect)
         is_stream = request.route.kind is routing.RequestKind.STREAM
-        passing = answerpass.pass_whole
         if is_stream and status == http.OK:
-            passing = answerpass.pass_events
-        return await passing(request, self._dialect, on_heard)
+            return await answerpass.pass_events(
+                request, self._dialect, on_heard, on_events
+            )
+        return await answerpass.pass_whole(request, self._dialect, on_heard)
 
     def _goes_on(
         self, request: inflight.InFlight, ended: inflight.AttemptEnd
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaymessages.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaymessages.py
@@ -16,14 +16,15 @@
     Attributes:
         peer: Who says it; another one after each start.
         number: Grows from each of its messages to the next.
-        queued_ms: Reading that it has waiting, by engine.
+        engines: What it has at each engine: milliseconds of reading that
+            wait by urgency, streams, and their tokens.
         kept: What changed in the caches that it follows, by engine: parts
             with the tokens that are kept now.
     """
 
     peer: str
     number: int
-    queued_ms: dict[str, int]
+    engines: dict[str, tuple[dict[int, int], int, int]]
     kept: dict[str, list[tuple[str, int]]] = {}
 
 
@@ -34,11 +35,13 @@
         peer: Who queries.
         number: Its own number of the question.
         engines: The engines' ids.
+        urgency: The prompt's; 0 is read first.
     """
 
     peer: str
     number: int
     engines: list[str]
+    urgency: int
 
 
 class WaitReply(msgspec.Struct, array_like=True, tag="wait_reply"):
@@ -64,6 +67,7 @@
         engine: The engine's id.
         reading_ms: How long reading it should take by itself.
         latency_ms: From the end of that to the beginning of its answer.
+        urgency: 0 is read first.
     """
 
     peer: str
@@ -71,6 +75,7 @@
     engine: str
     reading_ms: int
     latency_ms: int
+    urgency: int
 
 
 class Ended(msgspec.Struct, array_like=True, tag="ended"):
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
@@ -8,7 +8,7 @@
 
 from bulrushgrade import kernel as kernel_module
 from bulrushgrade import orderturn
-from bulrushgrade import peerqueues
+from bulrushgrade import peerloads
 from bulrushgrade import retryshare
 from bulrushgrade import routing
 from bulrushgrade import stageplan
@@ -102,7 +102,7 @@
         self._timers = clock.TimerService(
             reactor=context.reactor, on_broken=context.kernel.fail
         )
-        self._peer_queues = peerqueues.PeerQueues()
+        self._peer_loads = peerloads.PeerLoads()
         self._make_view()
         self._make_chooser()
         self._make_forwarding()
@@ -213,8 +213,9 @@
             zone=context.settings().host.zone,
             table=lambda: self._view.table,
             endpoints=self._view.endpoints,
-            others=self._peer_queues,
+            others=self._peer_loads,
             index=self._index,
+            settle_s=context.settings().bounds.drain_s,
             log=context.log,
             rng=context.rng,
         )
@@ -262,8 +263,8 @@
             own_name=self._own_name,
             listen=context.settings().listen.peers,
             membership=context.adapter.membership,
-            queues=self._peer_queues,
-            read_own=self._chooser.queued_s,
+            loads=self._peer_loads,
+            read_own=self._chooser.shares,
             take_changes=sharing.take_advertised,
             take_other=self._take_message,
             log=context.log,
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadgossip.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadgossip.py
@@ -21,7 +21,7 @@
 import xxhash
 
 from bulrushgrade import enginecache
-from bulrushgrade import peerqueues
+from bulrushgrade import peerloads
 from bulrushgrade_daemon import decisionlog
 from bulrushgrade_daemon import follower
 from bulrushgrade_daemon import gatewaymessages
@@ -105,8 +105,8 @@
         own_name: str,
         listen: Any,
         membership: Membership,
-        queues: peerqueues.PeerQueues,
-        read_own: Callable[[], dict[str, float]],
+        loads: peerloads.PeerLoads,
+        read_own: Callable[[], dict[str, peerloads.EngineShare]],
         take_changes: TakeChanges,
         take_other: Callable[[gatewaymessages.Message], None],
         log: decisionlog.DecisionLog,
@@ -122,8 +122,8 @@
                 each start.
             listen: The address for datagrams.
             membership: Where daemons find each other.
-            queues: Takes what peers advertise.
-            read_own: Returns seconds of reading by engine.
+            loads: Takes what peers advertise.
+            read_own: Returns what this daemon has, by engine.
             take_changes: Takes what a peer saw of an engine's cache.
             take_other: Takes the messages that are not about the load.
             log: Gets a line for each peer that comes.
@@ -135,7 +135,7 @@
         self._own_name = own_name
         self._listen = listen
         self._membership = membership
-        self._queues = queues
+        self._loads = loads
         self._read_own = read_own
         self._take_changes = take_changes
         self._take_other = take_other
@@ -260,10 +260,17 @@
         if before != message.peer:
             # A host that was restarted is not there under its old name.
             self._names[host] = message.peer
-            self._queues.drop(before or "")
-        queued_s = {e: ms / 1000 for e, ms in message.queued_ms.items()}
-        self._queues.update(
-            message.peer, message.number, queued_s, self._timers.now
+            self._loads.drop(before or "")
+        shares = {
+            engine: peerloads.EngineShare(
+                queued_s={u: ms / 1000 for u, ms in queued_ms.items()},
+                streams=streams,
+                tokens=tokens,
+            )
+            for engine, (queued_ms, streams, tokens) in message.engines.items()
+        }
+        self._loads.update(
+            message.peer, message.number, shares, self._timers.now
         )
         for engine, kept in message.kept.items():
             changes = tuple(
@@ -300,7 +307,7 @@
 
     def heard(self) -> list[str]:
         """Returns the peers that are there, sorted by their names."""
-        return self._queues.heard(self._timers.now, silent_s=self._silent_s())
+        return self._loads.heard(self._timers.now, silent_s=self._silent_s())
 
     def find_owners(self, key: str) -> list[str]:
         """Returns the hash owners of an engine's queue or a part.
@@ -335,21 +342,25 @@
 
     def _advertise(self) -> None:
         self._number += 1
-        queued_ms = {
-            engine: round(seconds * 1000)
-            for engine, seconds in self._read_own().items()
+        engines = {
+            engine: (
+                {u: round(s * 1000) for u, s in share.queued_s.items()},
+                share.streams,
+                share.tokens,
+            )
+            for engine, share in self._read_own().items()
         }
         message = gatewaymessages.serialize(
             gatewaymessages.Load(
                 peer=self._own_name,
                 number=self._number,
-                queued_ms=queued_ms,
+                engines=engines,
                 kept=self._take_pending(),
             )
         )
         for address in self._peers.values():
             self.transport.write(message, address)
-        self._queues.forget(self._timers.now, silent_s=self._silent_s())
+        self._loads.forget(self._timers.now, silent_s=self._silent_s())
         self._schedule()
 
 
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/placementindex.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/placementindex.py
@@ -16,6 +16,7 @@
 from bulrushgrade import enginequeue
 from bulrushgrade import prefixindex
 from bulrushgrade import prompt as prompt_module
+from bulrushgrade import readqueue
 from bulrushgrade_daemon import gatewaymessages
 from bulrushgrade_daemon import peerqueries
 
@@ -75,20 +76,22 @@
         """Takes peers' queries, replies and reports on engines and parts."""
         now = self._timers.now
         match message:
-            case gatewaymessages.WaitQuery(peer, number, engines):
-                self._send(peer, self._reply(number, engines))
+            case gatewaymessages.WaitQuery(peer, number):
+                self._send(
+                    peer, self._reply(number, message.engines, message.urgency)
+                )
             case gatewaymessages.HolderQuery(peer, number, part):
                 self._send(peer, self._reply_part(number, part))
             case gatewaymessages.WaitReply() | gatewaymessages.HolderReply():
                 self._queries.take(message)
             case gatewaymessages.Begun(peer, number, engine):
-                self._queues.begin(
-                    engine,
-                    (peer, number),
-                    message.reading_ms / 1000,
-                    now,
+                entry = readqueue.Entry(
+                    seconds=message.reading_ms / 1000,
                     latency_s=message.latency_ms / 1000,
+                    urgency=message.urgency,
+                    added_at=now,
                 )
+                self._queues.begin(engine, (peer, number), entry)
             case gatewaymessages.Ended(peer, number, engine):
                 self._queues.end(engine, (peer, number), now)
             case gatewaymessages.HolderUpdate(parts=parts) if parts:
@@ -102,13 +105,16 @@
             **self.counts,
         }
 
-    async def query_waits(self, engines: Iterable[str]) -> dict[str, float]:
+    async def query_waits(
+        self, engines: Iterable[str], urgency: int
+    ) -> dict[str, float]:
         """Returns how long a prompt would wait, by engine.
 
         Engines whose owner did not reply in time are left out.
 
         Args:
             engines: The engines' ids.
+            urgency: The prompt's; 0 is read first.
         """
         queried: dict[str, list[str]] = {}
         for engine in engines:
@@ -117,12 +123,15 @@
         replies = await self._queries.query(
             {
                 owner: functools.partial(
-                    gatewaymessages.WaitQuery, self._own_name, engines=its
+                    gatewaymessages.WaitQuery,
+                    self._own_name,
+                    engines=its,
+                    urgency=urgency,
                 )
                 for owner, its in queried.items()
             }
         )
-        waits_ms = self._reply(0, own).waits_ms
+        waits_ms = self._reply(0, own, urgency).waits_ms
         for reply in replies:
             waits_ms |= reply.waits_ms
         return {engine: ms / 1000 for engine, ms in waits_ms.items()}
@@ -172,6 +181,7 @@
             engine=engine,
             reading_ms=round(reading.expected_s * 1000),
             latency_ms=round(reading.latency_s * 1000),
+            urgency=reading.urgency,
         )
         self._report(owners, begun)
         self._report_parts(engine, prefixindex.HolderState.COMING, parts)
@@ -216,14 +226,16 @@
                 self._send(owner, message)
 
     def _reply(
-        self, number: int, engines: list[str]
+        self, number: int, engines: list[str], urgency: int
     ) -> gatewaymessages.WaitReply:
         now = self._timers.now
         return gatewaymessages.WaitReply(
             peer=self._own_name,
             number=number,
             waits_ms={
-                engine: round(self._queues.wait_s(engine, now) * 1000)
+                engine: round(
+                    self._queues.wait_s(engine, now, urgency=urgency) * 1000
+                )
                 for engine in engines
             },
         )
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/stagecontrol.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/stagecontrol.py
@@ -115,23 +115,6 @@
     ]
 
 
-@attrs.frozen(kw_only=True)
-class View:
-    """What is known of one service's engines.
-
-    Attributes:
-        service: The service.
-        engines: Those that may be used.
-        waits_s: How long new work would wait at each, by id.
-        change_s: How long a change of role takes.
-    """
-
-    service: str
-    engines: list[directory_module.Registration]
-    waits_s: dict[str, float]
-    change_s: float
-
-
 class StageControl:
     """Watches the queues and orders changes."""
 
@@ -147,7 +130,7 @@
         topic: OrderTopic,
         control: EngineControl,
         leads: Callable[[], bool],
-        views: Callable[[], list[View]],
+        views: Callable[[], list[stageplan.ServiceView]],
         announce: Callable[[stageplan.StageChange, float], None],
         log: decisionlog.DecisionLog,
         on_broken: Callable[[str], None],
@@ -200,16 +183,19 @@
         """Takes no messages."""
 
     def dump(self) -> dict[str, Any]:
-        """Returns the waits that are watched."""
-        waits = {name: plan.wait_s for name, plan in self._plans.items()}
-        return {"waits_s": waits, "end": self._turn.end, **self.counts}
+        """Returns what is watched."""
+        plans = {
+            name: {"wait_s": plan.wait_s, "crowding": plan.crowding}
+            for name, plan in self._plans.items()
+        }
+        return {"plans": plans, "end": self._turn.end, **self.counts}
 
     def _check(self) -> None:
         for view in self._views():
-            plan = self._plans.setdefault(view.service, stageplan.StagePlan())
-            change = plan.propose(
-                view.engines, view.waits_s, now=self._timers.now
+            plan = self._plans.setdefault(
+                view.service, stageplan.StagePlan(check_s=CHECK_PERIOD_S)
             )
+            change = plan.propose(view, self._timers.now)
             if change is None or self._ordering or not self._leads():
                 continue
             self._ordering = True
@@ -221,7 +207,7 @@
 
     async def _change(
         self,
-        view: View,
+        view: stageplan.ServiceView,
         plan: stageplan.StagePlan,
         change: stageplan.StageChange,
     ) -> None:
@@ -232,9 +218,9 @@
         now = self._timers.now
         if outcome in (TAKEN, UNANSWERED):
             # An order without an answer may still be carried out.
-            plan.note_change(now, view.change_s, len(view.engines))
+            plan.note_change(view, now)
         else:
-            plan.note_refusal(change.engine.id, now)
+            plan.note_refusal(change.engine.id, view, now)
         if outcome == TAKEN:
             self._announce(change, view.change_s)
         self._log.note(
