Split the planner: the plan, the fleet's beliefs, the choice, the work

Change: placementplan (what is placed and where), enginefleet (what is believed of a service's engines), engineplan (the choice), enginework (the daemon's readings and streams), choosing (endpoints for requests). No behaviour changes. Ruled out: splitting by request kind, as plain requests and prompts share the balancer.

--- a/packages/bulrushgrade/bulrushgrade/engineadmission.py
+++ b/packages/bulrushgrade/bulrushgrade/engineadmission.py
@@ -7,7 +7,7 @@
 can come back when the queue is shorter.
 """
 
-from bulrushgrade import engineplan
+from bulrushgrade import placementplan
 
 FIRST_EVENT_SHARE = 0.6
 """Of the time that is left, in which the first event has to come: the other
@@ -27,7 +27,7 @@
 
 
 def lateness_s(
-    plan: engineplan.Plan, *, left_s: float, patience_s: float
+    plan: placementplan.Plan, *, left_s: float, patience_s: float
 ) -> float:
     """Returns how much too late the first event is expected; 0 or less is not.
 
--- a/packages/bulrushgrade/bulrushgrade/engineplan.py
+++ b/packages/bulrushgrade/bulrushgrade/engineplan.py
@@ -10,22 +10,15 @@
 daemons derive alike from the part's id and the engines' ids without a message.
 """
 
-from collections.abc import Iterable
-from collections.abc import Mapping
-
 import attrs
 
 from bulrushgrade import directory
-from bulrushgrade import engineload
+from bulrushgrade import enginefleet
 from bulrushgrade import enginerank
-from bulrushgrade import pausemodel
-from bulrushgrade import peerloads
+from bulrushgrade import placementplan
 from bulrushgrade import plancost
-from bulrushgrade import prompt as prompt_module
-from bulrushgrade import readdelay
 from bulrushgrade import readtimes
 from bulrushgrade import routing
-from bulrushgrade import stageplan
 
 REREAD_WEIGHT = 1.0
 """What a second of reading costs others, beside the second that it costs the
@@ -58,60 +51,6 @@
 OTHER_ZONE_TRANSFER = 2.0
 """A transfer between zones takes this many times as long."""
 
-SIZE_WEIGHT = 0.05
-"""Of each prompt in the running mean of sizes, and of each stream in that of
-its events: some twenty."""
-
-START_EVENTS = 10.0
-"""Events of a stream, until streams tell."""
-
-
-@attrs.frozen(kw_only=True)
-class Plan:
-    """Where a request goes.
-
-    Attributes:
-        decode: The engine that generates.
-        prefill: The engine that reads the prompt for it, or None where the
-            generating one reads it itself.
-        fetch_from: Who has the shared parts that the reading engine lacks,
-            or None where it has them or has to read them.
-        relative_size: The whole prompt's tokens against the mean.
-        wait_s: How long it is expected to wait before that.
-        read_tokens: How many tokens are expected to be read.
-        read_s: How long that should take by itself.
-        busy_s: How long it keeps the reading engine from the next prompt:
-            reading it and fetching what it lacks.
-        move_s: How long KV cache is moved between engines for it.
-        latency_s: From the end of the reading to its answer.
-        take_over_s: From then to the first event, without the move itself,
-            where another engine generates.
-        first_s: When the first event is expected, seconds from now.
-        delay_s: How much longer recent readings took than expected.
-        late_answers: How many answers are expected to become late by it, the
-            request's own and others'.
-    """
-
-    decode: directory.Registration
-    prefill: directory.Registration | None
-    fetch_from: directory.Registration | None
-    relative_size: float
-    wait_s: float
-    read_tokens: int
-    read_s: float
-    busy_s: float
-    move_s: float
-    latency_s: float
-    take_over_s: float
-    first_s: float
-    delay_s: float = 0.0
-    late_answers: float = 0.0
-
-    @property
-    def reader(self) -> directory.Registration:
-        """The engine that reads the prompt."""
-        return self.prefill or self.decode
-
 
 @attrs.frozen(kw_only=True)
 class _Place:
@@ -126,169 +65,27 @@
     has_tokens: int
 
 
-@attrs.frozen(kw_only=True)
-class PlanInput:
-    """A prompt that is to be placed, and all that does not depend on where.
-
-    Attributes:
-        prompt: What is to be read.
-        engines: Those that may be used.
-        traits: What they have in common.
-        needs: What the request and its service allow.
-        now: The present time in seconds.
-        urgency: The prompt's; 0 is read first.
-        known_s: How long it would wait at engines, by id, where that is
-            known from the owners of their queues.
-    """
-
-    prompt: prompt_module.Prompt
-    engines: list[directory.Registration]
-    traits: routing.EngineTraits
-    needs: plancost.Needs
-    now: float
-    urgency: int = 0
-    known_s: Mapping[str, float] = attrs.field(factory=dict)
-
-    @property
-    def end_tokens(self) -> int:
-        """What its stream has in an engine's memory at most."""
-        return self.prompt.prompt_tokens + self.prompt.output_tokens
-
-    @property
-    def is_long(self) -> bool:
-        """Whether its shared parts are worth keeping in one place."""
-        return self.prompt.shared_tokens >= self.traits.long_tokens
-
-    def rank(self) -> enginerank.Ranked:
-        """Returns the engines in the prompt's order."""
-        return enginerank.rank_by_role(self.prompt, self.engines, self.traits)
-
-
 class EnginePlanner:
     """Plans requests for the engines of one service."""
 
-    def __init__(self, *, zone: str, others: peerloads.PeerLoads | None = None):
-        """Makes a planner that has seen no engine.
+    def __init__(self, *, zone: str, fleet: enginefleet.EngineFleet):
+        """Makes a planner.
 
         Args:
             zone: The availability zone of this daemon.
-            others: What other daemons have at engines.
+            fleet: What is known of the engines.
         """
         self._zone = zone
-        self._others = others or peerloads.PeerLoads()
-        self._mean_tokens = 0.0
-        self._mean_events = START_EVENTS
-        self._delay = readdelay.ReadDelay()
-        self._times = readtimes.ReadTimes()
-        self._pauses = pausemodel.PauseModel()
-        self._loads: dict[tuple[str, int], engineload.EngineLoad] = {}
-
-    def load(
-        self, engine: directory.Registration, traits: routing.EngineTraits
-    ) -> engineload.EngineLoad:
-        """Returns what is believed of an engine."""
-        load = self._loads.get(engine.incarnation)
-        if load is None:
-            load = engineload.EngineLoad(
-                memory_tokens=traits.memory_tokens, times=self._times
-            )
-            self._loads[engine.incarnation] = load
-        return load
-
-    def shares(self, now: float) -> dict[str, peerloads.EngineShare]:
-        """Returns what this daemon has at engines, by id."""
-        return {
-            incarnation[0]: load.share(now)
-            for incarnation, load in self._loads.items()
-            if not load.is_idle
-        }
-
-    def views(
-        self,
-        engines: list[directory.Registration],
-        traits: routing.EngineTraits,
-        limits: routing.ServiceLimits,
-        now: float,
-    ) -> tuple[stageplan.EngineView, ...]:
-        """Returns what is known of engines, for the plan of their roles."""
-        found = []
-        for engine in engines:
-            wait_s = self._wait_s(engine, traits, now, routing.LEAST_URGENT)
-            there = self.generation(engine, traits, now)
-            crowding = plancost.crowding(there, wait_s, limits.least_gap_s)
-            view = stageplan.EngineView(
-                engine=engine, wait_s=wait_s, crowding=crowding
-            )
-            found.append(view)
-        return tuple(found)
-
-    def generation(
-        self,
-        engine: directory.Registration,
-        traits: routing.EngineTraits,
-        now: float,
-        *,
-        new_tokens: int = 0,
-    ) -> plancost.Generation:
-        """Returns what an engine is believed to generate.
-
-        Args:
-            engine: The engine.
-            traits: What all have in common.
-            now: The present time in seconds.
-            new_tokens: Of a stream that may join.
-        """
-        load = self.load(engine, traits)
-        there = load.share(now) + self._others.at(engine.id, now)
-        factor = load.pause_factor.value
-        after_tokens = there.tokens + new_tokens
-        return plancost.Generation(
-            streams=there.streams,
-            tokens=there.tokens,
-            pause_s=factor * self._pauses.expected_s(there.tokens),
-            pause_after_s=factor * self._pauses.expected_s(after_tokens),
-            memory_tokens=traits.memory_tokens,
-            slots=traits.slots,
-            spread_s=self._pauses.spread_s,
-            events=self._mean_events,
-        )
-
-    def note_stream(self, events: int) -> None:
-        """Learns from a stream that has ended how many events they have."""
-        self._mean_events += SIZE_WEIGHT * (events - self._mean_events)
-
-    def note_read(self, plan: Plan, took_s: float, now: float) -> None:
-        """Learns how much longer readings take than they were expected to.
+        self._fleet = fleet
 
-        Args:
-            plan: The plan of a prompt that was read.
-            took_s: How long that took, with its wait.
-            now: The present time in seconds.
-        """
-        due_s = plan.wait_s + plan.busy_s + plan.latency_s
-        self._delay.note(due_s, took_s, now)
+    @property
+    def fleet(self) -> enginefleet.EngineFleet:
+        """What is known of the engines."""
+        return self._fleet
 
-    def note_pause(
-        self,
-        engine: directory.Registration,
-        traits: routing.EngineTraits,
-        pause_s: float,
-        now: float,
-    ) -> None:
-        """Learns from the pause before an event of this daemon's streams."""
-        load = self.load(engine, traits)
-        others = self._others.at(engine.id, now)
-        tokens = load.streams.tokens + others.tokens
-        self._pauses.note(tokens, pause_s, load.pause_factor)
-
-    def forget(self, live: Iterable[tuple[str, int]]) -> None:
-        """Drops what is believed of engines that are gone and idle."""
-        kept = set(live)
-        for incarnation, load in list(self._loads.items()):
-            if incarnation not in kept and load.is_idle:
-                del self._loads[incarnation]
-
-    def plan(self, given: PlanInput, *, may_hand_over: bool) -> Plan | None:
+    def plan(
+        self, given: placementplan.PlanInput, *, may_hand_over: bool
+    ) -> placementplan.Plan | None:
         """Returns the best plan, or None where no engine generates.
 
         Args:
@@ -302,7 +99,7 @@
         if not generating:
             return None
         if given.prompt.prompt_tokens >= given.traits.long_tokens:
-            self._note_size(given.prompt.prompt_tokens)
+            self._fleet.note_size(given.prompt.prompt_tokens)
         holder = self._find_holder(given)
         plans = [
             self._plan_at(given, engine, None, holder) for engine in generating
@@ -315,13 +112,13 @@
             ]
         preferred = ranked.preferred if holder is None else None
 
-        def cost_s(plan: Plan) -> float:
+        def cost_s(plan: placementplan.Plan) -> float:
             return self._cost_s(given, plan, preferred)
 
         return min(plans, key=cost_s)
 
     def reading_candidates(
-        self, given: PlanInput
+        self, given: placementplan.PlanInput
     ) -> list[directory.Registration]:
         """Returns the engines that are weighed for reading a prompt."""
         ranked = enginerank.rank_by_role(
@@ -331,7 +128,9 @@
             return ranked.generating[:CANDIDATES]
         return self._readers(given, ranked, self._find_holder(given))
 
-    def receiver(self, given: PlanInput) -> directory.Registration | None:
+    def receiver(
+        self, given: placementplan.PlanInput
+    ) -> directory.Registration | None:
         """Returns who generates what another engine reads or has read.
 
         The receiver keeps what it is handed, so the same part should go to
@@ -345,8 +144,8 @@
 
     def _cost_s(
         self,
-        given: PlanInput,
-        plan: Plan,
+        given: placementplan.PlanInput,
+        plan: placementplan.Plan,
         preferred: directory.Registration | None,
     ) -> float:
         """Returns the seconds that a plan costs this caller and others.
@@ -366,7 +165,7 @@
         if preferred is not None and plan.reader is not preferred:
             # Two daemons that meet a new part at the same time then read it
             # once.
-            spread_s = self.load(plan.reader, given.traits).read_s(
+            spread_s = self._fleet.load(plan.reader, given.traits).read_s(
                 given.prompt.shared_tokens, 0, plan.reader.stage
             )
         return (
@@ -380,7 +179,7 @@
 
     def _readers(
         self,
-        given: PlanInput,
+        given: placementplan.PlanInput,
         ranked: enginerank.Ranked,
         holder: directory.Registration | None,
     ) -> list[directory.Registration]:
@@ -390,7 +189,7 @@
             return found
 
         def expected(engine: directory.Registration) -> int:
-            cache = self.load(engine, given.traits).cache
+            cache = self._fleet.load(engine, given.traits).cache
             return cache.expected_tokens(given.prompt, given.now)
 
         best = max(ranked.readers, key=expected, default=None)
@@ -400,30 +199,24 @@
             found.append(holder)
         return list(dict.fromkeys(found))
 
-    def _relative_size(self, prompt: prompt_module.Prompt) -> float:
-        if self._mean_tokens == 0.0:
-            return 1.0
-        return prompt.prompt_tokens / self._mean_tokens
-
-    def _note_size(self, tokens: int) -> None:
-        if self._mean_tokens == 0.0:
-            self._mean_tokens = tokens
-        self._mean_tokens += SIZE_WEIGHT * (tokens - self._mean_tokens)
-
     def _pick_receiver(
-        self, given: PlanInput, ranked: list[directory.Registration]
+        self,
+        given: placementplan.PlanInput,
+        ranked: list[directory.Registration],
     ) -> directory.Registration:
         """Returns who generates: by memory, pauses and the queue before."""
         target_s = given.needs.target_s
 
         def cost_s(place: int) -> float:
             engine = ranked[place]
-            there = self.generation(
+            there = self._fleet.generation(
                 engine, given.traits, given.now, new_tokens=given.end_tokens
             )
             late = plancost.stream_harm(there, given.end_tokens, given.needs)
             return (
-                self._wait_s(engine, given.traits, given.now, given.urgency)
+                self._fleet.wait_s(
+                    engine, given.traits, given.now, given.urgency
+                )
                 + there.pause_after_s
                 + target_s * late
                 + (OTHER_RECEIVER_TARGETS * target_s if place else 0.0)
@@ -431,30 +224,15 @@
 
         return ranked[min(range(len(ranked)), key=cost_s)]
 
-    def _wait_s(
-        self,
-        engine: directory.Registration,
-        traits: routing.EngineTraits,
-        now: float,
-        urgency: int,
-        *,
-        known_s: float | None = None,
-    ) -> float:
-        load = self.load(engine, traits)
-        if known_s is not None:
-            return load.known_wait_s(now, known_s)
-        others = self._others.at(engine.id, now)
-        return load.wait_s(
-            now, urgency=urgency, others_s=others.wait_s(urgency)
-        )
-
-    def _find_holder(self, given: PlanInput) -> directory.Registration | None:
+    def _find_holder(
+        self, given: placementplan.PlanInput
+    ) -> directory.Registration | None:
         """Returns the engine that keeps most of a prompt's shared parts."""
         if not given.is_long:
             return None
 
         def kept(engine: directory.Registration) -> tuple[int, bool]:
-            cache = self.load(engine, given.traits).cache
+            cache = self._fleet.load(engine, given.traits).cache
             return cache.cached_tokens(given.prompt), engine.zone == self._zone
 
         best = max(given.engines, key=kept, default=None)
@@ -463,12 +241,12 @@
         return best
 
     def _place(
-        self, given: PlanInput, engine: directory.Registration
+        self, given: placementplan.PlanInput, engine: directory.Registration
     ) -> _Place:
-        load = self.load(engine, given.traits)
+        load = self._fleet.load(engine, given.traits)
         known_s = given.known_s.get(engine.id)
         return _Place(
-            wait_s=self._wait_s(
+            wait_s=self._fleet.wait_s(
                 engine,
                 given.traits,
                 given.now,
@@ -480,19 +258,22 @@
 
     def _plan_at(
         self,
-        given: PlanInput,
+        given: placementplan.PlanInput,
         decode: directory.Registration,
         prefill: directory.Registration | None,
         holder: directory.Registration | None,
-    ) -> Plan:
+    ) -> placementplan.Plan:
         prompt, traits = given.prompt, given.traits
         reader = prefill or decode
-        place, load = self._place(given, reader), self.load(reader, traits)
-        take_over_s = self._times.latency_s(readtimes.Way.TAKEN_OVER)
+        place, load = (
+            self._place(given, reader),
+            self._fleet.load(reader, traits),
+        )
+        take_over_s = self._fleet.times.latency_s(readtimes.Way.TAKEN_OVER)
         cached = place.has_tokens
         fetch_from, fetch_s, move_s = None, 0.0, 0.0
         if holder is not None and holder is not reader:
-            held = self.load(holder, traits).cache.cached_tokens(prompt)
+            held = self._fleet.load(holder, traits).cache.cached_tokens(prompt)
             moved_s = FETCH_LATENCY * take_over_s
             moved_s += _transfer_s(held - cached, holder, reader, traits)
             if load.read_s(held - cached, cached, reader.stage) > moved_s:
@@ -504,14 +285,14 @@
             tokens, prompt.prompt_tokens - tokens, reader.stage
         )
         if prefill is None:
-            latency_s = self._times.latency_s(readtimes.Way.IN_PLACE)
+            latency_s = self._fleet.times.latency_s(readtimes.Way.IN_PLACE)
             take_over_s = 0.0
         else:
-            latency_s = self._times.latency_s(readtimes.Way.APART)
+            latency_s = self._fleet.times.latency_s(readtimes.Way.APART)
             move_s += _transfer_s(prompt.prompt_tokens, prefill, decode, traits)
         first_s = place.wait_s + read_s + move_s + latency_s + take_over_s
-        delay_s = self._delay.at(given.now)
-        there = self.generation(
+        delay_s = self._fleet.delay_s(given.now)
+        there = self._fleet.generation(
             decode, traits, given.now, new_tokens=given.end_tokens
         )
         late = plancost.first_late(first_s + delay_s, given.needs)
@@ -520,11 +301,11 @@
             late += plancost.reading_harm(
                 there, place.wait_s, read_s + fetch_s, given.needs
             )
-        return Plan(
+        return placementplan.Plan(
             decode=decode,
             prefill=prefill,
             fetch_from=fetch_from,
-            relative_size=self._relative_size(prompt),
+            relative_size=self._fleet.relative_size(prompt.prompt_tokens),
             wait_s=place.wait_s,
             read_tokens=tokens,
             read_s=read_s,
--- a/packages/bulrushgrade/tests/test_engineplan.py
+++ b/packages/bulrushgrade/tests/test_engineplan.py
@@ -9,10 +9,12 @@
 from bulrushgrade import directory
 from bulrushgrade import engineadmission
 from bulrushgrade import enginecache
+from bulrushgrade import enginefleet
 from bulrushgrade import engineload
 from bulrushgrade import engineplan
 from bulrushgrade import enginerank
 from bulrushgrade import peerloads
+from bulrushgrade import placementplan
 from bulrushgrade import plancost
 from bulrushgrade import routing
 from bulrushgrade import streamload
@@ -43,27 +45,32 @@
     return enginerank.rank_by_role(prompt, engines, TRAITS).preferred
 
 
+def make_planner(others=None):
+    fleet = enginefleet.EngineFleet(others=others)
+    return engineplan.EnginePlanner(zone="z1", fleet=fleet)
+
+
 def make_input(prompt, engines=ENGINES, **changes):
     values = {"traits": TRAITS, "needs": NEEDS, "now": 0.0} | changes
-    return engineplan.PlanInput(prompt=prompt, engines=engines, **values)
+    return placementplan.PlanInput(prompt=prompt, engines=engines, **values)
 
 
 def make_plan(
     prompt, engines=ENGINES, planner=None, may_hand_over=True, **changes
 ):
-    planner = planner or engineplan.EnginePlanner(zone="z1")
+    planner = planner or make_planner()
     given = make_input(prompt, engines, **changes)
     return planner.plan(given, may_hand_over=may_hand_over)
 
 
 def let_stream(planner, engine, *, count, pause_s=0.1, prompt_tokens=1_000):
     """Has an engine generate streams whose events come at a pace."""
-    load = planner.load(engine, TRAITS)
+    load = planner.fleet.load(engine, TRAITS)
     for _ in range(count):
         stream = streamload.Stream(prompt_tokens=prompt_tokens)
         load.streams.begin(stream)
         for _ in range(20):
-            planner.note_pause(engine, TRAITS, pause_s, 0.0)
+            planner.fleet.note_pause(engine, TRAITS, pause_s, 0.0)
 
 
 def test_preferred_engines_are_the_same_at_every_daemon():
@@ -124,14 +131,14 @@
     hold them up all the time, while the engines that read have room. Where
     the engines that generate have room, the handover would only add to it.
     """
-    planner = engineplan.EnginePlanner(zone="z1")
+    planner = make_planner()
     short = make_prompt("s1", shared_tokens=90, own_tokens=290)
     for engine in ENGINES[2:]:
         let_stream(planner, engine, count=10)
     assert make_plan(short, planner=planner).prefill is None
     for engine in ENGINES[2:]:
         queued = engineload.Reading(expected_s=0.2, since=0.0, tokens=0)
-        planner.load(engine, TRAITS).begin(queued)
+        planner.fleet.load(engine, TRAITS).begin(queued)
     assert make_plan(short, planner=planner).prefill is not None
 
 
@@ -145,8 +152,8 @@
     prompt = make_prompt("s1")
     preferred = find_preferred(prompt, ENGINES)
     for queued_s, stays in ((0.01, True), (3.0, False)):
-        planner = engineplan.EnginePlanner(zone="z1")
-        load = planner.load(preferred, TRAITS)
+        planner = make_planner()
+        load = planner.fleet.load(preferred, TRAITS)
         kept = enginecache.CacheChange(part="s1", tokens=10_000)
         load.cache.apply([kept], anew=False)
         queued = engineload.Reading(expected_s=queued_s, since=0.0, tokens=0)
@@ -190,7 +197,7 @@
     was told, and promised, to get none. The receiver has to be chosen anew
     among those that are there when the prompt has been read.
     """
-    planner = engineplan.EnginePlanner(zone="z1")
+    planner = make_planner()
     prompt = make_prompt("s1")
     first = planner.receiver(make_input(prompt))
     left = [engine for engine in ENGINES if engine is not first]
@@ -209,23 +216,23 @@
     engines += [make(f"d{n}", stage=DECODE) for n in range(4)]
     picked = collections.Counter()
     for number in range(200):
-        planner = engineplan.EnginePlanner(zone="z1")
+        planner = make_planner()
         for engine in engines[1:12]:
             queued = engineload.Reading(expected_s=0.3, since=0.0, tokens=0)
-            planner.load(engine, TRAITS).begin(queued)
+            planner.fleet.load(engine, TRAITS).begin(queued)
         plan = make_plan(make_prompt(f"s{number}"), engines, planner)
         picked[(plan.prefill or plan.decode).id] += 1
     assert picked.most_common(1)[0][1] < 100
 
 
 def test_forget_keeps_live_and_busy_engines():
-    planner = engineplan.EnginePlanner(zone="z1")
+    planner = make_planner()
     busy, idle = ENGINES[0], ENGINES[1]
     sent = engineload.Reading(expected_s=1.0, since=0.0, tokens=0)
-    planner.load(busy, TRAITS).begin(sent)
-    planner.load(idle, TRAITS)
-    planner.forget([])
-    assert planner.load(busy, TRAITS).readings == 1
+    planner.fleet.load(busy, TRAITS).begin(sent)
+    planner.fleet.load(idle, TRAITS)
+    planner.fleet.forget([])
+    assert planner.fleet.load(busy, TRAITS).readings == 1
 
 
 def test_generating_engine_reads_long_prompts_last():
@@ -234,12 +241,12 @@
     Reading one at an engine that generates would begin at once, but each of
     its streams would stand still meanwhile and be late as a whole.
     """
-    planner = engineplan.EnginePlanner(zone="z1")
+    planner = make_planner()
     for engine in ENGINES[2:]:
         let_stream(planner, engine, count=10)
     for engine in ENGINES[:2]:
         queued = engineload.Reading(expected_s=1.0, since=0.0, tokens=0)
-        planner.load(engine, TRAITS).begin(queued)
+        planner.fleet.load(engine, TRAITS).begin(queued)
     assert make_plan(make_prompt("s1"), planner=planner).prefill is not None
 
 
@@ -248,10 +255,10 @@
 
     A prompt of any length holds up nobody at an engine without streams.
     """
-    planner = engineplan.EnginePlanner(zone="z1")
+    planner = make_planner()
     for engine in ENGINES[:2]:
         queued = engineload.Reading(expected_s=1.0, since=0.0, tokens=0)
-        planner.load(engine, TRAITS).begin(queued)
+        planner.fleet.load(engine, TRAITS).begin(queued)
     assert make_plan(make_prompt("s1"), planner=planner).prefill is None
 
 
@@ -261,14 +268,14 @@
     Those streams are late by then. Were further prompts read there for free,
     all that begins at that engine would stand still for seconds.
     """
-    planner = engineplan.EnginePlanner(zone="z1")
+    planner = make_planner()
     for engine in ENGINES[2:]:
         let_stream(planner, engine, count=20)
         queued = engineload.Reading(expected_s=0.6, since=0.0, tokens=0)
-        planner.load(engine, TRAITS).begin(queued)
+        planner.fleet.load(engine, TRAITS).begin(queued)
     for engine in ENGINES[:2]:
         queued = engineload.Reading(expected_s=1.2, since=0.0, tokens=0)
-        planner.load(engine, TRAITS).begin(queued)
+        planner.fleet.load(engine, TRAITS).begin(queued)
     assert make_plan(make_prompt("s1"), planner=planner).prefill is not None
 
 
@@ -279,7 +286,7 @@
     preempted, which stands still until it has been read again.
     """
     prompt = make_prompt("s1")
-    planner = engineplan.EnginePlanner(zone="z1")
+    planner = make_planner()
     full = planner.receiver(make_input(prompt))
     let_stream(planner, full, count=30, prompt_tokens=15_000)
     others = [e for e in ENGINES[2:] if e is not full]
@@ -294,7 +301,7 @@
     By its own alone each host would go on sending there.
     """
     peers = peerloads.PeerLoads()
-    planner = engineplan.EnginePlanner(zone="z1", others=peers)
+    planner = make_planner(peers)
     prompt = make_prompt("s1")
     first = planner.receiver(make_input(prompt))
     for number in range(6):
@@ -308,7 +315,7 @@
 
     Its streams' events come four times as slowly.
     """
-    planner = engineplan.EnginePlanner(zone="z1")
+    planner = make_planner()
     prompt = make_prompt("s1")
     slow = planner.receiver(make_input(prompt))
     for engine in ENGINES[2:]:
@@ -324,14 +331,14 @@
     in time behind the small ones. With one shorter limit for all it is
     refused as often as they are, and has no time left when it comes back.
     """
-    planner = engineplan.EnginePlanner(zone="z1")
+    planner = make_planner()
     small, large = make_prompt("s1"), make_prompt("s1", own_tokens=35_000)
     make_plan(small, planner=planner)
     taken = []
     for queued_s in (1.2, 1.5, 2.0):
         queued = engineload.Reading(expected_s=queued_s, since=0.0, tokens=0)
         for engine in ENGINES:
-            load = planner.load(engine, TRAITS)
+            load = planner.fleet.load(engine, TRAITS)
             kept = enginecache.CacheChange(part="s1", tokens=10_000)
             load.cache.apply([kept], anew=False)
             load.begin(queued)
@@ -342,7 +349,7 @@
             )
             taken.append(late_s <= 0)
         for engine in ENGINES:
-            planner.load(engine, TRAITS).dropped(queued, 0.0)
+            planner.fleet.load(engine, TRAITS).dropped(queued, 0.0)
     assert taken == [True, True, False, True, False, False]
 
 
@@ -353,7 +360,7 @@
     nearly all would be read for nothing. With refusals on arrival, what is
     taken begins in time and the engines stay busy with it.
     """
-    planner = engineplan.EnginePlanner(zone="z1")
+    planner = make_planner()
     for engine in ENGINES[2:]:
         let_stream(planner, engine, count=30)
     free_at = {engine.id: 0.0 for engine in ENGINES}
@@ -382,7 +389,7 @@
             latency_s=plan.latency_s,
             parts=prompt.shared_parts,
         )
-        load = planner.load(reader, TRAITS)
+        load = planner.fleet.load(reader, TRAITS)
         load.begin(reading)
         entry = (done, number, load, reading, reader.stage)
         heapq.heappush(under_way, entry)
@@ -395,7 +402,7 @@
     # Two prompts with one long part come within the time of reading it. The
     # second had the part read once more, at an idle engine. Behind the first
     # it waits for what is left and reads its own part only.
-    planner = engineplan.EnginePlanner(zone="z1")
+    planner = make_planner()
     prompt = make_prompt("s1", shared_tokens=16_000)
     first = make_plan(prompt, planner=planner)
     reading = engineload.Reading(
@@ -404,7 +411,7 @@
         tokens=first.read_tokens,
         parts=prompt.shared_parts,
     )
-    planner.load(first.prefill, TRAITS).begin(reading)
+    planner.fleet.load(first.prefill, TRAITS).begin(reading)
     known_s = {first.prefill.id: first.busy_s - 0.1}
     second = make_plan(prompt, planner=planner, now=0.1, known_s=known_s)
     assert second.prefill is first.prefill
@@ -427,14 +434,14 @@
     # More comes than the engines' memories hold, so that parts are read again
     # that were expected to be there. Prompts were let in for a wait of a
     # second, waited for two, and were cut at their deadline.
-    planner = engineplan.EnginePlanner(zone="z1")
+    planner = make_planner()
     prompt = make_prompt("s1")
     known_s = {"p1": 1.0, "p2": 1.0, "d1": 1.0, "d2": 1.0, "d3": 1.0}
     plan = make_plan(prompt, planner=planner, known_s=known_s)
     assert engineadmission.lateness_s(plan, left_s=5.0, patience_s=3.2) <= 0
     for number in range(20):
         took_s = 2.0 * (plan.wait_s + plan.busy_s)
-        planner.note_read(plan, took_s, 0.1 * number)
+        planner.fleet.note_read(plan, took_s, 0.1 * number)
     late = make_plan(prompt, planner=planner, known_s=known_s, now=2.0)
     assert late.wait_s == plan.wait_s
     assert engineadmission.lateness_s(late, left_s=5.0, patience_s=3.2) > 0
@@ -445,7 +452,7 @@
 def test_without_engines_there_is_nobody_to_ask():
     # A host has just started: it knows the routes and no endpoint yet. The
     # first long prompt ended the process, and with it every other request.
-    planner = engineplan.EnginePlanner(zone="z1")
+    planner = make_planner()
     prompt = make_prompt("s1")
     assert planner.reading_candidates(make_input(prompt, [])) == []
     assert make_plan(prompt, engines=[]) is None
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/cachesharing.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/cachesharing.py
@@ -2,7 +2,7 @@
 
 from bulrushgrade import directory as directory_module
 from bulrushgrade import enginecache
-from bulrushgrade_daemon import choosing
+from bulrushgrade_daemon import enginework
 from bulrushgrade_daemon import loadgossip
 
 
@@ -13,16 +13,16 @@
         self,
         *,
         endpoints: directory_module.Directory,
-        chooser: choosing.Chooser,
+        work: enginework.EngineWork,
     ):
         """Makes sharing that advertises nothing yet.
 
         Args:
             endpoints: The endpoints that are known.
-            chooser: Learns what engines keep.
+            work: Learns what engines keep.
         """
         self._endpoints = endpoints
-        self._chooser = chooser
+        self._work = work
         self._gossip: loadgossip.LoadGossip | None = None
         # Parts that peers know to be kept, by engine.
         self._advertised: dict[tuple[str, int], set[str]] = {}
@@ -58,7 +58,7 @@
         self._gossip.advertise_changes(engine.id, tuple(advertised))
         # What this daemon had read itself may go without peers knowing of it.
         gone = [c for c in changes if c.tokens == 0 and c not in advertised]
-        self._chooser.apply_cache(engine, (*gone, *advertised), anew=anew)
+        self._work.apply_cache(engine, (*gone, *advertised), anew=anew)
 
     def _is_relevant(
         self,
@@ -71,7 +71,7 @@
         them. Most of what engines drop are such parts.
         """
         advertised = self._advertised.setdefault(engine.incarnation, set())
-        if self._chooser.is_long_part(engine, change.tokens):
+        if self._work.is_long_part(engine, change.tokens):
             advertised.add(change.part)
             return True
         if change.part in advertised:
@@ -85,4 +85,4 @@
         """Takes what a peer saw of an engine."""
         known = self._endpoints.find(engine)
         if known is not None:
-            self._chooser.apply_cache(known, changes, anew=False)
+            self._work.apply_cache(known, changes, anew=False)
--- /dev/null
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/enginework.py
@@ -0,0 +1,251 @@
+"""What this daemon has at engines, and what it learns from it."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Mapping
+from typing import Any
+
+import attrs
+
+from bulrushgrade import directory as directory_module
+from bulrushgrade import enginecache
+from bulrushgrade import enginefleet
+from bulrushgrade import engineload
+from bulrushgrade import peerloads
+from bulrushgrade import prefixindex
+from bulrushgrade import prompt as prompt_module
+from bulrushgrade import readtimes
+from bulrushgrade import routing
+from bulrushgrade import streamload
+from bulrushgrade_daemon import inflight
+from bulrushgrade_daemon import placementindex
+
+
+def _note_nothing(*_: Any) -> None:
+    """Takes what nobody follows."""
+
+
+@attrs.frozen(kw_only=True)
+class StreamNotes:
+    """What takes note of an answer that is generated.
+
+    Attributes:
+        events: Takes how many events came together.
+        ended: Called when it has ended, any number of times.
+    """
+
+    events: Callable[[int], None] = _note_nothing
+    ended: Callable[[], None] = _note_nothing
+
+
+class EngineWork:
+    """Readings and streams at the engines of all services."""
+
+    def __init__(
+        self,
+        *,
+        timers: Any,
+        table: Callable[[], routing.RouteTable | None],
+        endpoints: directory_module.Directory,
+        others: peerloads.PeerLoads,
+        index: placementindex.PlacementIndex,
+    ):
+        """Makes a state without work.
+
+        Args:
+            timers: The timer service.
+            table: Returns the routes in force, or None before the first.
+            endpoints: The endpoints that are known.
+            others: What other daemons have at engines.
+            index: Where long readings are reported.
+        """
+        self._timers = timers
+        self._table = table
+        self._endpoints = endpoints
+        self._others = others
+        self._index = index
+        self._fleets: dict[str, enginefleet.EngineFleet] = {}
+
+    @property
+    def fleets(self) -> Mapping[str, enginefleet.EngineFleet]:
+        """What is known of engines, by service."""
+        return self._fleets
+
+    def fleet(self, service: str) -> enginefleet.EngineFleet:
+        """Returns what is known of a service's engines."""
+        fleet = self._fleets.get(service)
+        if fleet is None:
+            fleet = enginefleet.EngineFleet(others=self._others)
+            self._fleets[service] = fleet
+        return fleet
+
+    def traits(self, service: str) -> routing.EngineTraits | None:
+        """Returns what a service's engines have in common, or None."""
+        table = self._table()
+        found = table.configuration.services.get(service) if table else None
+        return found.engine if found else None
+
+    def shares(self) -> dict[str, peerloads.EngineShare]:
+        """Returns what this daemon has at engines, by id."""
+        shares: dict[str, peerloads.EngineShare] = {}
+        for fleet in self._fleets.values():
+            shares.update(fleet.shares(self._timers.now))
+        return shares
+
+    def forget(self, live: Iterable[tuple[str, int]]) -> None:
+        """Drops what is known of engines that are gone and idle."""
+        kept = set(live)
+        for fleet in self._fleets.values():
+            fleet.forget(kept)
+
+    def take_holder(
+        self,
+        holder: prefixindex.PrefixHolder,
+        service: str,
+    ) -> None:
+        """Takes what the owner of a part knows of a holder."""
+        engine, traits = (
+            self._endpoints.find(holder.engine),
+            self.traits(service),
+        )
+        if engine is None or engine.service != service or traits is None:
+            return
+        load = self.fleet(service).load(engine, traits)
+        if holder.state is prefixindex.HolderState.KEPT:
+            load.cache.keep(holder.parts)
+        else:
+            load.cache.expect(holder.parts, self._timers.now)
+
+    def is_long_part(
+        self, engine: directory_module.Registration, tokens: int
+    ) -> bool:
+        """Returns whether a part is worth keeping in one place."""
+        traits = self.traits(engine.service)
+        return traits is not None and tokens >= traits.long_tokens
+
+    def apply_cache(
+        self,
+        engine: directory_module.Registration,
+        changes: tuple[enginecache.CacheChange, ...],
+        *,
+        anew: bool,
+    ) -> None:
+        """Takes what an engine says of its cache."""
+        traits = self.traits(engine.service)
+        if traits is not None:
+            load = self.fleet(engine.service).load(engine, traits)
+            load.cache.apply(changes, anew=anew)
+
+    def begin_stream(
+        self,
+        request: inflight.InFlight,
+        engine: directory_module.Registration,
+    ) -> StreamNotes:
+        """Notes an answer that an engine is to generate."""
+        traits = self.traits(request.service)
+        if request.plan is None or traits is None:
+            return StreamNotes()
+        fleet = self.fleet(request.service)
+        streams = fleet.load(engine, traits).streams
+        prompt_tokens = request.info.prompt.prompt_tokens
+        stream = streamload.Stream(prompt_tokens=prompt_tokens)
+        streams.begin(stream)
+
+        def note_events(count: int) -> None:
+            now = self._timers.now
+            pause_s = streams.note_events(
+                stream, count, event_tokens=traits.event_tokens, now=now
+            )
+            if pause_s is not None:
+                fleet.note_pause(engine, traits, pause_s, now)
+
+        def ended() -> None:
+            streams.end(stream)
+            if stream.made_tokens:
+                fleet.note_stream(stream.made_tokens // traits.event_tokens)
+
+        return StreamNotes(events=note_events, ended=ended)
+
+    def note_reading(
+        self,
+        request: inflight.InFlight,
+        engine: directory_module.Registration,
+        *,
+        reads: bool,
+    ) -> Callable[[bool], None]:
+        """Notes work at an engine; returns what notes how it ended.
+
+        The returned function takes whether an answer began. Only its first
+        call counts.
+
+        Args:
+            request: The request.
+            engine: Who works on it now.
+            reads: Whether it reads the prompt or takes over what was read.
+        """
+        plan, traits = request.plan, self.traits(request.service)
+        if plan is None or traits is None:
+            return lambda began: None
+        fleet = self.fleet(request.service)
+        load = fleet.load(engine, traits)
+        prompt = request.info.prompt
+        reading = _make_reading(request, self._timers.now, reads=reads)
+        report_end = self._report_begin(engine, reading, prompt, traits)
+        load.begin(reading)
+
+        def ended(began: bool) -> None:
+            report_end(began)
+            now = self._timers.now
+            if began:
+                load.answered(reading, engine.stage, now)
+                if reading.tokens >= traits.long_tokens:
+                    fleet.note_read(plan, now - reading.since, now)
+            else:
+                load.dropped(reading, now)
+
+        return ended
+
+    def _report_begin(
+        self,
+        engine: directory_module.Registration,
+        reading: engineload.Reading,
+        prompt: prompt_module.Prompt,
+        traits: routing.EngineTraits,
+    ) -> Callable[[bool], None]:
+        """Reports a long reading to peers; returns what reports its end."""
+        if reading.tokens < traits.long_tokens:
+            return lambda began: None
+        # Nothing new is read of parts that it has already.
+        cache = self.fleet(engine.service).load(engine, traits).cache
+        is_new = cache.cached_tokens(prompt) < prompt.shared_tokens
+        parts = reading.parts if is_new else ()
+        return self._index.begin(engine.id, reading, parts)
+
+
+def _make_reading(
+    request: inflight.InFlight, now: float, *, reads: bool
+) -> engineload.Reading:
+    plan, prompt = request.plan, request.info.prompt
+    urgency = request.route.urgency
+    if not reads:
+        return engineload.Reading(
+            expected_s=plan.move_s,
+            since=now,
+            tokens=0,
+            latency_s=plan.take_over_s,
+            urgency=urgency,
+            way=readtimes.Way.TAKEN_OVER,
+        )
+    is_apart = plan.prefill is not None
+    return engineload.Reading(
+        expected_s=plan.busy_s,
+        since=now,
+        tokens=plan.read_tokens,
+        cached_tokens=prompt.prompt_tokens - plan.read_tokens,
+        wait_s=plan.wait_s,
+        latency_s=plan.latency_s,
+        urgency=urgency,
+        fetch_s=plan.busy_s - plan.read_s,
+        way=readtimes.Way.APART if is_apart else readtimes.Way.IN_PLACE,
+        parts=prompt.shared_parts,
+    )
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
@@ -21,6 +21,7 @@
 from bulrushgrade_daemon import decisionlog
 from bulrushgrade_daemon import dialect as dialect_module
 from bulrushgrade_daemon import endpointcalls
+from bulrushgrade_daemon import enginework
 from bulrushgrade_daemon import front
 from bulrushgrade_daemon import inflight
 from bulrushgrade_daemon import task
@@ -41,6 +42,7 @@
         dialect: Translates headers.
         table: Returns the routes in force, or None before the first.
         chooser: Chooses endpoints.
+        work: Takes note of work at engines.
         calls: Sends requests to them.
         log: Gets a line for each decision that is out of the ordinary.
         rng: Source of random choices.
@@ -51,6 +53,7 @@
     dialect: dialect_module.Dialect
     table: Callable[[], routing.RouteTable | None]
     chooser: choosing.Chooser
+    work: enginework.EngineWork
     calls: endpointcalls.EndpointCalls
     log: decisionlog.DecisionLog
     rng: random.Random
@@ -82,6 +85,7 @@
         self._dialect = parts.dialect
         self._table = parts.table
         self._chooser = parts.chooser
+        self._work = parts.work
         self._calls = parts.calls
         self._log = parts.log
         self._rng = parts.rng
@@ -227,7 +231,7 @@
         if request.plan is None or request.plan.prefill is None:
             return await self._run(request, None)
         engine = request.plan.prefill
-        ended = self._chooser.note_reading(request, engine, reads=True)
+        ended = self._work.note_reading(request, engine, reads=True)
         prefilled = None
         try:
             prefilled = await self._calls.prefill(request, engine)
@@ -258,10 +262,10 @@
         endpoint = request.endpoint
         began = self._timers.now
         self._chooser.begin(endpoint)
-        ended = self._chooser.note_reading(
+        ended = self._work.note_reading(
             request, endpoint, reads=prefilled is None
         )
-        stream = self._chooser.begin_stream(request, endpoint)
+        stream = self._work.begin_stream(request, endpoint)
         try:
             sent = await self._calls.run(request, endpoint, prefilled)
             if isinstance(sent, inflight.AttemptEnd):
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
@@ -19,6 +19,7 @@
 from bulrushgrade_daemon import clock
 from bulrushgrade_daemon import decisionlog
 from bulrushgrade_daemon import endpointcalls
+from bulrushgrade_daemon import enginework
 from bulrushgrade_daemon import follower
 from bulrushgrade_daemon import forwarder
 from bulrushgrade_daemon import front
@@ -208,12 +209,19 @@
             find_owners=lambda key: self._gossip.find_owners(key),
             send=lambda peer, message: self._gossip.send(peer, message),
         )
+        self._work = enginework.EngineWork(
+            timers=self._timers,
+            table=lambda: self._view.table,
+            endpoints=self._view.endpoints,
+            others=self._peer_loads,
+            index=self._index,
+        )
         self._chooser = choosing.Chooser(
             timers=self._timers,
             zone=context.settings().host.zone,
             table=lambda: self._view.table,
             endpoints=self._view.endpoints,
-            others=self._peer_loads,
+            work=self._work,
             index=self._index,
             settle_s=context.settings().bounds.drain_s,
             log=context.log,
@@ -234,6 +242,7 @@
                 dialect=context.adapter.dialect,
                 table=lambda: self._view.table,
                 chooser=self._chooser,
+                work=self._work,
                 calls=calls,
                 log=context.log,
                 rng=context.rng,
@@ -254,7 +263,7 @@
     def _make_sharing(self) -> None:
         context = self._context
         sharing = cachesharing.CacheSharing(
-            endpoints=self._view.endpoints, chooser=self._chooser
+            endpoints=self._view.endpoints, work=self._work
         )
         self._gossip = loadgossip.LoadGossip(
             reactor=context.reactor,
@@ -264,7 +273,7 @@
             listen=context.settings().listen.peers,
             membership=context.adapter.membership,
             loads=self._peer_loads,
-            read_own=self._chooser.shares,
+            read_own=self._work.shares,
             take_changes=sharing.take_advertised,
             take_other=self._take_message,
             log=context.log,
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/inflight.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/inflight.py
@@ -7,8 +7,8 @@
 
 from bulrushgrade import attempts
 from bulrushgrade import directory
-from bulrushgrade import engineplan
 from bulrushgrade import eventstream
+from bulrushgrade import placementplan
 from bulrushgrade import routing
 from bulrushgrade_daemon import dialect
 from bulrushgrade_daemon import front
@@ -49,7 +49,7 @@
     )
     endpoint: directory.Registration | None = None
     expired: bool = False
-    plan: engineplan.Plan | None = None
+    plan: placementplan.Plan | None = None
     waits_s: Mapping[str, float] = attrs.field(factory=dict)
 
     @property
--- a/packages/bulrushgrade_daemon/tests/test_cachesharing.py
+++ b/packages/bulrushgrade_daemon/tests/test_cachesharing.py
@@ -41,7 +41,7 @@
     endpoints = directory.Directory(leaving_use_s=1.0)
     endpoints.put(ENGINE, now=0.0)
     chooser, gossip = Chooser(), Gossip()
-    sharing = cachesharing.CacheSharing(endpoints=endpoints, chooser=chooser)
+    sharing = cachesharing.CacheSharing(endpoints=endpoints, work=chooser)
     sharing.advertise_by(gossip)
     return sharing, chooser, gossip
 
