Send refused callers back when the queue they met is done

Cause: a refused caller was told to return within 0.15 to 0.45 s whatever waited. Queues it is refused for last a second and more, so that it met the same queue, and its second try was its last. Change: Retry-After is the time in which the work is done that waits where the prompt would have gone, spread by half, within a third of the caller's time.

--- a/packages/bulrushgrade/bulrushgrade/retryshare.py
+++ b/packages/bulrushgrade/bulrushgrade/retryshare.py
@@ -17,9 +17,9 @@
 
 
 RETURN_AFTER_S = 0.3
-"""The time in which a queue of an endpoint moves on by some requests. Spread
-by half in both directions so that callers refused together do not return
-together."""
+"""The time in which a queue of an endpoint moves on by some requests; where
+more waits, the time in which that is done. Spread by half in both directions
+so that callers refused together do not return together."""
 
 RETURN_SHARE = 1 / 3
 """Of the caller's time that a refusal asks it to wait at most; a caller does
@@ -67,14 +67,17 @@
                 times.popleft()
 
 
-def return_after_s(deadline_s: float | None, rng: random.Random) -> float:
+def return_after_s(
+    deadline_s: float | None, rng: random.Random, *, queued_s: float = 0.0
+) -> float:
     """Returns in how many seconds a refused caller had better return.
 
     Args:
         deadline_s: How long the caller waits in all, or None.
         rng: Source of the spread.
+        queued_s: What waits where it would have gone.
     """
-    after_s = RETURN_AFTER_S * rng.uniform(0.5, 1.5)
+    after_s = max(RETURN_AFTER_S, queued_s) * rng.uniform(0.5, 1.5)
     if deadline_s is None:
         return after_s
     return min(after_s, deadline_s * RETURN_SHARE)
--- a/packages/bulrushgrade/tests/test_retryshare.py
+++ b/packages/bulrushgrade/tests/test_retryshare.py
@@ -73,3 +73,20 @@
     assert max(times) <= 1.0
     assert retryshare.return_after_s(0.3, rng) <= 0.1
     assert retryshare.return_after_s(None, rng) > 0
+
+
+def test_refused_callers_return_when_the_queue_is_done():
+    """A second of work waits where a prompt would have gone.
+
+    Told to return after a third of that, its caller met the same queue, was
+    refused again and had no further try.
+    """
+    rng = random.Random(1)
+    spread = [
+        retryshare.return_after_s(9.0, rng, queued_s=1.0) for _ in range(50)
+    ]
+    assert 0.5 <= min(spread) < 0.7 < 1.3 < max(spread) <= 1.5
+    short = [
+        retryshare.return_after_s(0.6, rng, queued_s=1.0) for _ in range(50)
+    ]
+    assert max(short) <= 0.6 * retryshare.RETURN_SHARE
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
@@ -130,7 +130,7 @@
                 request=info.request_id,
                 reason="no configuration yet",
             )
-            self._refuse(caller, info)
+            self._refuse(caller, info, 0.0)
             return
         hostname = caller.requestHeaders.getRawHeaders(b"host", [b""])[0]
         path = caller.path.decode("latin-1")
@@ -362,7 +362,8 @@
             failure = ended.failure
             caller.answer(failure.status, failure.fields, failure.body)
         elif step is attempts.Step.REFUSE:
-            self._refuse(caller, request.info)
+            queued_s = request.plan.wait_s if request.plan else 0.0
+            self._refuse(caller, request.info, queued_s)
         else:
             caller.answer(http.BAD_GATEWAY, [], b"")
 
@@ -387,10 +388,15 @@
             request.caller.answer(http.GATEWAY_TIMEOUT, [], b"")
 
     def _refuse(
-        self, caller: front.CallerRequest, info: dialect_module.RequestInfo
+        self,
+        caller: front.CallerRequest,
+        info: dialect_module.RequestInfo,
+        queued_s: float,
     ) -> None:
         """Says that nothing ran, and when to come back."""
-        after_s = retryshare.return_after_s(info.deadline_s, self._rng)
+        after_s = retryshare.return_after_s(
+            info.deadline_s, self._rng, queued_s=queued_s
+        )
         fields = [(b"retry-after", b"%.3f" % after_s)]
         caller.answer(http.SERVICE_UNAVAILABLE, fields, b"")
 
