Give the lead of ordering engines up where the store is out of reach

Cause: the first host by name of those that hear each other orders engines about. Ruled out: letting every host try, which would have each order wait out the lease of the one before. Change: each load message says whether its host could order; the lead is the first by name of those that could. The topic still decides whose turn it is. Test: test_loadgossip, failing before for want of the flag.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/follower.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/follower.py
@@ -148,6 +148,11 @@
         """Whether the whole list has been read once."""
         return self._read_at is not None
 
+    @property
+    def reaches(self) -> bool:
+        """Whether the last read was answered."""
+        return self.known and self._lost_at is None
+
     @property
     def age_s(self) -> float | None:
         """Seconds since the last good read, or None before the first."""
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaymessages.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaymessages.py
@@ -20,12 +20,14 @@
             wait by urgency, streams, and their tokens.
         kept: What changed in the caches that it follows, by engine: parts
             with the tokens that are kept now.
+        may_order: Whether it could order engines to change their roles.
     """
 
     peer: str
     number: int
     engines: dict[str, tuple[dict[int, int], int, int]]
     kept: dict[str, list[tuple[str, int]]] = {}
+    may_order: bool = True
 
 
 class WaitQuery(msgspec.Struct, array_like=True, tag="wait_query"):
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
@@ -274,6 +274,7 @@
             membership=context.adapter.membership,
             loads=self._peer_loads,
             read_own=self._work.shares,
+            may_order=self._may_order,
             take_changes=sharing.take_advertised,
             take_other=self._take_message,
             log=context.log,
@@ -305,7 +306,7 @@
             turn=orderturn.OrderTurn(holder=self._own_name, lease_s=lease_s),
             topic=context.adapter.order_topic,
             control=context.adapter.engine_control,
-            leads=self._leads,
+            leads=self._gossip.leads,
             views=self._chooser.engine_views,
             announce=self._announce_stage,
             log=context.log,
@@ -332,11 +333,9 @@
         self._take_message(notice)
         self._gossip.broadcast(notice)
 
-    def _leads(self) -> bool:
-        """Returns whether this host is the first of those it hears."""
-        heard = self._gossip.heard()
-        first = not heard or self._own_name < heard[0]
-        return first and not self._context.stopping()
+    def _may_order(self) -> bool:
+        """Returns whether this host could append to the topic of orders."""
+        return self._follow_endpoints.reaches and not self._context.stopping()
 
     def _new_follower(
         self,
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadgossip.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadgossip.py
@@ -107,6 +107,7 @@
         membership: Membership,
         loads: peerloads.PeerLoads,
         read_own: Callable[[], dict[str, peerloads.EngineShare]],
+        may_order: Callable[[], bool],
         take_changes: TakeChanges,
         take_other: Callable[[gatewaymessages.Message], None],
         log: decisionlog.DecisionLog,
@@ -124,6 +125,8 @@
             membership: Where daemons find each other.
             loads: Takes what peers advertise.
             read_own: Returns what this daemon has, by engine.
+            may_order: Returns whether this daemon could order engines to
+                change their roles.
             take_changes: Takes what a peer saw of an engine's cache.
             take_other: Takes the messages that are not about the load.
             log: Gets a line for each peer that comes.
@@ -137,6 +140,9 @@
         self._membership = membership
         self._loads = loads
         self._read_own = read_own
+        self._may_order = may_order
+        # Peers that said that they could not.
+        self._unable: set[str] = set()
         self._take_changes = take_changes
         self._take_other = take_other
         self._pending: dict[tuple[str, str], _PendingChange] = {}
@@ -261,6 +267,7 @@
             # A host that was restarted is not there under its old name.
             self._names[host] = message.peer
             self._loads.drop(before or "")
+            self._unable.discard(before or "")
         shares = {
             engine: peerloads.EngineShare(
                 queued_s={u: ms / 1000 for u, ms in queued_ms.items()},
@@ -272,6 +279,10 @@
         self._loads.update(
             message.peer, message.number, shares, self._timers.now
         )
+        if message.may_order:
+            self._unable.discard(message.peer)
+        else:
+            self._unable.add(message.peer)
         for engine, kept in message.kept.items():
             changes = tuple(
                 enginecache.CacheChange(part=part, tokens=tokens)
@@ -309,6 +320,19 @@
         """Returns the peers that are there, sorted by their names."""
         return self._loads.heard(self._timers.now, silent_s=self._silent_s())
 
+    def leads(self) -> bool:
+        """Returns whether this daemon is the one to order engines about.
+
+        It is the first by name of those that hear each other and could. One
+        that is cut off from the store is heard and could not; while it was
+        the first all the same, engines kept their roles through bursts of
+        long answers for as long as the cut lasted.
+        """
+        if not self._may_order():
+            return False
+        able = (name for name in self.heard() if name not in self._unable)
+        return all(self._own_name < name for name in able)
+
     def find_owners(self, key: str) -> list[str]:
         """Returns the hash owners of an engine's queue or a part.
 
@@ -356,6 +380,7 @@
                 number=self._number,
                 engines=engines,
                 kept=self._take_pending(),
+                may_order=self._may_order(),
             )
         )
         for address in self._peers.values():
--- a/packages/bulrushgrade_daemon/tests/test_loadgossip.py
+++ b/packages/bulrushgrade_daemon/tests/test_loadgossip.py
@@ -46,6 +46,7 @@
     def __init__(self, *, net, name, port, timers):
         self.loads = peerloads.PeerLoads()
         self.own = {}
+        self.able = True
         self.changes = []
         self.others = []
         self.lines = fakes.Lines()
@@ -58,6 +59,7 @@
             membership=None,
             loads=self.loads,
             read_own=lambda: self.own,
+            may_order=lambda: self.able,
             take_changes=lambda e, c: self.changes.append((e, c)),
             take_other=self.others.append,
             log=self.lines.make(),
@@ -233,3 +235,33 @@
     reactor, _, _, hosts = make(count=40)
     reactor.pump([0.1] * 40)
     assert hosts[0].gossip.counts["rounds"] <= 11
+
+
+def test_host_that_could_not_order_gives_the_lead_up():
+    """The first host by name is cut off from the store, not from its peers.
+
+    It was heard and so went on being the one to order, and could not append:
+    nobody changed an engine's role until the cut had healed.
+    """
+    reactor, _, _, (one, two, three) = make()
+    reactor.pump([0.1] * 3)
+
+    def leaders():
+        return [h for h in (one, two, three) if h.gossip.leads()]
+
+    assert leaders() == [one]
+    one.able = False
+    reactor.pump([0.1] * 3)
+    assert leaders() == [two]
+    one.able = True
+    reactor.pump([0.1] * 3)
+    assert leaders() == [one]
+
+
+def test_host_that_hears_nobody_leads_if_it_can():
+    reactor, _, net, (one, _, _) = make()
+    net.cut = True
+    reactor.pump([0.1] * 20)
+    assert one.gossip.leads()
+    one.able = False
+    assert not one.gossip.leads()
