Write a line for each stream that was late, with what was believed there

Cause: a stream that stood still left no line: on call, a late answer could not be told from a slow caller. Ruled out: a line for each event, which grows with the load.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/enginework.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/enginework.py
@@ -98,6 +98,21 @@
         for fleet in self._fleets.values():
             fleet.forget(kept)
 
+    def describe(
+        self, engine: directory_module.Registration
+    ) -> dict[str, float | int]:
+        """Returns what is believed of an engine, for a line of the log."""
+        traits = self.traits(engine.service)
+        if traits is None:
+            return {}
+        fleet = self.fleet(engine.service)
+        there = fleet.generation(engine, traits, self._timers.now)
+        return {
+            "streams": there.streams,
+            "tokens": there.tokens,
+            "expected_pause_s": round(there.pause_s, 3),
+        }
+
     def take_holder(
         self,
         holder: prefixindex.PrefixHolder,
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
@@ -24,6 +24,7 @@
 from bulrushgrade_daemon import enginework
 from bulrushgrade_daemon import front
 from bulrushgrade_daemon import inflight
+from bulrushgrade_daemon import requestlog
 from bulrushgrade_daemon import task
 
 MARGIN_S = 0.02
@@ -87,7 +88,9 @@
         self._chooser = parts.chooser
         self._work = parts.work
         self._calls = parts.calls
-        self._log = parts.log
+        self._log = requestlog.RequestLog(
+            log=parts.log, now=lambda: self._timers.now
+        )
         self._rng = parts.rng
         self._on_broken = parts.on_broken
         self._new_share = new_share
@@ -125,11 +128,7 @@
         table = self._table()
         if table is None:
             self._count("refused_unconfigured")
-            self._log.note(
-                "request_refused",
-                request=info.request_id,
-                reason="no configuration yet",
-            )
+            self._log.note_unconfigured(info)
             self._refuse(caller, info, 0.0)
             return
         hostname = caller.requestHeaders.getRawHeaders(b"host", [b""])[0]
@@ -137,13 +136,8 @@
         route = table.find(hostname.decode("latin-1"), path)
         if route is None:
             self._count("no_route")
-            self._log.note(
-                "no_route",
-                request=info.request_id,
-                configuration=table.configuration.version,
-                hostname=hostname.decode("latin-1"),
-                path=path,
-            )
+            version = table.configuration.version
+            self._log.note_no_route(info, version, hostname, path)
             caller.answer(http.NOT_FOUND, [], b"")
             return
         self._begin(caller, info, route)
@@ -266,15 +260,18 @@
             request, endpoint, reads=prefilled is None
         )
         stream = self._work.begin_stream(request, endpoint)
+
+        def note_events(count: int) -> None:
+            stream.events(count)
+            request.pace.note(self._timers.now)
+
         try:
             sent = await self._calls.run(request, endpoint, prefilled)
             if isinstance(sent, inflight.AttemptEnd):
                 return sent
             request.call = sent
             latency_s = self._timers.now - began
-            failed = await self._pass(
-                request, lambda: ended(True), stream.events
-            )
+            failed = await self._pass(request, lambda: ended(True), note_events)
             if failed is None:
                 self._chooser.succeeded(endpoint, latency_s)
             return failed
@@ -283,6 +280,10 @@
                 request.call.abort()
             request.call = None
             self._chooser.end(endpoint)
+            if request.is_late:
+                self._count("late")
+                beliefs = self._work.describe(endpoint)
+                self._log.note_late(request, endpoint, beliefs)
             stream.ended()
             ended(False)
 
@@ -311,17 +312,7 @@
         self._count(f"attempt_{ended.outcome.value}")
         self._chooser.failed(request, endpoint, ended)
         again = self._may_try_again(request)
-        self._log.note(
-            "attempt_ended",
-            request=request.info.request_id,
-            route=request.route.name,
-            endpoint=endpoint.id,
-            outcome=ended.outcome.value,
-            reason=ended.reason,
-            arrivals=request.history.arrivals,
-            left_s=round(request.left_s(self._timers.now), 3),
-            again=again,
-        )
+        self._log.note_attempt(request, endpoint, ended, again=again)
         return again
 
     def _may_try_again(self, request: inflight.InFlight) -> bool:
@@ -343,18 +334,7 @@
         """Ends a request that no endpoint answered."""
         step = attempts.end(request.history)
         self._count(f"ended_{step.value}")
-        self._log.note(
-            "request_ended",
-            request=request.info.request_id,
-            route=request.route.name,
-            service=request.service,
-            step=step.value,
-            reason=reason,
-            arrivals=request.history.arrivals,
-            runs=request.history.runs,
-            **request.describe_plan(),
-            took_s=round(self._timers.now - request.caller.arrived_at, 4),
-        )
+        self._log.note_ended(request, step, reason)
         caller = request.caller
         if step is attempts.Step.CUT:
             caller.cut()
@@ -373,15 +353,7 @@
             self._count("ended_caller_left")
             return
         self._count("ended_timeout")
-        self._log.note(
-            "request_timed_out",
-            request=request.info.request_id,
-            route=request.route.name,
-            endpoint=request.endpoint.id if request.endpoint else None,
-            begun=request.history.begun,
-            events=request.cutter.events,
-            arrivals=request.history.arrivals,
-        )
+        self._log.note_timed_out(request)
         if request.history.begun:
             request.caller.cut()
         else:
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/inflight.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/inflight.py
@@ -15,6 +15,30 @@
 from bulrushgrade_daemon import outbound
 
 
+@attrs.define(kw_only=True)
+class StreamPace:
+    """When the events of a stream came.
+
+    Attributes:
+        first_at: The first; None before it.
+        last_at: The last.
+        longest_pause_s: The longest time between two.
+    """
+
+    first_at: float | None = None
+    last_at: float = 0.0
+    longest_pause_s: float = 0.0
+
+    def note(self, now: float) -> None:
+        """Notes events that came now."""
+        if self.first_at is None:
+            self.first_at = now
+        else:
+            pause_s = now - self.last_at
+            self.longest_pause_s = max(self.longest_pause_s, pause_s)
+        self.last_at = now
+
+
 @attrs.define(kw_only=True, eq=False)
 class InFlight:
     """One request under way.
@@ -32,6 +56,7 @@
         endpoint: Who had it last, or None.
         expired: Whether its deadline has passed.
         plan: Which engines have it, or None for a plain service.
+        pace: When the events of its stream came.
         waits_s: How long it would wait at engines, from the owners of their
             queues.
     """
@@ -50,6 +75,7 @@
     endpoint: directory.Registration | None = None
     expired: bool = False
     plan: placementplan.Plan | None = None
+    pace: StreamPace = attrs.field(factory=StreamPace)
     waits_s: Mapping[str, float] = attrs.field(factory=dict)
 
     @property
@@ -71,6 +97,16 @@
             "wait_known": reader.id in self.waits_s,
         }
 
+    @property
+    def is_late(self) -> bool:
+        """Whether its stream began or went on later than its route allows."""
+        if self.pace.first_at is None:
+            return False
+        first_s = self.pace.first_at - self.caller.arrived_at
+        gap_s = self.route.gap_s
+        paused = gap_s is not None and self.pace.longest_pause_s > gap_s
+        return paused or first_s > self.route.target_s
+
     def left_s(self, now: float) -> float:
         """Returns the time until its deadline."""
         return self.deadline - now
--- /dev/null
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/requestlog.py
@@ -0,0 +1,127 @@
+"""Lines of the log about single requests."""
+
+from collections.abc import Callable
+from typing import Any
+
+from bulrushgrade import attempts
+from bulrushgrade import directory
+from bulrushgrade_daemon import decisionlog
+from bulrushgrade_daemon import dialect
+from bulrushgrade_daemon import inflight
+
+
+class RequestLog:
+    """Writes what became of requests that did not go as they should."""
+
+    def __init__(
+        self, *, log: decisionlog.DecisionLog, now: Callable[[], float]
+    ):
+        """Makes a log.
+
+        Args:
+            log: Takes the lines.
+            now: Returns the present time in seconds.
+        """
+        self._log = log
+        self._now = now
+
+    def note_unconfigured(self, info: dialect.RequestInfo) -> None:
+        """Writes that no configuration is known yet."""
+        self._log.note(
+            "request_refused",
+            request=info.request_id,
+            reason="no configuration yet",
+        )
+
+    def note_no_route(
+        self,
+        info: dialect.RequestInfo,
+        version: int,
+        hostname: bytes,
+        path: str,
+    ) -> None:
+        """Writes that no route fits a request."""
+        self._log.note(
+            "no_route",
+            request=info.request_id,
+            configuration=version,
+            hostname=hostname.decode("latin-1"),
+            path=path,
+        )
+
+    def note_attempt(
+        self,
+        request: inflight.InFlight,
+        endpoint: directory.Registration,
+        ended: inflight.AttemptEnd,
+        *,
+        again: bool,
+    ) -> None:
+        """Writes that an attempt gave no whole answer."""
+        self._log.note(
+            "attempt_ended",
+            request=request.info.request_id,
+            route=request.route.name,
+            endpoint=endpoint.id,
+            outcome=ended.outcome.value,
+            reason=ended.reason,
+            arrivals=request.history.arrivals,
+            left_s=round(request.left_s(self._now()), 3),
+            again=again,
+        )
+
+    def note_ended(
+        self, request: inflight.InFlight, step: attempts.Step, reason: str
+    ) -> None:
+        """Writes that no endpoint answered a request."""
+        self._log.note(
+            "request_ended",
+            request=request.info.request_id,
+            route=request.route.name,
+            service=request.service,
+            step=step.value,
+            reason=reason,
+            arrivals=request.history.arrivals,
+            runs=request.history.runs,
+            **request.describe_plan(),
+            took_s=round(self._now() - request.caller.arrived_at, 4),
+        )
+
+    def note_late(
+        self,
+        request: inflight.InFlight,
+        endpoint: directory.Registration,
+        beliefs: dict[str, Any],
+    ) -> None:
+        """Writes that a stream began or went on too late.
+
+        Args:
+            request: Whose stream it is.
+            endpoint: Who generates it.
+            beliefs: What is believed of that engine now.
+        """
+        pace = request.pace
+        first_s = pace.first_at - request.caller.arrived_at
+        self._log.note(
+            "stream_late",
+            request=request.info.request_id,
+            route=request.route.name,
+            endpoint=endpoint.id,
+            first_event_after_s=round(first_s, 3),
+            longest_pause_s=round(pace.longest_pause_s, 3),
+            events=request.cutter.events,
+            **request.describe_plan(),
+            **beliefs,
+        )
+
+    def note_timed_out(self, request: inflight.InFlight) -> None:
+        """Writes that a request's time was up."""
+        self._log.note(
+            "request_timed_out",
+            request=request.info.request_id,
+            route=request.route.name,
+            endpoint=request.endpoint.id if request.endpoint else None,
+            begun=request.history.begun,
+            events=request.cutter.events,
+            arrivals=request.history.arrivals,
+        )
--- /dev/null
+++ b/packages/bulrushgrade_daemon/tests/test_inflight.py
@@ -0,0 +1,56 @@
+"""Tests of a request under way."""
+
+import attrs
+import pytest
+
+from bulrushgrade import routing
+from bulrushgrade_daemon import inflight
+
+ROUTE = routing.Route(
+    name="r",
+    hostname="h",
+    path_prefix="/",
+    kind=routing.RequestKind.STREAM,
+    resumable=False,
+    timeout_s=8.0,
+    target_s=0.5,
+    gap_s=0.2,
+    priority=0,
+    max_attempts=1,
+    by_prompt=True,
+    targets=(routing.Target(service="llm", weight=1.0),),
+)
+
+
+@attrs.define
+class Caller:
+    """A caller that came at a time."""
+
+    arrived_at: float = 10.0
+
+
+def make(*event_times, route=ROUTE):
+    request = inflight.InFlight(
+        caller=Caller(), info=None, route=route, service="llm", deadline=18.0
+    )
+    for at in event_times:
+        request.pace.note(at)
+    return request
+
+
+@pytest.mark.parametrize(
+    ("times", "late"),
+    [
+        ((), False),
+        ((10.4, 10.5, 10.65), False),
+        ((10.6, 10.7), True),
+        ((10.2, 10.3, 10.6, 10.7), True),
+    ],
+)
+def test_stream_is_late_by_its_first_event_or_by_a_pause(times, late):
+    assert make(*times).is_late is late
+
+
+def test_route_without_a_gap_has_no_late_pause():
+    route = attrs.evolve(ROUTE, gap_s=None)
+    assert not make(10.2, 17.0, route=route).is_late
