Learn reading speeds from a prompt's own tokens; count what was begun since

A reading that was faster than expected taught nothing unless all its shared parts were known to be cached, which hardly any is where hundreds of parts pass through. Prompts expected to wait 0.45 s waited 0.06 s. And where the prompt at hand had been read and its answer was on the way, the queue was believed to have no other at work: urgent prompts sent there for no wait at all met 0.14 s.

Change: a fast reading counts by the tokens that are the prompt's own, which the engine can't have had; the next prompt in turn counts as begun when the one before was read. Tests: test_engineload (a prompt whose parts may be cached teaches; a cached part is not taken for speed), test_readqueue (two).

--- a/packages/bulrushgrade/bulrushgrade/engineload.py
+++ b/packages/bulrushgrade/bulrushgrade/engineload.py
@@ -224,18 +224,24 @@
     ) -> None:
         if reading.tokens <= readtimes.SHORT_TOKENS:
             self._times.note_latency(reading.way, took_s - reading.expected_s)
-        # An engine may have more of the shared parts than is known here, and
-        # would look many times as fast. It has none of what is the prompt's
-        # own.
-        shared_tokens = sum(part.tokens for part in reading.parts)
-        is_sure = reading.cached_tokens >= shared_tokens
-        was_fast = took_s < reading.expected_s + reading.latency_s
-        if reading.tokens == 0 or (was_fast and not is_sure):
+        tokens, cached_tokens = reading.tokens, reading.cached_tokens
+        if took_s < reading.expected_s + reading.latency_s:
+            # The engine may have more of the shared parts than is known here,
+            # and would look many times as fast. It has none of what is the
+            # prompt's own: that was read in this time, if not more.
+            shared_tokens = sum(part.tokens for part in reading.parts)
+            cached_tokens = max(cached_tokens, shared_tokens)
+            tokens += reading.cached_tokens - cached_tokens
+        if tokens <= 0:
             return
         read_s = max(took_s - reading.latency_s - reading.fetch_s, 0.0)
+        if tokens < reading.tokens and read_s >= self.read_s(
+            tokens, cached_tokens, stage
+        ):
+            return
         self._times.note_read(
-            reading.tokens,
-            reading.cached_tokens,
+            tokens,
+            cached_tokens,
             read_s * _read_speed(stage),
             self._read_factor,
         )
--- a/packages/bulrushgrade/bulrushgrade/readqueue.py
+++ b/packages/bulrushgrade/bulrushgrade/readqueue.py
@@ -53,7 +53,9 @@
         ended = self._entries.pop(key, None)
         if ended is None or key != self._current or not self._entries:
             return
-        self._current = min(self._entries, key=self._turn)
+        self._current = min(
+            self._entries, key=lambda other: _turn(self._entries[other])
+        )
         added_at = self._entries[self._current].added_at
         read_at = now - ended.latency_s
         self._began_at = max(read_at, added_at, self._began_at)
@@ -79,9 +81,24 @@
         current = self._entries[self._current]
         # It has not been read yet, or its answer would have begun.
         finish = max(self._began_at + current.seconds, now - current.latency_s)
-        for key in sorted(self._entries, key=self._turn):
-            entry = self._entries[key]
-            if key != self._current and entry.urgency <= urgency:
+        waiting = sorted(
+            (
+                self._entries[key]
+                for key in self._entries
+                if key != self._current
+            ),
+            key=_turn,
+        )
+        # Those that were begun since, while answers were on their way.
+        while finish < now and waiting:
+            begun = next(
+                (entry for entry in waiting if entry.added_at <= finish),
+                min(waiting, key=lambda entry: entry.added_at),
+            )
+            waiting.remove(begun)
+            finish = max(finish, begun.added_at) + begun.seconds
+        for entry in waiting:
+            if entry.urgency <= urgency:
                 finish = max(finish, entry.added_at) + entry.seconds
         return max(0.0, finish - now)
 
@@ -101,6 +118,6 @@
             before_s = until_s
         return found
 
-    def _turn(self, key: Hashable) -> tuple[int, float]:
-        entry = self._entries[key]
-        return entry.urgency, entry.added_at
+
+def _turn(entry: Entry) -> tuple[int, float]:
+    return entry.urgency, entry.added_at
--- a/packages/bulrushgrade/tests/test_engineload.py
+++ b/packages/bulrushgrade/tests/test_engineload.py
@@ -154,6 +154,55 @@
     assert 120_000 < speed(load) < 160_000
 
 
+def test_prompts_whose_shared_parts_may_be_cached_teach_the_speed():
+    """Hundreds of shared parts pass through; few prompts find theirs cached.
+
+    Engines read 140 tokens in a millisecond and were believed to read 40, the
+    figure of the start: a prompt that was read faster than expected was taken
+    for one whose shared part the engine had. Prompts were refused, and sent
+    away from engines, for queues a third as long as believed. What is its own
+    a prompt always has read, whatever the engine has of the rest.
+    """
+    load = make_load()
+    for number in range(40):
+        prompt = make_prompt(f"s{number}", shared_tokens=500, own_tokens=1_500)
+        sent = engineload.Reading(
+            expected_s=2_000 / speed(load),
+            since=float(number),
+            tokens=2_000,
+            latency_s=0.06,
+            way=readtimes.Way.APART,
+            parts=prompt.shared_parts,
+        )
+        load.begin(sent)
+        took_s = 0.06 + 2_000 / 140_000
+        load.answered(sent, PREFILL, number + took_s)
+    assert 90_000 < speed(load) <= 140_000
+
+
+def test_cached_parts_are_not_taken_for_speed():
+    """An engine had a long part that nobody here knew of.
+
+    Reading 13,000 tokens seemed to take the time of 3,000. Were it believed
+    four times as fast, its queue would be filled with four times the work.
+    """
+    load = make_load()
+    for number in range(40):
+        prompt = make_prompt(f"s{number}")
+        sent = engineload.Reading(
+            expected_s=13_000 / speed(load),
+            since=float(number),
+            tokens=13_000,
+            latency_s=0.06,
+            way=readtimes.Way.APART,
+            parts=prompt.shared_parts,
+        )
+        load.begin(sent)
+        took_s = 0.06 + 3_000 / 40_000
+        load.answered(sent, PREFILL, number + took_s)
+    assert 36_000 < speed(load) < 44_000
+
+
 def test_waits_do_not_teach_the_speed():
     """A burst keeps an engine's queue full for seconds.
 
--- a/packages/bulrushgrade/tests/test_readqueue.py
+++ b/packages/bulrushgrade/tests/test_readqueue.py
@@ -81,6 +81,31 @@
     assert wait_s(queue, 0.2, urgency=0) == 0.05
 
 
+def test_the_next_long_prompt_is_begun_before_the_answer_to_the_last():
+    """Long prompts wait in a row; the first is read, its answer on the way.
+
+    The engine has begun the second. An urgent prompt was sent there as if it
+    were read at once, and waited 0.14 s in the mean: its target is 0.25 s.
+    """
+    queue = readqueue.ReadQueue()
+    for number in range(3):
+        queue.add(number, entry(0.2, urgency=2, latency_s=0.06))
+    assert wait_s(queue, 0.25, urgency=0) == 0.15
+    assert wait_s(queue, 0.25, urgency=2) == 0.35
+    queue.add("urgent", entry(0.05, added_at=0.25))
+    assert wait_s(queue, 0.25, urgency=0) == 0.2
+    assert wait_s(queue, 0.25, urgency=2) == 0.4
+
+
+def test_an_urgent_prompt_is_begun_when_the_one_at_hand_was_read():
+    queue = readqueue.ReadQueue()
+    for number in range(3):
+        queue.add(number, entry(0.2, urgency=2, latency_s=0.06))
+    queue.add("urgent", entry(0.1, added_at=0.1, latency_s=0.06))
+    assert wait_s(queue, 0.22, urgency=0) == 0.08
+    assert wait_s(queue, 0.22, urgency=2) == 0.48
+
+
 def test_what_is_being_read_counts_as_urgent():
     queue = readqueue.ReadQueue()
     queue.add("long", entry(0.4, urgency=2))
