Let long prompts that will be late have all others go first

Change: a prompt of a service's least urgent kind whose first event is expected past its target goes out with the least urgency, which engines take last; as many as can be read in time are in time, the late ones have the rest. Its stream counts at its engine from its first event. Tests: test_choosing, three.

Ruled out: refusing them instead, as half of the late ones are still served.

--- a/packages/bulrushgrade/bulrushgrade/routing.py
+++ b/packages/bulrushgrade/bulrushgrade/routing.py
@@ -16,7 +16,8 @@
 one takes longer than the query."""
 
 LEAST_URGENT = 9
-"""The largest urgency that engines know."""
+"""The largest urgency that engines know: that of work which lets all other go
+first."""
 
 LEAST_PATIENCE_S = 2.0
 PATIENCE_TARGETS = 4.0
@@ -81,8 +82,8 @@
 
     @property
     def urgency(self) -> int:
-        """The priority as engines know it."""
-        return min(self.priority, LEAST_URGENT)
+        """The priority as engines know it; the least is for late work."""
+        return min(self.priority, LEAST_URGENT - 1)
 
     @property
     def repeatable(self) -> bool:
@@ -188,10 +189,12 @@
         longest_target_s: The longest time in which an answer is not late.
         least_gap_s: The shortest of the longest pauses between events that
             are not late; None where no route names one.
+        least_urgency: The urgency of the least urgent route.
     """
 
     longest_target_s: float = 0.0
     least_gap_s: float | None = None
+    least_urgency: int = 0
 
 
 NO_LIMITS = ServiceLimits()
@@ -243,6 +246,7 @@
             self._limits[target.service] = ServiceLimits(
                 longest_target_s=max(known.longest_target_s, route.target_s),
                 least_gap_s=min(gaps_s, default=None),
+                least_urgency=max(known.least_urgency, route.urgency),
             )
 
 
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointcalls.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointcalls.py
@@ -190,4 +190,4 @@
 
 
 def _urgency(request: inflight.InFlight) -> int | None:
-    return None if request.plan is None else request.route.urgency
+    return None if request.plan is None else request.urgency
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/enginework.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/enginework.py
@@ -20,7 +20,6 @@
 from bulrushgrade_daemon import inflight
 from bulrushgrade_daemon import placementindex
 
-
 LIVE_S = 0.2
 """After its last event an engine counts as one that generates: some three
 pauses between events, which were 50 to 100 ms at engines of three deployments.
@@ -178,10 +177,15 @@
         streams = fleet.load(engine, traits).streams
         prompt_tokens = request.info.prompt.prompt_tokens
         stream = streamload.Stream(prompt_tokens=prompt_tokens)
-        streams.begin(stream)
+        # It takes no slot from others before it runs.
+        lets_others_first = request.urgency == routing.LEAST_URGENT
+        if not lets_others_first:
+            streams.begin(stream)
 
         def note_events(count: int) -> None:
             now = self._timers.now
+            if lets_others_first and stream.event_at is None:
+                streams.begin(stream)
             pause_s = streams.note_events(
                 stream, count, event_tokens=traits.event_tokens, now=now
             )
@@ -255,7 +259,7 @@
     request: inflight.InFlight, now: float, *, reads: bool
 ) -> engineload.Reading:
     plan, prompt = request.plan, request.info.prompt
-    urgency = request.route.urgency
+    urgency = request.urgency
     if not reads:
         return engineload.Reading(
             expected_s=plan.move_s,
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/inflight.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/inflight.py
@@ -60,6 +60,7 @@
         pace: When the events of its stream came.
         waits_s: How long it would wait at engines, from the owners of their
             queues.
+        urgency: How soon engines take it; 0 goes first.
     """
 
     caller: front.CallerRequest
@@ -79,6 +80,11 @@
     read_at: float | None = None
     pace: StreamPace = attrs.field(factory=StreamPace)
     waits_s: Mapping[str, float] = attrs.field(factory=dict)
+    urgency: int = attrs.field()
+
+    @urgency.default
+    def _route_urgency(self) -> int:
+        return self.route.urgency
 
     @property
     def over(self) -> bool:
--- a/packages/bulrushgrade_daemon/tests/test_choosing.py
+++ b/packages/bulrushgrade_daemon/tests/test_choosing.py
@@ -2,6 +2,7 @@
 
 import random
 
+import attrs
 import fakes
 from test_directory import make as make_registration
 
@@ -24,10 +25,30 @@
     handle_s=5.0,
     stage_change_s=3.0,
 )
+
+
+def make_route(name, *, priority):
+    return routing.Route(
+        name=name,
+        hostname=name,
+        path_prefix="/",
+        kind=routing.RequestKind.STREAM,
+        resumable=False,
+        timeout_s=5.0,
+        target_s=0.5,
+        gap_s=0.2,
+        priority=priority,
+        max_attempts=1,
+        by_prompt=True,
+        targets=(routing.Target(service="llm", weight=1.0),),
+    )
+
+
+QUERIES, DRAFTS = make_route("q", priority=1), make_route("d", priority=2)
 TABLE = routing.RouteTable(
     configuration=routing.Configuration(
         version=1,
-        routes=(),
+        routes=(QUERIES, DRAFTS),
         services={
             "llm": routing.Service(
                 name="llm", max_connections=10, engine=TRAITS
@@ -38,6 +59,13 @@
 )
 
 
+@attrs.frozen(kw_only=True)
+class Caller:
+    """A caller whose request came at a time."""
+
+    arrived_at: float = 0.0
+
+
 class Scene:
     """One daemon with two engines that read and two that generate."""
 
@@ -108,21 +136,7 @@
         return self.work.begin_stream(request, engine).events
 
 
-def make_request(tokens=200):
-    route = routing.Route(
-        name="r",
-        hostname="h",
-        path_prefix="/",
-        kind=routing.RequestKind.STREAM,
-        resumable=False,
-        timeout_s=5.0,
-        target_s=0.5,
-        gap_s=0.2,
-        priority=0,
-        max_attempts=1,
-        by_prompt=True,
-        targets=(),
-    )
+def make_request(tokens=200, route=QUERIES):
     prompt = prompt_module.Prompt(
         model="m",
         parts=(prompt_module.PromptPart(id="1", tokens=tokens),),
@@ -133,7 +147,7 @@
         request_id="1", deadline_s=5.0, prompt=prompt, last_event_id=None
     )
     return inflight.InFlight(
-        caller=None, info=info, route=route, service="llm", deadline=5.0
+        caller=Caller(), info=info, route=route, service="llm", deadline=5.0
     )
 
 
@@ -212,3 +226,43 @@
     for _ in range(5):
         scene.fail("d2", attempts.Outcome.UNREAD)
     assert scene.choose(make_request())[1] == "d1"
+
+
+def test_a_long_prompt_that_will_be_late_lets_all_others_go_first():
+    """A burst of long prompts comes, half of which could be in time.
+
+    Read in the order of arrival, all of them were late: the last as much as
+    those that came when there was still time.
+    """
+    scene = Scene()
+    request = make_request(tokens=30_000, route=DRAFTS)
+    scene.choose(request)
+    assert request.plan.first_s > DRAFTS.target_s
+    assert request.urgency == routing.LEAST_URGENT
+    early = make_request(tokens=3_000, route=DRAFTS)
+    scene.choose(early)
+    assert early.urgency == DRAFTS.urgency
+
+
+def test_work_of_a_more_urgent_kind_keeps_its_place_when_it_is_late():
+    """Short prompts wait in a burst, some longer than their target.
+
+    Behind all long prompts they were not late but lost: their callers left.
+    """
+    scene = Scene()
+    request = make_request(tokens=30_000, route=QUERIES)
+    scene.choose(request)
+    assert request.plan.first_s > QUERIES.target_s
+    assert request.urgency == QUERIES.urgency
+
+
+def test_a_stream_that_lets_others_go_first_counts_when_it_runs():
+    scene = Scene()
+    request = make_request(tokens=30_000, route=DRAFTS)
+    scene.choose(request)
+    notes = scene.work.begin_stream(request, scene.find("d1"))
+    assert scene.work.shares() == {}
+    notes.events(1)
+    assert scene.work.shares()["d1"].streams == 1
+    notes.ended()
+    assert scene.work.shares() == {}
