--- a/packages/bulrushgrade/tests/test_engineload.py
+++ b/packages/bulrushgrade/tests/test_engineload.py
@@ -154,6 +154,29 @@
     assert 120_000 < speed(load) < 160_000
 
 
+def read_new_parts(load, *, shared_tokens, own_tokens, read_in):
+    """Has an engine read prompts with a new shared part each.
+
+    Args:
+        load: The engine's.
+        shared_tokens: Of the shared part.
+        own_tokens: Of the rest.
+        read_in: Seconds that reading takes.
+    """
+    for number in range(40):
+        prompt = make_prompt(f"s{number}", shared_tokens, own_tokens)
+        sent = engineload.Reading(
+            expected_s=prompt.prompt_tokens / speed(load),
+            since=float(number),
+            tokens=prompt.prompt_tokens,
+            latency_s=0.06,
+            way=readtimes.Way.APART,
+            parts=prompt.shared_parts,
+        )
+        load.begin(sent)
+        load.answered(sent, PREFILL, number + 0.06 + read_in)
+
+
 def test_prompts_whose_shared_parts_may_be_cached_teach_the_speed():
     """Hundreds of shared parts pass through; few prompts find theirs cached.
 
@@ -164,19 +187,9 @@
     a prompt always has read, whatever the engine has of the rest.
     """
     load = make_load()
-    for number in range(40):
-        prompt = make_prompt(f"s{number}", shared_tokens=500, own_tokens=1_500)
-        sent = engineload.Reading(
-            expected_s=2_000 / speed(load),
-            since=float(number),
-            tokens=2_000,
-            latency_s=0.06,
-            way=readtimes.Way.APART,
-            parts=prompt.shared_parts,
-        )
-        load.begin(sent)
-        took_s = 0.06 + 2_000 / 140_000
-        load.answered(sent, PREFILL, number + took_s)
+    read_new_parts(
+        load, shared_tokens=500, own_tokens=1_500, read_in=2_000 / 140_000
+    )
     assert 90_000 < speed(load) <= 140_000
 
 
@@ -187,19 +200,9 @@
     four times as fast, its queue would be filled with four times the work.
     """
     load = make_load()
-    for number in range(40):
-        prompt = make_prompt(f"s{number}")
-        sent = engineload.Reading(
-            expected_s=13_000 / speed(load),
-            since=float(number),
-            tokens=13_000,
-            latency_s=0.06,
-            way=readtimes.Way.APART,
-            parts=prompt.shared_parts,
-        )
-        load.begin(sent)
-        took_s = 0.06 + 3_000 / 40_000
-        load.answered(sent, PREFILL, number + took_s)
+    read_new_parts(
+        load, shared_tokens=10_000, own_tokens=3_000, read_in=3_000 / 40_000
+    )
     assert 36_000 < speed(load) < 44_000
 
 
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/inflight.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/inflight.py
@@ -98,6 +98,7 @@
         reader = self.plan.prefill or self.plan.decode
         return {
             "reader": reader.id,
+            "urgency": self.urgency,
             "read_tokens": self.plan.read_tokens,
             "wait_s": round(self.plan.wait_s, 3),
             "first_event_s": round(self.plan.first_s, 3),
--- a/packages/bulrushgrade_daemon/tests/test_choosing.py
+++ b/packages/bulrushgrade_daemon/tests/test_choosing.py
@@ -239,6 +239,7 @@
     scene.choose(request)
     assert request.plan.first_s > DRAFTS.target_s
     assert request.urgency == routing.LEAST_URGENT
+    assert request.describe_plan()["urgency"] == routing.LEAST_URGENT
     early = make_request(tokens=3_000, route=DRAFTS)
     scene.choose(early)
     assert early.urgency == DRAFTS.urgency
