Tell full engines from lost ones by their own pause, not by fixed seconds

Cause: 0.2 s after its last event an engine counted as one that still streams, a figure of three deployments. Change: four of the pauses that are expected at that engine. Ruled out: the route's gap, which may be seconds.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/enginework.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/enginework.py
@@ -20,10 +20,11 @@
 from bulrushgrade_daemon import inflight
 from bulrushgrade_daemon import placementindex
 
-LIVE_S = 0.2
-"""After its last event an engine counts as one that generates: some three
-pauses between events, which were 50 to 100 ms at engines of three deployments.
-One that has crashed is found out by then."""
+LIVE_PAUSES = 4.0
+"""Expected pauses after its last event in which an engine counts as one that
+generates. A stream's pauses seldom last twice the expected one; a daemon has
+several streams at an engine that is full, and one that has crashed is found
+out by then."""
 
 
 def _note_nothing(*_: Any) -> None:
@@ -108,8 +109,10 @@
         traits = self.traits(engine.service)
         if traits is None:
             return False
-        streams = self.fleet(engine.service).load(engine, traits).streams
-        return streams.is_live(self._timers.now, within_s=LIVE_S)
+        fleet, now = self.fleet(engine.service), self._timers.now
+        pause_s = fleet.generation(engine, traits, now).pause_s
+        streams = fleet.load(engine, traits).streams
+        return streams.is_live(now, within_s=LIVE_PAUSES * pause_s)
 
     def describe(
         self, engine: directory_module.Registration
