--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
@@ -47,6 +47,8 @@
         calls: Sends requests to them.
         log: Gets a line for each decision that is out of the ordinary.
         rng: Source of random choices.
+        ends_in_s: Returns the seconds that are left for requests that come
+            now; None where there is no limit.
         on_broken: Called with the reason where an invariant is broken.
     """
 
@@ -58,6 +60,7 @@
     calls: endpointcalls.EndpointCalls
     log: decisionlog.DecisionLog
     rng: random.Random
+    ends_in_s: Callable[[], float | None]
     on_broken: Callable[[str], None]
 
 
@@ -92,6 +95,7 @@
             log=parts.log, now=lambda: self._timers.now
         )
         self._rng = parts.rng
+        self._ends_in_s = parts.ends_in_s
         self._on_broken = parts.on_broken
         self._new_share = new_share
         self._observe = observe
@@ -148,9 +152,13 @@
         info: dialect_module.RequestInfo,
         route: routing.Route,
     ) -> None:
-        waits_s = route.timeout_s
-        if info.deadline_s is not None:
-            waits_s = min(waits_s, info.deadline_s)
+        waits_s = inflight.longest_wait_s(info, route)
+        ends_in_s = self._ends_in_s()
+        if ends_in_s is not None and waits_s > ends_in_s:
+            self._count("refused_stopping")
+            self._log.note_stopping(info, route, ends_in_s)
+            self._refuse(caller, info, 0.0)
+            return
         request = inflight.InFlight(
             caller=caller,
             info=info,
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gateway.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gateway.py
@@ -51,6 +51,7 @@
         """
         self._settings = settings
         self._stopping = False
+        self._stop_began = 0.0
         self._log = decisionlog.DecisionLog(host=settings.host.name)
         self._kernel = kernel_module.Kernel(
             call_soon=lambda work: reactor.callLater(0, work),
@@ -65,6 +66,7 @@
                 rng=rng or random.Random(secrets.randbits(64)),
                 settings=lambda: self._settings,
                 stopping=lambda: self._stopping,
+                ends_in_s=self._ends_in_s,
             )
         )
         self._add_pages(reactor)
@@ -104,7 +106,7 @@
         timers, front = self._services.timers, self._services.front
         requests = self._services.forwarder
         front.announce_stop()
-        began = timers.now
+        began = self._stop_began = timers.now
         limit = began + self._settings.bounds.stop_s - STOP_RESERVE_S
         self._log.always("stopping", open=requests.open_requests)
         while timers.now < limit:
@@ -122,6 +124,21 @@
             took_s=round(timers.now - began, 2),
         )
 
+    def _ends_in_s(self) -> float | None:
+        """Returns the seconds that are left for requests that come now.
+
+        Load: all hosts of a zone are stopped one soon after the other, and the
+        balancer, which has nobody else there, goes on sending to them. Harm:
+        what came late was passed on and cut when the process ended. Until the
+        balancer can know, requests are taken whatever they may last.
+        """
+        if not self._stopping:
+            return None
+        stopping_s = self._services.timers.now - self._stop_began
+        if stopping_s < STOP_LISTEN_S:
+            return None
+        return self._settings.bounds.stop_s - STOP_RESERVE_S - stopping_s
+
     def reload(self, settings: gatewaysettings.GatewaySettings) -> None:
         """Takes changed settings; addresses need a restart."""
         changed = [
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
@@ -75,6 +75,8 @@
         rng: Source of random choices.
         settings: Returns the settings in force.
         stopping: Returns whether the gateway is stopping.
+        ends_in_s: Returns the seconds that are left for requests that come
+            now; None where there is no limit.
     """
 
     reactor: Any
@@ -84,6 +86,7 @@
     rng: random.Random
     settings: Callable[[], gatewaysettings.GatewaySettings]
     stopping: Callable[[], bool]
+    ends_in_s: Callable[[], float | None]
 
 
 class GatewayServices:
@@ -246,6 +249,7 @@
                 calls=calls,
                 log=context.log,
                 rng=context.rng,
+                ends_in_s=context.ends_in_s,
                 on_broken=context.kernel.fail,
             ),
             new_share=self._new_share,
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/inflight.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/inflight.py
@@ -128,6 +128,13 @@
         return self.deadline - now
 
 
+def longest_wait_s(info: dialect.RequestInfo, route: routing.Route) -> float:
+    """Returns how long a request may be kept waiting."""
+    if info.deadline_s is None:
+        return route.timeout_s
+    return min(route.timeout_s, info.deadline_s)
+
+
 @attrs.frozen(kw_only=True)
 class EndpointFailure:
     """A failure that an endpoint gave as its answer.
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/requestlog.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/requestlog.py
@@ -5,6 +5,7 @@
 
 from bulrushgrade import attempts
 from bulrushgrade import directory
+from bulrushgrade import routing
 from bulrushgrade_daemon import decisionlog
 from bulrushgrade_daemon import dialect
 from bulrushgrade_daemon import inflight
@@ -33,6 +34,21 @@
             reason="no configuration yet",
         )
 
+    def note_stopping(
+        self,
+        info: dialect.RequestInfo,
+        route: routing.Route,
+        ends_in_s: float,
+    ) -> None:
+        """Writes that the process ends before a request would."""
+        self._log.note(
+            "request_refused",
+            request=info.request_id,
+            route=route.name,
+            reason="host is stopping",
+            ends_in_s=round(ends_in_s, 3),
+        )
+
     def note_no_route(
         self,
         info: dialect.RequestInfo,
