Play the demo's Ctrl-C test with a signal that arrives

Cause: a process that ignores SIGINT hands that on to what it starts. In a shell's background job the test failed each time, in the foreground it passed. Ruled out: load (it failed alone too). Change: the test starts the demo with the signal's default, so that its verdict no longer depends on who starts it; the demo names SIGTERM where it can't be interrupted. Looked for others: test processes of the daemon are ended by SIGTERM and SIGKILL only.

--- a/packages/bulrushgrade_cli/bulrushgrade_cli/demo.py
+++ b/packages/bulrushgrade_cli/bulrushgrade_cli/demo.py
@@ -6,6 +6,7 @@
 
 import json
 import os
+import signal
 import sys
 from typing import Any
 
@@ -206,6 +207,13 @@
         f"  {command} status --admin {admin}",
         f"  {command} show {MODEL_SERVICE} --log {listeners['log'].address}",
         "",
-        "Ctrl-C stops it.",
+        _say_how_to_stop(),
     ]
     return "\n".join(lines)
+
+
+def _say_how_to_stop() -> str:
+    # A shell starts its background jobs so that they ignore the signal.
+    if signal.getsignal(signal.SIGINT) is signal.SIG_IGN:
+        return "Ctrl-C is ignored in this process; SIGTERM stops it."
+    return "Ctrl-C stops it."
--- a/packages/bulrushgrade_cli/tests/test_demo.py
+++ b/packages/bulrushgrade_cli/tests/test_demo.py
@@ -21,21 +21,31 @@
 }
 
 
-@pytest.fixture
-def demo():
+def start_demo(interrupts):
+    """Starts the demo with a way to take SIGINT, whatever is inherited."""
     command = [sys.executable, "-m", "bulrushgrade_cli", "demo"]
-    popen = subprocess.Popen(
+    return subprocess.Popen(
         [*command, "--listen", "127.0.0.1:0"],
         env=dict(os.environ, PYTHONPATH=os.pathsep.join(sys.path)),
         stdout=subprocess.PIPE,
         text=True,
+        preexec_fn=lambda: signal.signal(signal.SIGINT, interrupts),
     )
+
+
+def end(popen):
+    popen.kill()
+    popen.wait(processes.LIMIT_S)
+    popen.stdout.close()
+
+
+@pytest.fixture
+def demo():
+    popen = start_demo(signal.SIG_DFL)
     try:
         yield popen
     finally:
-        popen.kill()
-        popen.wait(processes.LIMIT_S)
-        popen.stdout.close()
+        end(popen)
 
 
 def read_until(stream, last):
@@ -74,6 +84,21 @@
     assert demo.stdout.read().strip() == "stopped"
 
 
+def test_a_demo_that_ignores_ctrl_c_says_what_stops_it():
+    """A shell's background job ignores SIGINT, and so does what it starts.
+
+    The demo told of Ctrl-C, which never arrived.
+    """
+    popen = start_demo(signal.SIG_IGN)
+    try:
+        lines = read_until(popen.stdout, "Ctrl-C")
+        assert lines[-1].strip().endswith("SIGTERM stops it.")
+        popen.send_signal(signal.SIGTERM)
+        assert popen.wait(processes.LIMIT_S) == 0
+    finally:
+        end(popen)
+
+
 def test_taken_address_is_one_line_that_names_it():
     """Another program listens where the demo wants to.
 
