--- a/packages/bulrushgrade/bulrushgrade/peerloads.py
+++ b/packages/bulrushgrade/bulrushgrade/peerloads.py
@@ -3,18 +3,23 @@
 Load: many daemons send to the same engines. Harm: each sees only its own
 part of a queue and of the streams, so that all of them send to an engine that
 looks idle to each, while others stand by. Every daemon advertises what it has
-there; a message is absolute and replaces the one before, so that a lost or
-late one only makes the view a little older.
+there, some add up what a group of them has and exchange the sums, and every
+daemon hears the sum of all. A message is absolute and replaces the one
+before, so that a lost or late one only makes the view a little older.
 """
 
 import collections
+from collections.abc import Iterable
 from collections.abc import Mapping
 
 import attrs
 
-STALE_S = 1.5
-"""How long a message counts. Queues of seconds empty in about that time, and
-a daemon that died holds nothing any more."""
+LEAST_STALE_S = 1.5
+"""How long a message counts at least. Queues of seconds empty in about that
+time, and a daemon that died holds nothing any more."""
+
+MOST_OWN = 32
+"""Own messages that are remembered until the sum that has them comes back."""
 
 
 @attrs.frozen(kw_only=True)
@@ -49,66 +54,178 @@
             tokens=self.tokens + other.tokens,
         )
 
+    def __sub__(self, part: "EngineShare") -> "EngineShare":
+        """Returns what is left without a part; never less than nothing."""
+        queued_s = {
+            level: max(0.0, seconds - part.queued_s.get(level, 0.0))
+            for level, seconds in self.queued_s.items()
+        }
+        return EngineShare(
+            queued_s=queued_s,
+            streams=max(0, self.streams - part.streams),
+            tokens=max(0, self.tokens - part.tokens),
+        )
+
 
 NOTHING = EngineShare()
 
+Shares = Mapping[str, EngineShare]
+"""What somebody has, by the engines' ids; what is missing is nothing."""
+
+
+def add_up(parts: Iterable[Shares]) -> dict[str, EngineShare]:
+    """Returns what several have together, by engine."""
+    total: dict[str, EngineShare] = {}
+    for shares in parts:
+        for engine, share in shares.items():
+            known = total.get(engine)
+            total[engine] = share if known is None else known + share
+    return total
+
 
 @attrs.frozen(kw_only=True)
 class _Advertised:
     at: float
     number: int
-    shares: Mapping[str, EngineShare]
+    shares: Shares
+
+
+class _Latest:
+    """The newest message of each sender."""
+
+    def __init__(self):
+        self._by_name: dict[str, _Advertised] = {}
+
+    def take(self, name: str, number: int, shares: Shares, now: float) -> bool:
+        known = self._by_name.get(name)
+        if known is not None and number <= known.number:
+            return False
+        self._by_name[name] = _Advertised(at=now, number=number, shares=shares)
+        return True
+
+    def fresh(self, now: float, stale_s: float) -> dict[str, _Advertised]:
+        return {
+            name: one
+            for name, one in self._by_name.items()
+            if now - one.at < stale_s
+        }
+
+    def at(self, engine: str, now: float, stale_s: float) -> EngineShare:
+        found = NOTHING
+        for one in self._by_name.values():
+            share = one.shares.get(engine)
+            if share is not None and now - one.at < stale_s:
+                found += share
+        return found
+
+    def drop(self, name: str) -> None:
+        self._by_name.pop(name, None)
+
+    def forget(self, now: float, stale_s: float) -> None:
+        self._by_name = self.fresh(now, stale_s)
 
 
 class PeerLoads:
-    """What peers have, by engine."""
+    """What peers have, by engine.
+
+    A daemon that adds up goes by its members and by the other groups' sums;
+    any other one by the sum of all that it is told, less its own share.
+    """
 
     def __init__(self):
-        self._by_peer: dict[str, _Advertised] = {}
-
-    def update(
-        self,
-        peer: str,
-        number: int,
-        shares: Mapping[str, EngineShare],
-        now: float,
-    ) -> None:
-        """Takes a peer's message.
+        self.stale_s = LEAST_STALE_S
+        self._members = _Latest()
+        self._groups = _Latest()
+        self._fleet: _Advertised | None = None
+        self._fleet_own: Shares = {}
+        self._own: collections.OrderedDict[int, Shares] = (
+            collections.OrderedDict()
+        )
+
+    def take_member(
+        self, name: str, number: int, shares: Shares, now: float
+    ) -> bool:
+        """Takes what a member of this daemon's group has.
 
         Args:
-            peer: Who sent it; another one after each start.
+            name: Who sent it; another one after each start.
             number: Grows from each of its messages to the next.
-            shares: What it has by engine; what is missing is nothing.
+            shares: What it has.
             now: The present time in seconds.
+
+        Returns:
+            Whether it is newer than what was known.
         """
-        known = self._by_peer.get(peer)
-        if known is not None and number <= known.number:
-            return
-        self._by_peer[peer] = _Advertised(at=now, number=number, shares=shares)
+        if not self._members.take(name, number, shares, now):
+            return False
+        # It had been a group of its own; counted twice it would look busy.
+        self._groups.drop(name)
+        return True
+
+    def take_group(
+        self, name: str, number: int, shares: Shares, now: float
+    ) -> bool:
+        """Takes the sum of another group; as for `take_member`."""
+        if not self._groups.take(name, number, shares, now):
+            return False
+        self._members.drop(name)
+        return True
+
+    def take_fleet(
+        self, own_number: int, number: int, shares: Shares, now: float
+    ) -> None:
+        """Takes the sum of all daemons, this one included.
+
+        Args:
+            own_number: The message of this daemon that is in it.
+            number: Grows from each sum to the next.
+            shares: What all have together.
+            now: The present time in seconds.
+        """
+        self._fleet = _Advertised(at=now, number=number, shares=shares)
+        self._fleet_own = self._own.get(own_number, {})
+
+    def note_own(self, number: int, shares: Shares) -> None:
+        """Remembers what this daemon advertised under a number."""
+        self._own[number] = shares
+        while len(self._own) > MOST_OWN:
+            self._own.popitem(last=False)
+
+    def member_numbers(self, now: float) -> dict[str, int]:
+        """Returns the number of each member's newest message."""
+        fresh = self._members.fresh(now, self.stale_s)
+        return {name: one.number for name, one in fresh.items()}
+
+    def group_sum(self, own: Shares, now: float) -> dict[str, EngineShare]:
+        """Returns what this daemon and its members have together."""
+        members = self._members.fresh(now, self.stale_s).values()
+        return add_up([own, *(one.shares for one in members)])
+
+    def other_groups(self, now: float) -> list[Shares]:
+        """Returns the sums of the other groups."""
+        groups = self._groups.fresh(now, self.stale_s).values()
+        return [one.shares for one in groups]
 
     def at(self, engine: str, now: float) -> EngineShare:
         """Returns what all peers together have at an engine."""
-        found = NOTHING
-        for peer in self._by_peer.values():
-            share = peer.shares.get(engine)
-            if share is not None and now - peer.at < STALE_S:
-                found += share
-        return found
-
-    def drop(self, peer: str) -> None:
+        fleet = self._fleet
+        if fleet is not None and now - fleet.at < self.stale_s:
+            total = fleet.shares.get(engine, NOTHING)
+            own = self._fleet_own.get(engine)
+            return total if own is None else total - own
+        members = self._members.at(engine, now, self.stale_s)
+        return members + self._groups.at(engine, now, self.stale_s)
+
+    def drop_fleet(self) -> None:
+        """Forgets the sum of all; this daemon adds up itself now."""
+        self._fleet = None
+
+    def drop(self, name: str) -> None:
         """Forgets a peer that is known to be gone."""
-        self._by_peer.pop(peer, None)
-
-    def forget(self, now: float, *, silent_s: float) -> None:
-        """Drops peers that have been silent for so long."""
-        for peer, known in list(self._by_peer.items()):
-            if now - known.at >= silent_s:
-                del self._by_peer[peer]
-
-    def heard(self, now: float, *, silent_s: float) -> list[str]:
-        """Returns the peers that were heard within a time, sorted."""
-        return sorted(
-            peer
-            for peer, known in self._by_peer.items()
-            if now - known.at < silent_s
-        )
+        self._members.drop(name)
+        self._groups.drop(name)
+
+    def forget(self, now: float) -> None:
+        """Drops what is too old to count."""
+        self._members.forget(now, self.stale_s)
+        self._groups.forget(now, self.stale_s)
--- a/packages/bulrushgrade/tests/test_engineplan.py
+++ b/packages/bulrushgrade/tests/test_engineplan.py
@@ -306,7 +306,7 @@
     first = planner.receiver(make_input(prompt))
     for number in range(6):
         share = peerloads.EngineShare(streams=10, tokens=80_000)
-        peers.update(f"h{number}", 1, {first.id: share}, 0.0)
+        peers.take_group(f"h{number}", 1, {first.id: share}, 0.0)
     assert planner.receiver(make_input(prompt)) is not first
 
 
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/adapter.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/adapter.py
@@ -10,7 +10,7 @@
 from bulrushgrade import routing
 from bulrushgrade_daemon import cachewatch
 from bulrushgrade_daemon import dialect
-from bulrushgrade_daemon import loadgossip
+from bulrushgrade_daemon import peerlink
 from bulrushgrade_daemon import stagecontrol
 from bulrushgrade_daemon import topicreader
 
@@ -44,6 +44,6 @@
         Result[directory.Registration, errors.BadRecord],
     ]
     read_cache_changes: cachewatch.ReadChanges
-    membership: loadgossip.Membership
+    membership: peerlink.Membership
     order_topic: stagecontrol.OrderTopic
     engine_control: stagecontrol.EngineControl
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaymessages.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaymessages.py
@@ -10,27 +10,89 @@
 from bulrushgrade import directory
 from bulrushgrade import prefixindex
 
+Engines = dict[str, tuple[dict[int, int], int, int]]
+"""What somebody has at each engine: milliseconds of reading that wait by
+urgency, streams, and their tokens."""
+
+Kept = dict[str, list[tuple[str, int]]]
+"""What changed in engines' caches: parts with the tokens that are kept now."""
+
 
 class Load(msgspec.Struct, array_like=True, tag="load"):
-    """What a daemon has waiting, and what it saw of engines' caches.
+    """What a daemon has waiting, to the one that adds up for it.
 
     Attributes:
         peer: Who says it; another one after each start.
         number: Grows from each of its messages to the next.
-        engines: What it has at each engine: milliseconds of reading that
-            wait by urgency, streams, and their tokens.
-        kept: What changed in the caches that it follows, by engine: parts
-            with the tokens that are kept now.
+        engines: What it has.
+        kept: What changed in the caches that it follows.
         may_order: Whether it could order engines to change their roles.
     """
 
     peer: str
     number: int
-    engines: dict[str, tuple[dict[int, int], int, int]]
-    kept: dict[str, list[tuple[str, int]]] = {}
+    engines: Engines
+    kept: Kept = {}
     may_order: bool = True
 
 
+class GroupLoad(msgspec.Struct, array_like=True, tag="group_load"):
+    """What a group of daemons has together, to those that add up for others.
+
+    Attributes:
+        peer: Who adds up for the group.
+        number: Grows from each of its messages to the next.
+        engines: What they have.
+        kept: What changed in the caches that they follow.
+        may_order: Whether the sender could order engines to change roles.
+        is_passed_on: Whether a member of another group passed it on to the
+            one that adds up for it.
+    """
+
+    peer: str
+    number: int
+    engines: Engines
+    kept: Kept = {}
+    may_order: bool = True
+    is_passed_on: bool = False
+
+
+class FleetLoad(msgspec.Struct, array_like=True, tag="fleet_load"):
+    """What all daemons have together, to the members of a group.
+
+    Attributes:
+        peer: Who adds up for the group.
+        number: Grows from each of its messages to the next.
+        your_number: The receiver's last message that is in it.
+        engines: What all have.
+        kept: What changed in engines' caches.
+    """
+
+    peer: str
+    number: int
+    your_number: int
+    engines: Engines
+    kept: Kept = {}
+
+
+class GroupMembers(msgspec.Struct, array_like=True, tag="group_members"):
+    """A part of the list of those that are in a group.
+
+    Attributes:
+        peer: Who adds up for the group.
+        part: Which part of the list this is, from 0.
+        number: Grows from each list to the next.
+        names: Those that are there.
+        unable: Those of them that could not order engines about.
+    """
+
+    peer: str
+    part: int
+    number: int
+    names: list[str]
+    unable: list[str]
+
+
 class WaitQuery(msgspec.Struct, array_like=True, tag="wait_query"):
     """Asks how long a prompt would wait at engines.
 
@@ -206,6 +268,9 @@
 
 Message = (
     Load
+    | GroupLoad
+    | FleetLoad
+    | GroupMembers
     | WaitQuery
     | WaitReply
     | Begun
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
@@ -27,6 +27,7 @@
 from bulrushgrade_daemon import gatewaysettings
 from bulrushgrade_daemon import loadgossip
 from bulrushgrade_daemon import metrics
+from bulrushgrade_daemon import peerlink
 from bulrushgrade_daemon import placementindex
 from bulrushgrade_daemon import sharedtopic
 from bulrushgrade_daemon import stagecontrol
@@ -50,6 +51,10 @@
 """How long a read of the gateways' topic waits. It changes only when a host
 starts; until a peer is known, work is placed without its word."""
 
+PEERS_PAUSE_S = 1.0
+"""Between two reads of the gateways' topic. Where all hosts start together,
+the record of each would otherwise end a read of every other one."""
+
 LEAST_HOSTS = 64
 """Hosts that the fixed part of the retry budget is divided by at least. The
 settings don't tell how many there are, and a host that has just started does
@@ -122,6 +127,7 @@
             self._timers,
             self._follow_configuration,
             self._follow_endpoints,
+            self._link,
             self._gossip,
             self._index,
             self._stage_control,
@@ -219,7 +225,7 @@
             timers=self._timers,
             own_name=self._own_name,
             find_owners=lambda key: self._gossip.find_owners(key),
-            send=lambda peer, message: self._gossip.send(peer, message),
+            send=lambda peer, message: self._link.send(peer, message),
         )
         self._work = enginework.EngineWork(
             timers=self._timers,
@@ -278,21 +284,27 @@
         sharing = cachesharing.CacheSharing(
             endpoints=self._view.endpoints, work=self._work
         )
-        self._gossip = loadgossip.LoadGossip(
+        self._link = peerlink.PeerLink(
             reactor=context.reactor,
             timers=self._timers,
             host_name=context.settings().host.name,
-            own_name=self._own_name,
             zone=context.settings().host.zone,
             listen=context.settings().listen.peers,
             membership=context.adapter.membership,
+            take=lambda message: self._gossip.receive(message),
+            log=context.log,
+            on_broken=context.kernel.fail,
+        )
+        self._gossip = loadgossip.LoadGossip(
+            timers=self._timers,
+            own_name=self._own_name,
+            link=self._link,
             loads=self._peer_loads,
             read_own=self._work.shares,
             may_order=self._may_order,
             take_changes=sharing.take_advertised,
             take_other=self._take_message,
             log=context.log,
-            on_broken=context.kernel.fail,
         )
         sharing.advertise_by(self._gossip)
         self._cache_watch = cachewatch.CacheWatch(
@@ -306,10 +318,10 @@
             "peers",
             context.adapter.membership.reader,
             wait_s=PEERS_WAIT_S,
-            pause_s=0.0,
+            pause_s=PEERS_PAUSE_S,
             read_essence=_read_value,
-            take=self._gossip.take_records,
-            take_all=self._gossip.take_records,
+            take=self._link.take_records,
+            take_all=self._link.take_records,
         )
 
     def _make_stage_control(self) -> None:
@@ -353,7 +365,7 @@
             change_ms=round(change_s * 1000),
         )
         self._take_message(notice)
-        self._gossip.broadcast(notice)
+        self._link.broadcast(notice)
 
     def _may_order(self) -> bool:
         """Returns whether this host could append to the topic of orders."""
@@ -378,7 +390,7 @@
             read_essence=read_essence,
             rank_hosts=lambda key: self._gossip.rank_zone(key),
             must_read=must_read,
-            send=lambda peer, message: self._gossip.send(peer, message),
+            send=lambda peer, message: self._link.send(peer, message),
             timers=self._timers,
             log=self._context.log,
         )
--- /dev/null
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadcodec.py
@@ -0,0 +1,66 @@
+"""Translates loads and changes of caches to what messages hold, and back."""
+
+from collections.abc import Iterable
+import heapq
+
+from bulrushgrade import enginecache
+from bulrushgrade import peerloads
+from bulrushgrade_daemon import gatewaymessages
+
+MOST_ENGINES = 1000
+"""In a message, the busiest ones, so that it stays within a datagram."""
+
+EngineChanges = tuple[str, tuple[enginecache.CacheChange, ...]]
+"""An engine's id and what changed in its cache."""
+
+
+def encode_shares(shares: peerloads.Shares) -> gatewaymessages.Engines:
+    """Returns shares as a message has them."""
+    return {
+        engine: (
+            {u: round(s * 1000) for u, s in share.queued_s.items()},
+            share.streams,
+            share.tokens,
+        )
+        for engine, share in _pick_busiest(shares)
+    }
+
+
+def _pick_busiest(
+    shares: peerloads.Shares,
+) -> Iterable[tuple[str, peerloads.EngineShare]]:
+    if len(shares) <= MOST_ENGINES:
+        return shares.items()
+
+    def rate(item: tuple[str, peerloads.EngineShare]) -> tuple[float, int]:
+        return sum(item[1].queued_s.values()), item[1].tokens
+
+    return heapq.nlargest(MOST_ENGINES, shares.items(), key=rate)
+
+
+def decode_shares(
+    engines: gatewaymessages.Engines,
+) -> dict[str, peerloads.EngineShare]:
+    """Returns the shares in a message."""
+    return {
+        engine: peerloads.EngineShare(
+            queued_s={u: ms / 1000 for u, ms in queued_ms.items()},
+            streams=streams,
+            tokens=tokens,
+        )
+        for engine, (queued_ms, streams, tokens) in engines.items()
+    }
+
+
+def decode_changes(kept: gatewaymessages.Kept) -> list[EngineChanges]:
+    """Returns the changes of caches in a message, by engine."""
+    return [
+        (
+            engine,
+            tuple(
+                enginecache.CacheChange(part=part, tokens=tokens)
+                for part, tokens in parts
+            ),
+        )
+        for engine, parts in kept.items()
+    ]
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadgossip.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadgossip.py
@@ -1,48 +1,45 @@
 """Advertises what this daemon has waiting at engines, and hears peers.
 
-Datagrams fit better than connections here: each message replaces the one
-before, so that a lost one needs no repeat, and there is no connection that
-could go silent unnoticed or hold memory for a peer that is gone. Peers find
-each other in a topic on the platform's store where each writes its address
-once when it starts.
+In a small fleet every daemon tells every other one. Where that would take
+more messages than a daemon may send, the hosts of an availability zone tell
+the first of them by rendezvous hashing, which adds up what they have; those
+that add up exchange the sums, and tell their members the sum of all. A view
+is so three messages old however many hosts there are.
+
+Nobody has to agree on who adds up. A daemon adds up for those that send to
+it, so that each one's share is in one sum; a daemon that hears nothing from
+the one that it sends to turns to the next.
 """
 
-from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
 import heapq
+import math
 from typing import Any
 
-import attrs
-import msgspec
-from returns.result import Failure
-from returns.result import Result
-from twisted.internet import protocol
 import xxhash
 
+from bulrushgrade import aggregatorchoice
 from bulrushgrade import enginecache
+from bulrushgrade import fleetmembers
 from bulrushgrade import peerloads
-from bulrushgrade_daemon import decisionlog
 from bulrushgrade_daemon import gatewaymessages
-from bulrushgrade_daemon import task
-from bulrushgrade_daemon import topicreader
+from bulrushgrade_daemon import grouplists
+from bulrushgrade_daemon import loadcodec
+from bulrushgrade_daemon import peerlink as peerlink_module
+from bulrushgrade_daemon import pendingchanges
 
 PERIOD_S = 0.1
 """Between two messages to a peer in a small fleet: a fraction of the time in
 which a queue of engines builds up."""
 
-MESSAGES_PER_S = 100.0
-"""Messages that a daemon sends a second at most. With more peers each hears
-less often, so that the cost stays the same."""
+MESSAGES_PER_S = 160.0
+"""Messages that a daemon sends a second at most, so that they take a small
+part of a core. Where more peers are to be told, each is told less often."""
 
-MOST_CHANGES = 40
-"""Of caches in a message, so that a datagram stays within what a link carries
-in one piece. The others come with the next messages."""
-
-ADVERTISED_TIMES = 2
-"""Messages that a change of a cache is in. One that never arrives has prompts
-sent for a part that is gone for as long as nobody else has it read again; a
-bad link that loses one in ten datagrams loses both of two once in a hundred."""
+MOST_BYTES_PER_S = 400_000.0
+"""What they may take, a third of the slowest usual link. Sums grow with the
+engines that are busy; where they are long they come less often."""
 
 SILENT_PERIODS = 3.5
 """Messages without which a peer counts as gone. Bad links lose some; were one
@@ -53,267 +50,155 @@
 """In a small fleet: longer than a host that is busy or paused for a moment
 stays silent."""
 
-OWNERS = 2
-"""Hosts that own the same key. With one, each host that did not hear it, in a
-fleet of 89 with bad links a quarter of them, had a queue of its own, and
-prompts waited for a second behind others that were in another queue."""
+LISTS_PART = 0.25
+"""Of a daemon's messages, that lists may be where nothing changes."""
 
-REPEAT_BROADCAST_S = 0.1
-"""After which a broadcast is sent a second time, as datagrams get lost; a
-small part of the seconds that a change of role takes."""
+LIST_SILENT_S = 60.0
+"""How long a list counts. One whose maker is gone is taken back much sooner;
+this only bounds what a daemon remembers that nobody tells anything."""
 
-ANNOUNCE_RETRY_S = 1.0
-"""Between two attempts to write the own address while the store is away."""
+OWNERS = 2
+"""Hosts that own the same key. With one, each host that did not hear it had a
+queue of its own where links are bad, and prompts waited behind others that
+were in another queue."""
 
+AGGREGATOR_KEY = "loads"
 
 TakeChanges = Callable[[str, tuple[enginecache.CacheChange, ...]], None]
 """Takes an engine's id and what changed in its cache."""
 
 
-class _Announcement(msgspec.Struct):
-    address: str
-    zone: str = ""
-
-
-_announcement_decoder = msgspec.json.Decoder(_Announcement)
-
-
-@attrs.frozen(kw_only=True)
-class Membership:
-    """The topic in which daemons find each other.
-
-    Attributes:
-        reader: Reads it.
-        write: Writes the newest record of a key.
-    """
-
-    reader: topicreader.KeyedReader
-    write: Callable[
-        [str, bytes], Awaitable[Result[None, topicreader.StoreAway]]
-    ]
-
-
-class LoadGossip(protocol.DatagramProtocol):
-    """Owns the socket for messages among peers."""
+class LoadGossip:
+    """Exchanges loads with peers and knows which of them are there."""
 
     name = "loadgossip"
-    requires = ("timer",)
+    requires = ("timer", "peerlink")
 
     def __init__(
         self,
         *,
-        reactor: Any,
         timers: Any,
-        host_name: str,
         own_name: str,
-        zone: str,
-        listen: Any,
-        membership: Membership,
+        link: peerlink_module.PeerLink,
         loads: peerloads.PeerLoads,
         read_own: Callable[[], dict[str, peerloads.EngineShare]],
         may_order: Callable[[], bool],
         take_changes: TakeChanges,
         take_other: Callable[[gatewaymessages.Message], None],
-        log: decisionlog.DecisionLog,
-        on_broken: Callable[[str], None],
+        log: Any,
     ):
         """Makes the service.
 
         Args:
-            reactor: Where it listens.
             timers: The timer service.
-            host_name: The key of this host's record.
             own_name: This daemon's name among its peers; another one after
                 each start.
-            zone: The availability zone of this host.
-            listen: The address for datagrams.
-            membership: Where daemons find each other.
+            link: Sends to peers and knows their zones.
             loads: Takes what peers advertise.
             read_own: Returns what this daemon has, by engine.
             may_order: Returns whether this daemon could order engines to
                 change their roles.
             take_changes: Takes what a peer saw of an engine's cache.
             take_other: Takes the messages that are not about the load.
-            log: Gets a line for each peer that comes.
-            on_broken: Called with the reason where an invariant is broken.
+            log: Gets a line when another daemon adds up for this one.
         """
-        self._reactor = reactor
         self._timers = timers
-        self._host_name = host_name
         self._own_name = own_name
-        self._zone = zone
-        self._listen = listen
-        self._membership = membership
+        self._own_host = fleetmembers.host_of(own_name)
+        self._link = link
         self._loads = loads
         self._read_own = read_own
         self._may_order = may_order
-        # Peers that said that they could not.
-        self._unable: set[str] = set()
         self._take_changes = take_changes
         self._take_other = take_other
-        self._pending: dict[tuple[str, str], _PendingChange] = {}
         self._log = log
-        self._on_broken = on_broken
-        self._peers: dict[str, tuple[str, int]] = {}
-        self._zones: dict[str, str] = {}
-        # The last name of each host that was heard.
-        self._names: dict[str, str] = {}
+        self._members = fleetmembers.FleetMembers(own_name=own_name)
+        # Other groups, by who adds up for them: when they were heard.
+        self._groups: dict[str, float] = {}
+        # Changes for who adds up, or for the other groups.
+        self._outward = pendingchanges.PendingChanges()
+        # Changes for this daemon's members.
+        self._inward = pendingchanges.PendingChanges()
+        self._choice = aggregatorchoice.AggregatorChoice(
+            own_host=self._own_host
+        )
+        self._aggregator_name = ""
+        # When a sum of all was last heard, or this daemon added up itself.
+        self._sum_at = -math.inf
+        # Since when it adds up.
+        self._adds_up_since = -math.inf
+        self._lists = grouplists.GroupLists(
+            timers=timers,
+            own_name=own_name,
+            members=self._members,
+            send_datagram=link.send_datagram,
+            most_per_s=LISTS_PART * MESSAGES_PER_S,
+        )
+        self._there: list[str] = [own_name]
+        self._owners: dict[str, list[str]] = {}
+        self._followed: set[str] = set()
+        # Of the longest message of the last round.
+        self._sum_bytes = 0
         self._number = 0
-        self._unreadable = 0
-        self._port: Any = None
-        self._announcing: Any = None
         self._tick: Any = None
 
     @property
     def known_hosts(self) -> int:
         """How many hosts have announced themselves, this one included."""
-        return len(self._peers) + 1
+        return len(self._link.hosts) + 1
 
     @property
     def counts(self) -> dict[str, int]:
-        """Messages sent, and received ones that could not be read."""
-        return {"rounds": self._number, "unreadable": self._unreadable}
+        """Rounds of messages."""
+        return {"rounds": self._number}
 
     async def start(self) -> None:
-        """Listens, announces this host and begins to advertise."""
-        self._port = self._reactor.listenUDP(
-            self._listen.port, self, interface=self._listen.host
-        )
-        self._announcing = task.spawn(
-            self._announce(), name=self.name, on_broken=self._on_broken
-        )
-        self._schedule()
+        """Begins to advertise."""
+        self.schedule()
 
     async def stop(self) -> None:
         """Sends nothing any more."""
-        if self._announcing is not None:
-            self._announcing.cancel()
         if self._tick is not None:
             self._tick.cancel()
-        if self._port is not None:
-            await self._port.stopListening()
-
-    def receive(self, message: Any) -> None:
-        """Takes no messages."""
 
     def dump(self) -> dict[str, Any]:
-        """Returns who is sent to."""
-        return {"peers": sorted(self._peers), **self.counts}
+        """Returns who is there and who adds up."""
+        now = self._timers.now
+        return {
+            "there": len(self._there),
+            "aggregator": self._choice.chosen,
+            "members": sorted(self._loads.member_numbers(now)),
+            "groups": sorted(self._groups),
+            "period_s": self._period_s(),
+            **self.counts,
+        }
 
-    def take_records(
-        self, records: tuple[topicreader.KeyedRecord, ...]
-    ) -> None:
-        """Takes hosts' announcements."""
-        for record in records:
-            if record.key == self._host_name:
-                continue
-            if record.value is None:
-                self._peers.pop(record.key, None)
-                self._zones.pop(record.key, None)
-                continue
-            read = _read_announcement(record.value)
-            if read is None:
-                self._unreadable += 1
-                self._log.note("record_unreadable", key=record.key)
-                continue
-            address, self._zones[record.key] = read
-            if self._peers.get(record.key) != address:
-                self._peers[record.key] = address
-                self._log.note("peer_known", peer=record.key, address=address)
-
-    def datagramReceived(  # noqa: N802
-        self, datagram: bytes, addr: tuple[str, int]
-    ) -> None:
+    def receive(self, message: Any) -> None:
         """Takes a peer's message."""
-        message = gatewaymessages.parse(datagram)
-        if message is None:
-            # Counted only: anyone can send such datagrams as fast as a line
-            # could be written about them.
-            self._unreadable += 1
-        elif isinstance(message, gatewaymessages.Load):
-            self._take_load(message)
-        else:
-            self._take_other(message)
-
-    def send(self, peer: str, message: gatewaymessages.Message) -> bool:
-        """Sends a message to a peer; returns whether its address is known."""
-        address = self._peers.get(_host_of(peer))
-        if address is None or self.transport is None:
-            return False
-        self.transport.write(gatewaymessages.serialize(message), address)
-        return True
-
-    def broadcast(self, message: gatewaymessages.Message) -> None:
-        """Sends a message to all known peers, and once more a moment later.
-
-        A peer that misses both goes by what it reads itself, later.
-        """
-        self._send_all(message)
-        self._timers.after(REPEAT_BROADCAST_S, lambda: self._send_all(message))
-
-    def _send_all(self, message: gatewaymessages.Message) -> None:
-        # The second time may come after the stop.
-        if self.transport is None:
-            return
-        datagram = gatewaymessages.serialize(message)
-        for address in self._peers.values():
-            self.transport.write(datagram, address)
-
-    def _take_pending(self) -> dict[str, list[tuple[str, int]]]:
-        """Returns the changes for a message, the oldest first."""
-        kept: dict[str, list[tuple[str, int]]] = {}
-        for key, change in list(self._pending.items())[:MOST_CHANGES]:
-            engine, part = key
-            kept.setdefault(engine, []).append((part, change.tokens))
-            change.times_left -= 1
-            # Behind all that was not sent yet.
-            del self._pending[key]
-            if change.times_left:
-                self._pending[key] = change
-        return kept
-
-    def _take_load(self, message: gatewaymessages.Load) -> None:
-        host = _host_of(message.peer)
-        before = self._names.get(host)
-        if before != message.peer:
-            # A host that was restarted is not there under its old name.
-            self._names[host] = message.peer
-            self._loads.drop(before or "")
-            self._unable.discard(before or "")
-        shares = {
-            engine: peerloads.EngineShare(
-                queued_s={u: ms / 1000 for u, ms in queued_ms.items()},
-                streams=streams,
-                tokens=tokens,
-            )
-            for engine, (queued_ms, streams, tokens) in message.engines.items()
-        }
-        self._loads.update(
-            message.peer, message.number, shares, self._timers.now
-        )
-        if message.may_order:
-            self._unable.discard(message.peer)
-        else:
-            self._unable.add(message.peer)
-        for engine, kept in message.kept.items():
-            changes = tuple(
-                enginecache.CacheChange(part=part, tokens=tokens)
-                for part, tokens in kept
-            )
-            self._take_changes(engine, changes)
+        match message:
+            case gatewaymessages.Load():
+                self._take_load(message)
+            case gatewaymessages.GroupLoad():
+                self._take_group(message)
+            case gatewaymessages.FleetLoad():
+                self._take_fleet(message)
+            case gatewaymessages.GroupMembers():
+                self._take_list(message)
+            case _:
+                self._take_other(message)
+
+    def schedule(self) -> None:
+        """Has the first messages sent a moment later."""
+        self._tick = self._timers.after(PERIOD_S, self._exchange)
 
     def advertise_changes(
         self, engine: str, changes: tuple[enginecache.CacheChange, ...]
     ) -> None:
         """Has what changed in an engine's cache sent to peers."""
-        if not self._peers:
+        if not self._link.hosts:
             return
-        for change in changes:
-            # What was to be sent of the part before is no longer so.
-            self._pending.pop((engine, change.part), None)
-            self._pending[engine, change.part] = _PendingChange(
-                tokens=change.tokens
-            )
+        self._outward.add(engine, changes)
+        self._inward.add(engine, changes)
 
     def pick_followed(self, engines: Iterable[str]) -> set[str]:
         """Returns the engines whose caches this daemon is the one to follow.
@@ -321,16 +206,16 @@
         Of those that hear each other the one that rendezvous hashing picks,
         so that each engine is read by one daemon however many there are.
         """
-        names = self._names_there()
-        return {
+        self._followed = {
             engine
             for engine in engines
-            if max(names, key=_rate(engine)) == self._own_name
+            if self.find_owners(engine)[0] == self._own_name
         }
+        return self._followed
 
     def heard(self) -> list[str]:
         """Returns the peers that are there, sorted by their names."""
-        return self._loads.heard(self._timers.now, silent_s=self._silent_s())
+        return [name for name in self._there if name != self._own_name]
 
     def leads(self) -> bool:
         """Returns whether this daemon is the one to order engines about.
@@ -344,88 +229,302 @@
 
     def is_first(self) -> bool:
         """Returns whether this daemon orders engines about if it can."""
-        able = (name for name in self.heard() if name not in self._unable)
+        unable = self._members.unable()
+        able = (name for name in self.heard() if name not in unable)
         return all(self._own_name < name for name in able)
 
     def find_owners(self, key: str) -> list[str]:
         """Returns the hash owners of an engine's queue or a part.
 
-        All hosts that hear the same peers find the same ones. The first is
-        queried; a host that does not hear it queries the next, which others
-        report the same to.
+        All hosts that hear of the same peers find the same ones. The first is
+        queried; a host that does not know of it queries the next, which
+        others report the same to.
         """
-        return heapq.nlargest(OWNERS, self._names_there(), key=_rate(key))
+        owners = self._owners.get(key)
+        if owners is None:
+            owners = heapq.nlargest(OWNERS, self._there, key=_rate(key))
+            self._owners[key] = owners
+        return owners
 
     def rank_zone(self, key: str) -> list[str]:
         """Returns the daemons of this zone by rendezvous hashing for a key.
 
-        Those that hear each other find the same order, this one included.
+        Those that hear of each other find the same order, this one included.
         """
+        zone = self._link.zone_of(self._own_host)
         names = [
             name
-            for name in self.heard()
-            if self._zones.get(_host_of(name)) == self._zone
+            for name in self._there
+            if self._link.zone_of(fleetmembers.host_of(name)) == zone
         ]
-        names.append(self._own_name)
         return sorted(names, key=_rate(key), reverse=True)
 
-    def _names_there(self) -> list[str]:
-        return [self._own_name, *self.heard()]
-
-    async def _announce(self) -> None:
-        host = self._port.getHost()
-        announcement = _Announcement(
-            address=f"{host.host}:{host.port}", zone=self._zone
+    def _exchange(self) -> None:
+        now = self._timers.now
+        self._number += 1
+        period_s = self._period_s()
+        silent_s = max(LEAST_SILENT_S, SILENT_PERIODS * period_s)
+        self._loads.stale_s = max(
+            peerloads.LEAST_STALE_S, SILENT_PERIODS * period_s
         )
-        value = msgspec.json.encode(announcement)
-        while True:
-            written = await self._membership.write(self._host_name, value)
-            if not isinstance(written, Failure):
-                return
-            await self._timers.sleep(ANNOUNCE_RETRY_S)
-
-    def _schedule(self) -> None:
-        self._tick = self._timers.after(self._period_s(), self._advertise)
+        self._forget(now, silent_s)
+        own = self._read_own()
+        self._choose_aggregator(now, SILENT_PERIODS * period_s)
+        if self._choice.chosen is not None:
+            self._send_load(own)
+        else:
+            self._sum_at = now
+            self._loads.drop_fleet()
+            self._send_sums(own, now)
+            if now - self._adds_up_since >= silent_s:
+                kept = {self._own_name, *self._groups}
+                self._lists.take_back(kept, self._loads.member_numbers(now))
+        self._tick = self._timers.after(period_s, self._exchange)
+
+    def _forget(self, now: float, silent_s: float) -> None:
+        self._loads.forget(now)
+        self._members.forget(
+            now,
+            silent_s=silent_s,
+            list_silent_s=LIST_SILENT_S,
+        )
+        self._groups = {
+            name: at for name, at in self._groups.items() if now - at < silent_s
+        }
+        # Lists come by way of who adds up; one and the next were silent.
+        if now - self._sum_at >= 2 * silent_s:
+            self._members.drop_lists()
+        self._lists.forget()
+        self._note_there()
+
+    def _note_there(self) -> None:
+        there = [self._own_name, *self._members.there()]
+        if there != self._there:
+            self._there = there
+            self._owners.clear()
 
     def _period_s(self) -> float:
-        return max(PERIOD_S, len(self._peers) / MESSAGES_PER_S)
+        if self._is_small():
+            return PERIOD_S
+        zone = self._link.zone_of(self._own_host)
+        zones = [self._link.zone_of(host) for host in self._link.hosts]
+        receivers = zones.count(zone) + len(set(zones))
+        return max(
+            PERIOD_S,
+            receivers / MESSAGES_PER_S,
+            receivers * self._sum_bytes / MOST_BYTES_PER_S,
+        )
 
-    def _silent_s(self) -> float:
-        return max(LEAST_SILENT_S, SILENT_PERIODS * self._period_s())
+    def _is_small(self) -> bool:
+        """Returns whether every host may tell every other one."""
+        return len(self._link.hosts) <= MESSAGES_PER_S * PERIOD_S
 
-    def _advertise(self) -> None:
-        self._number += 1
-        engines = {
-            engine: (
-                {u: round(s * 1000) for u, s in share.queued_s.items()},
-                share.streams,
-                share.tokens,
-            )
-            for engine, share in self._read_own().items()
-        }
-        message = gatewaymessages.serialize(
-            gatewaymessages.Load(
-                peer=self._own_name,
-                number=self._number,
-                engines=engines,
-                kept=self._take_pending(),
-                may_order=self._may_order(),
+    # Who adds up.
+
+    def _choose_aggregator(self, now: float, silent_s: float) -> None:
+        if self._choice.give_up_silent(now, silent_s) is not None:
+            self._members.exclude(
+                self._aggregator_name, now + aggregatorchoice.AVOID_S
             )
+        before = self._choice.chosen
+        ranked = [self._own_host]
+        # Others rely on who has members; it goes on for as long as they do.
+        if not self._is_small() and not self._loads.member_numbers(now):
+            ranked = self._rank_hosts(self._link.zone_of(self._own_host))
+        if not self._choice.choose(ranked, now):
+            return
+        if self._choice.chosen is None:
+            self._adds_up_since = now
+        self._log.note(
+            "load_aggregator_changed",
+            aggregator=self._choice.chosen or self._own_host,
+            before=before or self._own_host,
+            there=len(self._there),
+        )
+
+    def _rank_hosts(self, zone: str | None) -> list[str]:
+        """Returns the hosts of a zone in the order in which they add up.
+
+        Those that are there; where nobody is known to be, as after a start,
+        all that have announced themselves.
+        """
+        there = [fleetmembers.host_of(name) for name in self._there]
+        found = self._in_zone(there, zone)
+        if not [host for host in found if host != self._own_host]:
+            found = self._in_zone([*self._link.hosts, self._own_host], zone)
+        return sorted(found, key=_rate(AGGREGATOR_KEY), reverse=True)
+
+    def _in_zone(self, hosts: list[str], zone: str | None) -> list[str]:
+        return [host for host in hosts if self._link.zone_of(host) == zone]
+
+    # What is sent.
+
+    def _send_load(self, own: peerloads.Shares) -> None:
+        self._loads.note_own(self._number, own)
+        message = gatewaymessages.Load(
+            peer=self._own_name,
+            number=self._number,
+            engines=loadcodec.encode_shares(own),
+            kept=self._outward.take(),
+            may_order=self._may_order(),
+        )
+        self._inward.clear()
+        self._link.send_datagram(
+            [self._choice.chosen], gatewaymessages.serialize(message)
+        )
+
+    def _send_sums(self, own: peerloads.Shares, now: float) -> None:
+        group = self._loads.group_sum(own, now)
+        message = gatewaymessages.GroupLoad(
+            peer=self._own_name,
+            number=self._number,
+            engines=loadcodec.encode_shares(group),
+            kept=self._outward.take(),
+            may_order=self._may_order(),
         )
-        for address in self._peers.values():
-            self.transport.write(message, address)
-        self._loads.forget(self._timers.now, silent_s=self._silent_s())
-        self._schedule()
+        self._link.send_datagram(
+            self._group_hosts(), gatewaymessages.serialize(message)
+        )
+        members = self._loads.member_numbers(now)
+        if not members:
+            self._inward.clear()
+            return
+        fleet = peerloads.add_up([group, *self._loads.other_groups(now)])
+        self._send_fleet(members, fleet)
+        self._send_list(members)
+
+    def _send_fleet(
+        self, members: dict[str, int], fleet: peerloads.Shares
+    ) -> None:
+        message = gatewaymessages.FleetLoad(
+            peer=self._own_name,
+            number=self._number,
+            your_number=0,
+            engines=loadcodec.encode_shares(fleet),
+            kept=self._inward.take(),
+        )
+        for name, number in members.items():
+            message.your_number = number
+            datagram = gatewaymessages.serialize(message)
+            self._sum_bytes = len(datagram)
+            self._link.send_datagram([fleetmembers.host_of(name)], datagram)
+
+    def _send_list(self, members: dict[str, int]) -> None:
+        unable = self._members.unable()
+        if not self._may_order():
+            unable.add(self._own_name)
+        hosts = [fleetmembers.host_of(name) for name in members]
+        self._lists.send_own(
+            [self._own_name, *members],
+            unable,
+            number=self._number,
+            hosts=hosts + self._group_hosts(),
+        )
+
+    def _group_hosts(self) -> list[str]:
+        """Returns the hosts that add up for the other groups.
 
+        Of a zone that nobody was heard from, and of the own one, the one that
+        should. It passes the message on if another one does.
+        """
+        if self._is_small():
+            return self._link.hosts
+        own_zone = self._link.zone_of(self._own_host)
+        hosts = {fleetmembers.host_of(name) for name in self._groups}
+        hosts.add(self._rank_hosts(own_zone)[0])
+        # One that was cut off may be back and add up for itself, unheard.
+        there = {fleetmembers.host_of(name) for name in self._there}
+        unheard = set(self._in_zone(self._link.hosts, own_zone)) - there
+        hosts |= set(self._pick_in_turn(sorted(unheard)))
+        heard_zones = {self._link.zone_of(host) for host in hosts}
+        zones = {self._link.zone_of(host) for host in self._link.hosts}
+        zones -= {own_zone, *heard_zones}
+        for zone in zones:
+            # Another one each time: the first may be gone.
+            hosts |= set(self._pick_in_turn(self._rank_hosts(zone)))
+        return sorted(hosts - {self._own_host})
+
+    def _pick_in_turn(self, hosts: list[str]) -> list[str]:
+        """Returns one of the hosts, another one each round."""
+        return [hosts[self._number % len(hosts)]] if hosts else []
+
+    # What is heard.
 
-@attrs.define(kw_only=True)
-class _PendingChange:
-    tokens: int
-    times_left: int = ADVERTISED_TIMES
+    def _take_load(self, message: gatewaymessages.Load) -> None:
+        now, name = self._timers.now, message.peer
+        is_new = name not in self._loads.member_numbers(now)
+        if not self._hear(name, message.may_order):
+            return
+        shares = loadcodec.decode_shares(message.engines)
+        if not self._loads.take_member(name, message.number, shares, now):
+            return
+        changes = self._apply_changes(message.kept)
+        for engine, some in changes:
+            self._outward.add(engine, some, times=1)
+            self._inward.add(engine, some, times=1)
+        if is_new:
+            # It learns at once who is there in the other groups.
+            self._lists.send_known(name)
+
+    def _take_group(self, message: gatewaymessages.GroupLoad) -> None:
+        now, name = self._timers.now, message.peer
+        if not self._hear(name, message.may_order):
+            return
+        if self._choice.chosen is not None and not message.is_passed_on:
+            message.is_passed_on = True
+            self._link.send_datagram(
+                [self._choice.chosen], gatewaymessages.serialize(message)
+            )
+        self._groups[name] = now
+        shares = loadcodec.decode_shares(message.engines)
+        if not self._loads.take_group(name, message.number, shares, now):
+            return
+        for engine, some in self._apply_changes(message.kept):
+            self._inward.add(engine, some, times=1)
 
+    def _take_fleet(self, message: gatewaymessages.FleetLoad) -> None:
+        now = self._timers.now
+        if not self._choice.hear(fleetmembers.host_of(message.peer), now):
+            return
+        self._hear(message.peer, None)
+        self._sum_at = now
+        self._aggregator_name = message.peer
+        shares = loadcodec.decode_shares(message.engines)
+        self._loads.take_fleet(message.your_number, message.number, shares, now)
+        self._apply_changes(message.kept)
+
+    def _take_list(self, message: gatewaymessages.GroupMembers) -> None:
+        members = self._loads.member_numbers(self._timers.now)
+        is_own = message.peer in members or message.peer == self._own_name
+        self._lists.take(message, () if is_own else members)
+        self._note_there()
+
+    def _hear(self, name: str, may_order: bool | None) -> bool:
+        """Notes a daemon that was heard; returns whether it is another one."""
+        host = fleetmembers.host_of(name)
+        if host == self._own_host:
+            return False
+        for known in self._members.drop_earlier(name):
+            # A host that was restarted is not there under its old name.
+            self._loads.drop(known)
+            self._groups.pop(known, None)
+        self._members.hear(name, self._timers.now)
+        if may_order is not None:
+            self._members.note_able(name, may_order)
+        if name not in self._there:
+            self._note_there()
+        return True
 
-def _host_of(peer: str) -> str:
-    return peer.rpartition("/")[0]
+    def _apply_changes(
+        self, kept: gatewaymessages.Kept
+    ) -> list[loadcodec.EngineChanges]:
+        """Takes changes of caches; returns them by engine."""
+        found = loadcodec.decode_changes(kept)
+        for engine, changes in found:
+            # What this daemon said itself comes back, and is older by then.
+            if engine not in self._followed:
+                self._take_changes(engine, changes)
+        return found
 
 
 def _rate(key: str) -> Callable[[str], tuple[int, str]]:
@@ -435,13 +534,3 @@
         return xxhash.xxh3_64_intdigest(f"{key}/{name}".encode()), name
 
     return rate
-
-
-def _read_announcement(value: bytes) -> tuple[tuple[str, int], str] | None:
-    """Returns a host's address for datagrams and its zone."""
-    try:
-        found = _announcement_decoder.decode(value)
-        host, _, port = found.address.rpartition(":")
-        return (host, int(port)), found.zone
-    except (msgspec.DecodeError, ValueError):
-        return None
--- /dev/null
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/peerlink.py
@@ -0,0 +1,238 @@
+"""The socket for datagrams among gateways, and where the others are.
+
+Datagrams fit better than connections here: each message replaces the one
+before, so that a lost one needs no repeat, and there is no connection that
+could go silent unnoticed or hold memory for a peer that is gone. Peers find
+each other in a topic on the platform's store where each writes its address
+once when it starts.
+"""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Iterable
+from typing import Any
+
+import attrs
+import msgspec
+from returns.result import Failure
+from returns.result import Result
+from twisted.internet import protocol
+
+from bulrushgrade import fleetmembers
+from bulrushgrade_daemon import decisionlog
+from bulrushgrade_daemon import gatewaymessages
+from bulrushgrade_daemon import task
+from bulrushgrade_daemon import topicreader
+
+REPEAT_BROADCAST_S = 0.1
+"""After which a broadcast is sent a second time, as datagrams get lost; a
+small part of the seconds that a change of role takes."""
+
+ANNOUNCE_RETRY_S = 1.0
+"""Between two attempts to write the own address while the store is away."""
+
+
+class _Announcement(msgspec.Struct):
+    address: str
+    zone: str = ""
+
+
+_announcement_decoder = msgspec.json.Decoder(_Announcement)
+
+
+@attrs.frozen(kw_only=True)
+class Membership:
+    """The topic in which daemons find each other.
+
+    Attributes:
+        reader: Reads it.
+        write: Writes the newest record of a key.
+    """
+
+    reader: topicreader.KeyedReader
+    write: Callable[
+        [str, bytes], Awaitable[Result[None, topicreader.StoreAway]]
+    ]
+
+
+@attrs.frozen(kw_only=True)
+class _Peer:
+    address: tuple[str, int]
+    zone: str
+
+
+class PeerLink(protocol.DatagramProtocol):
+    """Owns the socket for messages among peers."""
+
+    name = "peerlink"
+    requires = ("timer",)
+
+    def __init__(
+        self,
+        *,
+        reactor: Any,
+        timers: Any,
+        host_name: str,
+        zone: str,
+        listen: Any,
+        membership: Membership,
+        take: Callable[[gatewaymessages.Message], None],
+        log: decisionlog.DecisionLog,
+        on_broken: Callable[[str], None],
+    ):
+        """Makes the service.
+
+        Args:
+            reactor: Where it listens.
+            timers: The timer service.
+            host_name: The key of this host's record.
+            zone: The availability zone of this host.
+            listen: The address for datagrams.
+            membership: Where daemons find each other.
+            take: Takes what peers send.
+            log: Gets a line for each peer that comes.
+            on_broken: Called with the reason where an invariant is broken.
+        """
+        self._reactor = reactor
+        self._timers = timers
+        self._host_name = host_name
+        self._zone = zone
+        self._listen = listen
+        self._membership = membership
+        self._take = take
+        self._log = log
+        self._on_broken = on_broken
+        self._peers: dict[str, _Peer] = {}
+        self._sent = 0
+        self._unreadable = 0
+        self._port: Any = None
+        self._announcing: Any = None
+
+    @property
+    def hosts(self) -> list[str]:
+        """The other hosts that have announced themselves."""
+        return list(self._peers)
+
+    @property
+    def counts(self) -> dict[str, int]:
+        """Datagrams sent, and what could not be read."""
+        return {"sent": self._sent, "unreadable": self._unreadable}
+
+    async def start(self) -> None:
+        """Listens and announces this host."""
+        self._port = self._reactor.listenUDP(
+            self._listen.port, self, interface=self._listen.host
+        )
+        self._announcing = task.spawn(
+            self._announce(), name=self.name, on_broken=self._on_broken
+        )
+
+    async def stop(self) -> None:
+        """Listens no more."""
+        if self._announcing is not None:
+            self._announcing.cancel()
+        if self._port is not None:
+            await self._port.stopListening()
+
+    def receive(self, message: Any) -> None:
+        """Takes no messages."""
+
+    def dump(self) -> dict[str, Any]:
+        """Returns who is sent to."""
+        return {"peers": sorted(self._peers), **self.counts}
+
+    def zone_of(self, host: str) -> str | None:
+        """Returns a host's availability zone, None where it is not known."""
+        if host == self._host_name:
+            return self._zone
+        peer = self._peers.get(host)
+        return None if peer is None else peer.zone
+
+    def take_records(
+        self, records: tuple[topicreader.KeyedRecord, ...]
+    ) -> None:
+        """Takes hosts' announcements."""
+        for record in records:
+            if record.key == self._host_name:
+                continue
+            if record.value is None:
+                self._peers.pop(record.key, None)
+                continue
+            found = _read_announcement(record.value)
+            if found is None:
+                self._unreadable += 1
+                self._log.note("record_unreadable", key=record.key)
+            elif self._peers.get(record.key) != found:
+                self._peers[record.key] = found
+                self._log.note(
+                    "peer_known",
+                    peer=record.key,
+                    address=found.address,
+                    zone=found.zone,
+                )
+
+    def datagramReceived(  # noqa: N802
+        self, datagram: bytes, addr: tuple[str, int]
+    ) -> None:
+        """Takes a peer's message."""
+        message = gatewaymessages.parse(datagram)
+        if message is None:
+            # Counted only: anyone can send such datagrams as fast as a line
+            # could be written about them.
+            self._unreadable += 1
+        else:
+            self._take(message)
+
+    def send(self, peer: str, message: gatewaymessages.Message) -> bool:
+        """Sends a message to a daemon; returns whether it is known where."""
+        return self.send_datagram(
+            [fleetmembers.host_of(peer)], gatewaymessages.serialize(message)
+        )
+
+    def send_datagram(self, hosts: Iterable[str], datagram: bytes) -> bool:
+        """Sends a datagram to hosts; returns whether all are known."""
+        if self.transport is None:
+            return False
+        are_known = True
+        for host in hosts:
+            peer = self._peers.get(host)
+            if peer is None:
+                are_known = False
+                continue
+            self._sent += 1
+            self.transport.write(datagram, peer.address)
+        return are_known
+
+    def broadcast(self, message: gatewaymessages.Message) -> None:
+        """Sends a message to all known peers, and once more a moment later.
+
+        A peer that misses both goes by what it reads itself, later.
+        """
+        datagram = gatewaymessages.serialize(message)
+        self.send_datagram(self.hosts, datagram)
+        # The second time may come after the stop.
+        self._timers.after(
+            REPEAT_BROADCAST_S,
+            lambda: self.send_datagram(self.hosts, datagram),
+        )
+
+    async def _announce(self) -> None:
+        host = self._port.getHost()
+        announcement = _Announcement(
+            address=f"{host.host}:{host.port}", zone=self._zone
+        )
+        value = msgspec.json.encode(announcement)
+        while True:
+            written = await self._membership.write(self._host_name, value)
+            if not isinstance(written, Failure):
+                return
+            await self._timers.sleep(ANNOUNCE_RETRY_S)
+
+
+def _read_announcement(value: bytes) -> _Peer | None:
+    try:
+        found = _announcement_decoder.decode(value)
+        host, _, port = found.address.rpartition(":")
+        return _Peer(address=(host, int(port)), zone=found.zone)
+    except (msgspec.DecodeError, ValueError):
+        return None
--- /dev/null
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/pendingchanges.py
@@ -0,0 +1,68 @@
+"""Changes of engines' caches that wait to be advertised."""
+
+import attrs
+
+from bulrushgrade import enginecache
+
+MOST_CHANGES = 40
+"""Of caches in a message, so that a datagram stays within what a link carries
+in one piece. The others come with the next messages."""
+
+ADVERTISED_TIMES = 2
+"""Messages that a change of a cache is in. One that never arrives has prompts
+sent for a part that is gone for as long as nobody else has it read again; a
+bad link that loses one in ten datagrams loses both of two once in a hundred."""
+
+Kept = dict[str, list[tuple[str, int]]]
+"""By engine: parts with the tokens that are kept now."""
+
+
+@attrs.define(kw_only=True)
+class _Pending:
+    tokens: int
+    times_left: int
+
+
+class PendingChanges:
+    """The newest change of each part, until it was sent often enough."""
+
+    def __init__(self):
+        self._pending: dict[tuple[str, str], _Pending] = {}
+
+    def add(
+        self,
+        engine: str,
+        changes: tuple[enginecache.CacheChange, ...],
+        *,
+        times: int = ADVERTISED_TIMES,
+    ) -> None:
+        """Has changes sent.
+
+        Args:
+            engine: The engine's id.
+            changes: What changed in its cache.
+            times: Messages that each is to be in.
+        """
+        for change in changes:
+            # What was to be sent of the part before is no longer so.
+            self._pending.pop((engine, change.part), None)
+            self._pending[engine, change.part] = _Pending(
+                tokens=change.tokens, times_left=times
+            )
+
+    def take(self) -> Kept:
+        """Returns the changes for a message, the oldest first."""
+        kept: Kept = {}
+        for key, change in list(self._pending.items())[:MOST_CHANGES]:
+            engine, part = key
+            kept.setdefault(engine, []).append((part, change.tokens))
+            change.times_left -= 1
+            # Behind all that was not sent yet.
+            del self._pending[key]
+            if change.times_left:
+                self._pending[key] = change
+        return kept
+
+    def clear(self) -> None:
+        """Drops all changes, where there is nobody to send them to."""
+        self._pending.clear()
--- a/packages/bulrushgrade_daemon/tests/test_choosing.py
+++ b/packages/bulrushgrade_daemon/tests/test_choosing.py
@@ -166,7 +166,7 @@
     scene = Scene()
     scene.eject("d1", "d2")
     share = peerloads.EngineShare(streams=3, tokens=9_000)
-    scene.peers.update("h2", 1, {"d1": share}, scene.timers.now)
+    scene.peers.take_group("h2", 1, {"d1": share}, scene.timers.now)
     assert scene.seen() == ["p1", "p2", "d1"]
 
 
--- a/packages/bulrushgrade_daemon/tests/test_loadgossip.py
+++ b/packages/bulrushgrade_daemon/tests/test_loadgossip.py
@@ -1,6 +1,9 @@
 """Tests of what daemons tell each other."""
 
+import collections
+
 import fakes
+import pytest
 
 from bulrushgrade import directory
 from bulrushgrade import enginecache
@@ -8,20 +11,29 @@
 from bulrushgrade_daemon import gatewaymessages
 from bulrushgrade_daemon import keys
 from bulrushgrade_daemon import loadgossip
+from bulrushgrade_daemon import peerlink
+from bulrushgrade_daemon import pendingchanges
 from bulrushgrade_daemon import topicreader
 
 
 class Net:
-    """Carries datagrams between gossips, or loses them."""
+    """Carries datagrams between hosts, or loses them."""
 
     def __init__(self):
-        self.gossips = {}
+        self.links = {}
+        self.zones = {}
         self.cut = False
+        self.lost = set()
+        self.carried = collections.Counter()
+        self.sent_bytes = collections.Counter()
 
     def carry(self, port, data, address):
-        if not self.cut and address[1] in self.gossips:
-            target = self.gossips[address[1]]
-            target.datagramReceived(data, ("127.0.0.1", port))
+        self.carried[port] += 1
+        self.sent_bytes[port] += len(data)
+        to = address[1]
+        if self.cut or {port, to} & self.lost or to not in self.links:
+            return
+        self.links[to].datagramReceived(data, ("127.0.0.1", port))
 
 
 class Transport:
@@ -43,49 +55,62 @@
 class Host:
     """One daemon's gossip."""
 
-    def __init__(self, *, net, name, port, timers):
+    def __init__(self, *, net, name, port, timers, zone):
+        self.net, self.port, self.zone = net, port, zone
         self.loads = peerloads.PeerLoads()
         self.own = {}
         self.able = True
         self.changes = []
         self.others = []
         self.lines = fakes.Lines()
-        self.gossip = loadgossip.LoadGossip(
+        self.link = peerlink.PeerLink(
             reactor=None,
             timers=timers,
             host_name=name,
-            own_name=f"{name}/1",
-            zone="z",
+            zone=zone,
             listen=keys.Address(host="127.0.0.1", port=port),
             membership=None,
+            take=lambda message: self.gossip.receive(message),
+            log=self.lines.make(),
+            on_broken=None,
+        )
+        self.make_gossip(f"{name}/1", timers)
+        self.link.transport = Transport(net=net, port=port)
+        net.links[port] = self.link
+        net.zones[port] = zone
+
+    def make_gossip(self, own_name, timers):
+        self.gossip = loadgossip.LoadGossip(
+            timers=timers,
+            own_name=own_name,
+            link=self.link,
             loads=self.loads,
             read_own=lambda: self.own,
             may_order=lambda: self.able,
             take_changes=lambda e, c: self.changes.append((e, c)),
             take_other=self.others.append,
             log=self.lines.make(),
-            on_broken=None,
         )
-        self.gossip.transport = Transport(net=net, port=port)
-        net.gossips[port] = self.gossip
-        self.gossip._schedule()
+        self.gossip.schedule()
 
 
-def make(count=3):
+def make(count=3, zones=1):
     reactor, timers, _ = fakes.make_timers()
     net = Net()
     hosts = [
-        Host(net=net, name=f"h{n}", port=n, timers=timers)
+        Host(net=net, name=f"h{n}", port=n, timers=timers, zone=f"z{n % zones}")
         for n in range(1, count + 1)
     ]
     records = tuple(
         topicreader.KeyedRecord(
-            key=f"h{n}", value=b'{"address": "127.0.0.1:%d"}' % n
+            key=f"h{host.port}",
+            value=b'{"address": "127.0.0.1:%d", "zone": "%s"}'
+            % (host.port, host.zone.encode()),
         )
-        for n in range(1, count + 1)
+        for host in hosts
     )
     for host in hosts:
-        host.gossip.take_records(records)
+        host.link.take_records(records)
     return reactor, timers, net, hosts
 
 
@@ -143,7 +168,7 @@
     # An engine drops more parts at once than a message holds. What was left
     # out was never told, and prompts were sent for parts that were gone.
     reactor, _, _, (one, two, _) = make()
-    count = 2 * loadgossip.MOST_CHANGES + 5
+    count = 2 * pendingchanges.MOST_CHANGES + 5
     changes = tuple(
         enginecache.CacheChange(part=f"p{n}", tokens=0) for n in range(count)
     )
@@ -169,22 +194,22 @@
     change = enginecache.CacheChange(part="a", tokens=5000)
     one.gossip.advertise_changes("e1", (change,))
     reactor.pump([0.1] * 5)
-    assert two.changes == [("e1", (change,))] * loadgossip.ADVERTISED_TIMES
+    assert two.changes == [("e1", (change,))] * pendingchanges.ADVERTISED_TIMES
 
 
 def test_foreign_datagrams_and_records_are_counted():
     _, _, _, (one, _, _) = make()
-    one.gossip.datagramReceived(b"\xff\x00", ("127.0.0.1", 9))
+    one.link.datagramReceived(b"\xff\x00", ("127.0.0.1", 9))
     odd = topicreader.KeyedRecord(key="h9", value=b"{}")
-    one.gossip.take_records((odd,))
-    assert one.gossip.counts["unreadable"] == 2
+    one.link.take_records((odd,))
+    assert one.link.counts["unreadable"] == 2
     assert one.gossip.known_hosts == 3
 
 
 def test_host_that_left_is_told_nothing():
     _, _, _, (one, _, _) = make()
     gone = topicreader.KeyedRecord(key="h2", value=None)
-    one.gossip.take_records((gone,))
+    one.link.take_records((gone,))
     assert one.gossip.known_hosts == 2
 
 
@@ -214,28 +239,181 @@
     news = gatewaymessages.RoleChangeNotice(
         engine="e", stage=directory.Stage.PREFILL, change_ms=3000
     )
-    one.gossip.broadcast(news)
+    one.link.broadcast(news)
     assert two.others == [news]
-    one.gossip.transport = None
-    one.gossip.broadcast(news)
-    assert not one.gossip.send("h2/1", news)
+    one.link.transport = None
+    one.link.broadcast(news)
+    assert not one.link.send("h2/1", news)
     assert two.others == [news]
 
 
 def test_a_restarted_host_is_there_once():
     # Its old name would be asked for the books that it kept, for seconds.
-    reactor, _, _, (one, two, _) = make()
+    reactor, timers, _, (one, two, _) = make()
     reactor.pump([0.1] * 3)
     assert one.gossip.heard() == ["h2/1", "h3/1"]
-    two.gossip._own_name = "h2/2"
+    two.gossip._tick.cancel()
+    two.make_gossip("h2/2", timers)
     reactor.pump([0.1] * 2)
     assert one.gossip.heard() == ["h2/2", "h3/1"]
 
 
-def test_many_peers_are_told_less_often():
-    reactor, _, _, hosts = make(count=40)
+@pytest.mark.parametrize(("count", "zones"), [(40, 1), (120, 4), (300, 6)])
+def test_messages_are_bounded_at_any_size(count, zones):
+    """Each host told every other one; the larger the fleet, the later."""
+    reactor, _, net, hosts = make(count=count, zones=zones)
+    reactor.pump([0.1] * 30)
+    net.carried.clear()
+    seconds = 5
+    reactor.pump([0.1] * 10 * seconds)
+    most = max(net.carried.values())
+    # Lists of who is there come beside the loads.
+    assert most <= 1.2 * loadgossip.MESSAGES_PER_S * seconds
+    assert sum(net.carried.values()) <= 30 * count * seconds
+
+
+def test_long_sums_do_not_fill_a_link():
+    """Thousands of engines are busy, and a sum of them takes many kilobytes.
+
+    Sent as often as a short one it left no room on the link for answers.
+    """
+    reactor, _, net, hosts = make(count=60, zones=3)
+    for host in hosts:
+        host.own = {f"i-{host.port}-{n:08x}": SHARE for n in range(20)}
+    reactor.pump([0.1] * 30)
+    net.sent_bytes.clear()
+    seconds = 5
+    reactor.pump([0.1] * 10 * seconds)
+    most = max(net.sent_bytes.values())
+    assert most <= 1.2 * loadgossip.MOST_BYTES_PER_S * seconds
+
+
+@pytest.mark.parametrize(("count", "zones"), [(9, 4), (63, 3), (195, 6)])
+def test_view_of_an_engine_is_as_fresh_at_any_size(count, zones):
+    """Hundreds of hosts send to the same engines in one burst.
+
+    With a message to each peer in turn a view was seconds old or missing, and
+    all of them sent to the engine that had been idle before.
+    """
+    reactor, timers, _, hosts = make(count=count, zones=zones)
+    reactor.pump([0.1] * 30)
+    for host in hosts:
+        host.own = {"e1": SHARE}
+    reactor.pump([0.05] * 20)
+    for host in hosts:
+        others = host.loads.at("e1", timers.now)
+        assert others.streams == (count - 1) * SHARE.streams
+        assert others.tokens == (count - 1) * SHARE.tokens
+        assert others.wait_s(0) == pytest.approx((count - 1) * 0.25)
+
+
+def test_every_host_knows_who_is_there():
+    reactor, _, _, hosts = make(count=120, zones=4)
+    reactor.pump([0.1] * 30)
+    names = {f"h{n}/1" for n in range(1, 121)}
+    for host in hosts:
+        assert set(host.gossip.heard()) | {host.gossip._own_name} == names
+    owners = {tuple(host.gossip.find_owners("e1")) for host in hosts}
+    assert len(owners) == 1
+
+
+def aggregators(hosts):
+    return [h for h in hosts if h.gossip.dump()["members"]]
+
+
+@pytest.mark.parametrize("zones", [1, 3])
+def test_a_host_that_adds_up_is_killed(zones):
+    """The host that adds up for its zone dies in a burst.
+
+    The others hear no sum any more. What they had heard before gets old, and
+    until another one adds up each would see its own requests only.
+    """
+    reactor, timers, net, hosts = make(count=60, zones=zones)
+    for host in hosts:
+        host.own = {"e1": SHARE}
+    reactor.pump([0.1] * 30)
+    dead = aggregators(hosts)[0]
+    net.lost.add(dead.port)
+    left = [host for host in hosts if host is not dead]
     reactor.pump([0.1] * 40)
-    assert hosts[0].gossip.counts["rounds"] <= 11
+    expected = (len(left) - 1) * SHARE.streams
+    for host in left:
+        assert host.loads.at("e1", timers.now).streams == expected
+    reactor.pump([0.1] * 80)
+    for host in left:
+        assert f"h{dead.port}/1" not in host.gossip.heard()
+        assert host.loads.at("e1", timers.now).streams == expected
+
+
+def test_a_host_that_adds_up_comes_back():
+    reactor, timers, net, hosts = make(count=60, zones=3)
+    for host in hosts:
+        host.own = {"e1": SHARE}
+    reactor.pump([0.1] * 30)
+    dead = aggregators(hosts)[0]
+    net.lost.add(dead.port)
+    reactor.pump([0.1] * 60)
+    net.lost.clear()
+    reactor.pump([0.1] * 100)
+    assert len(aggregators(hosts)) == 3
+    for host in hosts:
+        streams = host.loads.at("e1", timers.now).streams
+        assert streams == 59 * SHARE.streams
+
+
+def test_a_zone_that_is_cut_off_goes_by_itself():
+    reactor, timers, net, hosts = make(count=60, zones=3)
+    for host in hosts:
+        host.own = {"e1": SHARE}
+    reactor.pump([0.1] * 30)
+    cut = {host.port for host in hosts if host.zone == "z0"}
+    net.lost |= cut
+    reactor.pump([0.1] * 120)
+    for host in hosts:
+        if host.port not in cut:
+            streams = host.loads.at("e1", timers.now).streams
+            assert streams == 39 * SHARE.streams
+
+
+def test_changes_of_caches_reach_all_zones():
+    reactor, _, _, hosts = make(count=60, zones=3)
+    reactor.pump([0.1] * 30)
+    change = enginecache.CacheChange(part="a", tokens=5000)
+    hosts[0].gossip.advertise_changes("e1", (change,))
+    reactor.pump([0.1] * 20)
+    for host in hosts[1:]:
+        assert host.changes[0] == ("e1", (change,))
+        assert len(host.changes) <= 4
+
+
+def test_who_follows_an_engine_is_not_told_of_it():
+    """What a host saw of an engine comes back to it in the sum of all.
+
+    It is older by then than what the host has seen since.
+    """
+    reactor, _, _, hosts = make(count=60, zones=3)
+    reactor.pump([0.1] * 30)
+    change = enginecache.CacheChange(part="a", tokens=5000)
+    (host,) = [h for h in hosts if h.gossip.pick_followed(["e1"])]
+    host.gossip.advertise_changes("e1", (change,))
+    reactor.pump([0.1] * 20)
+    assert host.changes == []
+
+
+def test_a_restarted_host_is_counted_once():
+    reactor, timers, _, hosts = make(count=60, zones=3)
+    for host in hosts:
+        host.own = {"e1": SHARE}
+    reactor.pump([0.1] * 30)
+    member = next(h for h in hosts if not h.gossip.dump()["members"])
+    member.gossip._tick.cancel()
+    member.make_gossip(f"h{member.port}/2", timers)
+    reactor.pump([0.1] * 20)
+    for host in hosts:
+        if host is not member:
+            streams = host.loads.at("e1", timers.now).streams
+            assert streams == 59 * SHARE.streams
+            assert f"h{member.port}/1" not in host.gossip.heard()
 
 
 def test_host_that_could_not_order_gives_the_lead_up():
--- /dev/null
+++ b/tools/exchangecost.py
@@ -0,0 +1,170 @@
+"""Plays the exchange of loads at several sizes and prints what it costs.
+
+The real modules run in one process on a clock under control; a network in
+memory counts what each host sends. Usage: python tools/exchangecost.py
+"""
+
+import collections
+import statistics
+
+import attrs
+from twisted.internet import task
+
+from bulrushgrade import peerloads
+from bulrushgrade_daemon import clock
+from bulrushgrade_daemon import decisionlog
+from bulrushgrade_daemon import loadgossip
+from bulrushgrade_daemon import peerlink
+from bulrushgrade_daemon import topicreader
+
+SIZES = ((9, 4, 9), (63, 3, 60), (195, 6, 74), (330, 12, 1800))
+"""Hosts, availability zones, engines."""
+
+BUSY_ENGINES = 12
+"""Engines at which a host has something at a moment."""
+
+SETTLE_S = 3.0
+MEASURED_S = 5.0
+STEP_S = 0.02
+BYTES_A_KB = 1000
+
+
+class Net:
+    """Carries datagrams at once and counts them by sender."""
+
+    def __init__(self):
+        self.links = {}
+        self.messages = collections.Counter()
+        self.bytes = collections.Counter()
+
+    def carry(self, sender, data, address):
+        """Carries a datagram."""
+        self.messages[sender] += 1
+        self.bytes[sender] += len(data)
+        self.links[address[1]].datagramReceived(data, ("127.0.0.1", sender))
+
+
+@attrs.frozen(kw_only=True)
+class Transport:
+    """One host's way into the network."""
+
+    net: Net
+    port: int
+
+    def write(self, data, address):
+        """Sends a datagram."""
+        self.net.carry(self.port, data, address)
+
+
+class Host:
+    """One host; what it has tells when it was read."""
+
+    def __init__(self, *, net, timers, port, zone, engines):
+        self.loads = peerloads.PeerLoads()
+        name = f"front-{zone}-{port}"
+        log = decisionlog.DecisionLog(host=name, write=len)
+        self.link = peerlink.PeerLink(
+            reactor=None,
+            timers=timers,
+            host_name=name,
+            zone=zone,
+            listen=None,
+            membership=None,
+            take=lambda message: self.gossip.receive(message),
+            log=log,
+            on_broken=print,
+        )
+        mine = [
+            f"i-{(port * 7 + n) % engines:08x}" for n in range(BUSY_ENGINES)
+        ]
+
+        def read_own():
+            # Milliseconds of the clock, so that a sum tells its mean age.
+            share = peerloads.EngineShare(
+                queued_s={0: 0.1, 2: 0.4}, streams=1, tokens=9_000
+            )
+            shares = dict.fromkeys(mine, share)
+            tokens = round(timers.now * 1000)
+            shares["age"] = peerloads.EngineShare(streams=1, tokens=tokens)
+            return shares
+
+        self.gossip = loadgossip.LoadGossip(
+            timers=timers,
+            own_name=f"{name}/{port:08x}",
+            link=self.link,
+            loads=self.loads,
+            read_own=read_own,
+            may_order=lambda: True,
+            take_changes=lambda engine, changes: None,
+            take_other=print,
+            log=log,
+        )
+        self.link.transport = Transport(net=net, port=port)
+        net.links[port] = self.link
+        self.record = topicreader.KeyedRecord(
+            key=name,
+            value=b'{"address":"127.0.0.1:%d","zone":"%s"}'
+            % (port, zone.encode()),
+        )
+
+
+def play(count, zones, engines):
+    """Plays one size; returns ages, messages and bytes."""
+    reactor = task.Clock()
+    timers = clock.TimerService(
+        reactor=reactor, on_broken=print, clock=reactor.seconds
+    )
+    timers._running = True
+    net = Net()
+    hosts = [
+        Host(
+            net=net,
+            timers=timers,
+            port=port,
+            zone=f"zone-{port % zones}",
+            engines=engines,
+        )
+        for port in range(1, count + 1)
+    ]
+    for number, host in enumerate(hosts):
+        host.link.take_records(tuple(h.record for h in hosts))
+        # Hosts start one after the other.
+        timers.after(STEP_S * (number % 20), host.gossip.schedule)
+    ages, missing = [], []
+    steps = round((SETTLE_S + MEASURED_S) / STEP_S)
+    for step in range(steps):
+        reactor.advance(STEP_S)
+        if step == round(SETTLE_S / STEP_S):
+            net.messages.clear()
+            net.bytes.clear()
+        if step * STEP_S > SETTLE_S and step % 25 == 0:
+            for host in hosts[:: max(1, count // 20)]:
+                known = host.loads.at("age", timers.now)
+                missing.append(count - 1 - known.streams)
+                if known.streams:
+                    mean_ms = known.tokens / known.streams
+                    ages.append(timers.now - mean_ms / 1000)
+    return ages, missing, net
+
+
+def main():
+    """Prints a row a size."""
+    print(
+        "hosts zones engines | age s mean, most | unknown hosts, mean |"
+        " messages/s median, most | kB/s sent median, most"
+    )
+    for count, zones, engines in SIZES:
+        ages, missing, net = play(count, zones, engines)
+        messages = sorted(n / MEASURED_S for n in net.messages.values())
+        sent = sorted(n / MEASURED_S / BYTES_A_KB for n in net.bytes.values())
+        print(
+            f"{count} {zones} {engines} |"
+            f" {statistics.mean(ages):.2f}, {max(ages):.2f} |"
+            f" {statistics.mean(missing):.1f} |"
+            f" {statistics.median(messages):.0f}, {messages[-1]:.0f} |"
+            f" {statistics.median(sent):.1f}, {sent[-1]:.1f}"
+        )
+
+
+if __name__ == "__main__":
+    main()
