Leave the host out that was silent, not the one before it

Cause, read in the code: a host that turned to one which never replied left the last one that had replied out of those that are there, and went on counting the silent one. Shows when two that add up are lost one after the other. Change: the name is looked up by the host that was given up. The test failed before.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadgossip.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadgossip.py
@@ -122,7 +122,6 @@
         self._choice = aggregatorchoice.AggregatorChoice(
             own_host=self._own_host
         )
-        self._aggregator_name = ""
         # When a sum of all was last heard, or this daemon added up itself.
         self._sum_at = -math.inf
         # Since when it adds up.
@@ -322,10 +321,10 @@
     # Who adds up.
 
     def _choose_aggregator(self, now: float, silent_s: float) -> None:
-        if self._choice.give_up_silent(now, silent_s) is not None:
-            self._members.exclude(
-                self._aggregator_name, now + aggregatorchoice.AVOID_S
-            )
+        silent = self._choice.give_up_silent(now, silent_s)
+        for name in self._there:
+            if fleetmembers.host_of(name) == silent:
+                self._members.exclude(name, now + aggregatorchoice.AVOID_S)
         before = self._choice.chosen
         ranked = [self._own_host]
         # Others rely on who has members; it goes on for as long as they do.
@@ -488,7 +487,6 @@
             return
         self._hear(message.peer, None)
         self._sum_at = now
-        self._aggregator_name = message.peer
         shares = loadcodec.decode_shares(message.engines)
         self._loads.take_fleet(message.your_number, message.number, shares, now)
         self._apply_changes(message.kept)
--- a/packages/bulrushgrade_daemon/tests/test_loadgossip.py
+++ b/packages/bulrushgrade_daemon/tests/test_loadgossip.py
@@ -345,6 +345,25 @@
         assert host.loads.at("e1", timers.now).streams == expected
 
 
+def test_two_that_add_up_one_after_the_other_are_killed():
+    """A rack is lost with the host that adds up for a zone and the next one.
+
+    The others turned to the second, which never replied to them, and left the
+    first out of those that are there once more, but not the second.
+    """
+    reactor, _, net, hosts = make(count=60, zones=3)
+    reactor.pump([0.1] * 30)
+    zone = [host for host in hosts if host.zone == "z0"]
+    ranked = zone[0].gossip._rank_hosts("z0")
+    dead = {int(name.removeprefix("h")) for name in ranked[:2]}
+    net.lost |= dead
+    reactor.pump([0.1] * 24)
+    for host in zone:
+        if host.port not in dead:
+            gone = {f"h{port}/1" for port in dead}
+            assert not gone & set(host.gossip.heard())
+
+
 def test_a_host_that_adds_up_comes_back():
     reactor, timers, net, hosts = make(count=60, zones=3)
     for host in hosts:
