--- a/packages/bulrushgrade/bulrushgrade/engineadmission.py
+++ b/packages/bulrushgrade/bulrushgrade/engineadmission.py
@@ -57,8 +57,7 @@
     Harm: in the order of arrival all of them wait as long as the queue, and
     all are late, those included that come when half of it is done. So one
     that will be late lets all others go first: as many as can be in time are,
-    and the late ones have the rest. Of 90 prompts 62 are in time rather than
-    13 (a model of one engine, which gets twice what it can read for 3 s).
+    and the late ones have the rest.
     Only the least urgent kind of the service does so: the others take little
     time from anyone, and would be passed by work that is less urgent than they
     are, until their callers left.
--- a/packages/bulrushgrade/bulrushgrade/enginequeue.py
+++ b/packages/bulrushgrade/bulrushgrade/enginequeue.py
@@ -2,11 +2,10 @@
 
 Load: many daemons send long prompts to the same engines, and each takes tens
 to hundreds of milliseconds to read. Harm: periodic messages among daemons are
-as old as the last one. In a fleet of 60 that was 0.6 s, in which some 30
-prompts are placed: half of them queued behind others, with idle engines
-beside, and took twice their time. So hashing gives each engine a few owners;
-whoever places a long prompt queries one of them first and reports to all of
-them what it sends.
+as old as the last one, and many prompts are placed between two of them: they
+queue behind each other, with idle engines beside. So hashing gives each engine
+a few owners; whoever places a long prompt queries one of them first and
+reports to all of them what it sends.
 """
 
 from bulrushgrade import readqueue
--- a/packages/bulrushgrade/bulrushgrade/asked.py
+++ b/packages/bulrushgrade/bulrushgrade/offeredload.py
@@ -1,11 +1,11 @@
-"""What callers asked of one host, counted for the role plan."""
+"""Demand that callers offer one host, counted for the role plan."""
 
 from bulrushgrade import cost
 from bulrushgrade import lane
 from bulrushgrade import work
 
 
-class Asked:
+class OfferedLoad:
     """Counts demand by model since the host's start."""
 
     def __init__(self):
--- a/packages/bulrushgrade/bulrushgrade/plancost.py
+++ b/packages/bulrushgrade/bulrushgrade/plancost.py
@@ -82,8 +82,7 @@
 
     Load: short prompts with long answers come in a burst, and all slots of
     an engine are taken. Harm: what is sent there waits until another answer
-    ends, unseen by any queue of readings; 130 streams were sent to engines
-    of 48 slots, and their first events came after half a second.
+    ends, unseen by any queue of readings, and its first event is late.
     """
     beyond = max(0, there.streams + 1 - there.slots)
     return beyond / there.slots * there.events * there.pause_s
--- a/packages/bulrushgrade/bulrushgrade/prefixindex.py
+++ b/packages/bulrushgrade/bulrushgrade/prefixindex.py
@@ -3,9 +3,9 @@
 Load: requests with the same long shared part come to many daemons within a
 second or two. Harm: what an engine has in its cache is heard of a second
 after it was read, and until then each daemon has the part read again, at
-another engine: a quarter of all reading in a fleet of 60 daemons. So hashing
-gives each part a few owners; whoever sends the part to an engine reports that
-to them, and whoever has a prompt with it queries one of them first.
+another engine. So hashing gives each part a few owners; whoever sends the part
+to an engine reports that to them, and whoever has a prompt with it queries one
+of them first.
 """
 
 import enum
--- a/packages/bulrushgrade/bulrushgrade/progress.py
+++ b/packages/bulrushgrade/bulrushgrade/progress.py
@@ -27,10 +27,8 @@
 change, while one odd answer moves it little."""
 
 PACE_S = 0.5
-"""Seconds between two looks at an answer's pace, at the least. Progress is told
-every 16 tokens; with a second, a pace of 56 ms was seen at the second time
-only, 1.8 s after the first token, and work that could not be in time waited
-until then."""
+"""Seconds between two measurements of an answer's pace, at the least. The
+longer it is, the longer work waits that can't be in time."""
 
 MAX_RATIO = 20.0
 """An answer that was stuck must not outweigh all those around it."""
--- a/packages/bulrushgrade/bulrushgrade/readdelay.py
+++ b/packages/bulrushgrade/bulrushgrade/readdelay.py
@@ -3,8 +3,7 @@
 Load: more prompts than the engines can read. Harm: their memories overflow,
 parts are read again that were expected to be there, and queues last longer
 than the sum of what is known of them. Prompts are let in that end at their
-deadline, and what was read for them is lost. In a fleet of 60 hosts, 149 of
-2,240 long prompts were cut in a burst, and 96 where this was added.
+deadline, and what was read for them is lost.
 
 It is added to what is expected, not multiplied with it: what is not known of a
 queue is work of others of the last moment, however long the known queue is.
--- a/packages/bulrushgrade/bulrushgrade/scheduler.py
+++ b/packages/bulrushgrade/bulrushgrade/scheduler.py
@@ -12,8 +12,8 @@
 import attrs
 
 from bulrushgrade import admission
-from bulrushgrade import asked
 from bulrushgrade import lane
+from bulrushgrade import offeredload
 from bulrushgrade import placement
 from bulrushgrade import pool
 from bulrushgrade import pools
@@ -54,7 +54,7 @@
         self._progress: dict[str, progress.Progress] = {}
         self._waiting: dict[str, tuple[pools.PoolState, lane.Waiting]] = {}
         self._outbox: dict[str, work.Placed | work.Refused] = {}
-        self._asked = asked.Asked()
+        self._offered = offeredload.OfferedLoad()
         self._numbers = itertools.count()
         self._counts = {"placed": 0, "queued": 0, "refused": 0, "retried": 0}
 
@@ -94,7 +94,7 @@
 
     def demand(self) -> tuple[work.Demand, ...]:
         """Returns what was asked of this host, for the role plan."""
-        return self._asked.demands()
+        return self._offered.demands()
 
     def capacity(self, model: str) -> tuple[float, float]:
         """Returns the tokens a second that one engine reads and generates."""
@@ -247,7 +247,7 @@
             each.health.failures = 0
         if cached_tokens is not None and current.item.work.model:
             more = progress.learn_reading(current, cached_tokens)
-            self._asked.read(current.item.work, more)
+            self._offered.read(current.item.work, more)
         self._observe(current, progress.learn_rest(current, now), now)
 
     def dump(self) -> dict[str, Any]:
@@ -278,7 +278,7 @@
         uncached = placement.uncached_tokens(state.pool, item, tokens_done)
         model = state.pool.model
         if not attempt + turned_away:
-            self._asked.offered(item, uncached, model)
+            self._offered.offered(item, uncached, model)
         reading_s = model.prefill_s(uncached) if item.model else 0.0
         waiting = lane.Waiting(
             work=item,
@@ -309,7 +309,7 @@
         wait_s = queue.wait_s(item, engines=engines, now=now)
         late_s = self._judge(item, wait_s, now)
         if late_s > 0.0:
-            self._asked.lost(item)
+            self._offered.lost(item)
             return self._refuse(wanted, work.RefusalCode.OVERLOADED, late_s)
         queue.add(item, now)
         self._waiting[wanted.request_id] = (state, item)
@@ -329,7 +329,7 @@
         for item in state.queue.take_expired(now, latest_start):
             request_id, late_s = item.work.request_id, now - latest_start(item)
             del self._waiting[request_id]
-            self._asked.lost(item)
+            self._offered.lost(item)
             refused = self._refuse(item.work, work.RefusalCode.LATE, late_s)
             self._outbox[request_id] = refused
         engines = self._engines(state.pool, now)
--- a/packages/bulrushgrade/bulrushgrade/stagechanges.py
+++ b/packages/bulrushgrade/bulrushgrade/stagechanges.py
@@ -2,12 +2,11 @@
 
 Load: an engine changes from generating to reading while requests for it come
 to every host. Harm: it turns all work away for seconds, and when it is back,
-hosts that have not read its new record send it what it can't do any more; in
-a fleet of 60 hosts that ended one in twenty of the long prompts, which have
-one attempt. So the host that orders tells the others, and each leaves the
-engine alone until it has read the record with the new role. It is not used
-by the time that a change takes: running work may delay the change, and what
-was sent too early is turned away as well.
+hosts that have not read its new record send it what it can't do any more,
+which ends prompts that have one attempt. So the host that orders tells the
+others, and each leaves the engine alone until it has read the record with the
+new role. It is not used by the time that a change takes: running work may
+delay the change, and what was sent too early is rejected as well.
 """
 
 from collections.abc import Iterable
--- a/packages/bulrushgrade/bulrushgrade/stageplan.py
+++ b/packages/bulrushgrade/bulrushgrade/stageplan.py
@@ -46,8 +46,8 @@
 
 LEAST_GENERATING = 3
 """In any fleet, or all but one. With two, one that crashes while the other
-leaves or changes ended all answers for the seconds that a change back takes:
-686 requests of one day."""
+leaves or changes ends all answers for the seconds that a change back
+takes."""
 
 ENGINES_A_CHANGE = 4
 """Engines for each change that may be under way: one at a time would take
