Move rendezvous hashing into a module of its own

Cause: loadgossip has several jobs. Ruled out: one hashing for all of the library (placement and subsets hash other things in other forms).

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadgossip.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadgossip.py
@@ -13,16 +13,14 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
-import heapq
 import math
 from typing import Any
 
-import xxhash
-
 from bulrushgrade import aggregatorchoice
 from bulrushgrade import enginecache
 from bulrushgrade import fleetmembers
 from bulrushgrade import peerloads
+from bulrushgrade import rendezvous
 from bulrushgrade_daemon import gatewaymessages
 from bulrushgrade_daemon import grouplists
 from bulrushgrade_daemon import loadcodec
@@ -241,7 +239,7 @@
         """
         owners = self._owners.get(key)
         if owners is None:
-            owners = heapq.nlargest(OWNERS, self._there, key=_rate(key))
+            owners = rendezvous.pick(key, self._there, OWNERS)
             self._owners[key] = owners
         return owners
 
@@ -256,7 +254,7 @@
             for name in self._there
             if self._link.zone_of(fleetmembers.host_of(name)) == zone
         ]
-        return sorted(names, key=_rate(key), reverse=True)
+        return rendezvous.rank(key, names)
 
     def _exchange(self) -> None:
         now = self._timers.now
@@ -351,7 +349,7 @@
         found = self._in_zone(there, zone)
         if not [host for host in found if host != self._own_host]:
             found = self._in_zone([*self._link.hosts, self._own_host], zone)
-        return sorted(found, key=_rate(AGGREGATOR_KEY), reverse=True)
+        return rendezvous.rank(AGGREGATOR_KEY, found)
 
     def _in_zone(self, hosts: list[str], zone: str | None) -> list[str]:
         return [host for host in hosts if self._link.zone_of(host) == zone]
@@ -523,12 +521,3 @@
             if engine not in self._followed:
                 self._take_changes(engine, changes)
         return found
-
-
-def _rate(key: str) -> Callable[[str], tuple[int, str]]:
-    """Returns what rendezvous hashing compares names by for a key."""
-
-    def rate(name: str) -> tuple[int, str]:
-        return xxhash.xxh3_64_intdigest(f"{key}/{name}".encode()), name
-
-    return rate
