Split who is there and who owns what from the exchange of loads

Change: fleetview has the daemons that are there, their zones, hash owners and the order in which hosts add up; a pure move. The parts that only ask for owners ask it directly. Runs: tests of loadgossip, cachesharing and the gateway's life pass, assertions as before.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
@@ -214,7 +214,7 @@
             pause_s=bounds.drain_s / ENDPOINT_READS_A_BOUND,
             read_essence=self._view.read_essence,
             # Who orders engines about has to know that it reaches the store.
-            must_read=lambda: self._gossip.is_first(),
+            must_read=lambda: self._gossip.fleet.is_first(),
             take=self._view.take_endpoints,
             take_all=self._view.take_all_endpoints,
         )
@@ -224,7 +224,7 @@
         self._index = placementindex.PlacementIndex(
             timers=self._timers,
             own_name=self._own_name,
-            find_owners=lambda key: self._gossip.find_owners(key),
+            find_owners=lambda key: self._gossip.fleet.find_owners(key),
             send=lambda peer, message: self._link.send(peer, message),
         )
         self._work = enginework.EngineWork(
@@ -388,7 +388,7 @@
             own_name=self._own_name,
             view_s=wait_s + pause_s,
             read_essence=read_essence,
-            rank_hosts=lambda key: self._gossip.rank_zone(key),
+            rank_hosts=lambda key: self._gossip.fleet.rank_zone(key),
             must_read=must_read,
             send=lambda peer, message: self._link.send(peer, message),
             timers=self._timers,
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadgossip.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadgossip.py
@@ -20,7 +20,7 @@
 from bulrushgrade import enginecache
 from bulrushgrade import fleetmembers
 from bulrushgrade import peerloads
-from bulrushgrade import rendezvous
+from bulrushgrade_daemon import fleetview
 from bulrushgrade_daemon import gatewaymessages
 from bulrushgrade_daemon import grouplists
 from bulrushgrade_daemon import loadcodec
@@ -55,13 +55,6 @@
 """How long a list counts. One whose maker is gone is taken back much sooner;
 this only bounds what a daemon remembers that nobody tells anything."""
 
-OWNERS = 2
-"""Hosts that own the same key. With one, each host that did not hear it had a
-queue of its own where links are bad, and prompts waited behind others that
-were in another queue."""
-
-AGGREGATOR_KEY = "loads"
-
 TakeChanges = Callable[[str, tuple[enginecache.CacheChange, ...]], None]
 """Takes an engine's id and what changed in its cache."""
 
@@ -110,7 +103,12 @@
         self._take_changes = take_changes
         self._take_other = take_other
         self._log = log
-        self._members = fleetmembers.FleetMembers(own_name=own_name)
+        self._fleet = fleetview.FleetView(
+            own_name=own_name,
+            hosts=lambda: link.hosts,
+            zone_of=link.zone_of,
+        )
+        self._members = self._fleet.members
         # Other groups, by who adds up for them: when they were heard.
         self._groups: dict[str, float] = {}
         # Changes for who adds up, or for the other groups.
@@ -131,14 +129,17 @@
             send_datagram=link.send_datagram,
             most_per_s=LISTS_PART * MESSAGES_PER_S,
         )
-        self._there: list[str] = [own_name]
-        self._owners: dict[str, list[str]] = {}
         self._followed: set[str] = set()
         # Of the longest message of the last round.
         self._sum_bytes = 0
         self._number = 0
         self._tick: Any = None
 
+    @property
+    def fleet(self) -> fleetview.FleetView:
+        """Which daemons are there."""
+        return self._fleet
+
     @property
     def known_hosts(self) -> int:
         """How many hosts have announced themselves, this one included."""
@@ -162,7 +163,7 @@
         """Returns who is there and who adds up."""
         now = self._timers.now
         return {
-            "there": len(self._there),
+            "there": len(self._fleet.there),
             "aggregator": self._choice.chosen,
             "members": sorted(self._loads.member_numbers(now)),
             "groups": sorted(self._groups),
@@ -206,13 +207,13 @@
         self._followed = {
             engine
             for engine in engines
-            if self.find_owners(engine)[0] == self._own_name
+            if self._fleet.find_owners(engine)[0] == self._own_name
         }
         return self._followed
 
     def heard(self) -> list[str]:
         """Returns the peers that are there, sorted by their names."""
-        return [name for name in self._there if name != self._own_name]
+        return self._fleet.there[1:]
 
     def leads(self) -> bool:
         """Returns whether this daemon is the one to order engines about.
@@ -222,39 +223,7 @@
         the first all the same, engines kept their roles through bursts of
         long answers for as long as the cut lasted.
         """
-        return self._may_order() and self.is_first()
-
-    def is_first(self) -> bool:
-        """Returns whether this daemon orders engines about if it can."""
-        unable = self._members.unable()
-        able = (name for name in self.heard() if name not in unable)
-        return all(self._own_name < name for name in able)
-
-    def find_owners(self, key: str) -> list[str]:
-        """Returns the hash owners of an engine's queue or a part.
-
-        All hosts that hear of the same peers find the same ones. The first is
-        queried; a host that does not know of it queries the next, which
-        others report the same to.
-        """
-        owners = self._owners.get(key)
-        if owners is None:
-            owners = rendezvous.pick(key, self._there, OWNERS)
-            self._owners[key] = owners
-        return owners
-
-    def rank_zone(self, key: str) -> list[str]:
-        """Returns the daemons of this zone by rendezvous hashing for a key.
-
-        Those that hear of each other find the same order, this one included.
-        """
-        zone = self._link.zone_of(self._own_host)
-        names = [
-            name
-            for name in self._there
-            if self._link.zone_of(fleetmembers.host_of(name)) == zone
-        ]
-        return rendezvous.rank(key, names)
+        return self._may_order() and self._fleet.is_first()
 
     def _exchange(self) -> None:
         now = self._timers.now
@@ -292,20 +261,12 @@
         if now - self._sum_at >= 2 * silent_s:
             self._members.drop_lists()
         self._lists.forget()
-        self._note_there()
-
-    def _note_there(self) -> None:
-        there = [self._own_name, *self._members.there()]
-        if there != self._there:
-            self._there = there
-            self._owners.clear()
+        self._fleet.refresh()
 
     def _period_s(self) -> float:
         if self._is_small():
             return PERIOD_S
-        zone = self._link.zone_of(self._own_host)
-        zones = [self._link.zone_of(host) for host in self._link.hosts]
-        receivers = zones.count(zone) + len(set(zones))
+        receivers = self._fleet.count_receivers()
         return max(
             PERIOD_S,
             receivers / MESSAGES_PER_S,
@@ -320,14 +281,14 @@
 
     def _choose_aggregator(self, now: float, silent_s: float) -> None:
         silent = self._choice.give_up_silent(now, silent_s)
-        for name in self._there:
+        for name in self._fleet.there:
             if fleetmembers.host_of(name) == silent:
                 self._members.exclude(name, now + aggregatorchoice.AVOID_S)
         before = self._choice.chosen
         ranked = [self._own_host]
         # Others rely on who has members; it goes on for as long as they do.
         if not self._is_small() and not self._loads.member_numbers(now):
-            ranked = self._rank_hosts(self._link.zone_of(self._own_host))
+            ranked = self._fleet.rank_aggregators(self._fleet.own_zone)
         if not self._choice.choose(ranked, now):
             return
         if self._choice.chosen is None:
@@ -336,24 +297,9 @@
             "load_aggregator_changed",
             aggregator=self._choice.chosen or self._own_host,
             before=before or self._own_host,
-            there=len(self._there),
+            there=len(self._fleet.there),
         )
 
-    def _rank_hosts(self, zone: str | None) -> list[str]:
-        """Returns the hosts of a zone in the order in which they add up.
-
-        Those that are there; where nobody is known to be, as after a start,
-        all that have announced themselves.
-        """
-        there = [fleetmembers.host_of(name) for name in self._there]
-        found = self._in_zone(there, zone)
-        if not [host for host in found if host != self._own_host]:
-            found = self._in_zone([*self._link.hosts, self._own_host], zone)
-        return rendezvous.rank(AGGREGATOR_KEY, found)
-
-    def _in_zone(self, hosts: list[str], zone: str | None) -> list[str]:
-        return [host for host in hosts if self._link.zone_of(host) == zone]
-
     # What is sent.
 
     def _send_load(self, own: peerloads.Shares) -> None:
@@ -426,24 +372,18 @@
         """
         if self._is_small():
             return self._link.hosts
-        own_zone = self._link.zone_of(self._own_host)
         hosts = {fleetmembers.host_of(name) for name in self._groups}
-        hosts.add(self._rank_hosts(own_zone)[0])
+        hosts.add(self._fleet.rank_aggregators(self._fleet.own_zone)[0])
         # One that was cut off may be back and add up for itself, unheard.
-        there = {fleetmembers.host_of(name) for name in self._there}
-        unheard = set(self._in_zone(self._link.hosts, own_zone)) - there
-        hosts |= set(self._pick_in_turn(sorted(unheard)))
-        heard_zones = {self._link.zone_of(host) for host in hosts}
-        zones = {self._link.zone_of(host) for host in self._link.hosts}
-        zones -= {own_zone, *heard_zones}
-        for zone in zones:
+        hosts |= self._pick_in_turn(self._fleet.unheard_in_zone())
+        for zone in self._fleet.other_zones(hosts):
             # Another one each time: the first may be gone.
-            hosts |= set(self._pick_in_turn(self._rank_hosts(zone)))
+            hosts |= self._pick_in_turn(self._fleet.rank_aggregators(zone))
         return sorted(hosts - {self._own_host})
 
-    def _pick_in_turn(self, hosts: list[str]) -> list[str]:
+    def _pick_in_turn(self, hosts: list[str]) -> set[str]:
         """Returns one of the hosts, another one each round."""
-        return [hosts[self._number % len(hosts)]] if hosts else []
+        return {hosts[self._number % len(hosts)]} if hosts else set()
 
     # What is heard.
 
@@ -493,7 +433,7 @@
         members = self._loads.member_numbers(self._timers.now)
         is_own = message.peer in members or message.peer == self._own_name
         self._lists.take(message, () if is_own else members)
-        self._note_there()
+        self._fleet.refresh()
 
     def _hear(self, name: str, may_order: bool | None) -> bool:
         """Notes a daemon that was heard; returns whether it is another one."""
@@ -507,8 +447,8 @@
         self._members.hear(name, self._timers.now)
         if may_order is not None:
             self._members.note_able(name, may_order)
-        if name not in self._there:
-            self._note_there()
+        if name not in self._fleet.there:
+            self._fleet.refresh()
         return True
 
     def _apply_changes(
--- a/packages/bulrushgrade_daemon/tests/test_loadgossip.py
+++ b/packages/bulrushgrade_daemon/tests/test_loadgossip.py
@@ -221,7 +221,7 @@
     reactor.pump([0.1] * 25)
     one, two = hosts[0].gossip, hosts[1].gossip
     assert "h2/1" in one.heard()
-    assert one.find_owners("e") == two.find_owners("e")
+    assert one.fleet.find_owners("e") == two.fleet.find_owners("e")
     net.cut = True
     reactor.pump([0.1] * 20)
     net.cut = False
@@ -313,7 +313,7 @@
     names = {f"h{n}/1" for n in range(1, 121)}
     for host in hosts:
         assert set(host.gossip.heard()) | {host.gossip._own_name} == names
-    owners = {tuple(host.gossip.find_owners("e1")) for host in hosts}
+    owners = {tuple(host.gossip.fleet.find_owners("e1")) for host in hosts}
     assert len(owners) == 1
 
 
@@ -354,7 +354,7 @@
     reactor, _, net, hosts = make(count=60, zones=3)
     reactor.pump([0.1] * 30)
     zone = [host for host in hosts if host.zone == "z0"]
-    ranked = zone[0].gossip._rank_hosts("z0")
+    ranked = zone[0].gossip.fleet.rank_aggregators("z0")
     dead = {int(name.removeprefix("h")) for name in ranked[:2]}
     net.lost |= dead
     reactor.pump([0.1] * 24)
