Split the changes of caches from the exchange of loads

Change: changerelay has what is to be sent and what came; a pure move. Runs: tests of loadgossip, cachesharing and the gateway's streams pass, assertions as before.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadgossip.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadgossip.py
@@ -20,12 +20,12 @@
 from bulrushgrade import enginecache
 from bulrushgrade import fleetmembers
 from bulrushgrade import peerloads
+from bulrushgrade_daemon import changerelay
 from bulrushgrade_daemon import fleetview
 from bulrushgrade_daemon import gatewaymessages
 from bulrushgrade_daemon import grouplists
 from bulrushgrade_daemon import loadcodec
 from bulrushgrade_daemon import peerlink as peerlink_module
-from bulrushgrade_daemon import pendingchanges
 
 PERIOD_S = 0.1
 """Between two messages to a peer in a small fleet: a fraction of the time in
@@ -55,9 +55,6 @@
 """How long a list counts. One whose maker is gone is taken back much sooner;
 this only bounds what a daemon remembers that nobody tells anything."""
 
-TakeChanges = Callable[[str, tuple[enginecache.CacheChange, ...]], None]
-"""Takes an engine's id and what changed in its cache."""
-
 
 class LoadGossip:
     """Exchanges loads with peers and knows which of them are there."""
@@ -74,7 +71,7 @@
         loads: peerloads.PeerLoads,
         read_own: Callable[[], dict[str, peerloads.EngineShare]],
         may_order: Callable[[], bool],
-        take_changes: TakeChanges,
+        take_changes: changerelay.TakeChanges,
         take_other: Callable[[gatewaymessages.Message], None],
         log: Any,
     ):
@@ -100,7 +97,7 @@
         self._loads = loads
         self._read_own = read_own
         self._may_order = may_order
-        self._take_changes = take_changes
+        self._changes = changerelay.ChangeRelay(take=take_changes)
         self._take_other = take_other
         self._log = log
         self._fleet = fleetview.FleetView(
@@ -111,10 +108,6 @@
         self._members = self._fleet.members
         # Other groups, by who adds up for them: when they were heard.
         self._groups: dict[str, float] = {}
-        # Changes for who adds up, or for the other groups.
-        self._outward = pendingchanges.PendingChanges()
-        # Changes for this daemon's members.
-        self._inward = pendingchanges.PendingChanges()
         self._choice = aggregatorchoice.AggregatorChoice(
             own_host=self._own_host
         )
@@ -129,7 +122,6 @@
             send_datagram=link.send_datagram,
             most_per_s=LISTS_PART * MESSAGES_PER_S,
         )
-        self._followed: set[str] = set()
         # Of the longest message of the last round.
         self._sum_bytes = 0
         self._number = 0
@@ -195,8 +187,7 @@
         """Has what changed in an engine's cache sent to peers."""
         if not self._link.hosts:
             return
-        self._outward.add(engine, changes)
-        self._inward.add(engine, changes)
+        self._changes.advertise(engine, changes)
 
     def pick_followed(self, engines: Iterable[str]) -> set[str]:
         """Returns the engines whose caches this daemon is the one to follow.
@@ -204,12 +195,13 @@
         Of those that hear each other the one that rendezvous hashing picks,
         so that each engine is read by one daemon however many there are.
         """
-        self._followed = {
+        followed = {
             engine
             for engine in engines
             if self._fleet.find_owners(engine)[0] == self._own_name
         }
-        return self._followed
+        self._changes.follow(followed)
+        return followed
 
     def heard(self) -> list[str]:
         """Returns the peers that are there, sorted by their names."""
@@ -308,10 +300,10 @@
             peer=self._own_name,
             number=self._number,
             engines=loadcodec.encode_shares(own),
-            kept=self._outward.take(),
+            kept=self._changes.take_outward(),
             may_order=self._may_order(),
         )
-        self._inward.clear()
+        self._changes.drop_inward()
         self._link.send_datagram(
             [self._choice.chosen], gatewaymessages.serialize(message)
         )
@@ -322,7 +314,7 @@
             peer=self._own_name,
             number=self._number,
             engines=loadcodec.encode_shares(group),
-            kept=self._outward.take(),
+            kept=self._changes.take_outward(),
             may_order=self._may_order(),
         )
         self._link.send_datagram(
@@ -330,7 +322,7 @@
         )
         members = self._loads.member_numbers(now)
         if not members:
-            self._inward.clear()
+            self._changes.drop_inward()
             return
         fleet = peerloads.add_up([group, *self._loads.other_groups(now)])
         self._send_fleet(members, fleet)
@@ -344,7 +336,7 @@
             number=self._number,
             your_number=0,
             engines=loadcodec.encode_shares(fleet),
-            kept=self._inward.take(),
+            kept=self._changes.take_inward(),
         )
         for name, number in members.items():
             message.your_number = number
@@ -395,10 +387,7 @@
         shares = loadcodec.decode_shares(message.engines)
         if not self._loads.take_member(name, message.number, shares, now):
             return
-        changes = self._apply_changes(message.kept)
-        for engine, some in changes:
-            self._outward.add(engine, some, times=1)
-            self._inward.add(engine, some, times=1)
+        self._changes.receive(message.kept, outward=True, inward=True)
         if is_new:
             # It learns at once who is there in the other groups.
             self._lists.send_known(name)
@@ -416,8 +405,7 @@
         shares = loadcodec.decode_shares(message.engines)
         if not self._loads.take_group(name, message.number, shares, now):
             return
-        for engine, some in self._apply_changes(message.kept):
-            self._inward.add(engine, some, times=1)
+        self._changes.receive(message.kept, outward=False, inward=True)
 
     def _take_fleet(self, message: gatewaymessages.FleetLoad) -> None:
         now = self._timers.now
@@ -427,7 +415,7 @@
         self._sum_at = now
         shares = loadcodec.decode_shares(message.engines)
         self._loads.take_fleet(message.your_number, message.number, shares, now)
-        self._apply_changes(message.kept)
+        self._changes.receive(message.kept, outward=False, inward=False)
 
     def _take_list(self, message: gatewaymessages.GroupMembers) -> None:
         members = self._loads.member_numbers(self._timers.now)
@@ -450,14 +438,3 @@
         if name not in self._fleet.there:
             self._fleet.refresh()
         return True
-
-    def _apply_changes(
-        self, kept: gatewaymessages.Kept
-    ) -> list[loadcodec.EngineChanges]:
-        """Takes changes of caches; returns them by engine."""
-        found = loadcodec.decode_changes(kept)
-        for engine, changes in found:
-            # What this daemon said itself comes back, and is older by then.
-            if engine not in self._followed:
-                self._take_changes(engine, changes)
-        return found
