Split the making of messages from the exchange of loads

Change: loadmessages; known_hosts where the hosts are known. Runs: tests of loadgossip, cachesharing and the gateway's life pass.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
@@ -416,7 +416,7 @@
         )
 
     def _retry_extra(self) -> float:
-        hosts = max(LEAST_HOSTS, HOSTS_SPARED * self._gossip.known_hosts)
+        hosts = max(LEAST_HOSTS, HOSTS_SPARED * self._link.known_hosts)
         return self._context.settings().bounds.retry_extra / hosts
 
     def _observe_answer(self, kind: str, took_s: float) -> None:
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadgossip.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadgossip.py
@@ -25,6 +25,7 @@
 from bulrushgrade_daemon import gatewaymessages
 from bulrushgrade_daemon import grouplists
 from bulrushgrade_daemon import loadcodec
+from bulrushgrade_daemon import loadmessages
 from bulrushgrade_daemon import peerlink as peerlink_module
 
 PERIOD_S = 0.1
@@ -98,6 +99,9 @@
         self._read_own = read_own
         self._may_order = may_order
         self._changes = changerelay.ChangeRelay(take=take_changes)
+        self._messages = loadmessages.LoadMessages(
+            own_name=own_name, changes=self._changes, may_order=may_order
+        )
         self._take_other = take_other
         self._log = log
         self._fleet = fleetview.FleetView(
@@ -132,11 +136,6 @@
         """Which daemons are there."""
         return self._fleet
 
-    @property
-    def known_hosts(self) -> int:
-        """How many hosts have announced themselves, this one included."""
-        return len(self._link.hosts) + 1
-
     @property
     def counts(self) -> dict[str, int]:
         """Rounds of messages."""
@@ -296,27 +295,14 @@
 
     def _send_load(self, own: peerloads.Shares) -> None:
         self._loads.note_own(self._number, own)
-        message = gatewaymessages.Load(
-            peer=self._own_name,
-            number=self._number,
-            engines=loadcodec.encode_shares(own),
-            kept=self._changes.take_outward(),
-            may_order=self._may_order(),
-        )
-        self._changes.drop_inward()
+        message = self._messages.make_load(self._number, own)
         self._link.send_datagram(
             [self._choice.chosen], gatewaymessages.serialize(message)
         )
 
     def _send_sums(self, own: peerloads.Shares, now: float) -> None:
         group = self._loads.group_sum(own, now)
-        message = gatewaymessages.GroupLoad(
-            peer=self._own_name,
-            number=self._number,
-            engines=loadcodec.encode_shares(group),
-            kept=self._changes.take_outward(),
-            may_order=self._may_order(),
-        )
+        message = self._messages.make_group_load(self._number, group)
         self._link.send_datagram(
             self._group_hosts(), gatewaymessages.serialize(message)
         )
@@ -331,13 +317,7 @@
     def _send_fleet(
         self, members: dict[str, int], fleet: peerloads.Shares
     ) -> None:
-        message = gatewaymessages.FleetLoad(
-            peer=self._own_name,
-            number=self._number,
-            your_number=0,
-            engines=loadcodec.encode_shares(fleet),
-            kept=self._changes.take_inward(),
-        )
+        message = self._messages.make_fleet_load(self._number, fleet)
         for name, number in members.items():
             message.your_number = number
             datagram = gatewaymessages.serialize(message)
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/peerlink.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/peerlink.py
@@ -113,6 +113,11 @@
         """The other hosts that have announced themselves."""
         return list(self._peers)
 
+    @property
+    def known_hosts(self) -> int:
+        """How many hosts have announced themselves, this one included."""
+        return len(self._peers) + 1
+
     @property
     def counts(self) -> dict[str, int]:
         """Datagrams sent, and what could not be read."""
--- a/packages/bulrushgrade_daemon/tests/test_loadgossip.py
+++ b/packages/bulrushgrade_daemon/tests/test_loadgossip.py
@@ -203,14 +203,14 @@
     odd = topicreader.KeyedRecord(key="h9", value=b"{}")
     one.link.take_records((odd,))
     assert one.link.counts["unreadable"] == 2
-    assert one.gossip.known_hosts == 3
+    assert one.link.known_hosts == 3
 
 
 def test_host_that_left_is_told_nothing():
     _, _, _, (one, _, _) = make()
     gone = topicreader.KeyedRecord(key="h2", value=None)
     one.link.take_records((gone,))
-    assert one.gossip.known_hosts == 2
+    assert one.link.known_hosts == 2
 
 
 def test_a_lost_message_does_not_make_a_peer_gone():
