Take requests by the keys of workspaces and keep keys from endpoints

Cause: a configuration that names workspaces was read without them, so that each request ran whoever sent it, and its key went on to the endpoint.

Change: the adapter decodes workspaces into a ring of key digests and reads digests from a request's headers; the gateway refuses with 401 what has no key in force, names the workspace to endpoints on every attempt and prefill, and never passes the key on. A workspace's priority goes before its route's. Records of the configuration are announced among hosts and no longer kept to be handed on, as they hold keys; larger ones never were.

--- a/packages/bulrushgrade/bulrushgrade/routing.py
+++ b/packages/bulrushgrade/bulrushgrade/routing.py
@@ -9,6 +9,8 @@
 
 import attrs
 
+from bulrushgrade import workspaces as workspaces_module
+
 LONG_SHARE = 1 / 400
 """Of an engine's memory, from which on a prompt or its shared parts count as
 long: worth keeping in one place, and worth a query before they are placed. A
@@ -65,6 +67,7 @@
         max_attempts: Endpoints that one request may be run on.
         by_prompt: Whether requests tell which parts their prompt has.
         targets: The services, at least one.
+        is_public: Whether requests need no key.
     """
 
     name: str
@@ -79,6 +82,7 @@
     max_attempts: int
     by_prompt: bool
     targets: tuple[Target, ...]
+    is_public: bool = False
 
     @property
     def urgency(self) -> int:
@@ -173,12 +177,14 @@
         routes: The routes.
         services: The services by name.
         limits: What callers may do.
+        keys: Whose requests are taken; None where no request needs a key.
     """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, Service]
     limits: CallerLimits
+    keys: workspaces_module.KeyRing | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -207,6 +213,8 @@
         self._configuration = configuration
         self._by_host: dict[str, dict[str, Route]] = {}
         self._limits: dict[str, ServiceLimits] = {}
+        # By route and workspace priority.
+        self._ranked: dict[tuple[str, int], Route] = {}
         for route in configuration.routes:
             prefixes = self._by_host.setdefault(route.hostname, {})
             prefixes[route.path_prefix] = route
@@ -239,14 +247,36 @@
             end = path.rfind("/", 0, end - 1) + 1
         return None
 
+    def rank(
+        self, route: Route, workspace: workspaces_module.Workspace | None
+    ) -> Route:
+        """Returns a route with the priority that a workspace's requests have.
+
+        Args:
+            route: One of this table.
+            workspace: Whose request it is, or None.
+        """
+        if workspace is None or workspace.priority in (None, route.priority):
+            return route
+        key = route.name, workspace.priority
+        ranked = self._ranked.get(key)
+        if ranked is None:
+            ranked = attrs.evolve(route, priority=workspace.priority)
+            self._ranked[key] = ranked
+        return ranked
+
     def _note_limits(self, route: Route) -> None:
+        keys = self._configuration.keys
+        least_urgent = min(keys.least_urgent, LEAST_URGENT - 1) if keys else 0
         for target in route.targets:
             known = self.limits(target.service)
             gaps_s = [g for g in (known.least_gap_s, route.gap_s) if g]
             self._limits[target.service] = ServiceLimits(
                 longest_target_s=max(known.longest_target_s, route.target_s),
                 least_gap_s=min(gaps_s, default=None),
-                least_urgency=max(known.least_urgency, route.urgency),
+                least_urgency=max(
+                    known.least_urgency, route.urgency, least_urgent
+                ),
             )
 
 
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/dialect.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/dialect.py
@@ -24,12 +24,14 @@
         deadline_s: How long the caller will wait, or None.
         prompt: What it says of its prompt, or None.
         last_event_id: Where a broken stream should go on, or None.
+        key_digests: One for each different key that the request bears.
     """
 
     request_id: str
     deadline_s: float | None
     prompt: prompt_module.Prompt | None
     last_event_id: str | None
+    key_digests: frozenset[bytes] = frozenset()
 
 
 @attrs.frozen(kw_only=True)
@@ -58,6 +60,8 @@
         fetch_from: The engine, ``IP:PORT``, from which to fetch cached parts
             before reading, or None.
         urgency: 0 first to 9 last, or None to leave it to the endpoint.
+        workspace: Whose request it is, or None.
+        hides_key: Whether the caller's key is not for the endpoint.
     """
 
     endpoint: directory.Registration
@@ -67,6 +71,8 @@
     prefilled_by: PrefilledBy | None = None
     fetch_from: str | None = None
     urgency: int | None = None
+    workspace: str | None = None
+    hides_key: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -112,6 +118,7 @@
             None where it can't be read.
         free_prefilled: Returns method and path of the request that frees a
             prompt which nobody will take.
+        challenge: Headers of an answer that asks for a key.
     """
 
     read_request_info: Callable[[Any], RequestInfo]
@@ -120,3 +127,4 @@
     write_answer_fields: Callable[[Any], Fields]
     read_prefilled: Callable[[bytes], Prefilled | None]
     free_prefilled: Callable[[str], tuple[bytes, bytes]]
+    challenge: tuple[tuple[bytes, bytes], ...]
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointcalls.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointcalls.py
@@ -135,7 +135,13 @@
         def make() -> outbound.OutboundRequest:
             # The time that is left is told as of the write: opening the
             # connection has taken some of it.
-            timed = attrs.evolve(sending, left_s=request.left_s(self._now()))
+            workspace = request.workspace
+            timed = attrs.evolve(
+                sending,
+                left_s=request.left_s(self._now()),
+                workspace=workspace.name if workspace else None,
+                hides_key=request.hides_key,
+            )
             caller = request.caller
             return outbound.OutboundRequest(
                 method=caller.method,
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
@@ -16,6 +16,7 @@
 from bulrushgrade import engineadmission
 from bulrushgrade import retryshare
 from bulrushgrade import routing
+from bulrushgrade import workspaces
 from bulrushgrade_daemon import answerpass
 from bulrushgrade_daemon import choosing
 from bulrushgrade_daemon import decisionlog
@@ -144,13 +145,41 @@
             self._log.note_no_route(info, version, hostname, path)
             caller.answer(http.NOT_FOUND, [], b"")
             return
-        self._begin(caller, info, route)
+        workspace = self._authenticate(info, table, route)
+        if isinstance(workspace, workspaces.Denial):
+            self._count("unauthorized")
+            version = table.configuration.version
+            self._log.note_unauthorized(info, route, version, workspace)
+            challenge = self._dialect.challenge
+            caller.answer(http.UNAUTHORIZED, challenge, b"")
+            return
+        self._begin(caller, info, table.rank(route, workspace), workspace)
+
+    def _authenticate(
+        self,
+        info: dialect_module.RequestInfo,
+        table: routing.RouteTable,
+        route: routing.Route,
+    ) -> workspaces.Workspace | workspaces.Denial | None:
+        """Returns whose request it is; None where it may be anybody's.
+
+        A key that is taken away ends no request that was taken before: its
+        attempts go on under the workspace that it was taken for.
+        """
+        keys = table.configuration.keys
+        if keys is None:
+            return None
+        found = keys.find(info.key_digests)
+        if route.is_public and isinstance(found, workspaces.Denial):
+            return None
+        return found
 
     def _begin(
         self,
         caller: front.CallerRequest,
         info: dialect_module.RequestInfo,
         route: routing.Route,
+        workspace: workspaces.Workspace | None,
     ) -> None:
         waits_s = inflight.longest_wait_s(info, route)
         ends_in_s = self._ends_in_s()
@@ -165,6 +194,8 @@
             route=route,
             service=routing.pick_service(route, self._rng),
             deadline=caller.arrived_at + waits_s,
+            workspace=workspace,
+            hides_key=self._table().configuration.keys is not None,
         )
         self._share(request.service).count_request(self._timers.now)
         self._open.add(request)
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
@@ -210,6 +210,8 @@
             pause_s=0.0,
             take=self._view.take_configuration,
             take_all=self._view.take_configuration,
+            # It holds callers' keys.
+            keeps_records=False,
         )
         self._follow_endpoints = self._topics.follow(
             "endpoints",
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/inflight.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/inflight.py
@@ -10,6 +10,7 @@
 from bulrushgrade import eventstream
 from bulrushgrade import placementplan
 from bulrushgrade import routing
+from bulrushgrade import workspaces
 from bulrushgrade_daemon import dialect
 from bulrushgrade_daemon import front
 from bulrushgrade_daemon import outbound
@@ -61,6 +62,8 @@
         waits_s: How long it would wait at engines, from the owners of their
             queues.
         urgency: How soon engines take it; 0 goes first.
+        workspace: Whose it is, or None.
+        hides_key: Whether its key is not for endpoints.
     """
 
     caller: front.CallerRequest
@@ -81,6 +84,8 @@
     pace: StreamPace = attrs.field(factory=StreamPace)
     waits_s: Mapping[str, float] = attrs.field(factory=dict)
     urgency: int = attrs.field()
+    workspace: workspaces.Workspace | None = None
+    hides_key: bool = False
 
     @urgency.default
     def _route_urgency(self) -> int:
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/requestlog.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/requestlog.py
@@ -6,6 +6,7 @@
 from bulrushgrade import attempts
 from bulrushgrade import directory
 from bulrushgrade import routing
+from bulrushgrade import workspaces
 from bulrushgrade_daemon import decisionlog
 from bulrushgrade_daemon import dialect
 from bulrushgrade_daemon import inflight
@@ -65,6 +66,23 @@
             path=path,
         )
 
+    def note_unauthorized(
+        self,
+        info: dialect.RequestInfo,
+        route: routing.Route,
+        version: int,
+        denial: workspaces.Denial,
+    ) -> None:
+        """Writes that a request bears no key that is in force."""
+        self._log.note(
+            "request_unauthorized",
+            request=info.request_id,
+            route=route.name,
+            configuration=version,
+            reason=denial.value,
+            key_ids=sorted(map(workspaces.name_key, info.key_digests)),
+        )
+
     def note_attempt(
         self,
         request: inflight.InFlight,
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/sharedtopic.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/sharedtopic.py
@@ -95,6 +95,7 @@
         send: Callable[[str, gatewaymessages.Message], bool],
         timers: Any,
         log: decisionlog.DecisionLog,
+        keeps_records: bool = True,
     ):
         """Makes a state in which nothing was read.
 
@@ -111,6 +112,7 @@
                 where that is.
             timers: The timer service.
             log: Gets a line when the source of records changes.
+            keeps_records: Whether records may be kept to be handed on.
         """
         self._topic = topic
         self._own_name = own_name
@@ -123,7 +125,9 @@
         self._queries = peerqueries.PeerQueries(
             timers=timers, send=send, limit_s=REPLY_LIMIT_S
         )
-        self._journal = topicjournal.TopicJournal(read_essence=read_essence)
+        self._journal = topicjournal.TopicJournal(
+            read_essence=read_essence, keeps_records=keeps_records
+        )
         self._as_of: float | None = None
         self._regained_at: float | None = None
         self._queried_at = -math.inf
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/storetopics.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/storetopics.py
@@ -55,6 +55,7 @@
         take_all: Callable[[tuple[topicreader.KeyedRecord, ...]], None],
         read_essence: topicjournal.ReadEssence | None = None,
         must_read: Callable[[], bool] = lambda: False,
+        keeps_records: bool = True,
     ) -> follower.Follower:
         """Returns what follows a topic.
 
@@ -69,12 +70,14 @@
                 heartbeats.
             must_read: Returns whether this host has to know for itself
                 whether the store is there.
+            keeps_records: Whether records may be kept to be handed on.
         """
         shared = self._shared[name] = sharedtopic.SharedTopic(
             topic=name,
             own_name=self._own_name,
             view_s=wait_s + pause_s,
             read_essence=read_essence or _read_value,
+            keeps_records=keeps_records,
             rank_hosts=self._rank_hosts,
             must_read=must_read,
             send=self._send,
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/topicjournal.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/topicjournal.py
@@ -67,13 +67,18 @@
 class TopicJournal:
     """What was read of one topic."""
 
-    def __init__(self, *, read_essence: ReadEssence):
+    def __init__(
+        self, *, read_essence: ReadEssence, keeps_records: bool = True
+    ):
         """Makes an empty journal.
 
         Args:
             read_essence: Tells records that say the same.
+            keeps_records: Whether records may be kept beyond the moment in
+                which they are taken; those with secrets may not.
         """
         self._read_essence = read_essence
+        self._keeps_records = keeps_records
         self._begin = 0
         self._end: int | None = None
         self._kept: collections.deque[topicreader.KeyedRecord] = (
@@ -87,6 +92,8 @@
         self._begin = self._end = listing.end
         self._kept.clear()
         self._held_back.clear()
+        if not self._keeps_records:
+            return
         self._newest = {
             record.key: _Newest(said=self._read_essence(record))
             for record in listing.records
@@ -102,6 +109,9 @@
             records: In their order.
             end: Where the next ones begin.
         """
+        if not self._keeps_records:
+            self._begin = self._end = end
+            return bool(records)
         kept_before = len(self._kept)
         for record in records:
             self._take(record)
--- a/packages/bulrushgrade_daemon/tests/test_topicjournal.py
+++ b/packages/bulrushgrade_daemon/tests/test_topicjournal.py
@@ -44,6 +44,21 @@
     assert handed(journal, 3) == ([], 4)
 
 
+def test_records_with_secrets_are_announced_and_not_kept():
+    """Guards against callers' keys in what hosts hand on."""
+    journal = topicjournal.TopicJournal(
+        read_essence=read_essence, keeps_records=False
+    )
+    journal.restart(
+        topicreader.Listing(records=(record(0, "a", "key", 1),), end=1)
+    )
+    assert journal.extend((record(1, "a", "secret", 2),), 2)
+    extract = journal.read_after(1, max_bytes=ROOM)
+    assert (extract.records, extract.end, extract.has_more) == ((), 1, True)
+    assert not journal.read_after(2, max_bytes=ROOM).has_more
+    assert "secret" not in repr(vars(journal))
+
+
 def test_the_last_heartbeat_goes_ahead_of_what_changes():
     """A late copy of a heartbeat is appended after its endpoint is gone.
 
