Report usage and order engines by one host at a time

Cause: where the platform asks for reports of usage and for orders of engines, nobody made them.

Ruled out: a mechanism of its own beside orders to engines, as one topic and one turn keep any two hosts' actions a lease apart; counts on the store, which are a write a host and window; counts in the messages of loads, which replace each other and may be lost; reports from memory, of which a successor could send another count.

Change: orders to engines, reports and orders of engines share fenced actions: each is appended to one topic on condition of its end before it is sent, and what others appended is read before it is decided. Hosts count begun requests by window of true time and workspace and send them, absolute, to the one that reports until it has them whole. Services whose spot engines are cheaper are moved to them, with as many as are needed without any one zone. A leaving endpoint that says when it is gone is used for half of that time at most.

--- /dev/null
+++ b/packages/bulrushgrade/bulrushgrade/capacityplan.py
@@ -0,0 +1,245 @@
+"""How many engines of which kind a service should have in each zone.
+
+Spot engines cost a part of the others' price, and all those of a zone may be
+taken away at once. So a service is moved to them with a reserve: without any
+one zone, the others still have as many engines as the service needs. Where a
+zone has no spot engines to give, others stand in, and engines at the full
+price only where spot ones can't be had in time. Engines are ordered before
+those that they replace are given up.
+"""
+
+from collections.abc import Mapping
+import math
+
+import attrs
+
+REFUSED_S = 2.0
+"""Before a zone that had no engines to give is asked again."""
+
+RETRY_S = 1.0
+"""Before an order is sent again that was not answered."""
+
+Pool = tuple[str, bool]
+"""A zone, and whether its engines are spot ones."""
+
+
+@attrs.frozen(kw_only=True)
+class Scaling:
+    """What the operator allows for a service.
+
+    Attributes:
+        least: Engines that each zone has at least.
+        most: Engines that each zone has at most, of both kinds together.
+        boot_s: How long a new engine takes until it serves.
+        spot_price: The price of a spot engine, as a part of the other kind's.
+        zone_prices: The price of an engine by zone.
+    """
+
+    least: int
+    most: int
+    boot_s: float
+    spot_price: float
+    zone_prices: Mapping[str, float]
+
+
+@attrs.frozen(kw_only=True)
+class CapacityRecord:
+    """An order of engines.
+
+    Attributes:
+        holder: The incarnation of the host that orders.
+        service: The service.
+        zone: The availability zone.
+        is_spot: Which kind is ordered.
+        count: How many of that kind the zone is to have.
+        needed: How many engines the service needs in all zones together.
+    """
+
+    holder: str
+    service: str
+    zone: str
+    is_spot: bool
+    count: int
+    needed: int
+
+
+@attrs.frozen(kw_only=True)
+class CapacityView:
+    """What is known of one service's engines.
+
+    Attributes:
+        service: The service.
+        scaling: What the operator allows.
+        running: Engines that take work, by zone and kind.
+        settle_s: Until what an engine registers is known everywhere.
+    """
+
+    service: str
+    scaling: Scaling
+    running: Mapping[Pool, int]
+    settle_s: float
+
+    @property
+    def zones(self) -> list[str]:
+        """The zones that may have engines, the cheapest first."""
+        prices = self.scaling.zone_prices
+        return sorted(prices, key=lambda zone: (prices[zone], zone))
+
+    @property
+    def total(self) -> int:
+        """Engines that take work."""
+        return sum(self.running.values())
+
+
+@attrs.frozen(kw_only=True)
+class CapacityOrder:
+    """An order that should be given.
+
+    Attributes:
+        service: The service.
+        zone: The availability zone.
+        is_spot: Which kind is ordered.
+        count: How many of that kind the zone is to have.
+        needed: How many engines the service needs.
+    """
+
+    service: str
+    zone: str
+    is_spot: bool
+    count: int
+    needed: int
+
+
+@attrs.frozen(kw_only=True)
+class _Ordered:
+    count: int
+    at: float
+
+
+class CapacityPlan:
+    """Watches the engines of one service."""
+
+    def __init__(self):
+        """Makes a plan that has seen nothing."""
+        self._needed: int | None = None
+        self._ordered: dict[Pool, _Ordered] = {}
+        # Since a refusal, until an order is taken again.
+        self._refusing: set[Pool] = set()
+        self._retry_at: dict[Pool, float] = {}
+        self._total: int | None = None
+        self._same_since = 0.0
+        self._quiet_until = 0.0
+
+    @property
+    def needed(self) -> int | None:
+        """Engines that the service needs; None before that is known."""
+        return self._needed
+
+    def take_record(self, record: CapacityRecord, now: float) -> None:
+        """Takes an order that was recorded, by whichever host."""
+        self._needed = record.needed
+        pool = record.zone, record.is_spot
+        self._ordered[pool] = _Ordered(count=record.count, at=now)
+
+    def note_taken(self, order: CapacityOrder) -> None:
+        """Notes that a zone gives the engines that were ordered."""
+        self._refusing.discard((order.zone, order.is_spot))
+
+    def note_refusal(self, order: CapacityOrder, now: float) -> None:
+        """Notes that a zone has no such engines to give now."""
+        pool = order.zone, order.is_spot
+        self._refusing.add(pool)
+        self._retry_at[pool] = now + REFUSED_S
+        self._ordered.pop(pool, None)
+
+    def note_failure(self, order: CapacityOrder, now: float) -> None:
+        """Notes that it is not known what came of an order."""
+        self._ordered.pop((order.zone, order.is_spot), None)
+        self._quiet_until = now + RETRY_S
+
+    def propose(self, view: CapacityView, now: float) -> CapacityOrder | None:
+        """Returns the order that should be given now, or None."""
+        scaling = view.scaling
+        if not 0.0 < scaling.spot_price < 1.0 or len(view.zones) < 2:
+            return None
+        if self._needed is None and not self._learn_needed(view, now):
+            return None
+        if now < self._quiet_until:
+            return None
+        targets = self._targets(view)
+        # Zones that refused come last: they are only asked again.
+        for pool in sorted(targets, key=self._refusing.__contains__):
+            count = targets[pool]
+            if self._is_short(view, pool, count, now):
+                return self._order(view, pool, count)
+        for pool, count in targets.items():
+            if self._is_spare(view, pool, count):
+                return self._order(view, pool, count)
+        return None
+
+    def _learn_needed(self, view: CapacityView, now: float) -> bool:
+        """Takes the number that the operator has, once it stays the same."""
+        if view.total != self._total:
+            self._total, self._same_since = view.total, now
+            return False
+        if now - self._same_since < view.settle_s or not view.total:
+            return False
+        self._needed = view.total
+        return True
+
+    def _targets(self, view: CapacityView) -> dict[Pool, int]:
+        """Returns how many engines each zone should have, cheapest first."""
+        scaling, zones = view.scaling, view.zones
+        room = scaling.most - scaling.least
+        giving = [z for z in zones if (z, True) not in self._refusing]
+        # Without any one zone, the others have what is needed.
+        wanted = self._needed * len(zones) / (len(zones) - 1)
+        each = math.ceil(wanted / max(1, len(giving)))
+        each = min(each, room)
+        full = dict.fromkeys(zones, scaling.least)
+        missing = self._needed - each * len(giving) - sum(full.values())
+        for zone in zones:
+            if missing <= 0:
+                break
+            more = min(missing, room - (each if zone in giving else 0))
+            full[zone] += more
+            missing -= more
+        targets = {(zone, True): each for zone in zones}
+        return targets | {(zone, False): full[zone] for zone in zones}
+
+    def _is_short(
+        self, view: CapacityView, pool: Pool, count: int, now: float
+    ) -> bool:
+        """Returns whether a pool has too few, with none on the way."""
+        if view.running.get(pool, 0) >= count:
+            return False
+        if self._retry_at.get(pool, 0.0) > now:
+            return False
+        ordered = self._ordered.get(pool)
+        if ordered is None or ordered.count < count:
+            return True
+        coming_s = view.scaling.boot_s + view.settle_s
+        return now - ordered.at > coming_s
+
+    def _is_spare(self, view: CapacityView, pool: Pool, count: int) -> bool:
+        """Returns whether a pool can give engines up."""
+        running = view.running.get(pool, 0)
+        if running <= count:
+            return False
+        ordered = self._ordered.get(pool)
+        if ordered is not None and ordered.count == count:
+            return False
+        left = view.total - (running - count)
+        return left >= self._needed
+
+    def _order(
+        self, view: CapacityView, pool: Pool, count: int
+    ) -> CapacityOrder:
+        zone, is_spot = pool
+        return CapacityOrder(
+            service=view.service,
+            zone=zone,
+            is_spot=is_spot,
+            count=count,
+            needed=self._needed,
+        )
--- a/packages/bulrushgrade/bulrushgrade/directory.py
+++ b/packages/bulrushgrade/bulrushgrade/directory.py
@@ -12,6 +12,10 @@
 
 import attrs
 
+LEAVING_PART = 0.5
+"""Of the time until an endpoint says that it is gone, for which it may still
+get requests: those have to end too."""
+
 
 class EndpointState(enum.Enum):
     """What an endpoint says of itself."""
@@ -43,6 +47,8 @@
         cold_s: How much longer it stays slow after its start, in seconds.
         stage: An engine's role; None for a plain endpoint.
         sequence: Grows with each record of an incarnation.
+        is_spot: Whether it may be taken away at short notice.
+        leaves_s: From the record until it is gone, where that is known.
     """
 
     id: str
@@ -56,6 +62,8 @@
     cold_s: float
     stage: Stage | None
     sequence: int
+    is_spot: bool = False
+    leaves_s: float | None = None
 
     @property
     def incarnation(self) -> tuple[str, int]:
@@ -225,10 +233,17 @@
                 continue
             if entry.leaving_since is None or now < entry.trusted_until:
                 ready.append(entry.known)
-            elif now - entry.leaving_since < self._leaving_use_s:
+            elif now - entry.leaving_since < self._leaving_use(entry):
                 leaving.append(entry.known)
         return ready or leaving
 
+    def _leaving_use(self, entry: _Entry) -> float:
+        """Returns for how long a leaving endpoint may still be used."""
+        leaves_s = entry.known.leaves_s
+        if leaves_s is None:
+            return self._leaving_use_s
+        return min(self._leaving_use_s, LEAVING_PART * leaves_s)
+
     def _note_state(self, entry: _Entry, now: float) -> None:
         draining = entry.known.state is EndpointState.DRAINING
         if draining and entry.leaving_since is None:
--- a/packages/bulrushgrade/bulrushgrade/orderturn.py
+++ b/packages/bulrushgrade/bulrushgrade/orderturn.py
@@ -53,6 +53,11 @@
         self._end = 0
         self._other_seen_at: float | None = None
 
+    @property
+    def holder(self) -> str:
+        """This host's incarnation."""
+        return self._holder
+
     @property
     def end(self) -> int:
         """Where the next record goes, as far as it is known."""
--- a/packages/bulrushgrade/bulrushgrade/routing.py
+++ b/packages/bulrushgrade/bulrushgrade/routing.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from bulrushgrade import capacityplan
 from bulrushgrade import workspaces as workspaces_module
 
 LONG_SHARE = 1 / 400
@@ -144,11 +145,13 @@
         name: The name that routes and endpoints carry.
         max_connections: Connections that one endpoint takes from all callers.
         engine: What its engines have in common; None for a plain service.
+        scaling: How many engines may be ordered, or None.
     """
 
     name: str
     max_connections: int
     engine: EngineTraits | None = None
+    scaling: capacityplan.Scaling | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/bulrushgrade/tests/test_directory.py
+++ b/packages/bulrushgrade/tests/test_directory.py
@@ -195,3 +195,12 @@
 TestDirectoryMachine.settings = hypothesis.settings(
     max_examples=60, stateful_step_count=20, deadline=None
 )
+
+
+def test_endpoint_that_says_when_it_leaves_is_used_for_less_than_that():
+    """Guards against work that would be cut when a spot engine goes."""
+    found = make_directory(make("e1"))
+    leaving = make("e1", sequence=2, state="draining", leaves_s=0.8)
+    found.put(leaving, now=5.0)
+    assert ids(found, 5.3) == ["e1"]
+    assert ids(found, 5.5) == []
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/adapter.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/adapter.py
@@ -10,6 +10,8 @@
 from bulrushgrade import routing
 from bulrushgrade_daemon import cachewatch
 from bulrushgrade_daemon import dialect
+from bulrushgrade_daemon import fencedactions
+from bulrushgrade_daemon import operatorcalls
 from bulrushgrade_daemon import peerlink
 from bulrushgrade_daemon import stagecontrol
 from bulrushgrade_daemon import topicreader
@@ -28,8 +30,10 @@
         decode_registration: Returns an endpoint's registration or a failure.
         read_cache_changes: Returns what changed in an engine's cache.
         membership: The topic in which gateways find each other.
-        order_topic: The topic that decides who orders engines about.
+        order_topic: The topic that decides whose turn it is to order.
         engine_control: Asks engines and orders them about.
+        operator_calls: Calls that one host at a time makes for the operator;
+            None where none are wanted.
     """
 
     dialect: dialect.Dialect
@@ -45,5 +49,6 @@
     ]
     read_cache_changes: cachewatch.ReadChanges
     membership: peerlink.Membership
-    order_topic: stagecontrol.OrderTopic
+    order_topic: fencedactions.OrderTopic
     engine_control: stagecontrol.EngineControl
+    operator_calls: operatorcalls.OperatorCalls | None = None
--- /dev/null
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/capacitycontrol.py
@@ -0,0 +1,165 @@
+"""Orders engines by zone and kind; one host at a time does so."""
+
+from collections.abc import Callable
+from typing import Any
+
+from returns.result import Failure
+
+from bulrushgrade import capacityplan
+from bulrushgrade_daemon import decisionlog
+from bulrushgrade_daemon import fencedactions
+from bulrushgrade_daemon import operatorcalls
+from bulrushgrade_daemon import orderrecords
+from bulrushgrade_daemon import task
+
+CHECK_PERIOD_S = 0.5
+"""Between two looks at which engines there are."""
+
+
+class CapacityControl:
+    """Watches which engines there are and orders others."""
+
+    name = "capacitycontrol"
+    requires = ("timer",)
+
+    def __init__(
+        self,
+        *,
+        timers: Any,
+        own_name: str,
+        actions: fencedactions.FencedActions,
+        calls: operatorcalls.OperatorCalls,
+        leads: Callable[[], bool],
+        views: Callable[[], list[capacityplan.CapacityView]],
+        log: decisionlog.DecisionLog,
+        on_broken: Callable[[str], None],
+    ):
+        """Makes the service.
+
+        Args:
+            timers: The timer service, by a clock that runs through pauses.
+            own_name: This daemon's incarnation.
+            actions: Carries out what only one host at a time may do.
+            calls: Orders engines of the operator.
+            leads: Returns whether this host is the one to decide.
+            views: Returns what is known of the services that have a choice.
+            log: Gets a line for each order.
+            on_broken: Called with the reason where an invariant is broken.
+        """
+        self._timers = timers
+        self._own_name = own_name
+        self._actions = actions
+        self._calls = calls
+        self._leads = leads
+        self._views = views
+        self._log = log
+        self._on_broken = on_broken
+        self._plans: dict[str, capacityplan.CapacityPlan] = {}
+        self._ordering = False
+        self._outcomes: dict[str, int] = {}
+        self._tick: Any = None
+        actions.listen(self._take_record)
+
+    @property
+    def counts(self) -> dict[str, int]:
+        """Orders by what came of them."""
+        return dict(self._outcomes)
+
+    async def start(self) -> None:
+        """Begins to watch."""
+        self._tick = self._timers.every(CHECK_PERIOD_S, self._check)
+
+    async def stop(self) -> None:
+        """Watches no more."""
+        if self._tick is not None:
+            self._tick.cancel()
+
+    def receive(self, message: Any) -> None:
+        """Takes no messages."""
+
+    def dump(self) -> dict[str, Any]:
+        """Returns what is wanted."""
+        needed = {name: plan.needed for name, plan in self._plans.items()}
+        return {"needed": needed, **self.counts}
+
+    def _check(self) -> None:
+        if self._ordering or not self._leads():
+            return
+        for view in self._views():
+            plan = self._plan(view.service)
+            if plan.propose(view, self._timers.now) is not None:
+                self._ordering = True
+                task.spawn(
+                    self._order(plan, view.service),
+                    name=self.name,
+                    on_broken=self._on_broken,
+                )
+                return
+
+    def _plan(self, service: str) -> capacityplan.CapacityPlan:
+        return self._plans.setdefault(service, capacityplan.CapacityPlan())
+
+    async def _order(
+        self, plan: capacityplan.CapacityPlan, service: str
+    ) -> None:
+        order: capacityplan.CapacityOrder | None = None
+
+        async def make() -> (
+            capacityplan.CapacityRecord | fencedactions.Withheld
+        ):
+            nonlocal order
+            order = self._propose(plan, service)
+            if order is None:
+                return fencedactions.Withheld(reason="ordered meanwhile")
+            return capacityplan.CapacityRecord(
+                holder=self._own_name,
+                service=order.service,
+                zone=order.zone,
+                is_spot=order.is_spot,
+                count=order.count,
+                needed=order.needed,
+            )
+
+        try:
+            sent = await self._actions.perform(make, self._calls.order_capacity)
+        finally:
+            self._ordering = False
+        now = self._timers.now
+        if isinstance(sent, Failure):
+            outcome = sent.failure().reason
+            if order is not None:
+                plan.note_failure(order, now)
+        else:
+            outcome = sent.unwrap().value
+            match sent.unwrap():
+                case operatorcalls.CallOutcome.TAKEN:
+                    plan.note_taken(order)
+                case operatorcalls.CallOutcome.UNAVAILABLE:
+                    plan.note_refusal(order, now)
+                case operatorcalls.CallOutcome.REJECTED:
+                    plan.note_failure(order, now)
+        self._outcomes[outcome] = self._outcomes.get(outcome, 0) + 1
+        if order is None:
+            return
+        self._log.note(
+            "capacity_order",
+            service=order.service,
+            zone=order.zone,
+            is_spot=order.is_spot,
+            count=order.count,
+            needed=order.needed,
+            end=self._actions.end,
+            outcome=outcome,
+        )
+
+    def _propose(
+        self, plan: capacityplan.CapacityPlan, service: str
+    ) -> capacityplan.CapacityOrder | None:
+        for view in self._views():
+            if view.service == service:
+                return plan.propose(view, self._timers.now)
+        return None
+
+    def _take_record(self, record: orderrecords.OrderRecord) -> None:
+        if isinstance(record, capacityplan.CapacityRecord):
+            self._plan(record.service).take_record(record, self._timers.now)
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/fleetview.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/fleetview.py
@@ -23,6 +23,7 @@
         own_name: str,
         hosts: Callable[[], list[str]],
         zone_of: Callable[[str], str | None],
+        is_able: Callable[[], bool] = lambda: True,
     ):
         """Makes a view in which nobody else is there.
 
@@ -30,7 +31,9 @@
             own_name: This daemon's name among its peers.
             hosts: Returns the other hosts that have announced themselves.
             zone_of: Returns a host's availability zone, None if not known.
+            is_able: Returns whether this daemon could order.
         """
+        self._is_able = is_able
         self._own_name = own_name
         self._own_host = fleetmembers.host_of(own_name)
         self._hosts = hosts
@@ -67,6 +70,17 @@
         able = (name for name in self._there[1:] if name not in unable)
         return all(self._own_name < name for name in able)
 
+    def first_able(self) -> str:
+        """Returns the first by name of the daemons that could order.
+
+        This one where no other could.
+        """
+        unable = self._members.unable()
+        others = [name for name in self._there[1:] if name not in unable]
+        if self._is_able():
+            others.append(self._own_name)
+        return min(others, default=self._own_name)
+
     def find_owners(self, key: str) -> list[str]:
         """Returns the hash owners of an engine's queue or a part.
 
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
@@ -25,6 +25,7 @@
 from bulrushgrade_daemon import enginework
 from bulrushgrade_daemon import front
 from bulrushgrade_daemon import inflight
+from bulrushgrade_daemon import outbound
 from bulrushgrade_daemon import requestlog
 from bulrushgrade_daemon import task
 
@@ -77,6 +78,9 @@
         parts: Parts,
         new_share: Callable[[], retryshare.RetryShare],
         observe: Callable[[str, float], None] = lambda route, took_s: None,
+        note_begun: Callable[
+            [workspaces.Workspace | None, float], None
+        ] = lambda workspace, at: None,
     ):
         """Makes the service.
 
@@ -85,6 +89,8 @@
             new_share: Returns the retry budget of a service met anew.
             observe: Takes the kind of a route and the seconds that an answer
                 took.
+            note_begun: Takes whose request an endpoint began to run, and
+                when.
         """
         self._timers = parts.timers
         self._dialect = parts.dialect
@@ -100,6 +106,7 @@
         self._on_broken = parts.on_broken
         self._new_share = new_share
         self._observe = observe
+        self._note_begun = note_begun
         self._shares: dict[str, retryshare.RetryShare] = {}
         self._open: set[inflight.InFlight] = set()
         self._counts: dict[str, int] = {}
@@ -304,11 +311,19 @@
         stream = self._work.begin_stream(request, endpoint)
 
         def note_events(count: int) -> None:
+            self._note_first_run(request, self._timers.now)
             stream.events(count)
             request.pace.note(self._timers.now)
 
         try:
             sent = await self._calls.run(request, endpoint, prefilled)
+            is_lost = (
+                isinstance(sent, inflight.AttemptEnd)
+                and sent.outcome is attempts.Outcome.LOST
+            )
+            has_head = isinstance(sent, outbound.Answer)
+            if request.plan is None and (has_head or is_lost):
+                self._note_first_run(request, began)
             if isinstance(sent, inflight.AttemptEnd):
                 return sent
             request.call = sent
@@ -329,6 +344,11 @@
             stream.ended()
             ended(False)
 
+    def _note_first_run(self, request: inflight.InFlight, at: float) -> None:
+        if not request.is_counted:
+            request.is_counted = True
+            self._note_begun(request.workspace, at)
+
     async def _pass(
         self,
         request: inflight.InFlight,
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaymessages.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaymessages.py
@@ -266,6 +266,44 @@
     end: int
 
 
+class WindowCounts(msgspec.Struct, array_like=True):
+    """Requests that began in a window.
+
+    Attributes:
+        window: The window's number.
+        counts: Requests by workspace.
+        is_whole: Whether the daemon counts no more in it.
+    """
+
+    window: int
+    counts: dict[str, int]
+    is_whole: bool
+
+
+class UsageCounts(msgspec.Struct, array_like=True, tag="usage_counts"):
+    """What a daemon has counted, to the one that reports it.
+
+    Attributes:
+        peer: Who counted.
+        windows: Each window that the receiver may still need.
+    """
+
+    peer: str
+    windows: list[WindowCounts]
+
+
+class UsageTaken(msgspec.Struct, array_like=True, tag="usage_taken"):
+    """Says which windows need not be sent again.
+
+    Attributes:
+        peer: Who has them.
+        windows: Their numbers.
+    """
+
+    peer: str
+    windows: list[int]
+
+
 Message = (
     Load
     | GroupLoad
@@ -282,6 +320,8 @@
     | RecordQuery
     | RecordReply
     | RecordNotice
+    | UsageCounts
+    | UsageTaken
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaypages.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaypages.py
@@ -70,6 +70,11 @@
             "Orders to engines to change their role.",
             lambda: services.stage_control.counts,
         ),
+        (
+            "operator_tasks_total",
+            "Usage reports and orders of engines by what came of them.",
+            lambda: services.tasks.counts,
+        ),
         (
             "cache_reads_total",
             "Reads of engines' cache changes.",
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
@@ -20,6 +20,7 @@
 from bulrushgrade_daemon import decisionlog
 from bulrushgrade_daemon import endpointcalls
 from bulrushgrade_daemon import enginework
+from bulrushgrade_daemon import fencedactions
 from bulrushgrade_daemon import follower
 from bulrushgrade_daemon import forwarder
 from bulrushgrade_daemon import front
@@ -27,6 +28,7 @@
 from bulrushgrade_daemon import gatewaysettings
 from bulrushgrade_daemon import loadgossip
 from bulrushgrade_daemon import metrics
+from bulrushgrade_daemon import operatortasks
 from bulrushgrade_daemon import peerlink
 from bulrushgrade_daemon import placementindex
 from bulrushgrade_daemon import stagecontrol
@@ -127,6 +129,7 @@
         self._make_forwarding()
         self._make_sharing()
         self._make_stage_control()
+        self._tasks = self._make_operator_tasks()
         for service in (
             self._metrics,
             self._timers,
@@ -136,6 +139,7 @@
             self._gossip,
             self._index,
             self._stage_control,
+            *self._tasks.services,
             self._follow_peers,
             self._cache_watch,
             self._forwarder,
@@ -188,6 +192,11 @@
         """Asks peers where long prompts are best read."""
         return self._index
 
+    @property
+    def tasks(self) -> operatortasks.OperatorTasks:
+        """What one host at a time does for the operator."""
+        return self._tasks
+
     @property
     def stage_control(self) -> stagecontrol.StageControl:
         """Orders engines to change roles."""
@@ -275,6 +284,7 @@
             ),
             new_share=self._new_share,
             observe=self._observe_answer,
+            note_begun=lambda w, at: self._tasks.note_begun(w, at),
         )
         self._front = front.Front(
             reactor=context.reactor,
@@ -332,11 +342,15 @@
     def _make_stage_control(self) -> None:
         context = self._context
         lease_s = context.settings().bounds.order_lease_s
-        self._stage_control = stagecontrol.StageControl(
+        self._actions = fencedactions.FencedActions(
             timers=self._timers,
-            holder=self._own_name,
             turn=orderturn.OrderTurn(holder=self._own_name, lease_s=lease_s),
             topic=context.adapter.order_topic,
+        )
+        self._stage_control = stagecontrol.StageControl(
+            timers=self._timers,
+            holder=self._own_name,
+            actions=self._actions,
             control=context.adapter.engine_control,
             leads=self._gossip.leads,
             views=self._chooser.engine_views,
@@ -345,6 +359,24 @@
             on_broken=context.kernel.fail,
         )
 
+    def _make_operator_tasks(self) -> operatortasks.OperatorTasks:
+        context, settings = self._context, self._context.settings()
+        return operatortasks.OperatorTasks(
+            timers=self._timers,
+            own_name=self._own_name,
+            settings=settings.operator,
+            settle_s=settings.bounds.drain_s,
+            calls=context.adapter.operator_calls,
+            actions=self._actions,
+            view=self._view,
+            gossip=self._gossip,
+            reaches_store=lambda: self._follow_endpoints.reaches,
+            may_order=self._may_order,
+            send=self._link.send,
+            log=context.log,
+            on_broken=context.kernel.fail,
+        )
+
     def _take_message(self, message: gatewaymessages.Message) -> None:
         match message:
             case gatewaymessages.RoleChangeNotice(engine, stage, change_ms):
@@ -355,6 +387,8 @@
                 | gatewaymessages.RecordNotice()
             ):
                 self._topics.receive(message)
+            case gatewaymessages.UsageCounts() | gatewaymessages.UsageTaken():
+                self._tasks.receive(message)
             case _:
                 self._index.receive(message)
 
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaysettings.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaysettings.py
@@ -81,6 +81,49 @@
     order_lease_s: float = _key(keys.number(float, 0.1, 3600, "seconds"))
 
 
+REPORT_USAGE = "usage_reporting"
+ORDER_CAPACITY = "autoscale"
+
+
+def _parse_tasks(text: str) -> frozenset[str]:
+    return frozenset(name.strip() for name in text.split(",") if name.strip())
+
+
+_TASKS = keys.Kind(
+    expected="names separated by commas; those not known are left out",
+    parse=_parse_tasks,
+)
+
+
+@attrs.frozen(kw_only=True)
+class Operator:
+    """Section ``[operator]``: what one host at a time does for the operator.
+
+    Attributes:
+        address: Where calls go; None where none are wanted.
+        tasks: What is done.
+        usage_window_s: The length of the windows by which usage is counted.
+        usage_late_s: How long after a window's end its report is due.
+    """
+
+    address: keys.Address | None = _key(keys.address(1), None)
+    tasks: frozenset[str] = _key(_TASKS, frozenset())
+    usage_window_s: float = _key(
+        keys.number(float, 0.1, 86400, "seconds"), 60.0
+    )
+    usage_late_s: float = _key(keys.number(float, 0.1, 86400, "seconds"), 60.0)
+
+    @property
+    def reports_usage(self) -> bool:
+        """Whether usage is reported."""
+        return self.address is not None and REPORT_USAGE in self.tasks
+
+    @property
+    def orders_capacity(self) -> bool:
+        """Whether engines are ordered."""
+        return self.address is not None and ORDER_CAPACITY in self.tasks
+
+
 @attrs.frozen(kw_only=True)
 class GatewaySettings:
     """The settings of one gateway, a section an attribute."""
@@ -89,9 +132,16 @@
     listen: Listen
     store: Store
     bounds: Bounds
+    operator: Operator
 
 
-_SECTIONS = {"host": Host, "listen": Listen, "store": Store, "bounds": Bounds}
+_SECTIONS = {
+    "host": Host,
+    "listen": Listen,
+    "store": Store,
+    "bounds": Bounds,
+    "operator": Operator,
+}
 
 
 def parse_settings(
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/inflight.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/inflight.py
@@ -64,6 +64,7 @@
         urgency: How soon engines take it; 0 goes first.
         workspace: Whose it is, or None.
         hides_key: Whether its key is not for endpoints.
+        is_counted: Whether it was counted as one that began to run.
     """
 
     caller: front.CallerRequest
@@ -86,6 +87,7 @@
     urgency: int = attrs.field()
     workspace: workspaces.Workspace | None = None
     hides_key: bool = False
+    is_counted: bool = False
 
     @urgency.default
     def _route_urgency(self) -> int:
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadgossip.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadgossip.py
@@ -109,6 +109,7 @@
             own_name=own_name,
             hosts=lambda: link.hosts,
             zone_of=link.zone_of,
+            is_able=may_order,
         )
         self._members = self._fleet.members
         self._groups = othergroups.OtherGroups(
--- /dev/null
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/orderrecords.py
@@ -0,0 +1,44 @@
+"""Records of the topic of orders, as they are appended."""
+
+import attrs
+import msgspec
+
+from bulrushgrade import capacityplan
+from bulrushgrade import orderturn
+from bulrushgrade import usagewindows
+
+OrderRecord = (
+    orderturn.OrderRecord
+    | usagewindows.UsageRecord
+    | capacityplan.CapacityRecord
+)
+
+_KINDS: dict[str, type] = {
+    "stage": orderturn.OrderRecord,
+    "usage": usagewindows.UsageRecord,
+    "capacity": capacityplan.CapacityRecord,
+}
+_NAMES = {cls: name for name, cls in _KINDS.items()}
+
+
+class _Head(msgspec.Struct):
+    kind: str
+
+
+_head_decoder = msgspec.json.Decoder(_Head)
+_decoders = {name: msgspec.json.Decoder(cls) for name, cls in _KINDS.items()}
+
+
+def serialize(record: OrderRecord) -> bytes:
+    """Returns a record's content."""
+    content = {"kind": _NAMES[type(record)], **attrs.asdict(record)}
+    return msgspec.json.encode(content)
+
+
+def parse(content: bytes) -> OrderRecord | None:
+    """Returns the record of a content, None where it can't be read."""
+    try:
+        kind = _head_decoder.decode(content).kind
+        return _decoders[kind].decode(content)
+    except (msgspec.DecodeError, KeyError):
+        return None
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/stagecontrol.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/stagecontrol.py
@@ -16,9 +16,9 @@
 from bulrushgrade import orderturn
 from bulrushgrade import stageplan
 from bulrushgrade_daemon import decisionlog
+from bulrushgrade_daemon import fencedactions
 from bulrushgrade_daemon import outbound
 from bulrushgrade_daemon import task
-from bulrushgrade_daemon import topicreader
 
 TAKEN = "taken"
 UNANSWERED = "no answer"
@@ -27,40 +27,6 @@
 """Between two checks of the queues."""
 
 
-@attrs.frozen(kw_only=True)
-class Moved:
-    """The topic does not end where it was read to.
-
-    Attributes:
-        end: Where it ends.
-    """
-
-    end: int
-
-
-@attrs.frozen(kw_only=True)
-class OrderTopic:
-    """The topic of orders on the platform's store.
-
-    Attributes:
-        read: Returns the holders of the records from an offset on, None for
-            one that can't be read, and the offset of the first of them.
-        append: Appends a record where the topic ends at an offset; returns
-            the record's offset.
-    """
-
-    read: Callable[
-        [int],
-        Awaitable[
-            Result[tuple[int, tuple[str | None, ...]], topicreader.StoreAway]
-        ],
-    ]
-    append: Callable[
-        [orderturn.OrderRecord, int],
-        Awaitable[Result[int, Moved | topicreader.StoreAway]],
-    ]
-
-
 @attrs.frozen(kw_only=True)
 class EngineReport:
     """What an engine says of itself.
@@ -126,8 +92,7 @@
         *,
         timers: Any,
         holder: str,
-        turn: orderturn.OrderTurn,
-        topic: OrderTopic,
+        actions: fencedactions.FencedActions,
         control: EngineControl,
         leads: Callable[[], bool],
         views: Callable[[], list[stageplan.ServiceView]],
@@ -140,8 +105,7 @@
         Args:
             timers: The timer service, by a clock that runs through pauses.
             holder: This host's incarnation.
-            turn: What is known of the topic of orders.
-            topic: The topic of orders.
+            actions: Carries out what only one host at a time may do.
             control: Asks engines and orders them about.
             leads: Returns whether this host is the one to decide.
             views: Returns what is known of the engines by service.
@@ -152,8 +116,7 @@
         """
         self._timers = timers
         self._holder = holder
-        self._turn = turn
-        self._topic = topic
+        self._actions = actions
         self._control = control
         self._leads = leads
         self._views = views
@@ -188,7 +151,7 @@
             name: {"wait_s": plan.wait_s, "crowding": plan.crowding}
             for name, plan in self._plans.items()
         }
-        return {"plans": plans, "end": self._turn.end, **self.counts}
+        return {"plans": plans, "end": self._actions.end, **self.counts}
 
     def _check(self) -> None:
         for view in self._views():
@@ -229,62 +192,47 @@
             service=view.service,
             stage=change.stage.value,
             reason=change.reason,
-            end=self._turn.end,
+            end=self._actions.end,
             outcome=outcome,
         )
 
     async def _order(self, change: stageplan.StageChange) -> str:
         """Returns what came of it, for the log."""
-        read = await self._topic.read(self._turn.end)
-        if isinstance(read, Failure):
-            return f"store away: {read.failure().reason}"
-        self._take_records(*read.unwrap())
-        if not self._turn.may_append(self._timers.now):
-            return "another host's turn"
-        reported = await self._control.report(change.engine)
-        if isinstance(reported, Failure):
-            return f"no report: {reported.failure().reason}"
-        report = reported.unwrap()
-        if report.busy or report.stage is change.stage:
-            return "busy or changed already"
-        return await self._append_and_send(change, report)
-
-    async def _append_and_send(
-        self, change: stageplan.StageChange, report: EngineReport
-    ) -> str:
-        appended_at = self._timers.now
-        record = orderturn.OrderRecord(
-            holder=self._holder,
-            engine=change.engine.id,
-            stage=change.stage.value,
-        )
-        appended = await self._topic.append(record, self._turn.end)
-        if isinstance(appended, Failure):
-            return f"not appended: {appended.failure()}"
-        number = appended.unwrap()
-        self._turn.take(self._holder, number, now=self._timers.now)
-        order = StageOrder(
-            engine=change.engine,
-            stage=change.stage,
-            holder=self._holder,
-            number=number,
-            orders_before=report.orders,
-        )
+        report: EngineReport | None = None
+
+        async def make() -> orderturn.OrderRecord | fencedactions.Withheld:
+            nonlocal report
+            reported = await self._control.report(change.engine)
+            if isinstance(reported, Failure):
+                reason = f"no report: {reported.failure().reason}"
+                return fencedactions.Withheld(reason=reason)
+            report = reported.unwrap()
+            if report.busy or report.stage is change.stage:
+                return fencedactions.Withheld(reason="busy or changed already")
+            return orderturn.OrderRecord(
+                holder=self._holder,
+                engine=change.engine.id,
+                stage=change.stage.value,
+            )
 
-        def may_send() -> bool:
-            return self._turn.may_send(appended_at, self._timers.now)
+        async def send(
+            record: orderturn.OrderRecord, permit: fencedactions.Permit
+        ) -> Result[bool, outbound.CallFailed]:
+            order = StageOrder(
+                engine=change.engine,
+                stage=change.stage,
+                holder=permit.holder,
+                number=permit.number,
+                orders_before=report.orders,
+            )
+            self._orders += 1
+            return await self._control.order(order, permit.check)
 
-        sent = await self._control.order(order, may_send)
-        self._orders += 1
+        sent = await self._actions.perform(make, send)
         if isinstance(sent, Failure):
             failed = sent.failure()
-            return UNANSWERED if failed.written else failed.reason
+            is_written = isinstance(failed, outbound.CallFailed)
+            if is_written and failed.written:
+                return UNANSWERED
+            return failed.reason
         return TAKEN if sent.unwrap() else "refused"
-
-    def _take_records(
-        self, first: int, holders: tuple[str | None, ...]
-    ) -> None:
-        now = self._timers.now
-        self._turn.skip_to(first, now=now)
-        for place, holder in enumerate(holders):
-            self._turn.take(holder, first + place, now=now)
--- a/packages/bulrushgrade_daemon/tests/test_gatewaymessages.py
+++ b/packages/bulrushgrade_daemon/tests/test_gatewaymessages.py
@@ -34,6 +34,15 @@
         gatewaymessages.HolderQuery(peer="h", number=1, part="p"),
         gatewaymessages.HolderReply(peer="h", number=1, holders=[NEWS]),
         NEWS,
+        gatewaymessages.UsageCounts(
+            peer="h",
+            windows=[
+                gatewaymessages.WindowCounts(
+                    window=3, counts={"w": 2}, is_whole=True
+                )
+            ],
+        ),
+        gatewaymessages.UsageTaken(peer="h", windows=[3]),
         gatewaymessages.RoleChangeNotice(
             engine="e", stage=directory.Stage.PREFILL, change_ms=3000
         ),
--- a/packages/bulrushgrade_daemon/tests/test_gatewaysettings.py
+++ b/packages/bulrushgrade_daemon/tests/test_gatewaysettings.py
@@ -37,6 +37,16 @@
     assert found.bounds.drain_s == 2.0
 
 
+def test_nothing_is_done_for_the_operator_unless_the_settings_ask_for_it():
+    operator = parse(TEXT).unwrap().operator
+    assert (operator.reports_usage, operator.orders_capacity) == (False, False)
+    section = "[operator]\naddress = 10.0.0.2:70\ntasks = autoscale, other\n"
+    operator = parse(TEXT + section).unwrap().operator
+    assert (operator.reports_usage, operator.orders_capacity) == (False, True)
+    without_address = "[operator]\ntasks = usage_reporting\n"
+    assert not parse(TEXT + without_address).unwrap().operator.reports_usage
+
+
 def test_every_error_is_named_at_once():
     wrong = TEXT.replace("10.0.0.1:7000", "store:7000")
     wrong = wrong.replace("stop_s = 8", "stop_s = soon")
--- a/packages/bulrushgrade_daemon/tests/test_stagecontrol.py
+++ b/packages/bulrushgrade_daemon/tests/test_stagecontrol.py
@@ -9,6 +9,8 @@
 from bulrushgrade import directory
 from bulrushgrade import orderturn
 from bulrushgrade import stageplan
+from bulrushgrade_daemon import fencedactions
+from bulrushgrade_daemon import orderrecords
 from bulrushgrade_daemon import outbound
 from bulrushgrade_daemon import stagecontrol
 from bulrushgrade_daemon import topicreader
@@ -33,7 +35,7 @@
 class Scene:
     """One host's control with prepared answers."""
 
-    def __init__(self, *, read=None, append=0, report=REPORT, leads=True):
+    def __init__(self, *, read=None, append=1, report=REPORT, leads=True):
         self.reactor, timers, self.broken = fakes.make_timers()
         self.timers = timers
         self.lines = fakes.Lines()
@@ -48,8 +50,13 @@
         control = stagecontrol.StageControl(
             timers=timers,
             holder="me",
-            turn=self.turn,
-            topic=stagecontrol.OrderTopic(read=self.read, append=self.append),
+            actions=fencedactions.FencedActions(
+                timers=timers,
+                turn=self.turn,
+                topic=fencedactions.OrderTopic(
+                    read=self.read, append=self.append
+                ),
+            ),
             control=stagecontrol.EngineControl(
                 report=self.report, order=self._order
             ),
@@ -98,7 +105,8 @@
     (order,) = scene.sent
     assert (order.engine.id, order.stage) == ("d1", PREFILL)
     assert (order.number, order.orders_before) == (17, 4)
-    (record, at) = scene.append.calls[0]
+    (content, at) = scene.append.calls[0]
+    record = orderrecords.parse(content)
     assert (record.holder, record.engine, at) == ("me", "d1", 0)
     ((change, change_s),) = scene.announced
     assert (change.engine.id, change.stage) == ("d1", PREFILL)
@@ -113,7 +121,8 @@
 
 
 def test_recent_order_of_another_host_is_waited_out():
-    scene = Scene(read=(0, ("other",)))
+    record = orderturn.OrderRecord(holder="other", engine="d1", stage="decode")
+    scene = Scene(read=(0, (orderrecords.serialize(record),)))
     scene.pump(4.0)
     assert scene.append.calls == []
 
@@ -132,7 +141,7 @@
 
 
 def test_topic_that_moved_sends_nothing():
-    scene = Scene(append=Failure(stagecontrol.Moved(end=3)))
+    scene = Scene(append=Failure(fencedactions.Moved(end=3)))
     scene.pump(5.0)
     assert scene.sent == []
 
--- /dev/null
+++ b/packages/bulrushgrade_daemon/tests/test_usagereporting.py
@@ -0,0 +1,213 @@
+"""Tests of counting usage on many hosts and reporting it by one."""
+
+import fakes
+import pytest
+from returns.result import Failure
+from returns.result import Success
+
+from bulrushgrade import orderturn
+from bulrushgrade import usagewindows
+from bulrushgrade import workspaces
+from bulrushgrade_daemon import fencedactions
+from bulrushgrade_daemon import gatewaymessages
+from bulrushgrade_daemon import operatorcalls
+from bulrushgrade_daemon import outbound
+from bulrushgrade_daemon import usagereporting
+
+WINDOWS = usagewindows.Windows(window_s=5.0, late_s=10.0)
+DEALER = workspaces.Workspace(name="dealer")
+LESSOR = workspaces.Workspace(name="lessor")
+STARTED_S = 1_700_000_000.0
+TAKEN = operatorcalls.CallOutcome.TAKEN
+
+
+class Fleet:
+    """Daemons with one log, one operator and links that may lose messages."""
+
+    def __init__(self, *names):
+        self.reactor, self.timers, _ = fakes.make_timers()
+        self.log = []
+        self.reports = {}
+        self.answer = Success(TAKEN)
+        self.loses = lambda peer, message: False
+        self.daemons = {}
+        self.clock_steps = dict.fromkeys(names, 0.0)
+        for name in names:
+            self.start(name)
+
+    def start(self, name):
+        actions = fencedactions.FencedActions(
+            timers=self.timers,
+            turn=orderturn.OrderTurn(holder=name, lease_s=3.0),
+            topic=fencedactions.OrderTopic(read=self.read, append=self.append),
+        )
+        calls = operatorcalls.OperatorCalls(
+            report_usage=self.report, order_capacity=None
+        )
+        daemon = usagereporting.UsageReporting(
+            timers=self.timers,
+            own_name=name,
+            windows=WINDOWS,
+            actions=actions,
+            calls=calls,
+            fleet=View(fleet=self, own_name=name),
+            may_order=lambda: True,
+            send=lambda peer, message: self.carry(peer, message),
+            log=fakes.Lines().make(),
+            on_broken=pytest.fail,
+            time_of_day=lambda: (
+                STARTED_S + self.reactor.seconds() + self.clock_steps[name]
+            ),
+        )
+        self.daemons[name] = daemon
+        fakes.run(daemon.start())
+
+    def kill(self, name):
+        daemon = self.daemons.pop(name)
+        daemon._tick.cancel()
+
+    def stop(self, name):
+        fakes.run(self.daemons.pop(name).stop())
+
+    async def read(self, offset):
+        return Success((offset, tuple(self.log[offset:])))
+
+    async def append(self, content, at):
+        if at != len(self.log):
+            return Failure(fencedactions.Moved(end=len(self.log)))
+        self.log.append(content)
+        return Success(at)
+
+    async def report(self, record, permit):
+        if not permit.check():
+            return Failure(outbound.CallFailed(written=False, reason="late"))
+        sent = self.reports.setdefault(record.window, [])
+        sent.append((permit.holder, record.counts))
+        return self.answer
+
+    def carry(self, peer, message):
+        data = gatewaymessages.serialize(message)
+        if peer in self.daemons and not self.loses(peer, message):
+            self.daemons[peer].receive(gatewaymessages.parse(data))
+        return True
+
+    def pass_time(self, seconds):
+        self.reactor.pump([0.1] * round(seconds * 10))
+
+    def begin(self, name, workspace=DEALER, count=1):
+        for _ in range(count):
+            self.daemons[name].note_begun(workspace, self.timers.now)
+
+    def total(self, workspace="dealer"):
+        return sum(
+            sent[0][1].get(workspace, 0) for sent in self.reports.values()
+        )
+
+
+class View:
+    """Which daemons are there, as one of them sees it."""
+
+    def __init__(self, *, fleet, own_name):
+        self._fleet = fleet
+        self._own_name = own_name
+
+    @property
+    def there(self):
+        others = [n for n in self._fleet.daemons if n != self._own_name]
+        return [self._own_name, *others]
+
+    def first_able(self):
+        return min(self.there)
+
+
+def test_one_host_reports_what_all_have_counted():
+    fleet = Fleet("a", "b", "c")
+    for _ in range(40):
+        for name in "abc":
+            fleet.begin(name)
+        fleet.begin("b", LESSOR)
+        fleet.daemons["c"].note_begun(None, fleet.timers.now)
+        fleet.pass_time(0.5)
+    fleet.pass_time(10.0)
+    assert (fleet.total(), fleet.total("lessor")) == (120, 40)
+    assert all(len(sent) == 1 for sent in fleet.reports.values())
+    holders = {holder for sent in fleet.reports.values() for holder, _ in sent}
+    assert holders == {"a"}
+
+
+def test_lost_messages_lose_no_counts():
+    """Guards against counts that are gone with one datagram."""
+    fleet = Fleet("a", "b")
+    carried = []
+
+    def loses(peer, message):
+        carried.append(peer)
+        return len(carried) % 3 != 0
+
+    fleet.loses = loses
+    for _ in range(40):
+        fleet.begin("b")
+        fleet.pass_time(0.5)
+    fleet.pass_time(10.0)
+    assert fleet.total() == 40
+
+
+def test_successor_reports_what_the_others_still_have():
+    """The host that reports is killed; only its own counts may be lost."""
+    fleet = Fleet("a", "b", "c")
+    for _ in range(20):
+        fleet.begin("b")
+        fleet.begin("c")
+        fleet.pass_time(0.5)
+    fleet.kill("a")
+    fleet.begin("b", count=5)
+    fleet.pass_time(25.0)
+    assert fleet.total() == 45
+    for sent in fleet.reports.values():
+        assert all(counts == sent[0][1] for _, counts in sent)
+
+
+def test_host_that_is_killed_loses_no_more_than_its_last_second():
+    fleet = Fleet("a", "b")
+    fleet.begin("b", count=3)
+    sent_each_s = usagereporting.CHECK_PERIOD_S * usagereporting.SEND_CHECKS
+    fleet.pass_time(sent_each_s + 0.2)
+    fleet.kill("b")
+    fleet.pass_time(20.0)
+    assert fleet.total() == 3
+
+
+def test_host_that_stops_loses_nothing():
+    fleet = Fleet("a", "b")
+    fleet.pass_time(2.3)
+    fleet.begin("b", count=3)
+    fleet.stop("b")
+    fleet.pass_time(20.0)
+    assert fleet.total() == 3
+
+
+def test_report_without_an_answer_is_repeated_as_it_was():
+    """Guards against a second report of a window that differs."""
+    fleet = Fleet("a", "b")
+    fleet.answer = Failure(outbound.CallFailed(written=True, reason="timeout"))
+    fleet.begin("b", count=3)
+    fleet.pass_time(8.0)
+    fleet.begin("b", count=2)
+    fleet.pass_time(2.0)
+    fleet.answer = Success(TAKEN)
+    fleet.pass_time(12.0)
+    assert fleet.total() == 5
+    assert any(len(sent) > 1 for sent in fleet.reports.values())
+    for sent in fleet.reports.values():
+        assert all(counts == sent[0][1] for _, counts in sent)
+
+
+def test_clock_that_is_set_on_one_host_counts_in_the_right_window():
+    fleet = Fleet("a", "b")
+    fleet.pass_time(30.0)
+    fleet.clock_steps["b"] = 60.0
+    fleet.begin("b", count=3)
+    fleet.pass_time(5.0)
+    fleet.clock_steps["b"] = 0.0
+    fleet.pass_time(20.0)
+    assert fleet.total() == 3
