Tell a successor which reports were accepted, and send others meanwhile

Ruled out: asking the platform, where nothing can be read back; repeating only the last one, which loses a report that was rejected before it.

Change: a record names the windows that are known to have been accepted. A report that was not accepted is sent again after 1 s, and others go meanwhile; those that can still be in time go first.

--- a/packages/bulrushgrade/bulrushgrade/capacityplan.py
+++ b/packages/bulrushgrade/bulrushgrade/capacityplan.py
@@ -1,11 +1,11 @@
 """How many engines of which kind a service should have in each zone.
 
 Spot engines cost a part of the others' price, and all those of a zone may be
-taken away at once. So a service is moved to them with a reserve: without any
-one zone, the others still have as many engines as the service needs. Where a
-zone has no spot engines to give, others stand in, and engines at the full
-price only where spot ones can't be had in time. Engines are ordered before
-those that they replace are given up.
+taken away at once. So a service is moved to as many of them as cost no more
+than the engines that it had, which leaves a reserve: without any one zone, the
+others still have as many engines as the service needs. Where zones have no
+spot engines to give and the rest is too few, engines at the full price stand
+in. Engines are ordered before those that they replace are given up.
 """
 
 from collections.abc import Mapping
@@ -192,10 +192,7 @@
         scaling, zones = view.scaling, view.zones
         room = scaling.most - scaling.least
         giving = [z for z in zones if (z, True) not in self._refusing]
-        # Without any one zone, the others have what is needed.
-        wanted = self._needed * len(zones) / (len(zones) - 1)
-        each = math.ceil(wanted / max(1, len(giving)))
-        each = min(each, room)
+        each = min(self._affordable(view), room)
         full = dict.fromkeys(zones, scaling.least)
         missing = self._needed - each * len(giving) - sum(full.values())
         for zone in zones:
@@ -207,6 +204,17 @@
         targets = {(zone, True): each for zone in zones}
         return targets | {(zone, False): full[zone] for zone in zones}
 
+    def _affordable(self, view: CapacityView) -> int:
+        """Returns the spot engines a zone that cost what was paid before.
+
+        At least as many as leave what is needed without any one zone.
+        """
+        scaling, zones = view.scaling, len(view.zones)
+        kept = scaling.least * zones
+        paid_for = (self._needed - kept) / scaling.spot_price
+        reserve = math.ceil((self._needed - kept) / (zones - 1))
+        return max(math.floor(paid_for / zones), reserve)
+
     def _is_short(
         self, view: CapacityView, pool: Pool, count: int, now: float
     ) -> bool:
--- a/packages/bulrushgrade/bulrushgrade/usagewindows.py
+++ b/packages/bulrushgrade/bulrushgrade/usagewindows.py
@@ -22,6 +22,9 @@
 """Of the time in which a report is due, for which counts of daemons that have
 not sent theirs are waited for."""
 
+RETRY_S = 1.0
+"""Before a report that was not accepted is sent again."""
+
 KEPT_TIMES = 4.0
 """Times within which reports are due, for which windows are remembered."""
 
@@ -34,11 +37,13 @@
         holder: The incarnation of the host that reports it.
         window: The window's number, counted from 1970.
         counts: What is reported.
+        accepted: Windows whose reports are known to have been accepted.
     """
 
     holder: str
     window: int
     counts: Counts
+    accepted: tuple[int, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -65,6 +70,10 @@
         """Returns whether a daemon has counted what began in a window."""
         return now >= self.end(window) + SETTLE_S
 
+    def is_in_time(self, window: int, now: float) -> bool:
+        """Returns whether a window's report is not late yet."""
+        return now <= self.end(window) + self.late_s
+
     def oldest_kept(self, now: float) -> int:
         """Returns the oldest window that is remembered."""
         return self.number(now - KEPT_TIMES * self.late_s)
@@ -122,6 +131,7 @@
         self._first = windows.number(started_at)
         self._recorded: dict[int, Counts] = {}
         self._accepted: set[int] = set()
+        self._tried_at: dict[int, float] = {}
         # Windows that began before may have records that nobody can read.
         self._known_from = -math.inf
         self._sent: dict[int, dict[str, _Sent]] = {}
@@ -134,11 +144,16 @@
     def take_record(self, record: UsageRecord) -> None:
         """Takes a record; the first of a window is the one that counts."""
         self._recorded.setdefault(record.window, record.counts)
+        self._accepted.update(record.accepted)
 
     def note_gap(self, now: float) -> None:
         """Notes that records were dropped unread."""
         self._known_from = now
 
+    def note_tried(self, window: int, now: float) -> None:
+        """Notes that a window's report was sent, or was to be."""
+        self._tried_at[window] = now
+
     def note_accepted(self, window: int) -> None:
         """Notes that the platform has a window's report."""
         self._accepted.add(window)
@@ -174,15 +189,20 @@
             now: The present moment of true time.
             daemons: Those that are there.
         """
-        oldest = self._windows.oldest_kept(now)
-        for window in sorted(self._recorded.keys() - self._accepted):
-            if window >= oldest:
-                return self._make(window, self._recorded[window])
         expected = set(daemons)
-        for window in range(oldest, self._windows.number(now)):
-            if self._is_due(window, now, expected):
-                return self._make(window, self._add_up(window))
-        return None
+        windows = range(
+            self._windows.oldest_kept(now), self._windows.number(now)
+        )
+        due = [w for w in windows if self._is_due(w, now, expected)]
+        if not due:
+            return None
+        # Those that can still be in time go before those that are late.
+        in_time = [w for w in due if self._windows.is_in_time(w, now)]
+        window = (in_time or due)[0]
+        counts = self._recorded.get(window)
+        if counts is None:
+            counts = self._add_up(window)
+        return self._make(window, counts)
 
     def forget(self, now: float) -> None:
         """Drops windows that are not remembered any more."""
@@ -192,10 +212,17 @@
             w: counts for w, counts in self._recorded.items() if w >= oldest
         }
         self._sent = {w: sent for w, sent in self._sent.items() if w >= oldest}
+        self._tried_at = {
+            w: at for w, at in self._tried_at.items() if w >= oldest
+        }
 
     def _is_due(self, window: int, now: float, expected: set[str]) -> bool:
-        if window in self._recorded or window in self._accepted:
+        if window in self._accepted:
+            return False
+        if now - self._tried_at.get(window, -math.inf) < RETRY_S:
             return False
+        if window in self._recorded:
+            return True
         end = self._windows.end(window)
         if end - self._windows.window_s < self._known_from:
             return False
@@ -216,4 +243,9 @@
         return total
 
     def _make(self, window: int, counts: Counts) -> UsageRecord:
-        return UsageRecord(holder=self._holder, window=window, counts=counts)
+        return UsageRecord(
+            holder=self._holder,
+            window=window,
+            counts=counts,
+            accepted=tuple(sorted(self._accepted)),
+        )
--- a/packages/bulrushgrade/tests/test_usagewindows.py
+++ b/packages/bulrushgrade/tests/test_usagewindows.py
@@ -73,6 +73,44 @@
     assert reports.next_record(107.0, ["a"]) is None
 
 
+def test_successor_repeats_only_what_may_not_have_been_accepted():
+    """Guards against new reports that wait behind repeats of old ones."""
+    reports = make()
+    for window in (20, 21, 22):
+        reports.take_record(
+            usagewindows.UsageRecord(
+                holder="b",
+                window=window,
+                counts={"dealer": window},
+                accepted=tuple(range(20, window)),
+            )
+        )
+    assert reports.next_record(117.0, ["a"]).window == 22
+    reports.note_accepted(22)
+    assert reports.next_record(117.0, ["a"]) is None
+
+
+def test_report_that_is_rejected_holds_up_no_other():
+    reports = make()
+    for window in (20, 21):
+        reports.take_counts("a", window, {"dealer": 1}, is_whole=True)
+    reports.take_record(reports.next_record(112.0, ["a"]))
+    reports.note_tried(20, 112.0)
+    assert reports.next_record(112.1, ["a"]).window == 21
+    reports.take_record(reports.next_record(112.1, ["a"]))
+    reports.note_accepted(21)
+    later = 112.0 + usagewindows.RETRY_S
+    assert reports.next_record(later, ["a"]).window == 20
+
+
+def test_report_that_can_be_in_time_goes_before_one_that_is_late():
+    reports = make()
+    for window in (20, 21):
+        reports.take_counts("a", window, {"dealer": 1}, is_whole=True)
+    assert reports.next_record(114.0, ["a"]).window == 20
+    assert reports.next_record(116.0, ["a"]).window == 21
+
+
 def test_window_whose_record_may_be_lost_is_not_reported_anew():
     """Guards against a second report after the store dropped its history."""
     reports = make()
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/usagereporting.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/usagereporting.py
@@ -247,6 +247,7 @@
         self._outcomes[outcome] = self._outcomes.get(outcome, 0) + 1
         if record is None:
             return
+        self._reports.note_tried(record.window, self._now)
         self._log.note(
             "usage_report",
             window=record.window,
