Send usage counts to the host whose record is the newest

Cause: hosts went by their own view of which host is the first that reaches the store.

Ruled out: quicker lists of who is able, which still differ for a moment and flap with the first one's return; counts to all hosts, which cost hosts times hosts.

Change: who reports appends that it does, and tells all hosts with the number of its record; replies to counts say the same. Hosts follow the largest number that they hear and turn to the first able host only where nobody reports. Who reports stays so while it can. It adds up once all had the time to send anew. Who reports orders engines about too, so that two hosts don't wait for each other's turn.

--- a/packages/bulrushgrade/bulrushgrade/usagewindows.py
+++ b/packages/bulrushgrade/bulrushgrade/usagewindows.py
@@ -46,6 +46,17 @@
     accepted: tuple[int, ...] = ()
 
 
+@attrs.frozen(kw_only=True)
+class ReporterRecord:
+    """Says who reports from now on.
+
+    Attributes:
+        holder: The incarnation of the host that reports.
+    """
+
+    holder: str
+
+
 @attrs.frozen(kw_only=True)
 class Windows:
     """How time is divided.
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/capacitycontrol.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/capacitycontrol.py
@@ -160,6 +160,8 @@
                 return plan.propose(view, self._timers.now)
         return None
 
-    def _take_record(self, record: orderrecords.OrderRecord) -> None:
+    def _take_record(
+        self, record: orderrecords.OrderRecord, number: int
+    ) -> None:
         if isinstance(record, capacityplan.CapacityRecord):
             self._plan(record.service).take_record(record, self._timers.now)
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/fencedactions.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/fencedactions.py
@@ -102,7 +102,8 @@
         self._lock = defer.DeferredLock()
         self._listeners: list[
             tuple[
-                Callable[[orderrecords.OrderRecord], None], Callable[[], None]
+                Callable[[orderrecords.OrderRecord, int], None],
+                Callable[[], None],
             ]
         ] = []
 
@@ -113,13 +114,13 @@
 
     def listen(
         self,
-        take: Callable[[orderrecords.OrderRecord], None],
+        take: Callable[[orderrecords.OrderRecord, int], None],
         note_gap: Callable[[], None] = lambda: None,
     ) -> None:
         """Has records that can be read passed on, own ones included.
 
         Args:
-            take: Takes each record in its order.
+            take: Takes each record with its number, in their order.
             note_gap: Called where records were dropped unread.
         """
         self._listeners.append((take, note_gap))
@@ -185,7 +186,7 @@
             self._turn.take(self._turn.holder, number, now=self._timers.now)
             # Some receivers take a number of zero for none.
             if number > 0:
-                self._pass_on(record)
+                self._pass_on(record, number)
                 return appended
 
     def _take_records(self, first: int, contents: tuple[bytes, ...]) -> None:
@@ -199,11 +200,11 @@
             holder = None if record is None else record.holder
             self._turn.take(holder, first + place, now=now)
             if record is not None:
-                self._pass_on(record)
+                self._pass_on(record, first + place)
 
-    def _pass_on(self, record: orderrecords.OrderRecord) -> None:
+    def _pass_on(self, record: orderrecords.OrderRecord, number: int) -> None:
         for take, _ in self._listeners:
-            take(record)
+            take(record, number)
 
 
 def _withhold(reason: str) -> Failure:
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaymessages.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaymessages.py
@@ -293,15 +293,30 @@
 
 
 class UsageTaken(msgspec.Struct, array_like=True, tag="usage_taken"):
-    """Says which windows need not be sent again.
+    """Replies to counts.
 
     Attributes:
         peer: Who has them.
-        windows: Their numbers.
+        windows: Those that need not be sent again.
+        number: Of the receiver's last record as the one that reports; 0
+            where it does not report.
     """
 
     peer: str
     windows: list[int]
+    number: int
+
+
+class UsageReporter(msgspec.Struct, array_like=True, tag="usage_reporter"):
+    """Says who reports; the largest number is the newest.
+
+    Attributes:
+        peer: Who reports.
+        number: Of its last record.
+    """
+
+    peer: str
+    number: int
 
 
 Message = (
@@ -322,6 +337,7 @@
     | RecordNotice
     | UsageCounts
     | UsageTaken
+    | UsageReporter
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
@@ -352,7 +352,7 @@
             holder=self._own_name,
             actions=self._actions,
             control=context.adapter.engine_control,
-            leads=self._gossip.leads,
+            leads=lambda: self._tasks.leads(),
             views=self._chooser.engine_views,
             announce=self._announce_stage,
             log=context.log,
@@ -372,7 +372,7 @@
             gossip=self._gossip,
             reaches_store=lambda: self._follow_endpoints.reaches,
             may_order=self._may_order,
-            send=self._link.send,
+            link=self._link,
             log=context.log,
             on_broken=context.kernel.fail,
         )
@@ -387,7 +387,11 @@
                 | gatewaymessages.RecordNotice()
             ):
                 self._topics.receive(message)
-            case gatewaymessages.UsageCounts() | gatewaymessages.UsageTaken():
+            case (
+                gatewaymessages.UsageCounts()
+                | gatewaymessages.UsageTaken()
+                | gatewaymessages.UsageReporter()
+            ):
                 self._tasks.receive(message)
             case _:
                 self._index.receive(message)
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/operatortasks.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/operatortasks.py
@@ -14,6 +14,7 @@
 from bulrushgrade_daemon import gatewaysettings
 from bulrushgrade_daemon import loadgossip
 from bulrushgrade_daemon import operatorcalls
+from bulrushgrade_daemon import peerlink
 from bulrushgrade_daemon import storeview
 from bulrushgrade_daemon import usagereporting
 
@@ -34,7 +35,7 @@
         gossip: loadgossip.LoadGossip,
         reaches_store: Callable[[], bool],
         may_order: Callable[[], bool],
-        send: Callable[[str, gatewaymessages.Message], bool],
+        link: peerlink.PeerLink,
         log: decisionlog.DecisionLog,
         on_broken: Callable[[str], None],
     ):
@@ -51,11 +52,12 @@
             gossip: Knows which daemons are there and which leads.
             reaches_store: Returns whether the store answers this host.
             may_order: Returns whether this host could do the tasks.
-            send: Sends a message to a peer.
+            link: Sends to peers.
             log: Gets a line for each report and order.
             on_broken: Called with the reason where an invariant is broken.
         """
         self._settle_s = settle_s
+        self._gossip = gossip
         self._view = view
         self._reaches_store = reaches_store
         self._usage: usagereporting.UsageReporting | None = None
@@ -72,7 +74,8 @@
                 calls=calls,
                 fleet=gossip.fleet,
                 may_order=may_order,
-                send=send,
+                send=link.send,
+                broadcast=link.broadcast,
                 log=log,
                 on_broken=on_broken,
             )
@@ -82,7 +85,7 @@
                 own_name=own_name,
                 actions=actions,
                 calls=calls,
-                leads=gossip.leads,
+                leads=self.leads,
                 views=self._capacity_views,
                 log=log,
                 on_broken=on_broken,
@@ -103,6 +106,16 @@
             for outcome, count in service.counts.items()
         }
 
+    def leads(self) -> bool:
+        """Returns whether this host is the one that orders engines about.
+
+        Who reports usage does, so that hosts don't wait for each other's turn
+        in the topic of orders.
+        """
+        if self._usage is not None:
+            return self._usage.reports_itself
+        return self._gossip.leads()
+
     def note_begun(
         self, workspace: workspaces.Workspace | None, at: float
     ) -> None:
@@ -117,7 +130,9 @@
 
     def receive(
         self,
-        message: gatewaymessages.UsageCounts | gatewaymessages.UsageTaken,
+        message: gatewaymessages.UsageCounts
+        | gatewaymessages.UsageTaken
+        | gatewaymessages.UsageReporter,
     ) -> None:
         """Takes a peer's message."""
         if self._usage is not None:
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/orderrecords.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/orderrecords.py
@@ -10,12 +10,14 @@
 OrderRecord = (
     orderturn.OrderRecord
     | usagewindows.UsageRecord
+    | usagewindows.ReporterRecord
     | capacityplan.CapacityRecord
 )
 
 _KINDS: dict[str, type] = {
     "stage": orderturn.OrderRecord,
     "usage": usagewindows.UsageRecord,
+    "reporter": usagewindows.ReporterRecord,
     "capacity": capacityplan.CapacityRecord,
 }
 _NAMES = {cls: name for name, cls in _KINDS.items()}
--- a/packages/bulrushgrade_daemon/tests/test_fencedactions.py
+++ b/packages/bulrushgrade_daemon/tests/test_fencedactions.py
@@ -33,7 +33,10 @@
             topic=fencedactions.OrderTopic(read=self.read, append=self.append),
         )
         self.seen, self.gaps, self.sent = [], [], []
-        self.actions.listen(self.seen.append, lambda: self.gaps.append(1))
+        self.actions.listen(
+            lambda record, number: self.seen.append(record),
+            lambda: self.gaps.append(1),
+        )
 
     def perform(self, record=RECORD):
         async def make():
--- a/packages/bulrushgrade_daemon/tests/test_gatewaymessages.py
+++ b/packages/bulrushgrade_daemon/tests/test_gatewaymessages.py
@@ -42,7 +42,8 @@
                 )
             ],
         ),
-        gatewaymessages.UsageTaken(peer="h", windows=[3]),
+        gatewaymessages.UsageTaken(peer="h", windows=[3], number=5),
+        gatewaymessages.UsageReporter(peer="h", number=5),
         gatewaymessages.RoleChangeNotice(
             engine="e", stage=directory.Stage.PREFILL, change_ms=3000
         ),
--- a/packages/bulrushgrade_daemon/tests/test_usagereporting.py
+++ b/packages/bulrushgrade_daemon/tests/test_usagereporting.py
@@ -1,5 +1,7 @@
 """Tests of counting usage on many hosts and reporting it by one."""
 
+import collections
+
 import fakes
 import pytest
 from returns.result import Failure
@@ -31,7 +33,10 @@
         self.answer = Success(TAKEN)
         self.loses = lambda peer, message: False
         self.daemons = {}
-        self.clock_steps = dict.fromkeys(names, 0.0)
+        self.unable = set()
+        # Who each daemon takes for unable, where its view is old.
+        self.believed_unable = {}
+        self.clock_steps = collections.Counter()
         for name in names:
             self.start(name)
 
@@ -51,8 +56,13 @@
             actions=actions,
             calls=calls,
             fleet=View(fleet=self, own_name=name),
-            may_order=lambda: True,
+            may_order=lambda: name not in self.unable,
             send=lambda peer, message: self.carry(peer, message),
+            broadcast=lambda message: [
+                self.carry(peer, message)
+                for peer in list(self.daemons)
+                if peer != name
+            ],
             log=fakes.Lines().make(),
             on_broken=pytest.fail,
             time_of_day=lambda: (
@@ -117,7 +127,10 @@
         return [self._own_name, *others]
 
     def first_able(self):
-        return min(self.there)
+        believed = self._fleet.believed_unable
+        unable = believed.get(self._own_name, self._fleet.unable)
+        able = [name for name in self.there if name not in unable]
+        return min(able, default=self._own_name)
 
 
 def test_one_host_reports_what_all_have_counted():
@@ -202,6 +215,43 @@
         assert all(counts == sent[0][1] for _, counts in sent)
 
 
+def test_daemons_that_disagree_on_who_is_able_send_to_one_place():
+    """The first host was cut from the store; only some hosts know it is back.
+
+    Guards against counts that are split between two that would report.
+    """
+    fleet = Fleet("a", "b", "c", "d")
+    fleet.pass_time(8.0)
+    fleet.unable = {"a"}
+    fleet.believed_unable = {"d": set()}
+    for _ in range(60):
+        for name in "abcd":
+            fleet.begin(name)
+        fleet.pass_time(0.25)
+    fleet.unable = set()
+    fleet.believed_unable = {"b": {"a"}, "c": {"a"}}
+    for _ in range(60):
+        for name in "abcd":
+            fleet.begin(name)
+        fleet.pass_time(0.25)
+    fleet.pass_time(12.0)
+    assert fleet.total() == 480
+    for sent in fleet.reports.values():
+        assert all(counts == sent[0][1] for _, counts in sent)
+
+
+def test_reports_stay_with_who_reports_while_that_one_can():
+    """Guards against a change of who reports each time the first returns."""
+    fleet = Fleet("b", "c")
+    fleet.pass_time(8.0)
+    fleet.start("a")
+    fleet.begin("a", count=3)
+    fleet.pass_time(30.0)
+    assert fleet.total() == 3
+    holders = {holder for sent in fleet.reports.values() for holder, _ in sent}
+    assert holders == {"b"}
+
+
 def test_clock_that_is_set_on_one_host_counts_in_the_right_window():
     fleet = Fleet("a", "b")
     fleet.pass_time(30.0)
