Look at engines' roles on the leading host only, and spend less a request

Ruled out: importing less, some 0.46 s a start of which most is Twisted's; fewer messages of loads, which age views.

Change: hosts that don't lead look at no engines; who comes to lead learns the smoothed means anew. A request ranks the engines once instead of up to three times. Shares are added without a counter. Orders are kept for 64 prompts.

--- a/packages/bulrushgrade/bulrushgrade/enginerank.py
+++ b/packages/bulrushgrade/bulrushgrade/enginerank.py
@@ -1,5 +1,7 @@
 """An order of engines for a prompt that all daemons work out alike."""
 
+import functools
+
 import attrs
 import xxhash
 
@@ -7,6 +9,10 @@
 from bulrushgrade import prompt as prompt_module
 from bulrushgrade import routing
 
+KEPT_ORDERS = 64
+"""Orders that are kept: one request is ranked for up to three times, as it is
+queried for, planned and handed over."""
+
 
 @attrs.frozen(kw_only=True)
 class Ranked:
@@ -50,12 +56,16 @@
     Rendezvous hashing: an engine that comes or goes moves only the parts that
     it gets or had.
     """
-    key = _spread_key(prompt, traits)
+    ids = tuple([engine.id for engine in engines])
+    order = _order(_spread_key(prompt, traits), ids)
+    return [engines[place] for place in order]
 
-    def score(engine: directory.Registration) -> int:
-        return xxhash.xxh3_64_intdigest(f"{key}/{engine.id}".encode())
 
-    return sorted(engines, key=score, reverse=True)
+@functools.lru_cache(maxsize=KEPT_ORDERS)
+def _order(key: str, ids: tuple[str, ...]) -> list[int]:
+    """Returns the places of ids in their order for a key."""
+    scores = [xxhash.xxh3_64_intdigest(f"{key}/{id}".encode()) for id in ids]
+    return sorted(range(len(ids)), key=scores.__getitem__, reverse=True)
 
 
 def _spread_key(
--- a/packages/bulrushgrade/bulrushgrade/peerloads.py
+++ b/packages/bulrushgrade/bulrushgrade/peerloads.py
@@ -46,8 +46,13 @@
 
     def __add__(self, other: "EngineShare") -> "EngineShare":
         """Returns both together."""
-        queued_s = collections.Counter(self.queued_s)
-        queued_s.update(other.queued_s)
+        if other is NOTHING:
+            return self
+        if self is NOTHING:
+            return other
+        queued_s = dict(self.queued_s)
+        for level, seconds in other.queued_s.items():
+            queued_s[level] = queued_s.get(level, 0.0) + seconds
         return EngineShare(
             queued_s=queued_s,
             streams=self.streams + other.streams,
--- a/packages/bulrushgrade/bulrushgrade/workspaces.py
+++ b/packages/bulrushgrade/bulrushgrade/workspaces.py
@@ -57,6 +57,10 @@
             keys: Digests of keys with the workspace that each belongs to.
         """
         self._by_digest = dict(keys)
+        self._least_urgent = max(
+            (owner.priority or 0 for owner in self._by_digest.values()),
+            default=0,
+        )
 
     def __len__(self) -> int:
         return len(self._by_digest)
@@ -64,8 +68,7 @@
     @property
     def least_urgent(self) -> int:
         """The priority of the least urgent workspace that has one."""
-        owners = set(self._by_digest.values())
-        return max((owner.priority or 0 for owner in owners), default=0)
+        return self._least_urgent
 
     def find(self, digests: frozenset[bytes]) -> Workspace | Denial:
         """Returns whose request it is by the digests of the keys it bears.
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/stagecontrol.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/stagecontrol.py
@@ -154,12 +154,17 @@
         return {"plans": plans, "end": self._actions.end, **self.counts}
 
     def _check(self) -> None:
+        if not self._leads():
+            # To look at every engine costs more than all else that an idle
+            # host does. Who comes to lead learns the means anew.
+            self._plans.clear()
+            return
         for view in self._views():
             plan = self._plans.setdefault(
                 view.service, stageplan.StagePlan(check_s=CHECK_PERIOD_S)
             )
             change = plan.propose(view, self._timers.now)
-            if change is None or self._ordering or not self._leads():
+            if change is None or self._ordering:
                 continue
             self._ordering = True
             task.spawn(
--- a/packages/bulrushgrade_daemon/tests/test_stagecontrol.py
+++ b/packages/bulrushgrade_daemon/tests/test_stagecontrol.py
@@ -45,6 +45,7 @@
         self.sent = []
         self.before_send = lambda: None
         self.announced = []
+        self.views_made = 0
         self.turn = orderturn.OrderTurn(holder="me", lease_s=3.0)
         self.waits_s = {"p1": 3.0}
         control = stagecontrol.StageControl(
@@ -69,6 +70,7 @@
         fakes.run(control.start())
 
     def _views(self):
+        self.views_made += 1
         return [
             stageplan.ServiceView(
                 service="llm",
@@ -120,6 +122,16 @@
     assert scene.append.calls == []
 
 
+def test_host_that_does_not_lead_looks_at_no_engine():
+    """Guards against work for every engine on every host all the time."""
+    scene = Scene(leads=False)
+    scene.pump(5.0)
+    assert scene.views_made == 0
+    leading = Scene()
+    leading.pump(1.0)
+    assert leading.views_made > 0
+
+
 def test_recent_order_of_another_host_is_waited_out():
     record = orderturn.OrderRecord(holder="other", engine="d1", stage="decode")
     scene = Scene(read=(0, (orderrecords.serialize(record),)))
