--- a/packages/bulrushgrade/tests/test_capacityplan.py
+++ b/packages/bulrushgrade/tests/test_capacityplan.py
@@ -1,86 +1,11 @@
 """Tests of how many engines of which kind a service should have."""
 
 import attrs
+from capacityscene import SCALING
+from capacityscene import Fleet
 
 from bulrushgrade import capacityplan
 
-SCALING = capacityplan.Scaling(
-    least=1,
-    most=12,
-    boot_s=4.0,
-    spot_price=0.2,
-    zone_prices={"a": 1.0, "b": 0.8, "c": 1.2, "d": 0.9},
-)
-SETTLE_S = 3.0
-
-
-class Fleet:
-    """A fleet that carries orders out after a while, and its plan."""
-
-    def __init__(self, *, each=6, scaling=SCALING):
-        self.now = 0.0
-        self.scaling = scaling
-        self.plan = capacityplan.CapacityPlan()
-        self.running = {(zone, False): each for zone in scaling.zone_prices}
-        self.coming = []
-        self.refusing = set()
-        self.orders = []
-        self.least_total = self.total
-
-    @property
-    def total(self):
-        return sum(self.running.values())
-
-    def view(self):
-        return capacityplan.CapacityView(
-            service="s",
-            scaling=self.scaling,
-            running=dict(self.running),
-            settle_s=SETTLE_S,
-        )
-
-    def run(self, seconds, step_s=0.5):
-        for _ in range(int(seconds / step_s)):
-            self.now += step_s
-            self.arrive()
-            self.least_total = min(self.least_total, self.total)
-            order = self.plan.propose(self.view(), self.now)
-            if order is not None:
-                self.give(order)
-
-    def give(self, order):
-        self.orders.append((self.now, order))
-        pool = order.zone, order.is_spot
-        self.plan.take_record(
-            capacityplan.CapacityRecord(
-                holder="h",
-                service="s",
-                zone=order.zone,
-                is_spot=order.is_spot,
-                count=order.count,
-                needed=order.needed,
-            ),
-            self.now,
-        )
-        if order.is_spot and order.zone in self.refusing:
-            self.plan.note_refusal(order, self.now)
-            return
-        self.plan.note_taken(order)
-        running = self.running.get(pool, 0)
-        if order.count <= running:
-            self.running[pool] = order.count
-        else:
-            self.coming.append((self.now + SCALING.boot_s, pool, order.count))
-
-    def arrive(self):
-        for at, pool, count in list(self.coming):
-            if at <= self.now:
-                self.running[pool] = count
-                self.coming.remove((at, pool, count))
-
-    def spot(self, zone):
-        return self.running.get((zone, True), 0)
-
 
 def test_service_moves_to_spot_engines_and_never_has_fewer_than_before():
     fleet = Fleet()
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
@@ -317,12 +317,7 @@
 
         try:
             sent = await self._calls.run(request, endpoint, prefilled)
-            is_lost = (
-                isinstance(sent, inflight.AttemptEnd)
-                and sent.outcome is attempts.Outcome.LOST
-            )
-            has_head = isinstance(sent, outbound.Answer)
-            if request.plan is None and (has_head or is_lost):
+            if request.plan is None and _may_have_run(sent):
                 self._note_first_run(request, began)
             if isinstance(sent, inflight.AttemptEnd):
                 return sent
@@ -448,3 +443,10 @@
 
     def _count(self, what: str) -> None:
         self._counts[what] = self._counts.get(what, 0) + 1
+
+
+def _may_have_run(sent: outbound.Answer | inflight.AttemptEnd) -> bool:
+    """Returns whether an endpoint began, or may have begun, a request."""
+    if isinstance(sent, inflight.AttemptEnd):
+        return sent.outcome is attempts.Outcome.LOST
+    return True
