Count the age of a view from the end of a read that waited in vain

Cause: a waiting read of the configuration that brought nothing counted from its beginning, so that the host that reads for a zone had a view 1.3 to 2.6 s old where 1.9 s may be handed on.

Ruled out: shorter waits at the host that reads, which cost a call each; older views at the others, which the bound of the configuration forbids.

Change: the store answers a waiting read at once where there is a record, so one that brings none shows that there was none until its wait was over; the view counts from then. A read that ends sooner counts from its beginning.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/follower.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/follower.py
@@ -237,7 +237,12 @@
         if isinstance(read, Failure):
             return self._note_failure(read.failure())
         batch = read.unwrap()
-        self._note_success(began)
+        # A read that waits returns at once with a record, so that one which
+        # brings none shows that there was none until its wait was over.
+        is_waited_out = self._timers.now - began >= wait_s
+        is_empty = not batch.records and batch.end == self._next
+        as_of = began + wait_s if is_empty and is_waited_out else began
+        self._note_success(as_of)
         self._take(batch.records, batch.end)
         return True
 
@@ -274,8 +279,8 @@
             )
         return False
 
-    def _note_success(self, began: float) -> None:
-        self._as_of = began
+    def _note_success(self, as_of: float) -> None:
+        self._as_of = as_of
         if self._lost_at is not None:
             self._log.note(
                 "dependency_regained",
--- a/packages/bulrushgrade_daemon/tests/test_follower.py
+++ b/packages/bulrushgrade_daemon/tests/test_follower.py
@@ -2,6 +2,7 @@
 
 import fakes
 from returns.result import Failure
+from returns.result import Success
 from twisted.internet import defer
 
 from bulrushgrade_daemon import follower
@@ -93,6 +94,49 @@
     assert made.regained_at is not None
 
 
+class WaitingReads:
+    """Reads that end after their wait, or sooner, without a record."""
+
+    def __init__(self, *, ends_after):
+        self.ends_after = ends_after
+        self.timers = None
+
+    async def __call__(self, offset, wait_s):
+        # The first read begins before there are timers.
+        while self.timers is None:
+            self.begun = defer.Deferred()
+            await self.begun
+        await self.timers.sleep(wait_s * self.ends_after)
+        return Success(topicreader.Batch(records=(), end=offset))
+
+
+def follow_waiting(ends_after):
+    read_all = fakes.Answers(topicreader.Listing(records=(), end=7))
+    reads = WaitingReads(ends_after=ends_after)
+    made, reactor, _, _, _ = make(read_all, reads, pause_s=0.0)
+    reads.timers = made._timers
+    reads.begun.callback(None)
+    ages = []
+    for _ in range(100):
+        reactor.advance(0.05)
+        ages.append(made.age_s)
+    return ages
+
+
+def test_read_that_waited_in_vain_shows_the_topic_as_it_was_at_its_end():
+    """Guards against views that are too old to be handed on half of the time.
+
+    Every host of a zone then read the store for itself.
+    """
+    assert max(follow_waiting(ends_after=1.0)[25:]) < 1.2
+
+
+def test_read_that_ends_before_its_wait_shows_only_its_beginning():
+    """Guards against a view that looks fresher than what the store said."""
+    ages = follow_waiting(ends_after=0.5)
+    assert 0.9 < max(ages[25:]) < 1.2
+
+
 def test_read_that_ends_as_cancelled_is_not_the_silent_end():
     """A read fails as if it had been cancelled, and nobody did.
 
