Keep no engine at the full price where spot ones can be had

Ruled out: a larger part at the full price, which the reserve of one zone makes needless: spot engines go a zone at a time.

Change: the least number of a zone is met by spot engines; where a zone has none to give, it is met at the full price until it has.

--- a/packages/bulrushgrade/bulrushgrade/capacityplan.py
+++ b/packages/bulrushgrade/bulrushgrade/capacityplan.py
@@ -190,15 +190,15 @@
     def _targets(self, view: CapacityView) -> dict[Pool, int]:
         """Returns how many engines each zone should have, cheapest first."""
         scaling, zones = view.scaling, view.zones
-        room = scaling.most - scaling.least
         giving = [z for z in zones if (z, True) not in self._refusing]
-        each = min(self._affordable(view), room)
-        full = dict.fromkeys(zones, scaling.least)
+        each = min(max(self._affordable(view), scaling.least), scaling.most)
+        full = {zone: 0 if zone in giving else scaling.least for zone in zones}
         missing = self._needed - each * len(giving) - sum(full.values())
         for zone in zones:
             if missing <= 0:
                 break
-            more = min(missing, room - (each if zone in giving else 0))
+            taken = full[zone] + (each if zone in giving else 0)
+            more = min(missing, scaling.most - taken)
             full[zone] += more
             missing -= more
         targets = {(zone, True): each for zone in zones}
@@ -209,10 +209,9 @@
 
         At least as many as leave what is needed without any one zone.
         """
-        scaling, zones = view.scaling, len(view.zones)
-        kept = scaling.least * zones
-        paid_for = (self._needed - kept) / scaling.spot_price
-        reserve = math.ceil((self._needed - kept) / (zones - 1))
+        zones = len(view.zones)
+        paid_for = self._needed / view.scaling.spot_price
+        reserve = math.ceil(self._needed / (zones - 1))
         return max(math.floor(paid_for / zones), reserve)
 
     def _is_short(
