Send all open windows to a new reporter, and none from before the start

Cause: read in review.

Change: windows that were taken are left out only of what is sent to who took them; a daemon sends windows from the one of its start on.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/usagereporting.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/usagereporting.py
@@ -39,7 +39,6 @@
 """Checks between two times that counts are sent. What a daemon that is killed
 counted since the last time is lost."""
 
-
 SILENT_S = 3.5
 """After which one that reports and does not reply counts as gone: some replies
 get lost on bad links."""
@@ -118,6 +117,7 @@
         self._time = truetime.TrueTime()
         self._meter = usagewindows.UsageMeter(windows=windows)
         self._note_clock()
+        self._first = windows.number(self._now)
         self._reports = usagewindows.UsageReports(
             holder=own_name, windows=windows, started_at=self._now
         )
@@ -256,6 +256,7 @@
                 is_whole=self._windows.is_settled(window, now),
             )
             for window in self._open_windows(now)
+            if window not in self._taken
         ]
         self._send(
             reporter,
@@ -263,10 +264,16 @@
         )
 
     def _open_windows(self, now: float) -> list[int]:
-        """Returns the windows that the one that reports may still need."""
+        """Returns the windows that the one that reports may still need.
+
+        Those that ended before this daemon's start are left out: it knows
+        nothing of them, which is not that nothing began.
+        """
         newest = self._windows.number(now)
-        oldest = self._windows.number(now - self._windows.late_s)
-        return [w for w in range(oldest, newest + 1) if w not in self._taken]
+        oldest = max(
+            self._first, self._windows.number(now - self._windows.late_s)
+        )
+        return list(range(oldest, newest + 1))
 
     def _take_counts(self, message: gatewaymessages.UsageCounts) -> None:
         taken = [
--- a/packages/bulrushgrade_daemon/tests/test_usagereporting.py
+++ b/packages/bulrushgrade_daemon/tests/test_usagereporting.py
@@ -180,6 +180,20 @@
         assert all(counts == sent[0][1] for _, counts in sent)
 
 
+def test_successor_reports_what_it_had_sent_to_the_one_before():
+    """Guards against counts that are lost as their own host takes over."""
+    fleet = Fleet("a", "b", "c")
+    fleet.loses = lambda peer, message: message.peer == "c"
+    fleet.begin("b", count=7)
+    fleet.pass_time(6.8)
+    # It has all of what the second host counted, and waits for the third.
+    assert fleet.reports == {}
+    fleet.kill("a")
+    fleet.loses = lambda peer, message: False
+    fleet.pass_time(20.0)
+    assert fleet.total() == 7
+
+
 def test_host_that_is_killed_loses_no_more_than_its_last_second():
     fleet = Fleet("a", "b")
     fleet.begin("b", count=3)
@@ -190,6 +204,24 @@
     assert fleet.total() == 3
 
 
+def test_window_that_nobody_was_there_for_is_not_reported():
+    """Guards against reports of no usage after all hosts were killed."""
+    fleet = Fleet("a", "b")
+    fleet.begin("b", count=3)
+    fleet.pass_time(3.0)
+    for name in ("a", "b"):
+        fleet.kill(name)
+    fleet.pass_time(9.0)
+    for name in ("a", "b"):
+        fleet.start(name)
+    fleet.begin("b", count=2)
+    fleet.pass_time(20.0)
+    first = WINDOWS.number(STARTED_S)
+    assert first not in fleet.reports
+    assert first + 1 not in fleet.reports
+    assert fleet.total() == 2
+
+
 def test_host_that_stops_loses_nothing():
     fleet = Fleet("a", "b")
     fleet.pass_time(2.3)
