--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/follower.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/follower.py
@@ -30,7 +30,7 @@
 at the other hosts too does not keep this one busy."""
 
 MOST_BATCHES = 16
-"""Of records that another host hands on in a row. Who is further behind reads
+"""Of records that another host relays in a row. Who is further behind reads
 the store."""
 
 
@@ -114,7 +114,7 @@
 
     @property
     def counts(self) -> dict[str, int]:
-        """Reads of the store since the start, and what others handed on."""
+        """Reads of the store since the start, and what others relayed."""
         return {"reads": self._reads, **self._shared.counts}
 
     async def start(self) -> None:
@@ -170,7 +170,7 @@
             return self._view_left_s() if await self._take_shared() else RETRY_S
         if await self._take_shared():
             return self._view_left_s()
-        # Without a wait: others may hand on the next records again.
+        # Without a wait: others may relay the next records again.
         if await self._read_after(0.0):
             return self._until_next_read_s(self._wait_s + self._pause_s)
         return RETRY_S
@@ -180,7 +180,7 @@
         return self._as_of + pause_s - self._timers.now
 
     def _view_left_s(self) -> float:
-        """Returns the seconds in which what was handed on gets too old."""
+        """Returns the seconds in which what was relayed gets too old."""
         view_s = self._wait_s + self._pause_s
         return max(LEAST_REST_S, self._as_of + view_s - self._timers.now)
 
@@ -208,14 +208,14 @@
         for _ in range(MOST_BATCHES):
             if self._next is None:
                 return False
-            handed = await self._shared.query(self._next)
-            if handed is None:
+            relayed = await self._shared.query(self._next)
+            if relayed is None:
                 return False
-            if not handed.has_more:
-                self._as_of = max(self._as_of, handed.as_of)
-            self._note_regained(handed.regained_at)
-            self._take(handed.records, max(self._next, handed.end))
-            if not handed.has_more:
+            if not relayed.has_more:
+                self._as_of = max(self._as_of, relayed.as_of)
+            self._note_regained(relayed.regained_at)
+            self._take(relayed.records, max(self._next, relayed.end))
+            if not relayed.has_more:
                 return True
         return False
 
@@ -292,6 +292,6 @@
             self._regained_at = self._timers.now
 
     def _note_regained(self, at: float | None) -> None:
-        """Takes when the host that hands records on had the store back."""
+        """Takes when the host that relays records had the store back."""
         if at is not None and at > (self._regained_at or 0.0):
             self._regained_at = at
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaymessages.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaymessages.py
@@ -230,7 +230,7 @@
 
 
 class RecordReply(msgspec.Struct, array_like=True, tag="record_reply"):
-    """Hands on records of a topic.
+    """Relays records of a topic.
 
     Attributes:
         peer: Who answers.
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
@@ -43,13 +43,14 @@
 
 CONFIGURATION_READS_A_BOUND = 1.4
 """Reads of the configuration in its bound when nothing changes. A read waits
-for a change and returns with it, and whoever read it tells the other hosts of
-its zone, so this only limits how long it takes to notice that a store, a path
-or a host went silent. One read more after that is still within the bound."""
+for a change and returns with it, and the host that read it notifies the others
+of its zone, so this only limits how long it takes to notice that a store, a
+path or a host went silent. One read more after that is still within the
+bound."""
 
 PEERS_WAIT_S = 15.0
 """How long a read of the gateways' topic waits. It changes only when a host
-starts; until a peer is known, work is placed without its word."""
+starts; until a peer is known, work is placed without its load report."""
 
 PEERS_PAUSE_S = 1.0
 """Between two reads of the gateways' topic. Where all hosts start together,
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/sharedtopic.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/sharedtopic.py
@@ -1,4 +1,4 @@
-"""Hands a topic's records on between hosts of an availability zone.
+"""Relays a topic's records between hosts of an availability zone.
 
 Each read of the platform's store costs, however little it brings. Of the
 hosts of a zone the one that rendezvous hashing puts first reads a topic from
@@ -35,7 +35,7 @@
 part of any bound on how old a view may be."""
 
 SOURCE_PACE = 0.6
-"""Of the pause between two reads, where others are handed the records: what
+"""Of the pause between two reads, where records are relayed to others: what
 they get is then fresh enough to last for a while."""
 
 OLDEST_PART = 0.9
@@ -62,8 +62,8 @@
 
 
 @attrs.frozen(kw_only=True)
-class Handed:
-    """Records that another host handed on.
+class Relayed:
+    """Records that another host relayed.
 
     Attributes:
         records: In their order.
@@ -112,7 +112,7 @@
                 where that is.
             timers: The timer service.
             log: Gets a line when the source of records changes.
-            keeps_records: Whether records may be kept to be handed on.
+            keeps_records: Whether records may be kept to be relayed.
         """
         self._topic = topic
         self._own_name = own_name
@@ -133,7 +133,7 @@
         self._queried_at = -math.inf
         self._avoided: dict[str, float] = {}
         self._failures: dict[str, int] = {}
-        self._handed = 0
+        self._relayed = 0
         self._source: str | None = None
         self.on_notice: Callable[[int], None] = lambda end: None
         self.on_queried: Callable[[], None] = lambda: None
@@ -152,7 +152,7 @@
 
     @property
     def source(self) -> str | None:
-        """The daemon that last handed records on, None for the store."""
+        """The daemon that last relayed records, None for the store."""
         return self._source
 
     @property
@@ -160,7 +160,7 @@
         """Batches taken from other hosts, and queries in vain."""
         counts = self._queries.counts
         return {
-            "handed": self._handed,
+            "relayed": self._relayed,
             "peer_queries": counts["queries"],
             "peer_silent": counts["late_replies"],
         }
@@ -195,7 +195,7 @@
         if self._journal.extend(records, end) and self._serves:
             self._give_notice(end)
 
-    async def query(self, offset: int) -> Handed | None:
+    async def query(self, offset: int) -> Relayed | None:
         """Returns what another host of the zone has from an offset on.
 
         None where there is no other host, or none that has what is needed.
@@ -220,7 +220,7 @@
         # What comes next is not kept there, or does not fit a datagram.
         if reply.has_more and reply.end <= offset:
             return None
-        self._handed += 1
+        self._relayed += 1
         self._note_source(source)
         return _read_reply(reply, queried_at)
 
@@ -256,7 +256,7 @@
         self._queries.take(reply)
 
     def take_notice(self, notice: gatewaymessages.RecordNotice) -> None:
-        """Takes the word that there are new records."""
+        """Takes the notice of new records."""
         self.on_notice(notice.end)
 
     def _is_fresh(
@@ -314,11 +314,11 @@
 
 def _read_reply(
     reply: gatewaymessages.RecordReply, queried_at: float
-) -> Handed:
+) -> Relayed:
     regained_at = None
     if reply.regained_ms is not None:
         regained_at = queried_at - reply.regained_ms / 1000
-    return Handed(
+    return Relayed(
         records=tuple(
             topicreader.KeyedRecord(key=key, value=value, offset=offset)
             for offset, key, value in reply.records
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/storetopics.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/storetopics.py
@@ -70,7 +70,7 @@
                 heartbeats.
             must_read: Returns whether this host has to know for itself
                 whether the store is there.
-            keeps_records: Whether records may be kept to be handed on.
+            keeps_records: Whether records may be kept to be relayed.
         """
         shared = self._shared[name] = sharedtopic.SharedTopic(
             topic=name,
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/topicjournal.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/topicjournal.py
@@ -1,7 +1,7 @@
-"""The newest records of a topic, kept so that they can be handed on.
+"""The newest records of a topic, kept so that they can be relayed.
 
 Most records of a topic that endpoints write to are heartbeats: they differ
-from the record before in a counter only. Handing all of them on would cost
+from the record before in a counter only. Relaying all of them would cost
 more than the reads that it saves, so a record that says nothing new is held
 back until the next one of its key that does.
 """
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/usagereporting.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/usagereporting.py
@@ -5,7 +5,7 @@
 and one that comes twice changes nothing. Who takes over as the one that
 reports gets them anew from all that still have them.
 
-Who reports is recorded in the topic of orders, and told to all with the
+Who reports is recorded in the topic of orders, and announced to all with the
 record's number. Daemons may disagree for a while on which of them could
 report; the largest number settles it, so that all counts go to one place.
 """
@@ -231,7 +231,7 @@
                 name=name, number=number, heard_at=self._timers.now
             )
 
-    def _tell_reporter(self) -> None:
+    def _announce(self) -> None:
         notice = gatewaymessages.UsageReporter(
             peer=self._own_name, number=self._reporter.number
         )
@@ -344,7 +344,7 @@
             return
         self._began_at = self._timers.now
         self._log.note("usage_reporter", reporter=self._own_name)
-        self._tell_reporter()
+        self._announce()
 
     async def _report(self) -> None:
         record: usagewindows.UsageRecord | None = None
@@ -373,7 +373,7 @@
             return
         self._reports.note_tried(record.window, self._now)
         if self.reports_itself:
-            self._tell_reporter()
+            self._announce()
         self._log.note(
             "usage_report",
             window=record.window,
