--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/sharedtopic.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/sharedtopic.py
@@ -4,7 +4,7 @@
 hosts of a zone the one that rendezvous hashing puts first reads a topic from
 the store, and the others query it. Nobody has to agree on who that is: a host
 that is queried reads the store itself from then on, and every reply tells the
-age of what it hands on. A view is so never older than if its host had read
+age of what it relays. A view is so never older than if its host had read
 the store at its own pace:
 
 - a source that is killed, paused or cut off from its zone does not reply;
