Count the spot engines of a zone that gives no more of them

While no zone has spot engines to give, an order for one that was lost is refused; the zone then counted as if it had none at all, and engines at the full price were ordered for all that is needed.

Ruled out: asking no more after a refusal, which leaves zones short for good.

Change: zones that refuse count with the engines that run there, up to what they should have; the operator's least number is met at the full price only where those are fewer.

--- a/packages/bulrushgrade/bulrushgrade/capacityplan.py
+++ b/packages/bulrushgrade/bulrushgrade/capacityplan.py
@@ -190,15 +190,20 @@
     def _targets(self, view: CapacityView) -> dict[Pool, int]:
         """Returns how many engines each zone should have, cheapest first."""
         scaling, zones = view.scaling, view.zones
-        giving = [z for z in zones if (z, True) not in self._refusing]
         each = min(max(self._affordable(view), scaling.least), scaling.most)
-        full = {zone: 0 if zone in giving else scaling.least for zone in zones}
-        missing = self._needed - each * len(giving) - sum(full.values())
+        # A zone that gives no more still has those that run there.
+        spot = {
+            zone: min(each, view.running.get((zone, True), 0))
+            if (zone, True) in self._refusing
+            else each
+            for zone in zones
+        }
+        full = {zone: max(0, scaling.least - spot[zone]) for zone in zones}
+        missing = self._needed - sum(spot.values()) - sum(full.values())
         for zone in zones:
             if missing <= 0:
                 break
-            taken = full[zone] + (each if zone in giving else 0)
-            more = min(missing, scaling.most - taken)
+            more = min(missing, scaling.most - spot[zone] - full[zone])
             full[zone] += more
             missing -= more
         targets = {(zone, True): each for zone in zones}
--- a/packages/bulrushgrade/tests/test_capacityplan.py
+++ b/packages/bulrushgrade/tests/test_capacityplan.py
@@ -70,6 +70,17 @@
     assert fleet.total >= 24
 
 
+def test_zones_that_give_no_more_still_count_with_what_they_have():
+    """Guards against a second fleet at the full price beside the first."""
+    fleet = Fleet()
+    fleet.run(40.0)
+    fleet.refusing = set("abcd")
+    for zone in "abcd":
+        fleet.running[zone, True] -= 1
+    fleet.run(20.0)
+    assert all(fleet.running[zone, False] == 0 for zone in "abcd")
+
+
 def test_engines_that_were_lost_are_ordered_again():
     fleet = Fleet()
     fleet.run(40.0)
