Have the plan of engines make the record that is appended

Cause: read as a newcomer, an order of engines stood twice, as what is proposed and as what is recorded, and was copied from one to the other field by field.

Change: the plan knows its host and proposes the record itself. The forwarder is given what counts begun requests instead of a default that does nothing. A measured figure leaves a comment. No decision changes.

--- a/packages/bulrushgrade/bulrushgrade/capacityplan.py
+++ b/packages/bulrushgrade/bulrushgrade/capacityplan.py
@@ -91,25 +91,6 @@
         return sum(self.running.values())
 
 
-@attrs.frozen(kw_only=True)
-class CapacityOrder:
-    """An order that should be given.
-
-    Attributes:
-        service: The service.
-        zone: The availability zone.
-        is_spot: Which kind is ordered.
-        count: How many of that kind the zone is to have.
-        needed: How many engines the service needs.
-    """
-
-    service: str
-    zone: str
-    is_spot: bool
-    count: int
-    needed: int
-
-
 @attrs.frozen(kw_only=True)
 class _Ordered:
     count: int
@@ -119,8 +100,13 @@
 class CapacityPlan:
     """Watches the engines of one service."""
 
-    def __init__(self):
-        """Makes a plan that has seen nothing."""
+    def __init__(self, *, holder: str):
+        """Makes a plan that has seen nothing.
+
+        Args:
+            holder: The incarnation of the host that orders.
+        """
+        self._holder = holder
         self._needed: int | None = None
         self._ordered: dict[Pool, _Ordered] = {}
         # Since a refusal, until an order is taken again.
@@ -141,23 +127,23 @@
         pool = record.zone, record.is_spot
         self._ordered[pool] = _Ordered(count=record.count, at=now)
 
-    def note_taken(self, order: CapacityOrder) -> None:
+    def note_taken(self, order: CapacityRecord) -> None:
         """Notes that a zone gives the engines that were ordered."""
         self._refusing.discard((order.zone, order.is_spot))
 
-    def note_refusal(self, order: CapacityOrder, now: float) -> None:
+    def note_refusal(self, order: CapacityRecord, now: float) -> None:
         """Notes that a zone has no such engines to give now."""
         pool = order.zone, order.is_spot
         self._refusing.add(pool)
         self._retry_at[pool] = now + REFUSED_S
         self._ordered.pop(pool, None)
 
-    def note_failure(self, order: CapacityOrder, now: float) -> None:
+    def note_failure(self, order: CapacityRecord, now: float) -> None:
         """Notes that it is not known what came of an order."""
         self._ordered.pop((order.zone, order.is_spot), None)
         self._quiet_until = now + RETRY_S
 
-    def propose(self, view: CapacityView, now: float) -> CapacityOrder | None:
+    def propose(self, view: CapacityView, now: float) -> CapacityRecord | None:
         """Returns the order that should be given now, or None."""
         scaling = view.scaling
         if not 0.0 < scaling.spot_price < 1.0 or len(view.zones) < 2:
@@ -246,9 +232,10 @@
 
     def _order(
         self, view: CapacityView, pool: Pool, count: int
-    ) -> CapacityOrder:
+    ) -> CapacityRecord:
         zone, is_spot = pool
-        return CapacityOrder(
+        return CapacityRecord(
+            holder=self._holder,
             service=view.service,
             zone=zone,
             is_spot=is_spot,
--- a/packages/bulrushgrade/bulrushgrade/stageplan.py
+++ b/packages/bulrushgrade/bulrushgrade/stageplan.py
@@ -51,8 +51,7 @@
 
 ENGINES_A_CHANGE = 4
 """Engines for each change that may be under way: one at a time would take
-longer than the load that asks for it where there are many. At 45 engines
-prompts were refused for 16 s while three changes were made."""
+longer than the load that asks for it where there are many."""
 
 RETRY_CHECKS = 2
 """Checks after an order that was not taken, before another engine is tried."""
--- a/packages/bulrushgrade/tests/capacityscene.py
+++ b/packages/bulrushgrade/tests/capacityscene.py
@@ -18,7 +18,7 @@
     def __init__(self, *, each=6, scaling=SCALING):
         self.now = 0.0
         self.scaling = scaling
-        self.plan = capacityplan.CapacityPlan()
+        self.plan = capacityplan.CapacityPlan(holder="h")
         self.running = {(zone, False): each for zone in scaling.zone_prices}
         self.coming = []
         self.refusing = set()
@@ -49,17 +49,7 @@
     def give(self, order):
         self.orders.append((self.now, order))
         pool = order.zone, order.is_spot
-        self.plan.take_record(
-            capacityplan.CapacityRecord(
-                holder="h",
-                service="s",
-                zone=order.zone,
-                is_spot=order.is_spot,
-                count=order.count,
-                needed=order.needed,
-            ),
-            self.now,
-        )
+        self.plan.take_record(order, self.now)
         if order.is_spot and order.zone in self.refusing:
             self.plan.note_refusal(order, self.now)
             return
--- a/packages/bulrushgrade/tests/test_capacityplan.py
+++ b/packages/bulrushgrade/tests/test_capacityplan.py
@@ -94,7 +94,7 @@
     fleet = Fleet()
     fleet.run(40.0)
     records = [order for _, order in fleet.orders]
-    fleet.plan = capacityplan.CapacityPlan()
+    fleet.plan = capacityplan.CapacityPlan(holder="i")
     for order in records:
         fleet.give(order)
     fleet.running["a", True] = 0
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/capacitycontrol.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/capacitycontrol.py
@@ -97,12 +97,15 @@
                 return
 
     def _plan(self, service: str) -> capacityplan.CapacityPlan:
-        return self._plans.setdefault(service, capacityplan.CapacityPlan())
+        if service not in self._plans:
+            plan = capacityplan.CapacityPlan(holder=self._own_name)
+            self._plans[service] = plan
+        return self._plans[service]
 
     async def _order(
         self, plan: capacityplan.CapacityPlan, service: str
     ) -> None:
-        order: capacityplan.CapacityOrder | None = None
+        order: capacityplan.CapacityRecord | None = None
 
         async def make() -> (
             capacityplan.CapacityRecord | fencedactions.Withheld
@@ -111,14 +114,7 @@
             order = self._propose(plan, service)
             if order is None:
                 return fencedactions.Withheld(reason="ordered meanwhile")
-            return capacityplan.CapacityRecord(
-                holder=self._own_name,
-                service=order.service,
-                zone=order.zone,
-                is_spot=order.is_spot,
-                count=order.count,
-                needed=order.needed,
-            )
+            return order
 
         try:
             sent = await self._actions.perform(make, self._calls.order_capacity)
@@ -154,7 +150,7 @@
 
     def _propose(
         self, plan: capacityplan.CapacityPlan, service: str
-    ) -> capacityplan.CapacityOrder | None:
+    ) -> capacityplan.CapacityRecord | None:
         for view in self._views():
             if view.service == service:
                 return plan.propose(view, self._timers.now)
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
@@ -77,10 +77,8 @@
         *,
         parts: Parts,
         new_share: Callable[[], retryshare.RetryShare],
+        note_begun: Callable[[workspaces.Workspace | None, float], None],
         observe: Callable[[str, float], None] = lambda route, took_s: None,
-        note_begun: Callable[
-            [workspaces.Workspace | None, float], None
-        ] = lambda workspace, at: None,
     ):
         """Makes the service.
 
