Say which request was at an endpoint that ended

A caller's next try has another id, so the lines could not tell whether one request was at every engine that ended, and a broken answer did not tell whether its engine had ended at all.

Added: a fingerprint of a request (who calls, method, host name, path with query, body), the same for each try of a caller; in each `attempt_ended` that reached an endpoint also how long its answer had run. When answers of an endpoint break off it is checked once with a bare connection: one that takes none has ended, and `endpoint_crashed` lists all requests that were there. Endpoints that were seen to leave are left out. Counted as bulrushgrade_endpoint_crashes_total.

Nothing is decided by it yet.

--- a/packages/bulrushgrade/bulrushgrade/directory.py
+++ b/packages/bulrushgrade/bulrushgrade/directory.py
@@ -137,6 +137,17 @@
         entry = self._entries.get(id)
         return None if entry is None or entry.gone else entry.known
 
+    def is_leaving(self, known: Registration) -> bool:
+        """Returns whether an incarnation was seen to leave.
+
+        One whose id another start has is not leaving: it has ended.
+        """
+        entry = self._entries.get(known.id)
+        if entry is None:
+            return True
+        is_same = entry.known.incarnation == known.incarnation
+        return is_same and entry.leaving_since is not None
+
     def put(self, found: Registration, *, now: float) -> Change | None:
         """Takes a record; returns what it changed, or None.
 
--- /dev/null
+++ b/packages/bulrushgrade/bulrushgrade/fingerprint.py
@@ -0,0 +1,33 @@
+"""Names a caller's request, so that it is known when it comes again.
+
+Each try of a caller has an id of its own. What stays the same from one try to
+the next is who calls, what is called and the body.
+"""
+
+import hashlib
+
+DIGEST_BYTES = 12
+"""Long enough that no caller can find a request with another's fingerprint."""
+
+_LENGTH_BYTES = 4
+
+
+def make_fingerprint(
+    *, caller: str, method: bytes, hostname: str, uri: bytes, body: bytes
+) -> str:
+    """Returns the fingerprint of a request, in hexadecimal.
+
+    Args:
+        caller: Who calls: a workspace, or an address where there is none.
+        method: The HTTP method.
+        hostname: The host name of its route.
+        uri: Path and query.
+        body: The whole body.
+    """
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for part in (caller.encode(), method, hostname.encode(), uri, body):
+        # Without the lengths the end of a part could pass for the beginning
+        # of the next.
+        digest.update(len(part).to_bytes(_LENGTH_BYTES, "big"))
+        digest.update(part)
+    return digest.hexdigest()
--- a/packages/bulrushgrade/tests/test_directory.py
+++ b/packages/bulrushgrade/tests/test_directory.py
@@ -204,3 +204,21 @@
     found.put(leaving, now=5.0)
     assert ids(found, 5.3) == ["e1"]
     assert ids(found, 5.5) == []
+
+
+def test_endpoint_leaves_once_it_drains_or_its_record_is_gone():
+    known = make("e1")
+    found = make_directory(known)
+    assert not found.is_leaving(known)
+    found.put(make("e1", sequence=2, state="draining"), now=1.0)
+    assert found.is_leaving(known)
+    found = make_directory(known)
+    found.remove("e1", now=1.0)
+    assert found.is_leaving(known)
+
+
+def test_incarnation_that_another_start_replaced_is_not_leaving():
+    """An engine that crashed and is back under its id counted as drained."""
+    known = make("e1", born_ms=1)
+    found = make_directory(known, make("e1", born_ms=2, state="draining"))
+    assert not found.is_leaving(known)
--- /dev/null
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/crashwatch.py
@@ -0,0 +1,156 @@
+"""Notices endpoints that end while they run callers' requests.
+
+An answer that breaks off does not say so by itself: connections are reset,
+and some endpoints tear an answer and go on. An endpoint that takes no
+connection right after it has ended.
+"""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from bulrushgrade import attempts
+from bulrushgrade import directory
+from bulrushgrade_daemon import decisionlog
+from bulrushgrade_daemon import inflight
+from bulrushgrade_daemon import task
+
+GATHER_S = 0.01
+"""From the first answer that breaks off to the check of its endpoint. Those of
+the other requests there break off in the same moment and need no other one."""
+
+MOST_RUNS = 256
+"""Requests that one crash tells of: more than an endpoint has slots."""
+
+BROKEN = frozenset(
+    {
+        attempts.Outcome.LOST,
+        attempts.Outcome.BROKEN_STREAM,
+        attempts.Outcome.UNREAD,
+    }
+)
+"""Outcomes of attempts whose endpoint may have ended."""
+
+
+@attrs.frozen(kw_only=True)
+class BrokenRun:
+    """A request that was at an endpoint when that ended.
+
+    Attributes:
+        fingerprint: Names the request and its repeats.
+        request_id: The caller's id of this attempt.
+        ran_s: Since its answer had begun, None where none had.
+    """
+
+    fingerprint: str
+    request_id: str
+    ran_s: float | None
+
+
+@attrs.frozen(kw_only=True)
+class Crash:
+    """An endpoint that ended with requests of this daemon.
+
+    Attributes:
+        endpoint: Who ended.
+        runs: The requests that were there.
+        reason: Why a connection to it failed.
+    """
+
+    endpoint: directory.Registration
+    runs: tuple[BrokenRun, ...]
+    reason: str
+
+
+class CrashWatch:
+    """Checks the endpoints of answers that broke off."""
+
+    def __init__(
+        self,
+        *,
+        timers: Any,
+        check: Callable[[directory.Registration], Awaitable[str | None]],
+        is_leaving: Callable[[directory.Registration], bool],
+        take_crash: Callable[[Crash], None],
+        log: decisionlog.DecisionLog,
+        on_broken: Callable[[str], None],
+    ):
+        """Makes a state without broken answers.
+
+        Args:
+            timers: The timer service.
+            check: Returns why an endpoint takes no connection, None where it
+                takes one.
+            is_leaving: Returns whether an endpoint was seen to leave; its end
+                is then no crash.
+            take_crash: Takes each crash, in one part or several.
+            log: Gets a line for each.
+            on_broken: Called with the reason where an invariant is broken.
+        """
+        self._timers = timers
+        self._check = check
+        self._is_leaving = is_leaving
+        self._take_crash = take_crash
+        self._log = log
+        self._on_broken = on_broken
+        # By incarnation, until its endpoint was checked.
+        self._unchecked: dict[tuple[str, int], list[BrokenRun]] = {}
+        self._counts = {"checks": 0, "crashes": 0, "requests": 0}
+
+    @property
+    def counts(self) -> dict[str, int]:
+        """Checks, crashes that they found, and requests that were there."""
+        return dict(self._counts)
+
+    def note(
+        self, request: inflight.InFlight, outcome: attempts.Outcome
+    ) -> None:
+        """Notes how an attempt of a request ended at its endpoint."""
+        endpoint = request.endpoint
+        if outcome not in BROKEN or self._is_leaving(endpoint):
+            return
+        run = BrokenRun(
+            fingerprint=request.fingerprint,
+            request_id=request.info.request_id,
+            ran_s=request.ran_s(self._timers.now),
+        )
+        runs = self._unchecked.get(endpoint.incarnation)
+        if runs is None:
+            self._unchecked[endpoint.incarnation] = [run]
+            task.spawn(
+                self._find_out(endpoint),
+                name="crashwatch",
+                on_broken=self._on_broken,
+            )
+        elif len(runs) < MOST_RUNS:
+            runs.append(run)
+
+    async def _find_out(self, endpoint: directory.Registration) -> None:
+        await self._timers.sleep(GATHER_S)
+        self._counts["checks"] += 1
+        reason = await self._check(endpoint)
+        runs = self._unchecked.pop(endpoint.incarnation)
+        if reason is None:
+            return
+        self._counts["crashes"] += 1
+        self._counts["requests"] += len(runs)
+        self._log.note(
+            "endpoint_crashed",
+            endpoint=endpoint.id,
+            born_ms=endpoint.born_ms,
+            service=endpoint.service,
+            zone=endpoint.zone,
+            reason=reason,
+            runs=[
+                {
+                    "request": run.request_id,
+                    "fingerprint": run.fingerprint,
+                    "ran_s": None if run.ran_s is None else round(run.ran_s, 3),
+                }
+                for run in runs
+            ],
+        )
+        crash = Crash(endpoint=endpoint, runs=tuple(runs), reason=reason)
+        self._take_crash(crash)
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointcalls.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointcalls.py
@@ -129,6 +129,17 @@
         )
         task.spawn(freeing, name="free", on_broken=self._on_broken)
 
+    async def find_refusal(
+        self, endpoint: directory_module.Registration
+    ) -> str | None:
+        """Returns why an endpoint takes no connection, None where it does."""
+        return await outbound.find_refusal(
+            self._reactor,
+            endpoint.host,
+            endpoint.port,
+            connect_timeout_s=CONNECT_TIMEOUT_S,
+        )
+
     async def _send(
         self, request: inflight.InFlight, sending: dialect_module.Sending
     ) -> outbound.Answer | inflight.AttemptEnd:
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
@@ -19,6 +19,7 @@
 from bulrushgrade import workspaces
 from bulrushgrade_daemon import answerpass
 from bulrushgrade_daemon import choosing
+from bulrushgrade_daemon import crashwatch
 from bulrushgrade_daemon import decisionlog
 from bulrushgrade_daemon import dialect as dialect_module
 from bulrushgrade_daemon import endpointcalls
@@ -47,6 +48,7 @@
         chooser: Chooses endpoints.
         work: Takes note of work at engines.
         calls: Sends requests to them.
+        crashes: Notices endpoints that end.
         log: Gets a line for each decision that is out of the ordinary.
         rng: Source of random choices.
         ends_in_s: Returns the seconds that are left for requests that come
@@ -60,6 +62,7 @@
     chooser: choosing.Chooser
     work: enginework.EngineWork
     calls: endpointcalls.EndpointCalls
+    crashes: crashwatch.CrashWatch
     log: decisionlog.DecisionLog
     rng: random.Random
     ends_in_s: Callable[[], float | None]
@@ -96,6 +99,7 @@
         self._chooser = parts.chooser
         self._work = parts.work
         self._calls = parts.calls
+        self._crashes = parts.crashes
         self._log = requestlog.RequestLog(
             log=parts.log, now=lambda: self._timers.now
         )
@@ -266,6 +270,7 @@
         self, request: inflight.InFlight
     ) -> inflight.AttemptEnd | None:
         """Returns None where the caller has got a whole answer."""
+        request.answer_began_at = None
         if request.plan is None or request.plan.prefill is None:
             return await self._run(request, None)
         engine = request.plan.prefill
@@ -320,7 +325,8 @@
             if isinstance(sent, inflight.AttemptEnd):
                 return sent
             request.call = sent
-            latency_s = self._timers.now - began
+            request.answer_began_at = self._timers.now
+            latency_s = request.answer_began_at - began
             failed = await self._pass(request, lambda: ended(True), note_events)
             if failed is None:
                 self._chooser.succeeded(endpoint, latency_s)
@@ -366,6 +372,7 @@
         request.history.note(ended.outcome)
         self._count(f"attempt_{ended.outcome.value}")
         self._chooser.failed(request, endpoint, ended)
+        self._crashes.note(request, ended.outcome)
         again = self._may_try_again(request)
         self._log.note_attempt(request, endpoint, ended, again=again)
         return again
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/front.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/front.py
@@ -35,6 +35,11 @@
         """Whether the caller has left."""
         return self._gone
 
+    @property
+    def address(self) -> str:
+        """The caller's IP number."""
+        return self.getClientAddress().host
+
     @property
     def body(self) -> bytes:
         """The whole body."""
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaypages.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaypages.py
@@ -50,6 +50,11 @@
             "Requests by how they ended, attempts by what came of them.",
             lambda: services.forwarder.counts,
         ),
+        (
+            "endpoint_crashes_total",
+            "Checks of endpoints whose answers broke off, crashes found.",
+            lambda: services.crashes.counts,
+        ),
         (
             "log_lines_total",
             "Lines written and dropped.",
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
@@ -17,6 +17,7 @@
 from bulrushgrade_daemon import cachewatch
 from bulrushgrade_daemon import choosing
 from bulrushgrade_daemon import clock
+from bulrushgrade_daemon import crashwatch
 from bulrushgrade_daemon import decisionlog
 from bulrushgrade_daemon import endpointcalls
 from bulrushgrade_daemon import enginework
@@ -183,6 +184,11 @@
         """The side towards callers."""
         return self._front
 
+    @property
+    def crashes(self) -> crashwatch.CrashWatch:
+        """Notices endpoints that end."""
+        return self._crashes
+
     @property
     def cache_watch(self) -> cachewatch.CacheWatch:
         """Follows engines' caches."""
@@ -270,6 +276,14 @@
             dialect=context.adapter.dialect,
             on_broken=context.kernel.fail,
         )
+        self._crashes = crashwatch.CrashWatch(
+            timers=self._timers,
+            check=calls.find_refusal,
+            is_leaving=self._view.endpoints.is_leaving,
+            take_crash=lambda crash: None,
+            log=context.log,
+            on_broken=context.kernel.fail,
+        )
         self._forwarder = forwarder.Forwarder(
             parts=forwarder.Parts(
                 timers=self._timers,
@@ -278,6 +292,7 @@
                 chooser=self._chooser,
                 work=self._work,
                 calls=calls,
+                crashes=self._crashes,
                 log=context.log,
                 rng=context.rng,
                 ends_in_s=context.ends_in_s,
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/inflight.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/inflight.py
@@ -8,6 +8,7 @@
 from bulrushgrade import attempts
 from bulrushgrade import directory
 from bulrushgrade import eventstream
+from bulrushgrade import fingerprint as fingerprint_module
 from bulrushgrade import placementplan
 from bulrushgrade import routing
 from bulrushgrade import workspaces
@@ -65,6 +66,8 @@
         workspace: Whose it is, or None.
         hides_key: Whether its key is not for endpoints.
         is_counted: Whether it was counted as one that began to run.
+        answer_began_at: When the answer that is being read began; None
+            before.
     """
 
     caller: front.CallerRequest
@@ -88,6 +91,8 @@
     workspace: workspaces.Workspace | None = None
     hides_key: bool = False
     is_counted: bool = False
+    answer_began_at: float | None = None
+    _fingerprint: str | None = attrs.field(default=None, init=False)
 
     @urgency.default
     def _route_urgency(self) -> int:
@@ -130,10 +135,35 @@
             return None
         return self.read_at - self.caller.arrived_at
 
+    @property
+    def fingerprint(self) -> str:
+        """What names it and its repeats; made where it is asked for."""
+        if self._fingerprint is None:
+            caller = self.caller
+            self._fingerprint = fingerprint_module.make_fingerprint(
+                caller=self._describe_caller(),
+                method=caller.method,
+                hostname=self.route.hostname,
+                uri=caller.uri,
+                body=caller.body,
+            )
+        return self._fingerprint
+
     def left_s(self, now: float) -> float:
         """Returns the time until its deadline."""
         return self.deadline - now
 
+    def ran_s(self, now: float) -> float | None:
+        """Returns the time since its answer began, None where none did."""
+        began_at = self.answer_began_at
+        return None if began_at is None else now - began_at
+
+    def _describe_caller(self) -> str:
+        # Callers of a workspace may come from changing addresses.
+        if self.workspace is not None:
+            return f"workspace/{self.workspace.name}"
+        return f"address/{self.caller.address}"
+
 
 def longest_wait_s(info: dialect.RequestInfo, route: routing.Route) -> float:
     """Returns how long a request may be kept waiting."""
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/outbound.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/outbound.py
@@ -241,25 +241,10 @@
             made there holds for the write. None writes nothing.
         connect_timeout_s: How long the opening may take.
     """
-    cancelled = False
-
-    def cancel(_: defer.Deferred) -> None:
-        nonlocal cancelled
-        cancelled = True
-        connector.disconnect()
-
-    opened: defer.Deferred = defer.Deferred(cancel)
-    connector = reactor.connectTCP(
-        host, port, _Factory(opened=opened), timeout=connect_timeout_s
-    )
-    try:
-        client = await opened
-    except internet_error.ConnectError as error:
-        # Twisted has the same kinds of error for an opening that timed out
-        # and one that was cancelled.
-        if cancelled:
-            raise defer.CancelledError() from None
-        return Failure(CallFailed(written=False, reason=type(error).__name__))
+    opening = await _open(reactor, host, port, connect_timeout_s)
+    if isinstance(opening, Failure):
+        return opening
+    client = opening.unwrap()
     made = request() if callable(request) else request
     if made is None:
         client.transport.abortConnection()
@@ -284,6 +269,49 @@
     return Success(Answer(client=client, response=response))
 
 
+async def find_refusal(
+    reactor: Any, host: str, port: int, *, connect_timeout_s: float
+) -> str | None:
+    """Returns why no connection could be opened, None where one was.
+
+    Args:
+        reactor: The reactor.
+        host: The IP number.
+        port: The port.
+        connect_timeout_s: How long the opening may take.
+    """
+    opening = await _open(reactor, host, port, connect_timeout_s)
+    if isinstance(opening, Failure):
+        return opening.failure().reason
+    opening.unwrap().transport.abortConnection()
+    return None
+
+
+async def _open(
+    reactor: Any, host: str, port: int, connect_timeout_s: float
+) -> Result[_Client, CallFailed]:
+    """Opens a connection; cancelling gives it up."""
+    cancelled = False
+
+    def cancel(_: defer.Deferred) -> None:
+        nonlocal cancelled
+        cancelled = True
+        connector.disconnect()
+
+    opened: defer.Deferred = defer.Deferred(cancel)
+    connector = reactor.connectTCP(
+        host, port, _Factory(opened=opened), timeout=connect_timeout_s
+    )
+    try:
+        return Success(await opened)
+    except internet_error.ConnectError as error:
+        # Twisted has the same kinds of error for an opening that timed out
+        # and one that was cancelled.
+        if cancelled:
+            raise defer.CancelledError() from None
+        return Failure(CallFailed(written=False, reason=type(error).__name__))
+
+
 async def fetch(
     reactor: Any,
     host: str,
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/requestlog.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/requestlog.py
@@ -92,6 +92,14 @@
         again: bool,
     ) -> None:
         """Writes that an attempt gave no whole answer."""
+        now = self._now()
+        run = {}
+        if ended.outcome is not attempts.Outcome.UNREACHED:
+            run = {
+                "fingerprint": request.fingerprint,
+                "ran_s": _rounded(request.ran_s(now)),
+                "events": request.cutter.events,
+            }
         self._log.note(
             "attempt_ended",
             request=request.info.request_id,
@@ -100,7 +108,8 @@
             outcome=ended.outcome.value,
             reason=ended.reason,
             arrivals=request.history.arrivals,
-            left_s=round(request.left_s(self._now()), 3),
+            **run,
+            left_s=round(request.left_s(now), 3),
             again=again,
         )
 
--- a/packages/bulrushgrade_daemon/tests/processes.py
+++ b/packages/bulrushgrade_daemon/tests/processes.py
@@ -51,6 +51,11 @@
         """Where a stand-in listens, as ``IP:PORT``."""
         return self.ready["address"]
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether the process is no longer there."""
+        return self._popen.poll() is not None
+
     def send(self, number: signal.Signals) -> None:
         """Sends a signal to the process."""
         self._popen.send_signal(number)
--- a/packages/bulrushgrade_daemon/tests/test_inflight.py
+++ b/packages/bulrushgrade_daemon/tests/test_inflight.py
@@ -4,6 +4,7 @@
 import pytest
 
 from bulrushgrade import routing
+from bulrushgrade import workspaces
 from bulrushgrade_daemon import inflight
 
 ROUTE = routing.Route(
@@ -54,3 +55,41 @@
 def test_route_without_a_gap_has_no_late_pause():
     route = attrs.evolve(ROUTE, gap_s=None)
     assert not make(10.2, 17.0, route=route).is_late
+
+
+@attrs.define(kw_only=True)
+class Sent:
+    """What a caller sent."""
+
+    arrived_at: float = 0.0
+    address: str = "10.0.0.1"
+    method: bytes = b"POST"
+    uri: bytes = b"/tag/a"
+    body: bytes = b"draft"
+
+
+def name(caller, workspace=None):
+    request = inflight.InFlight(
+        caller=caller,
+        info=None,
+        route=ROUTE,
+        service="llm",
+        deadline=18.0,
+        workspace=workspace,
+    )
+    return request.fingerprint
+
+
+def test_callers_next_try_has_the_same_fingerprint():
+    assert name(Sent()) == name(Sent(arrived_at=5.0))
+    assert name(Sent()) != name(Sent(address="10.0.0.2"))
+    assert name(Sent()) != name(Sent(body=b""))
+
+
+def test_workspace_goes_before_the_address_of_its_callers():
+    one = workspaces.Workspace(name="dealer")
+    other = workspaces.Workspace(name="lessor")
+    known = name(Sent(), one)
+    assert known == name(Sent(address="10.0.0.2"), one)
+    assert known != name(Sent(), other)
+    assert known != name(Sent())
--- a/packages/bulrushgrade_daemon/tests/test_outbound.py
+++ b/packages/bulrushgrade_daemon/tests/test_outbound.py
@@ -17,6 +17,9 @@
     def __init__(self, factory):
         self._factory = factory
 
+    def open(self, transport):
+        self._factory.buildProtocol(None).makeConnection(transport)
+
     def fail(self, reason):
         self._factory.clientConnectionFailed(self, failure.Failure(reason))
 
@@ -24,6 +27,24 @@
         self.fail(error.UserError())
 
 
+class Transport:
+    """A connection that was opened."""
+
+    is_aborted = False
+
+    def getHandle(self):  # noqa: N802
+        return self
+
+    def setsockopt(self, *option):
+        """Takes what is set of the socket."""
+
+    def setTcpNoDelay(self, on):  # noqa: N802
+        """Takes that small parts are sent at once."""
+
+    def abortConnection(self):  # noqa: N802
+        self.is_aborted = True
+
+
 class Reactor:
     """Keeps the connectors that it was asked for."""
 
@@ -65,3 +86,27 @@
     sending.addErrback(lambda f: ended.append(f.type))
     sending.cancel()
     assert ended == [defer.CancelledError]
+
+
+def find_refusal():
+    reactor = Reactor()
+    finding = fakes.run(
+        outbound.find_refusal(reactor, "10.0.0.1", 80, connect_timeout_s=0.3)
+    )
+    ended = []
+    finding.addBoth(ended.append)
+    return reactor.connectors[0], ended
+
+
+def test_refused_connection_is_told_by_its_reason():
+    connector, ended = find_refusal()
+    connector.fail(error.ConnectionRefusedError())
+    assert ended == ["ConnectionRefusedError"]
+
+
+def test_connection_that_opens_is_dropped_and_no_refusal():
+    connector, ended = find_refusal()
+    transport = Transport()
+    connector.open(transport)
+    assert ended == [None]
+    assert transport.is_aborted
