--- a/packages/bulrushgrade/bulrushgrade/balance.py
+++ b/packages/bulrushgrade/bulrushgrade/balance.py
@@ -119,29 +119,36 @@
         usable: Iterable[directory.Registration],
         *,
         avoid: frozenset[Incarnation],
+        avoid_zones: frozenset[str] = frozenset(),
         now: float,
     ) -> list[directory.Registration]:
         """Returns the endpoints that a request may be sent to.
 
         Ejected ones are left out unless all are: a wrong ejection must not
-        refuse what an endpoint would have served. Those in `avoid` failed
-        this very request and are left out always.
+        refuse what an endpoint would have served. So are zones in which
+        endpoints crashed under the request: where a zone fails, it is served
+        in another. Those in `avoid` failed this very request and are left out
+        always.
         """
         fresh = [r for r in usable if r.incarnation not in avoid]
         sound = [
             r for r in fresh if self.load(r.incarnation).ejected_until <= now
         ]
-        return sound or fresh
+        elsewhere = [r for r in sound if r.zone not in avoid_zones]
+        return elsewhere or sound or fresh
 
     def pick(
         self,
         usable: Iterable[directory.Registration],
         *,
         avoid: frozenset[Incarnation],
+        avoid_zones: frozenset[str] = frozenset(),
         now: float,
     ) -> directory.Registration | None:
         """Returns the endpoint for a request to a plain service, or None."""
-        candidates = self.eligible(usable, avoid=avoid, now=now)
+        candidates = self.eligible(
+            usable, avoid=avoid, avoid_zones=avoid_zones, now=now
+        )
         if not candidates:
             return None
         best_s = min(
--- /dev/null
+++ b/packages/bulrushgrade/bulrushgrade/crashledger.py
@@ -0,0 +1,228 @@
+"""Which requests were at endpoints that crashed, and which are to blame.
+
+A request may crash each endpoint that begins to run it. Sent on after each
+crash, and again with each try of its caller, it takes one endpoint after the
+other. The ledger holds, for all hosts, which requests were at each endpoint
+that crashed. A request that was at several of them is quarantined: it is not
+sent to endpoints any more.
+
+Requests that only happened to be there look the same at first. Most of them
+were at one crash and run to their end at another endpoint; they are forgotten
+then. Those that had not begun to run, and those whose crashes are all in one
+availability zone in which others crash too, need one crash more.
+"""
+
+import collections
+from collections.abc import Iterable
+
+import attrs
+
+LEAST_CRASHES = 3
+"""Crashes of a request that is quarantined. Requests that are moved together
+from one endpoint to the next can't be told apart by fewer."""
+
+LEAST_CRASHES_REPEATED = 2
+"""The same, for a caller that has several quarantined requests already."""
+
+REPEATED_REQUESTS = 2
+"""Quarantined requests of one caller after which fewer crashes are enough."""
+
+ZONE_FAILURE_S = 2.0
+"""Before and after the crashes of a request, for which others in the same
+zone count as parts of one failure."""
+
+SUSPECT_S = 600.0
+"""After the last crash of a request that is not quarantined, how long its
+crashes count against it."""
+
+QUARANTINE_S = 3600.0
+"""After the last crash of a request that is quarantined, how long it is."""
+
+MOST_SIGHTINGS = 4096
+"""Requests at crashed endpoints that are kept, so that no failure and no
+caller can fill the memory of the hosts. The oldest give way, those of
+quarantined requests last."""
+
+Incarnation = tuple[str, int]
+
+Key = tuple[str, Incarnation]
+"""A request's fingerprint and the endpoint that crashed."""
+
+
+@attrs.frozen(kw_only=True)
+class Sighting:
+    """A request that was at an endpoint when that crashed.
+
+    Attributes:
+        fingerprint: Names the request and its repeats.
+        caller: Names who sent it.
+        endpoint: The endpoint's incarnation.
+        zone: The endpoint's availability zone.
+        has_begun: Whether its answer had begun. Where none had, it may have
+            waited for its turn.
+    """
+
+    fingerprint: str
+    caller: str
+    endpoint: Incarnation
+    zone: str
+    has_begun: bool
+
+    @property
+    def key(self) -> Key:
+        """Names the sighting."""
+        return (self.fingerprint, self.endpoint)
+
+
+@attrs.frozen(kw_only=True)
+class _Entry:
+    """A sighting and when this host learned of it."""
+
+    sighting: Sighting
+    since: float
+
+
+class CrashLedger:
+    """What is known of crashes; the same on all hosts but for its age."""
+
+    def __init__(self):
+        # The oldest first.
+        self._entries: dict[Key, _Entry] = {}
+        self._by_request: dict[str, dict[Incarnation, _Entry]] = {}
+        # None where it has to be found anew.
+        self._quarantined: frozenset[str] | None = frozenset()
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def __contains__(self, key: Key) -> bool:
+        return key in self._entries
+
+    @property
+    def quarantined(self) -> frozenset[str]:
+        """The fingerprints of requests that must not be sent to endpoints."""
+        if self._quarantined is None:
+            self._quarantined = frozenset(self._judge())
+        return self._quarantined
+
+    def take(self, sighting: Sighting, *, now: float) -> None:
+        """Takes a sighting; one that is known already changes nothing."""
+        if sighting.key in self._entries:
+            return
+        entry = _Entry(sighting=sighting, since=now)
+        self._entries[sighting.key] = entry
+        its = self._by_request.setdefault(sighting.fingerprint, {})
+        its[sighting.endpoint] = entry
+        self._quarantined = None
+
+    def drop(self, key: Key) -> None:
+        """Drops a sighting, where it is known."""
+        if self._entries.pop(key, None) is None:
+            return
+        fingerprint, endpoint = key
+        its = self._by_request[fingerprint]
+        del its[endpoint]
+        if not its:
+            del self._by_request[fingerprint]
+        self._quarantined = None
+
+    def clear(self, fingerprint: str) -> list[Key]:
+        """Drops a request's sightings, as it has run to its end.
+
+        Returns:
+            What was dropped; nothing where it is quarantined, as what ends
+            then had been sent before.
+        """
+        if fingerprint in self.quarantined:
+            return []
+        keys = [s.key for s in self.sightings(fingerprint)]
+        for key in keys:
+            self.drop(key)
+        return keys
+
+    def expire(self, now: float) -> list[Key]:
+        """Drops what is too old or too much; returns what was dropped."""
+        quarantined = self.quarantined
+        old = {
+            fingerprint
+            for fingerprint in self._by_request
+            if now - self._last_crash(fingerprint)
+            >= (QUARANTINE_S if fingerprint in quarantined else SUSPECT_S)
+        }
+        dropped = [key for key in self._entries if key[0] in old]
+        kept = [key for key in self._entries if key[0] not in old]
+        excess = len(kept) - MOST_SIGHTINGS
+        if excess > 0:
+            kept.sort(key=lambda key: key[0] in quarantined)
+            dropped += kept[:excess]
+        for key in dropped:
+            self.drop(key)
+        return dropped
+
+    def sightings(self, fingerprint: str) -> list[Sighting]:
+        """Returns where a request was when endpoints crashed."""
+        its = self._by_request.get(fingerprint, {})
+        return [entry.sighting for entry in its.values()]
+
+    def zones(self, fingerprint: str) -> frozenset[str]:
+        """Returns the availability zones in which endpoints crashed with it."""
+        return frozenset(s.zone for s in self.sightings(fingerprint))
+
+    def left_s(self, fingerprint: str, now: float) -> float:
+        """Returns how long a quarantined request remains one."""
+        if fingerprint not in self.quarantined:
+            return 0.0
+        return max(0.0, self._last_crash(fingerprint) + QUARANTINE_S - now)
+
+    def _judge(self) -> set[str]:
+        """Returns the requests that are to blame."""
+        found = self._find_blamed(self._by_request, LEAST_CRASHES)
+        by_caller = collections.Counter(map(self._caller, found))
+        of_repeated = [
+            fingerprint
+            for fingerprint in self._by_request
+            if by_caller[self._caller(fingerprint)] >= REPEATED_REQUESTS
+        ]
+        return found | self._find_blamed(of_repeated, LEAST_CRASHES_REPEATED)
+
+    def _find_blamed(self, requests: Iterable[str], least: int) -> set[str]:
+        return {
+            fingerprint
+            for fingerprint in requests
+            if len(self._by_request[fingerprint]) >= least
+            and len(self._by_request[fingerprint])
+            >= self._needed(fingerprint, least)
+        }
+
+    def _needed(self, fingerprint: str, least: int) -> int:
+        """Returns how many crashes of a request are enough to blame it."""
+        begun = sum(s.has_begun for s in self.sightings(fingerprint))
+        needed = least
+        if begun < least - 1:
+            needed += 1
+        if self._may_be_the_zone(fingerprint):
+            needed += 1
+        return needed
+
+    def _may_be_the_zone(self, fingerprint: str) -> bool:
+        """Returns whether a zone's failure may explain a request's crashes."""
+        zones = self.zones(fingerprint)
+        if len(zones) > 1:
+            return False
+        its = self._by_request[fingerprint]
+        times = [entry.since for entry in its.values()]
+        first, last = min(times), max(times)
+        return any(
+            entry.sighting.zone in zones
+            and endpoint not in its
+            and first - ZONE_FAILURE_S <= entry.since <= last + ZONE_FAILURE_S
+            for (_, endpoint), entry in self._entries.items()
+        )
+
+    def _last_crash(self, fingerprint: str) -> float:
+        its = self._by_request[fingerprint].values()
+        return max(entry.since for entry in its)
+
+    def _caller(self, fingerprint: str) -> str:
+        its = self._by_request[fingerprint]
+        return next(iter(its.values())).sighting.caller
--- a/packages/bulrushgrade/bulrushgrade/fingerprint.py
+++ b/packages/bulrushgrade/bulrushgrade/fingerprint.py
@@ -9,9 +9,19 @@
 DIGEST_BYTES = 12
 """Long enough that no caller can find a request with another's fingerprint."""
 
+CALLER_DIGEST_BYTES = 8
+"""Tells callers apart, without naming their addresses to other hosts."""
+
 _LENGTH_BYTES = 4
 
 
+def make_caller_id(caller: str) -> str:
+    """Returns what names a caller in records, in hexadecimal."""
+    return hashlib.blake2b(
+        caller.encode(), digest_size=CALLER_DIGEST_BYTES
+    ).hexdigest()
+
+
 def make_fingerprint(
     *, caller: str, method: bytes, hostname: str, uri: bytes, body: bytes
 ) -> str:
--- a/packages/bulrushgrade/tests/test_balance.py
+++ b/packages/bulrushgrade/tests/test_balance.py
@@ -108,3 +108,20 @@
     assert balancer.eligible([after], avoid=NONE, now=0.0) == [after]
     balancer.forget([after.incarnation])
     assert balancer.load(before.incarnation).ejected_until == 0.0
+
+
+def test_zone_where_endpoints_crashed_is_avoided_where_there_is_another():
+    """A zone failed, and its requests were moved within it."""
+    balancer = make_balancer()
+    here, there = make("here", zone="z1"), make("there", zone="z2")
+
+    def pick(*usable):
+        zones = frozenset({"z1"})
+        return balancer.pick(usable, avoid=NONE, avoid_zones=zones, now=0.0)
+
+    assert pick(here, there) == there
+    assert pick(here) == here
+    # An endpoint that fails is no better than one in a zone that may.
+    for _ in range(balance.EJECT_FAILURES):
+        balancer.failed(there.incarnation, now=0.0)
+    assert pick(here, there) == here
--- /dev/null
+++ b/packages/bulrushgrade/tests/test_crashledger.py
@@ -0,0 +1,231 @@
+"""Tests of which requests are blamed for crashes of endpoints."""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+import pytest
+
+from bulrushgrade import crashledger
+
+FAR_S = 10 * crashledger.ZONE_FAILURE_S
+
+
+def sight(request, endpoint, *, zone="z1", caller="c1", begun=True):
+    return crashledger.Sighting(
+        fingerprint=request,
+        caller=caller,
+        endpoint=(endpoint, 1),
+        zone=zone,
+        has_begun=begun,
+    )
+
+
+def crash(ledger, requests, *endpoints, now=0.0, **changes):
+    """Has endpoints crash with all of some requests, in zones of their own."""
+    for endpoint in endpoints:
+        for request in requests.split():
+            its = {"zone": f"z{endpoint}"} | changes
+            ledger.take(sight(request, endpoint, **its), now=now)
+
+
+def test_third_crash_of_a_request_quarantines_it():
+    ledger = crashledger.CrashLedger()
+    crash(ledger, "bad", "e1", "e2")
+    assert ledger.quarantined == set()
+    crash(ledger, "bad", "e3")
+    assert ledger.quarantined == {"bad"}
+
+
+def test_crash_that_several_hosts_tell_of_counts_once():
+    """All hosts told of the same two crashes; that made six."""
+    ledger = crashledger.CrashLedger()
+    for _ in range(3):
+        crash(ledger, "good", "e1", "e2")
+    assert ledger.quarantined == set()
+    assert len(ledger) == 2
+
+
+def test_start_again_under_the_same_id_is_another_endpoint():
+    ledger = crashledger.CrashLedger()
+    for born in range(3):
+        ledger.take(
+            crashledger.Sighting(
+                fingerprint="bad",
+                caller="c1",
+                endpoint=("e1", born),
+                zone="z1",
+                has_begun=True,
+            ),
+            now=0.0,
+        )
+    assert ledger.quarantined == {"bad"}
+
+
+def test_request_that_ran_to_its_end_is_forgotten():
+    """A poll met a crash now and then, and ran a thousand times between."""
+    ledger = crashledger.CrashLedger()
+    crash(ledger, "good", "e1", "e2")
+    assert len(ledger.clear("good")) == 2
+    crash(ledger, "good", "e3", "e4")
+    assert ledger.quarantined == set()
+
+
+def test_answer_sent_before_the_quarantine_does_not_end_it():
+    ledger = crashledger.CrashLedger()
+    crash(ledger, "bad", "e1", "e2", "e3")
+    assert ledger.clear("bad") == []
+    assert ledger.quarantined == {"bad"}
+
+
+def test_request_that_waited_at_crashed_endpoints_needs_one_more():
+    """Queues were moved from endpoint to endpoint, each crashed by another."""
+    ledger = crashledger.CrashLedger()
+    crash(ledger, "good", "e1", "e2", "e3", begun=False)
+    assert ledger.quarantined == set()
+    crash(ledger, "good", "e4", begun=False)
+    assert ledger.quarantined == {"good"}
+
+
+def test_one_answer_of_which_nothing_arrived_makes_no_difference():
+    ledger = crashledger.CrashLedger()
+    crash(ledger, "bad", "e1", "e2")
+    crash(ledger, "bad", "e3", begun=False)
+    assert ledger.quarantined == {"bad"}
+
+
+def test_request_whose_endpoints_end_with_their_zone_is_innocent():
+    """A zone's endpoints failed one after the other, with a request on them.
+
+    It was moved within the zone each time, and then refused by all hosts.
+    """
+    ledger = crashledger.CrashLedger()
+    for number, endpoint in enumerate(("e1", "e2", "e3", "e4")):
+        at = 0.2 * number
+        ledger.take(sight("other", endpoint), now=at)
+    for number, endpoint in enumerate(("e1", "e3", "e4")):
+        ledger.take(sight("good", endpoint), now=0.2 * number)
+    assert "good" not in ledger.quarantined
+
+
+def test_crashes_of_one_zone_alone_are_a_request_s_own():
+    """A service has endpoints in one zone only, and nothing else crashes."""
+    ledger = crashledger.CrashLedger()
+    ledger.take(sight("other", "e0"), now=0.0)
+    for number, endpoint in enumerate(("e1", "e2", "e3")):
+        ledger.take(sight("bad", endpoint), now=FAR_S + number)
+    assert ledger.quarantined == {"bad"}
+
+
+def test_caller_of_several_harmful_requests_needs_fewer_crashes():
+    """A caller sent one harmful request after the other, each a new one."""
+    ledger = crashledger.CrashLedger()
+    crash(ledger, "b1", "e1", "e2", "e3")
+    crash(ledger, "b2", "e4", "e5", "e6")
+    crash(ledger, "b3", "e7", "e8")
+    crash(ledger, "good", "e7", "e8", caller="c2")
+    assert ledger.quarantined == {"b1", "b2", "b3"}
+
+
+def test_quarantine_ends_and_says_when():
+    ledger = crashledger.CrashLedger()
+    crash(ledger, "bad", "e1", "e2", now=0.0)
+    crash(ledger, "bad", "e3", now=100.0)
+    assert ledger.left_s("bad", 160.0) == pytest.approx(
+        crashledger.QUARANTINE_S - 60.0
+    )
+    assert ledger.expire(crashledger.QUARANTINE_S + 99.0) == []
+    assert len(ledger.expire(crashledger.QUARANTINE_S + 100.0)) == 3
+    assert ledger.quarantined == set()
+    assert ledger.left_s("bad", 5000.0) == 0.0
+
+
+def test_crashes_that_lie_far_apart_still_add_up():
+    """A stream that is not repeated took one endpoint a try, minutes apart."""
+    ledger = crashledger.CrashLedger()
+    for number in range(3):
+        at = number * 0.9 * crashledger.SUSPECT_S
+        assert ledger.expire(at) == []
+        crash(ledger, "bad", f"e{number}", now=at)
+    assert ledger.quarantined == {"bad"}
+
+
+def test_suspicion_ends_after_its_last_crash():
+    ledger = crashledger.CrashLedger()
+    crash(ledger, "good", "e1", "e2")
+    assert len(ledger.expire(crashledger.SUSPECT_S)) == 2
+    crash(ledger, "good", "e3")
+    assert ledger.quarantined == set()
+
+
+def test_great_failure_leaves_what_is_quarantined():
+    """A zone with thousands of requests failed, and the ledger was full."""
+    ledger = crashledger.CrashLedger()
+    crash(ledger, "bad", "e1", "e2", "e3")
+    for number in range(crashledger.MOST_SIGHTINGS + 50):
+        ledger.take(sight(f"r{number}", "e9"), now=1.0)
+    dropped = ledger.expire(1.0)
+    assert len(ledger) == crashledger.MOST_SIGHTINGS
+    assert len(dropped) == 53
+    assert ledger.quarantined == {"bad"}
+
+
+def test_caller_with_very_many_harmful_requests_does_not_fill_memory():
+    ledger = crashledger.CrashLedger()
+    for number in range(crashledger.MOST_SIGHTINGS):
+        crash(ledger, f"b{number}", "e1", "e2", "e3")
+        if number % 500 == 0:
+            ledger.expire(0.0)
+    ledger.expire(0.0)
+    assert len(ledger) == crashledger.MOST_SIGHTINGS
+
+
+class CrashLedgerMachine(stateful.RuleBasedStateMachine):
+    """Two hosts that learn the same in different orders judge alike."""
+
+    def __init__(self):
+        super().__init__()
+        self.one = crashledger.CrashLedger()
+        self.other = crashledger.CrashLedger()
+        self.waiting = []
+        self.now = 0.0
+
+    @stateful.rule(
+        request=st.sampled_from("abc"),
+        endpoint=st.sampled_from("123456"),
+        zone=st.sampled_from("xy"),
+        begun=st.booleans(),
+    )
+    def crash(self, request, endpoint, zone, begun):
+        sighting = sight(request, endpoint, zone=zone, begun=begun)
+        if sighting.key in self.one:
+            return
+        self.one.take(sighting, now=self.now)
+        self.waiting.append(sighting)
+
+    @stateful.rule(data=st.data())
+    def learn(self, data):
+        if self.waiting:
+            number = data.draw(st.integers(0, len(self.waiting) - 1))
+            self.other.take(self.waiting.pop(number), now=self.now)
+
+    @stateful.rule(request=st.sampled_from("abc"))
+    def run_to_its_end(self, request):
+        for key in self.one.clear(request):
+            self.other.drop(key)
+        self.waiting = [s for s in self.waiting if s.key in self.one]
+
+    @stateful.invariant()
+    def agrees_once_all_is_known(self):
+        if not self.waiting:
+            assert self.one.quarantined == self.other.quarantined
+
+    @stateful.invariant()
+    def blames_nobody_for_two_crashes(self):
+        for request in self.one.quarantined:
+            assert len(self.one.sightings(request)) >= 2
+
+
+TestCrashLedgerMachine = CrashLedgerMachine.TestCase
+TestCrashLedgerMachine.settings = hypothesis.settings(
+    max_examples=50, stateful_step_count=30
+)
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/adapter.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/adapter.py
@@ -9,6 +9,7 @@
 from bulrushgrade import errors
 from bulrushgrade import routing
 from bulrushgrade_daemon import cachewatch
+from bulrushgrade_daemon import crashsharing
 from bulrushgrade_daemon import dialect
 from bulrushgrade_daemon import fencedactions
 from bulrushgrade_daemon import operatorcalls
@@ -30,6 +31,7 @@
         decode_registration: Returns an endpoint's registration or a failure.
         read_cache_changes: Returns what changed in an engine's cache.
         membership: The topic in which gateways find each other.
+        crash_topic: The topic of requests at endpoints that crashed.
         order_topic: The topic that decides whose turn it is to order.
         engine_control: Asks engines and orders them about.
         operator_calls: Calls that one host at a time makes for the operator;
@@ -49,6 +51,7 @@
     ]
     read_cache_changes: cachewatch.ReadChanges
     membership: peerlink.Membership
+    crash_topic: crashsharing.CrashTopic
     order_topic: fencedactions.OrderTopic
     engine_control: stagecontrol.EngineControl
     operator_calls: operatorcalls.OperatorCalls | None = None
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/answerpass.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/answerpass.py
@@ -39,7 +39,7 @@
     end = await answer.read(parts.append)
     if not end.whole:
         return inflight.AttemptEnd(
-            outcome=attempts.Outcome.LOST, reason=end.reason
+            outcome=attempts.Outcome.LOST, reason=end.reason, broke_off=True
         )
     failure = inflight.EndpointFailure(
         status=answer.status,
@@ -86,7 +86,7 @@
     end = await answer.read(take)
     if not end.whole:
         return inflight.AttemptEnd(
-            outcome=attempts.Outcome.LOST, reason=end.reason
+            outcome=attempts.Outcome.LOST, reason=end.reason, broke_off=True
         )
     if caller.gone:
         return None
@@ -138,6 +138,7 @@
         return inflight.AttemptEnd(
             outcome=attempts.Outcome.BROKEN_STREAM,
             reason=end.reason or "ended within an event",
+            broke_off=True,
         )
     if caller.gone:
         return None
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/choosing.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/choosing.py
@@ -94,7 +94,12 @@
                 for endpoint in usable
                 if endpoint.stage is not directory_module.Stage.PREFILL
             ]
-            return self._balancer.pick(able, avoid=request.avoid, now=now)
+            return self._balancer.pick(
+                able,
+                avoid=request.avoid,
+                avoid_zones=request.avoid_zones,
+                now=now,
+            )
         request.plan = self._planner(request.service).plan(
             self._plan_input(request, traits),
             may_hand_over=request.history.arrivals == 0,
@@ -160,6 +165,7 @@
             for engine in self._balancer.eligible(
                 [found for found in usable if found.stage is stage],
                 avoid=request.avoid,
+                avoid_zones=request.avoid_zones,
                 now=now,
             )
         ]
--- /dev/null
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/crashrecords.py
@@ -0,0 +1,71 @@
+"""Sightings of requests at crashed endpoints, as records of a keyed topic.
+
+Each sighting has a key of its own, so that hosts which tell of the same one
+write the same record, and none takes another's away.
+"""
+
+import msgspec
+
+from bulrushgrade import crashledger
+from bulrushgrade_daemon import topicreader
+
+_SEPARATOR = "/"
+
+
+class _Value(msgspec.Struct):
+    caller: str
+    zone: str
+    has_begun: bool
+
+
+_decoder = msgspec.json.Decoder(_Value)
+
+
+def write_key(key: crashledger.Key) -> str:
+    """Returns the key of a sighting's record."""
+    fingerprint, (id, born_ms) = key
+    return f"{fingerprint}{_SEPARATOR}{id}{_SEPARATOR}{born_ms}"
+
+
+def read_key(text: str) -> crashledger.Key | None:
+    """Returns the sighting that a record's key names, None where it is none."""
+    # Nothing is known of what an endpoint's id may contain.
+    fingerprint, _, endpoint = text.partition(_SEPARATOR)
+    id, _, born_ms = endpoint.rpartition(_SEPARATOR)
+    if not fingerprint or not id:
+        return None
+    try:
+        return fingerprint, (id, int(born_ms))
+    except ValueError:
+        return None
+
+
+def write_value(sighting: crashledger.Sighting) -> bytes:
+    """Returns the value of a sighting's record."""
+    value = _Value(
+        caller=sighting.caller,
+        zone=sighting.zone,
+        has_begun=sighting.has_begun,
+    )
+    return msgspec.json.encode(value)
+
+
+def read_sighting(
+    record: topicreader.KeyedRecord,
+) -> crashledger.Sighting | None:
+    """Returns the sighting in a record, None where it can't be read."""
+    key = read_key(record.key)
+    if key is None or record.value is None:
+        return None
+    try:
+        value = _decoder.decode(record.value)
+    except msgspec.DecodeError:
+        return None
+    fingerprint, endpoint = key
+    return crashledger.Sighting(
+        fingerprint=fingerprint,
+        endpoint=endpoint,
+        caller=value.caller,
+        zone=value.zone,
+        has_begun=value.has_begun,
+    )
--- /dev/null
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/crashsharing.py
@@ -0,0 +1,273 @@
+"""Shares among all hosts which requests were at endpoints that crashed.
+
+What a host sees counts for itself at once, and goes to a topic on the
+platform's store, from which all others, those too that start later, have it.
+"""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Iterable
+from typing import Any
+
+import attrs
+from returns.result import Failure
+from returns.result import Result
+from twisted.internet import defer
+
+from bulrushgrade import crashledger
+from bulrushgrade_daemon import crashrecords
+from bulrushgrade_daemon import crashwatch
+from bulrushgrade_daemon import decisionlog
+from bulrushgrade_daemon import task
+from bulrushgrade_daemon import topicreader
+
+WRITE_PAUSE_S = 0.25
+"""Between two writes, in which what comes from one failure is gathered."""
+
+RETRY_S = 0.5
+"""Between two writes while the store is away."""
+
+MOST_A_WRITE = 256
+"""Records in a write, far below what the store takes."""
+
+MOST_WAITING = 1024
+"""Records that wait to be written. Beyond these only what is told of requests
+that were at a crash before is taken."""
+
+EXPIRE_PERIOD_S = 10.0
+"""Between two searches for what is too old or too much."""
+
+Record = tuple[str, bytes | None]
+"""A key and what it is to hold; None drops it."""
+
+
+@attrs.frozen(kw_only=True)
+class CrashTopic:
+    """The topic of sightings on the platform's store.
+
+    Attributes:
+        reader: Reads it.
+        write: Writes the newest records of several keys.
+    """
+
+    reader: topicreader.KeyedReader
+    write: Callable[
+        [Iterable[Record]], Awaitable[Result[None, topicreader.StoreAway]]
+    ]
+
+
+class CrashSharing:
+    """Ties the ledger of crashes to the topic."""
+
+    name = "crashsharing"
+    requires = ("timer",)
+
+    def __init__(
+        self,
+        *,
+        timers: Any,
+        ledger: crashledger.CrashLedger,
+        write: Callable[
+            [Iterable[Record]], Awaitable[Result[None, topicreader.StoreAway]]
+        ],
+        leads: Callable[[], bool],
+        on_quarantined: Callable[[frozenset[str]], None],
+        log: decisionlog.DecisionLog,
+        on_broken: Callable[[str], None],
+    ):
+        """Makes the service.
+
+        Args:
+            timers: The timer service.
+            ledger: What is known of crashes.
+            write: Writes records to the topic.
+            leads: Returns whether this host is the one to drop old records.
+            on_quarantined: Takes the requests that were just quarantined.
+            log: Gets a line for each request that is, or is no longer.
+            on_broken: Called with the reason where an invariant is broken.
+        """
+        self._timers = timers
+        self._ledger = ledger
+        self._write = write
+        self._leads = leads
+        self._on_quarantined = on_quarantined
+        self._log = log
+        self._on_broken = on_broken
+        self._quarantined: frozenset[str] = frozenset()
+        # What this host saw, to be written again where the store has lost it.
+        self._own: dict[crashledger.Key, crashledger.Sighting] = {}
+        # The oldest first; None drops the record.
+        self._waiting: dict[crashledger.Key, crashledger.Sighting | None] = {}
+        self._counts = {"written": 0, "failed": 0, "left_out": 0}
+        self._unreadable = 0
+        self._tick: Any = None
+        self._writing: defer.Deferred | None = None
+
+    @property
+    def counts(self) -> dict[str, int]:
+        """Records written, writes that failed, sightings left out."""
+        return {**self._counts, "unreadable": self._unreadable}
+
+    @property
+    def quarantined(self) -> int:
+        """Requests that are quarantined."""
+        return len(self._ledger.quarantined)
+
+    async def start(self) -> None:
+        """Begins to drop what is old."""
+        self._tick = self._timers.every(EXPIRE_PERIOD_S, self._expire)
+
+    async def stop(self) -> None:
+        """Writes nothing any more."""
+        if self._tick is not None:
+            self._tick.cancel()
+        if self._writing is not None:
+            self._writing.cancel()
+
+    def receive(self, message: Any) -> None:
+        """Takes no messages."""
+
+    def dump(self) -> dict[str, Any]:
+        """Returns what is known and what is to be written."""
+        now = self._timers.now
+        return {
+            "sightings": len(self._ledger),
+            "waiting": len(self._waiting),
+            "quarantined": {
+                fingerprint: round(self._ledger.left_s(fingerprint, now))
+                for fingerprint in sorted(self._ledger.quarantined)
+            },
+            **self.counts,
+        }
+
+    def take_crash(self, crash: crashwatch.Crash) -> None:
+        """Takes a crash that this host saw."""
+        now = self._timers.now
+        for run in crash.runs:
+            sighting = crashledger.Sighting(
+                fingerprint=run.fingerprint,
+                caller=run.caller_id,
+                endpoint=crash.endpoint.incarnation,
+                zone=crash.endpoint.zone,
+                has_begun=run.ran_s is not None,
+            )
+            if sighting.key in self._ledger:
+                continue
+            is_first = not self._ledger.sightings(run.fingerprint)
+            self._ledger.take(sighting, now=now)
+            if is_first and len(self._waiting) >= MOST_WAITING:
+                self._counts["left_out"] += 1
+                continue
+            self._own[sighting.key] = sighting
+            self._waiting[sighting.key] = sighting
+        self._note_changes()
+        self._begin_to_write()
+
+    def note_whole(self, fingerprint: str) -> None:
+        """Notes that a request has run to its end."""
+        for key in self._ledger.clear(fingerprint):
+            self._own.pop(key, None)
+            self._waiting[key] = None
+        self._begin_to_write()
+
+    def take_records(
+        self, records: tuple[topicreader.KeyedRecord, ...]
+    ) -> None:
+        """Takes records of the topic in their order."""
+        for record in records:
+            self._take_record(record)
+        self._note_changes()
+
+    def take_all(self, records: tuple[topicreader.KeyedRecord, ...]) -> None:
+        """Takes the newest record of every key.
+
+        What this host saw and the store does not have is written again.
+        """
+        self.take_records(records)
+        listed = {record.key for record in records if record.value is not None}
+        for key, sighting in self._own.items():
+            if crashrecords.write_key(key) not in listed:
+                self._waiting.setdefault(key, sighting)
+        self._begin_to_write()
+
+    def _take_record(self, record: topicreader.KeyedRecord) -> None:
+        if record.value is None:
+            key = crashrecords.read_key(record.key)
+            if key is not None:
+                self._ledger.drop(key)
+                self._own.pop(key, None)
+            return
+        sighting = crashrecords.read_sighting(record)
+        if sighting is None:
+            self._unreadable += 1
+            self._log.note("record_unreadable", key=record.key)
+        else:
+            self._ledger.take(sighting, now=self._timers.now)
+
+    def _note_changes(self) -> None:
+        before, now = self._quarantined, self._ledger.quarantined
+        if before == now:
+            return
+        self._quarantined = now
+        for fingerprint in now - before:
+            sightings = self._ledger.sightings(fingerprint)
+            self._log.note(
+                "request_quarantined",
+                fingerprint=fingerprint,
+                endpoints=[sighting.endpoint[0] for sighting in sightings],
+                zones=sorted(self._ledger.zones(fingerprint)),
+                waited_at=sum(not s.has_begun for s in sightings),
+            )
+        for fingerprint in before - now:
+            self._log.note("request_released", fingerprint=fingerprint)
+        if now - before:
+            self._on_quarantined(now - before)
+
+    def _expire(self) -> None:
+        dropped = self._ledger.expire(self._timers.now)
+        for key in dropped:
+            self._own.pop(key, None)
+            self._waiting.pop(key, None)
+        if dropped and self._leads():
+            self._waiting.update(dict.fromkeys(dropped))
+        self._note_changes()
+        self._begin_to_write()
+
+    def _begin_to_write(self) -> None:
+        if self._waiting and self._writing is None:
+            self._writing = task.spawn(
+                self._write_waiting(),
+                name=self.name,
+                on_broken=self._on_broken,
+            )
+
+    async def _write_waiting(self) -> None:
+        try:
+            while self._waiting:
+                pause_s = WRITE_PAUSE_S
+                if not await self._write_some():
+                    pause_s = RETRY_S
+                await self._timers.sleep(pause_s)
+        finally:
+            self._writing = None
+
+    async def _write_some(self) -> bool:
+        batch = dict(list(self._waiting.items())[:MOST_A_WRITE])
+        for key in batch:
+            del self._waiting[key]
+        written = await self._write(
+            [
+                (
+                    crashrecords.write_key(key),
+                    None if found is None else crashrecords.write_value(found),
+                )
+                for key, found in batch.items()
+            ]
+        )
+        if isinstance(written, Failure):
+            self._counts["failed"] += 1
+            # What has come since of the same keys is newer.
+            self._waiting = batch | self._waiting
+            return False
+        self._counts["written"] += len(batch)
+        return True
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/crashwatch.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/crashwatch.py
@@ -10,8 +10,8 @@
 from typing import Any
 
 import attrs
+from twisted.internet import defer
 
-from bulrushgrade import attempts
 from bulrushgrade import directory
 from bulrushgrade_daemon import decisionlog
 from bulrushgrade_daemon import inflight
@@ -21,18 +21,13 @@
 """From the first answer that breaks off to the check of its endpoint. Those of
 the other requests there break off in the same moment and need no other one."""
 
+SETTLE_S = 0.05
+"""How long a request waits for the check before it is sent on: longer than a
+connection takes to be opened or refused, and a small part of any target."""
+
 MOST_RUNS = 256
 """Requests that one crash tells of: more than an endpoint has slots."""
 
-BROKEN = frozenset(
-    {
-        attempts.Outcome.LOST,
-        attempts.Outcome.BROKEN_STREAM,
-        attempts.Outcome.UNREAD,
-    }
-)
-"""Outcomes of attempts whose endpoint may have ended."""
-
 
 @attrs.frozen(kw_only=True)
 class BrokenRun:
@@ -40,15 +35,30 @@
 
     Attributes:
         fingerprint: Names the request and its repeats.
+        caller_id: Names who sent it.
         request_id: The caller's id of this attempt.
         ran_s: Since its answer had begun, None where none had.
     """
 
     fingerprint: str
+    caller_id: str
     request_id: str
     ran_s: float | None
 
 
+@attrs.define(kw_only=True)
+class _Unchecked:
+    """An endpoint that is still to be checked.
+
+    Attributes:
+        runs: The requests whose answers broke off there.
+        waiting: Those that wait until it is.
+    """
+
+    runs: list[BrokenRun]
+    waiting: list[defer.Deferred] = attrs.field(factory=list)
+
+
 @attrs.frozen(kw_only=True)
 class Crash:
     """An endpoint that ended with requests of this daemon.
@@ -96,7 +106,7 @@
         self._log = log
         self._on_broken = on_broken
         # By incarnation, until its endpoint was checked.
-        self._unchecked: dict[tuple[str, int], list[BrokenRun]] = {}
+        self._unchecked: dict[tuple[str, int], _Unchecked] = {}
         self._counts = {"checks": 0, "crashes": 0, "requests": 0}
 
     @property
@@ -104,36 +114,60 @@
         """Checks, crashes that they found, and requests that were there."""
         return dict(self._counts)
 
-    def note(
-        self, request: inflight.InFlight, outcome: attempts.Outcome
-    ) -> None:
-        """Notes how an attempt of a request ended at its endpoint."""
+    def note(self, request: inflight.InFlight) -> None:
+        """Notes that the answer of the endpoint that a request is at broke."""
         endpoint = request.endpoint
-        if outcome not in BROKEN or self._is_leaving(endpoint):
+        if self._is_leaving(endpoint):
             return
         run = BrokenRun(
             fingerprint=request.fingerprint,
+            caller_id=request.caller_id,
             request_id=request.info.request_id,
             ran_s=request.ran_s(self._timers.now),
         )
-        runs = self._unchecked.get(endpoint.incarnation)
-        if runs is None:
-            self._unchecked[endpoint.incarnation] = [run]
+        unchecked = self._unchecked.get(endpoint.incarnation)
+        if unchecked is None:
+            self._unchecked[endpoint.incarnation] = _Unchecked(runs=[run])
             task.spawn(
                 self._find_out(endpoint),
                 name="crashwatch",
                 on_broken=self._on_broken,
             )
-        elif len(runs) < MOST_RUNS:
-            runs.append(run)
+        elif len(unchecked.runs) < MOST_RUNS:
+            unchecked.runs.append(run)
+
+    async def settle(self, endpoint: directory.Registration) -> None:
+        """Waits until an endpoint that was noted is checked, or for long."""
+        unchecked = self._unchecked.get(endpoint.incarnation)
+        if unchecked is None:
+            return
+        waited: defer.Deferred = defer.Deferred()
+        limit = self._timers.after(SETTLE_S, lambda: waited.callback(None))
+        unchecked.waiting.append(waited)
+        try:
+            await waited
+        finally:
+            limit.cancel()
+            if waited in unchecked.waiting:
+                unchecked.waiting.remove(waited)
 
     async def _find_out(self, endpoint: directory.Registration) -> None:
         await self._timers.sleep(GATHER_S)
         self._counts["checks"] += 1
         reason = await self._check(endpoint)
-        runs = self._unchecked.pop(endpoint.incarnation)
-        if reason is None:
-            return
+        unchecked = self._unchecked.pop(endpoint.incarnation)
+        if reason is not None:
+            self._note_crash(endpoint, unchecked.runs, reason)
+        waiting, unchecked.waiting = unchecked.waiting, []
+        for waited in waiting:
+            waited.callback(None)
+
+    def _note_crash(
+        self,
+        endpoint: directory.Registration,
+        runs: list[BrokenRun],
+        reason: str,
+    ) -> None:
         self._counts["crashes"] += 1
         self._counts["requests"] += len(runs)
         self._log.note(
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointcalls.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointcalls.py
@@ -102,6 +102,7 @@
             return inflight.AttemptEnd(
                 outcome=attempts.Outcome.UNREAD,
                 reason=f"prefill: status {sent.status} {end.reason}",
+                broke_off=not end.whole,
             )
         return dialect_module.PrefilledBy(
             address=f"{engine.host}:{engine.port}", handle=found.handle
@@ -175,7 +176,9 @@
             outcome = attempts.Outcome.UNREACHED
             if failed.written:
                 outcome = attempts.Outcome.LOST
-            return inflight.AttemptEnd(outcome=outcome, reason=failed.reason)
+            return inflight.AttemptEnd(
+                outcome=outcome, reason=failed.reason, broke_off=failed.written
+            )
         return sent.unwrap()
 
     def _read_refusal(
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
@@ -13,6 +13,7 @@
 from twisted.web import http
 
 from bulrushgrade import attempts
+from bulrushgrade import crashledger
 from bulrushgrade import engineadmission
 from bulrushgrade import retryshare
 from bulrushgrade import routing
@@ -20,13 +21,13 @@
 from bulrushgrade_daemon import answerpass
 from bulrushgrade_daemon import choosing
 from bulrushgrade_daemon import crashwatch
-from bulrushgrade_daemon import decisionlog
 from bulrushgrade_daemon import dialect as dialect_module
 from bulrushgrade_daemon import endpointcalls
 from bulrushgrade_daemon import enginework
 from bulrushgrade_daemon import front
 from bulrushgrade_daemon import inflight
 from bulrushgrade_daemon import outbound
+from bulrushgrade_daemon import requestadmission
 from bulrushgrade_daemon import requestlog
 from bulrushgrade_daemon import task
 
@@ -36,6 +37,10 @@
 MIN_ATTEMPT_S = 0.05
 """Time that must be left for another attempt to be of use."""
 
+SILENT_S = 1.0
+"""Without a word of an endpoint, after which a request that is given up has
+the endpoint checked: longer than any usual pause."""
+
 
 @attrs.frozen(kw_only=True)
 class Parts:
@@ -43,29 +48,31 @@
 
     Attributes:
         timers: The timer service.
+        admission: Decides which requests are taken.
         dialect: Translates headers.
-        table: Returns the routes in force, or None before the first.
         chooser: Chooses endpoints.
         work: Takes note of work at engines.
         calls: Sends requests to them.
         crashes: Notices endpoints that end.
+        ledger: What is known of crashes of endpoints.
+        note_whole: Takes the fingerprint of a request that was at crashes
+            and has run to its end.
         log: Gets a line for each decision that is out of the ordinary.
         rng: Source of random choices.
-        ends_in_s: Returns the seconds that are left for requests that come
-            now; None where there is no limit.
         on_broken: Called with the reason where an invariant is broken.
     """
 
     timers: Any
+    admission: requestadmission.RequestAdmission
     dialect: dialect_module.Dialect
-    table: Callable[[], routing.RouteTable | None]
     chooser: choosing.Chooser
     work: enginework.EngineWork
     calls: endpointcalls.EndpointCalls
     crashes: crashwatch.CrashWatch
-    log: decisionlog.DecisionLog
+    ledger: crashledger.CrashLedger
+    note_whole: Callable[[str], None]
+    log: requestlog.RequestLog
     rng: random.Random
-    ends_in_s: Callable[[], float | None]
     on_broken: Callable[[str], None]
 
 
@@ -95,22 +102,22 @@
         """
         self._timers = parts.timers
         self._dialect = parts.dialect
-        self._table = parts.table
         self._chooser = parts.chooser
         self._work = parts.work
         self._calls = parts.calls
         self._crashes = parts.crashes
-        self._log = requestlog.RequestLog(
-            log=parts.log, now=lambda: self._timers.now
-        )
+        self._admission = parts.admission
+        self._ledger = parts.ledger
+        self._note_whole = parts.note_whole
+        self._log = parts.log
         self._rng = parts.rng
-        self._ends_in_s = parts.ends_in_s
         self._on_broken = parts.on_broken
         self._new_share = new_share
         self._observe = observe
         self._note_begun = note_begun
         self._shares: dict[str, retryshare.RetryShare] = {}
-        self._open: set[inflight.InFlight] = set()
+        # With what cancels them, None until they wait for something.
+        self._open: dict[inflight.InFlight, Any] = {}
         self._counts: dict[str, int] = {}
 
     @property
@@ -121,7 +128,7 @@
     @property
     def counts(self) -> dict[str, int]:
         """Requests by how they ended, attempts by what came of them."""
-        return dict(self._counts)
+        return self._admission.counts | self._counts
 
     async def start(self) -> None:
         """Opens nothing."""
@@ -138,81 +145,17 @@
 
     def handle(self, caller: front.CallerRequest) -> None:
         """Takes a request that was read whole."""
-        info = self._dialect.read_request_info(caller.requestHeaders)
-        table = self._table()
-        if table is None:
-            self._count("refused_unconfigured")
-            self._log.note_unconfigured(info)
-            self._refuse(caller, info, 0.0)
-            return
-        hostname = caller.requestHeaders.getRawHeaders(b"host", [b""])[0]
-        path = caller.path.decode("latin-1")
-        route = table.find(hostname.decode("latin-1"), path)
-        if route is None:
-            self._count("no_route")
-            version = table.configuration.version
-            self._log.note_no_route(info, version, hostname, path)
-            caller.answer(http.NOT_FOUND, [], b"")
-            return
-        workspace = self._authenticate(info, table, route)
-        if isinstance(workspace, workspaces.Denial):
-            self._count("unauthorized")
-            version = table.configuration.version
-            self._log.note_unauthorized(info, route, version, workspace)
-            challenge = self._dialect.challenge
-            caller.answer(http.UNAUTHORIZED, challenge, b"")
-            return
-        self._begin(caller, info, table.rank(route, workspace), workspace)
-
-    def _authenticate(
-        self,
-        info: dialect_module.RequestInfo,
-        table: routing.RouteTable,
-        route: routing.Route,
-    ) -> workspaces.Workspace | workspaces.Denial | None:
-        """Returns whose request it is; None where it may be anybody's.
-
-        A key that is taken away ends no request that was taken before: its
-        attempts go on under the workspace that it was taken for.
-        """
-        keys = table.configuration.keys
-        if keys is None:
-            return None
-        found = keys.find(info.key_digests)
-        if route.is_public and isinstance(found, workspaces.Denial):
-            return None
-        return found
-
-    def _begin(
-        self,
-        caller: front.CallerRequest,
-        info: dialect_module.RequestInfo,
-        route: routing.Route,
-        workspace: workspaces.Workspace | None,
-    ) -> None:
-        waits_s = inflight.longest_wait_s(info, route)
-        ends_in_s = self._ends_in_s()
-        if ends_in_s is not None and waits_s > ends_in_s:
-            self._count("refused_stopping")
-            self._log.note_stopping(info, route, ends_in_s)
-            self._refuse(caller, info, 0.0)
+        request = self._admission.admit(caller)
+        if request is None:
             return
-        request = inflight.InFlight(
-            caller=caller,
-            info=info,
-            route=route,
-            service=routing.pick_service(route, self._rng),
-            deadline=caller.arrived_at + waits_s,
-            workspace=workspace,
-            hides_key=self._table().configuration.keys is not None,
-        )
         self._share(request.service).count_request(self._timers.now)
-        self._open.add(request)
+        self._open[request] = None
         running = task.spawn(
             self._serve(request), name="request", on_broken=self._on_broken
         )
         if request not in self._open:
             return
+        self._open[request] = running
         caller.on_gone = running.cancel
 
         def expire() -> None:
@@ -223,6 +166,13 @@
         expiry = self._timers.after(left_s - MARGIN_S, expire)
         running.addBoth(lambda result: expiry.cancel() or result)
 
+    def end_quarantined(self, fingerprints: frozenset[str]) -> None:
+        """Ends the requests under way that were just quarantined."""
+        for request, running in list(self._open.items()):
+            if running is not None and request.fingerprint in fingerprints:
+                request.is_quarantined = True
+                running.cancel()
+
     async def _serve(self, request: inflight.InFlight) -> None:
         try:
             await self._try_until_answered(request)
@@ -230,7 +180,7 @@
             self._end_cancelled(request)
         finally:
             request.caller.on_gone = None
-            self._open.discard(request)
+            self._open.pop(request, None)
 
     async def _try_until_answered(self, request: inflight.InFlight) -> None:
         while True:
@@ -250,7 +200,7 @@
             if ended is None:
                 self._note_answered(request)
                 return
-            if not self._goes_on(request, ended):
+            if not await self._goes_on(request, ended):
                 self._finish(request, ended, ended.reason)
                 return
 
@@ -270,7 +220,25 @@
         self, request: inflight.InFlight
     ) -> inflight.AttemptEnd | None:
         """Returns None where the caller has got a whole answer."""
+        request.sent_at = self._timers.now
         request.answer_began_at = None
+        try:
+            return await self._read_and_run(request)
+        except defer.CancelledError:
+            # What was written may have run, whatever ends the request.
+            request.history.note(attempts.Outcome.LOST)
+            # An endpoint whose host vanished closes no connection; its
+            # callers leave, or their time is up.
+            if request.silent_s(self._timers.now) >= SILENT_S:
+                self._crashes.note(request)
+            raise
+        finally:
+            request.sent_at = None
+
+    async def _read_and_run(
+        self, request: inflight.InFlight
+    ) -> inflight.AttemptEnd | None:
+        """Has engines read a prompt and run it, or an endpoint run it all."""
         if request.plan is None or request.plan.prefill is None:
             return await self._run(request, None)
         engine = request.plan.prefill
@@ -364,7 +332,7 @@
             )
         return await answerpass.pass_whole(request, self._dialect, on_heard)
 
-    def _goes_on(
+    async def _goes_on(
         self, request: inflight.InFlight, ended: inflight.AttemptEnd
     ) -> bool:
         """Notes an attempt that failed; returns whether another follows."""
@@ -372,7 +340,10 @@
         request.history.note(ended.outcome)
         self._count(f"attempt_{ended.outcome.value}")
         self._chooser.failed(request, endpoint, ended)
-        self._crashes.note(request, ended.outcome)
+        if ended.broke_off:
+            self._crashes.note(request)
+            await self._crashes.settle(endpoint)
+            request.avoid_zones = self._ledger.zones(request.fingerprint)
         again = self._may_try_again(request)
         self._log.note_attempt(request, endpoint, ended, again=again)
         return again
@@ -381,6 +352,8 @@
         now = self._timers.now
         if request.left_s(now) < MIN_ATTEMPT_S:
             return False
+        if self._quarantined_s(request) > 0:
+            return False
         if not attempts.may_try_again(request.route, request.history):
             return False
         if request.history.last is attempts.Outcome.UNREACHED:
@@ -404,8 +377,7 @@
             failure = ended.failure
             caller.answer(failure.status, failure.fields, failure.body)
         elif step is attempts.Step.REFUSE:
-            queued_s = request.plan.wait_s if request.plan else 0.0
-            self._refuse(caller, request.info, queued_s)
+            caller.refuse(self._return_after_s(request))
         else:
             caller.answer(http.BAD_GATEWAY, [], b"")
 
@@ -414,6 +386,9 @@
         if request.caller.gone:
             self._count("ended_caller_left")
             return
+        if request.is_quarantined:
+            self._finish(request, None, "quarantined")
+            return
         self._count("ended_timeout")
         self._log.note_timed_out(request)
         if request.history.begun:
@@ -421,21 +396,26 @@
         else:
             request.caller.answer(http.GATEWAY_TIMEOUT, [], b"")
 
-    def _refuse(
-        self,
-        caller: front.CallerRequest,
-        info: dialect_module.RequestInfo,
-        queued_s: float,
-    ) -> None:
-        """Says that nothing ran, and when to come back."""
-        after_s = retryshare.return_after_s(
-            info.deadline_s, self._rng, queued_s=queued_s
+    def _return_after_s(self, request: inflight.InFlight) -> float:
+        quarantined_s = self._quarantined_s(request)
+        if quarantined_s > 0:
+            return quarantined_s
+        return retryshare.return_after_s(
+            request.info.deadline_s,
+            self._rng,
+            queued_s=request.plan.wait_s if request.plan else 0.0,
         )
-        fields = [(b"retry-after", b"%.3f" % after_s)]
-        caller.answer(http.SERVICE_UNAVAILABLE, fields, b"")
+
+    def _quarantined_s(self, request: inflight.InFlight) -> float:
+        """Returns how long a request remains quarantined, 0 if it is not."""
+        if not len(self._ledger):
+            return 0.0
+        return self._ledger.left_s(request.fingerprint, self._timers.now)
 
     def _note_answered(self, request: inflight.InFlight) -> None:
         self._count("answered")
+        if len(self._ledger) and self._ledger.sightings(request.fingerprint):
+            self._note_whole(request.fingerprint)
         took_s = self._timers.now - request.caller.arrived_at
         self._observe(request.route.kind.value, took_s)
 
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/front.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/front.py
@@ -25,6 +25,7 @@
 
     arrived_at: float = 0.0
     on_gone: Callable[[], None] | None = None
+    _body = b""
     _body_bytes = 0
     _gone = False
     _too_large = False
@@ -42,8 +43,8 @@
 
     @property
     def body(self) -> bytes:
-        """The whole body."""
-        return self.content.getvalue()
+        """The whole body, also after the caller has left."""
+        return self._body
 
     def gotLength(self, length: int | None) -> None:  # noqa: N802
         """Keeps the body in memory, within its limit; there is no disk."""
@@ -65,6 +66,8 @@
         """Passes the request on as it came, without parsing its body."""
         if self._too_large:
             return
+        # Twisted closes what it has read when the caller leaves.
+        self._body = self.content.getvalue()
         self.method = command
         self.uri = path
         self.path = path.partition(b"?")[0]
@@ -106,6 +109,11 @@
         self.write(body)
         self.finish()
 
+    def refuse(self, after_s: float) -> None:
+        """Says that nothing ran, and in how many seconds to come back."""
+        fields = [(b"retry-after", b"%.3f" % after_s)]
+        self.answer(http.SERVICE_UNAVAILABLE, fields, b"")
+
     def pace(self, producer: Any) -> None:
         """Has the caller's reading speed pause what is passed on."""
         if self._gone:
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gateway.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gateway.py
@@ -87,6 +87,7 @@
         return (
             self._services.view.table is not None
             and self._services.follow_endpoints.known
+            and self._services.follow_crashes.known
             and not self._stopping
         )
 
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaypages.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaypages.py
@@ -55,6 +55,16 @@
             "Checks of endpoints whose answers broke off, crashes found.",
             lambda: services.crashes.counts,
         ),
+        (
+            "crash_records_total",
+            "Records of requests at crashed endpoints.",
+            lambda: services.crash_sharing.counts,
+        ),
+        (
+            "crash_reads_total",
+            "Reads of the topic of crashes.",
+            lambda: services.follow_crashes.counts,
+        ),
         (
             "log_lines_total",
             "Lines written and dropped.",
@@ -102,3 +112,8 @@
         "Requests under way.",
         read=lambda: services.forwarder.open_requests,
     )
+    services.metrics.gauge(
+        "quarantined_requests",
+        "Requests that are not sent to endpoints any more.",
+        read=lambda: services.crash_sharing.quarantined,
+    )
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from bulrushgrade import crashledger
 from bulrushgrade import kernel as kernel_module
 from bulrushgrade import orderturn
 from bulrushgrade import peerloads
@@ -17,6 +18,7 @@
 from bulrushgrade_daemon import cachewatch
 from bulrushgrade_daemon import choosing
 from bulrushgrade_daemon import clock
+from bulrushgrade_daemon import crashsharing
 from bulrushgrade_daemon import crashwatch
 from bulrushgrade_daemon import decisionlog
 from bulrushgrade_daemon import endpointcalls
@@ -32,6 +34,8 @@
 from bulrushgrade_daemon import operatortasks
 from bulrushgrade_daemon import peerlink
 from bulrushgrade_daemon import placementindex
+from bulrushgrade_daemon import requestadmission
+from bulrushgrade_daemon import requestlog
 from bulrushgrade_daemon import stagecontrol
 from bulrushgrade_daemon import storetopics
 from bulrushgrade_daemon import storeview
@@ -42,12 +46,16 @@
 One read that fails, with its time limit and the pause after it, still leaves
 the next within the bound."""
 
-CONFIGURATION_READS_A_BOUND = 1.4
-"""Reads of the configuration in its bound when nothing changes. A read waits
-for a change and returns with it, and the host that read it notifies the others
-of its zone, so this only limits how long it takes to notice that a store, a
-path or a host went silent. One read more after that is still within the
-bound."""
+WAITING_READS_A_BOUND = 1.4
+"""Reads of the configuration, and of crashes, in their bounds when nothing
+changes. A read waits for a change and returns with it, and the host that read
+it notifies the others of its zone, so this only limits how long it takes to
+notice that a store, a path or a host went silent. One read more after that is
+still within the bound."""
+
+CRASHES_PAUSE_S = 0.1
+"""Between two reads of the topic of crashes. All hosts that had requests at an
+endpoint tell of its crash at the same time."""
 
 PEERS_WAIT_S = 15.0
 """How long a read of the gateways' topic waits. It changes only when a host
@@ -128,6 +136,7 @@
         )
         self._make_view()
         self._make_chooser()
+        self._make_crash_sharing()
         self._make_forwarding()
         self._make_sharing()
         self._make_stage_control()
@@ -137,6 +146,8 @@
             self._timers,
             self._follow_configuration,
             self._follow_endpoints,
+            self._follow_crashes,
+            self._crash_sharing,
             self._link,
             self._gossip,
             self._index,
@@ -174,6 +185,16 @@
         """Follows the endpoints."""
         return self._follow_endpoints
 
+    @property
+    def follow_crashes(self) -> follower.Follower:
+        """Follows which requests were at endpoints that crashed."""
+        return self._follow_crashes
+
+    @property
+    def crash_sharing(self) -> crashsharing.CrashSharing:
+        """Shares what this host saw of that."""
+        return self._crash_sharing
+
     @property
     def forwarder(self) -> forwarder.Forwarder:
         """Serves requests."""
@@ -222,7 +243,7 @@
         self._follow_configuration = self._topics.follow(
             "configuration",
             context.adapter.configuration_reader,
-            wait_s=bounds.configuration_s / CONFIGURATION_READS_A_BOUND,
+            wait_s=bounds.configuration_s / WAITING_READS_A_BOUND,
             pause_s=0.0,
             take=self._view.take_configuration,
             take_all=self._view.take_configuration,
@@ -268,6 +289,28 @@
             rng=context.rng,
         )
 
+    def _make_crash_sharing(self) -> None:
+        context, bounds = self._context, self._context.settings().bounds
+        topic = context.adapter.crash_topic
+        self._ledger = crashledger.CrashLedger()
+        self._crash_sharing = crashsharing.CrashSharing(
+            timers=self._timers,
+            ledger=self._ledger,
+            write=topic.write,
+            leads=lambda: self._gossip.leads(),
+            on_quarantined=lambda found: self._forwarder.end_quarantined(found),
+            log=context.log,
+            on_broken=context.kernel.fail,
+        )
+        self._follow_crashes = self._topics.follow(
+            "crashes",
+            topic.reader,
+            wait_s=bounds.contact_s / WAITING_READS_A_BOUND,
+            pause_s=CRASHES_PAUSE_S,
+            take=self._crash_sharing.take_records,
+            take_all=self._crash_sharing.take_all,
+        )
+
     def _make_forwarding(self) -> None:
         context, listen = self._context, self._context.settings().listen
         calls = endpointcalls.EndpointCalls(
@@ -280,22 +323,35 @@
             timers=self._timers,
             check=calls.find_refusal,
             is_leaving=self._view.endpoints.is_leaving,
-            take_crash=lambda crash: None,
+            take_crash=self._crash_sharing.take_crash,
             log=context.log,
             on_broken=context.kernel.fail,
         )
+        log = requestlog.RequestLog(
+            log=context.log, now=lambda: self._timers.now
+        )
+        admission = requestadmission.RequestAdmission(
+            timers=self._timers,
+            dialect=context.adapter.dialect,
+            table=lambda: self._view.table,
+            ledger=self._ledger,
+            ends_in_s=context.ends_in_s,
+            log=log,
+            rng=context.rng,
+        )
         self._forwarder = forwarder.Forwarder(
             parts=forwarder.Parts(
                 timers=self._timers,
+                admission=admission,
                 dialect=context.adapter.dialect,
-                table=lambda: self._view.table,
                 chooser=self._chooser,
                 work=self._work,
                 calls=calls,
                 crashes=self._crashes,
-                log=context.log,
+                ledger=self._ledger,
+                note_whole=self._crash_sharing.note_whole,
+                log=log,
                 rng=context.rng,
-                ends_in_s=context.ends_in_s,
                 on_broken=context.kernel.fail,
             ),
             new_share=self._new_share,
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaysettings.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaysettings.py
@@ -64,6 +64,8 @@
         drain_s: After an endpoint is seen to leave, how long it may still
             get work.
         configuration_s: How soon a configuration is in force everywhere.
+        contact_s: How soon a host that was cut off, or has just started, is
+            to know what all others know.
         stop_s: What a process has from SIGTERM to SIGKILL.
         retry_ratio: Retries for each request to a service, over all hosts.
         retry_extra: Retries a window beside, over all hosts.
@@ -75,6 +77,7 @@
     drain_s: float = _key(keys.number(float, 0.05, 3600, "seconds"))
     configuration_s: float = _key(keys.number(float, 0.05, 3600, "seconds"))
     stop_s: float = _key(keys.number(float, 0.1, 3600, "seconds"))
+    contact_s: float = _key(keys.number(float, 0.1, 3600, "seconds"), 3.0)
     retry_ratio: float = _key(keys.number(float, 0, 100, "retries a request"))
     retry_extra: float = _key(keys.number(float, 0, 1e6, "retries"))
     retry_window_s: float = _key(keys.number(float, 0.1, 3600, "seconds"))
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/inflight.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/inflight.py
@@ -66,8 +66,11 @@
         workspace: Whose it is, or None.
         hides_key: Whether its key is not for endpoints.
         is_counted: Whether it was counted as one that began to run.
-        answer_began_at: When the answer that is being read began; None
-            before.
+        sent_at: When the attempt under way began, None between two.
+        answer_began_at: When the answer of the last attempt began, None
+            where none did.
+        avoid_zones: Availability zones where it had better not go.
+        is_quarantined: Whether it was quarantined while it was under way.
     """
 
     caller: front.CallerRequest
@@ -91,7 +94,10 @@
     workspace: workspaces.Workspace | None = None
     hides_key: bool = False
     is_counted: bool = False
+    sent_at: float | None = None
     answer_began_at: float | None = None
+    avoid_zones: frozenset[str] = frozenset()
+    is_quarantined: bool = False
     _fingerprint: str | None = attrs.field(default=None, init=False)
 
     @urgency.default
@@ -149,10 +155,21 @@
             )
         return self._fingerprint
 
+    @property
+    def caller_id(self) -> str:
+        """What names its caller to other hosts."""
+        return fingerprint_module.make_caller_id(self._describe_caller())
+
     def left_s(self, now: float) -> float:
         """Returns the time until its deadline."""
         return self.deadline - now
 
+    def silent_s(self, now: float) -> float:
+        """Returns since when nothing came of the attempt under way."""
+        if self.sent_at is None:
+            return 0.0
+        return now - max(self.sent_at, self.pace.last_at)
+
     def ran_s(self, now: float) -> float | None:
         """Returns the time since its answer began, None where none did."""
         began_at = self.answer_began_at
@@ -195,8 +212,10 @@
         outcome: What is known of it.
         reason: For logs.
         failure: The endpoint's own failure, to be passed on; or None.
+        broke_off: Whether the connection ended before the answer did.
     """
 
     outcome: attempts.Outcome
     reason: str
     failure: EndpointFailure | None = None
+    broke_off: bool = False
--- /dev/null
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/requestadmission.py
@@ -0,0 +1,144 @@
+"""Decides which callers' requests are taken, and refuses the others."""
+
+from collections.abc import Callable
+import random
+from typing import Any
+
+from twisted.web import http
+
+from bulrushgrade import crashledger
+from bulrushgrade import retryshare
+from bulrushgrade import routing
+from bulrushgrade import workspaces
+from bulrushgrade_daemon import dialect as dialect_module
+from bulrushgrade_daemon import front
+from bulrushgrade_daemon import inflight
+from bulrushgrade_daemon import requestlog
+
+
+class RequestAdmission:
+    """Finds a request's route and workspace, or why it is not taken."""
+
+    def __init__(
+        self,
+        *,
+        timers: Any,
+        dialect: dialect_module.Dialect,
+        table: Callable[[], routing.RouteTable | None],
+        ledger: crashledger.CrashLedger,
+        ends_in_s: Callable[[], float | None],
+        log: requestlog.RequestLog,
+        rng: random.Random,
+    ):
+        """Makes the admission.
+
+        Args:
+            timers: The timer service.
+            dialect: Translates headers.
+            table: Returns the routes in force, or None before the first.
+            ledger: What is known of crashes of endpoints.
+            ends_in_s: Returns the seconds that are left for requests that
+                come now; None where there is no limit.
+            log: Gets a line for each request that is not taken.
+            rng: Source of random choices.
+        """
+        self._timers = timers
+        self._dialect = dialect
+        self._table = table
+        self._ledger = ledger
+        self._ends_in_s = ends_in_s
+        self._log = log
+        self._rng = rng
+        self._counts: dict[str, int] = {}
+
+    @property
+    def counts(self) -> dict[str, int]:
+        """Requests that were not taken, by the reason."""
+        return dict(self._counts)
+
+    def admit(self, caller: front.CallerRequest) -> inflight.InFlight | None:
+        """Returns a request that is taken; answers one that is not."""
+        info = self._dialect.read_request_info(caller.requestHeaders)
+        table = self._table()
+        if table is None:
+            self._count("refused_unconfigured")
+            self._log.note_unconfigured(info)
+            self._refuse(caller, info)
+            return None
+        hostname = caller.requestHeaders.getRawHeaders(b"host", [b""])[0]
+        path = caller.path.decode("latin-1")
+        route = table.find(hostname.decode("latin-1"), path)
+        if route is None:
+            self._count("no_route")
+            version = table.configuration.version
+            self._log.note_no_route(info, version, hostname, path)
+            caller.answer(http.NOT_FOUND, [], b"")
+            return None
+        workspace = _authenticate(info, table, route)
+        if isinstance(workspace, workspaces.Denial):
+            self._count("unauthorized")
+            version = table.configuration.version
+            self._log.note_unauthorized(info, route, version, workspace)
+            challenge = self._dialect.challenge
+            caller.answer(http.UNAUTHORIZED, challenge, b"")
+            return None
+        route = table.rank(route, workspace)
+        waits_s = inflight.longest_wait_s(info, route)
+        ends_in_s = self._ends_in_s()
+        if ends_in_s is not None and waits_s > ends_in_s:
+            self._count("refused_stopping")
+            self._log.note_stopping(info, route, ends_in_s)
+            self._refuse(caller, info)
+            return None
+        request = inflight.InFlight(
+            caller=caller,
+            info=info,
+            route=route,
+            service=routing.pick_service(route, self._rng),
+            deadline=caller.arrived_at + waits_s,
+            workspace=workspace,
+            hides_key=table.configuration.keys is not None,
+        )
+        return None if self._refuse_quarantined(request) else request
+
+    def _refuse_quarantined(self, request: inflight.InFlight) -> bool:
+        """Refuses a request that crashes endpoints; returns whether it did."""
+        # Nothing is hashed while no endpoint has crashed.
+        if not len(self._ledger):
+            return False
+        request.avoid_zones = self._ledger.zones(request.fingerprint)
+        left_s = self._ledger.left_s(request.fingerprint, self._timers.now)
+        if left_s <= 0:
+            return False
+        self._count("refused_quarantined")
+        crashes = len(self._ledger.sightings(request.fingerprint))
+        self._log.note_quarantined(request, crashes, left_s)
+        request.caller.refuse(left_s)
+        return True
+
+    def _refuse(
+        self, caller: front.CallerRequest, info: dialect_module.RequestInfo
+    ) -> None:
+        caller.refuse(retryshare.return_after_s(info.deadline_s, self._rng))
+
+    def _count(self, what: str) -> None:
+        self._counts[what] = self._counts.get(what, 0) + 1
+
+
+def _authenticate(
+    info: dialect_module.RequestInfo,
+    table: routing.RouteTable,
+    route: routing.Route,
+) -> workspaces.Workspace | workspaces.Denial | None:
+    """Returns whose request it is; None where it may be anybody's.
+
+    A key that is taken away ends no request that was taken before: its
+    attempts go on under the workspace that it was taken for.
+    """
+    keys = table.configuration.keys
+    if keys is None:
+        return None
+    found = keys.find(info.key_digests)
+    if route.is_public and isinstance(found, workspaces.Denial):
+        return None
+    return found
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/requestlog.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/requestlog.py
@@ -50,6 +50,20 @@
             ends_in_s=round(ends_in_s, 3),
         )
 
+    def note_quarantined(
+        self, request: inflight.InFlight, crashes: int, left_s: float
+    ) -> None:
+        """Writes that endpoints crashed under a request and its repeats."""
+        self._log.note(
+            "request_refused",
+            request=request.info.request_id,
+            route=request.route.name,
+            reason="quarantined",
+            fingerprint=request.fingerprint,
+            crashes=crashes,
+            left_s=round(left_s),
+        )
+
     def note_no_route(
         self,
         info: dialect.RequestInfo,
--- a/packages/bulrushgrade_daemon/tests/test_gatewaysettings.py
+++ b/packages/bulrushgrade_daemon/tests/test_gatewaysettings.py
@@ -35,6 +35,9 @@
     assert found.host.name == "Front_1"
     assert str(found.store.address) == "10.0.0.1:7000"
     assert found.bounds.drain_s == 2.0
+    assert found.bounds.contact_s == 3.0
+    changed = parse(TEXT.replace("stop_s = 8", "contact_s = 4\nstop_s = 8"))
+    assert changed.unwrap().bounds.contact_s == 4.0
 
 
 def test_nothing_is_done_for_the_operator_unless_the_settings_ask_for_it():
