End only the request whose own task fails, not the process

The request is ended now with 502, or cut where its answer had begun, and a line `request_broken` has the trace. A broken invariant still ends the process. Ruled out: restarting faster, as the same request comes again.

Two tests that failed before; the process ended in both.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 import random
+import traceback
 from typing import Any
 
 import attrs
@@ -15,6 +16,7 @@
 from bulrushgrade import attempts
 from bulrushgrade import crashledger
 from bulrushgrade import engineadmission
+from bulrushgrade import errors
 from bulrushgrade import retryshare
 from bulrushgrade import routing
 from bulrushgrade import workspaces
@@ -145,7 +147,13 @@
 
     def handle(self, caller: front.CallerRequest) -> None:
         """Takes a request that was read whole."""
-        request = self._admission.admit(caller)
+        try:
+            request = self._admission.admit(caller)
+        except errors.BrokenInvariantError:
+            raise
+        except Exception:
+            self._end_broken(caller, None)
+            return
         if request is None:
             return
         self._share(request.service).count_request(self._timers.now)
@@ -178,6 +186,10 @@
             await self._try_until_answered(request)
         except defer.CancelledError:
             self._end_cancelled(request)
+        except errors.BrokenInvariantError:
+            raise
+        except Exception:
+            self._end_broken(request.caller, request)
         finally:
             request.caller.on_gone = None
             self._open.pop(request, None)
@@ -396,6 +408,21 @@
         else:
             request.caller.answer(http.GATEWAY_TIMEOUT, [], b"")
 
+    def _end_broken(
+        self, caller: front.CallerRequest, request: inflight.InFlight | None
+    ) -> None:
+        """Ends a request whose own task failed in a way nobody foresaw.
+
+        The process goes on. Its end would cut all other requests, and where
+        the request itself is the cause, its next try would end another host.
+        """
+        self._count("ended_broken")
+        self._log.note_broken(request, traceback.format_exc())
+        if request is not None and request.history.begun:
+            caller.cut()
+        else:
+            caller.answer(http.BAD_GATEWAY, [], b"")
+
     def _return_after_s(self, request: inflight.InFlight) -> float:
         quarantined_s = self._quarantined_s(request)
         if quarantined_s > 0:
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/requestlog.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/requestlog.py
@@ -172,6 +172,23 @@
             **beliefs,
         )
 
+    def note_broken(
+        self, request: inflight.InFlight | None, trace: str
+    ) -> None:
+        """Writes that a request's own task failed.
+
+        Args:
+            request: The request, None where it was not taken yet.
+            trace: Where and why it failed.
+        """
+        fields = {}
+        if request is not None:
+            fields = {
+                "request": request.info.request_id,
+                "route": request.route.name,
+            }
+        self._log.note("request_broken", **fields, trace=trace)
+
     def note_timed_out(self, request: inflight.InFlight) -> None:
         """Writes that a request's time was up."""
         self._log.note(
--- a/packages/bulrushgrade_daemon/tests/test_forwarder.py
+++ b/packages/bulrushgrade_daemon/tests/test_forwarder.py
@@ -260,3 +260,29 @@
         caller=Caller(), info=None, route=SAFE, service="llm", deadline=3.0
     )
     return request.fingerprint
+
+
+def test_request_that_breaks_its_own_task_ends_no_host():
+    """A request met a fault of the host, and so did each host after it.
+
+    The process ended with all that it served, and the caller's next try took
+    the next host.
+    """
+    scene = Scene(ValueError("unexpected"))
+    caller = scene.send()
+    assert caller.answers == [502]
+    assert scene.broken == []
+    assert scene.lines.count("request_broken") == 1
+    assert b"unexpected" in scene.lines.text
+    assert scene.forwarder.open_requests == 0
+    assert scene.forwarder.counts["ended_broken"] == 1
+
+
+def test_stream_that_breaks_its_own_task_is_cut():
+    answer = defer.Deferred()
+    scene = Scene(answer)
+    caller = scene.send()
+    (request,) = scene.forwarder._open
+    request.history.begun = True
+    answer.errback(ValueError("unexpected"))
+    assert caller.answers == ["cut"]
