Refuse figures of a caller that no engine can have

A prompt larger than an engine's memory was sent to engines that all turn it away, and moved the mean size of long prompts, by which others are admitted.

--- a/packages/bulrushgrade/bulrushgrade/engineplan.py
+++ b/packages/bulrushgrade/bulrushgrade/engineplan.py
@@ -86,12 +86,14 @@
     def plan(
         self, given: placementplan.PlanInput, *, may_hand_over: bool
     ) -> placementplan.Plan | None:
-        """Returns the best plan, or None where no engine generates.
+        """Returns the best plan, or None where no engine can serve it.
 
         Args:
             given: What is to be placed.
             may_hand_over: Whether one engine may read for another.
         """
+        if given.prompt.prompt_tokens > given.traits.memory_tokens:
+            return None
         ranked = enginerank.rank_by_role(
             given.prompt, given.engines, given.traits
         )
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/choosing.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/choosing.py
@@ -115,6 +115,13 @@
         )
         return request.plan.decode
 
+    def describe_lack(self, request: inflight.InFlight) -> str:
+        """Returns why no endpoint was chosen, for logs."""
+        traits, prompt = self._work.traits(request.service), request.info.prompt
+        if traits and prompt and prompt.prompt_tokens > traits.memory_tokens:
+            return "prompt larger than an engine's memory"
+        return "no endpoint"
+
     def choose_receiver(
         self, request: inflight.InFlight
     ) -> directory_module.Registration | None:
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
@@ -199,7 +199,8 @@
             await self._chooser.query_peers(request)
             endpoint = self._chooser.choose(request)
             if endpoint is None:
-                self._finish(request, None, "no endpoint")
+                lack = self._chooser.describe_lack(request)
+                self._finish(request, None, lack)
                 return
             late_s = self._predicted_lateness_s(request)
             if late_s > 0:
--- a/packages/bulrushgrade_daemon/tests/test_choosing.py
+++ b/packages/bulrushgrade_daemon/tests/test_choosing.py
@@ -4,6 +4,8 @@
 
 import attrs
 import fakes
+import hypothesis
+from hypothesis import strategies as st
 from test_directory import make as make_registration
 from test_inflight import ROUTE
 
@@ -257,3 +259,49 @@
     assert scene.work.shares()["d1"].streams == 1
     notes.ended()
     assert scene.work.shares() == {}
+
+
+COUNTS = st.integers(0, 2**31)
+
+
+@hypothesis.given(
+    prompt_tokens=COUNTS,
+    output_tokens=COUNTS,
+    parts=st.lists(st.tuples(st.sampled_from("abc"), COUNTS), max_size=3),
+)
+def test_any_prompt_is_placed_or_refused(prompt_tokens, output_tokens, parts):
+    """A caller's figures broke the planner, and with it the host."""
+    scene = Scene()
+    request = make_request()
+    request.info = attrs.evolve(
+        request.info,
+        prompt=prompt_module.Prompt(
+            model="m",
+            parts=tuple(
+                prompt_module.PromptPart(id=id, tokens=tokens)
+                for id, tokens in parts
+            ),
+            prompt_tokens=prompt_tokens,
+            output_tokens=output_tokens,
+        ),
+    )
+    found = scene.chooser.choose(request)
+    if found is not None:
+        request.describe_plan()
+
+
+def test_prompt_that_no_engine_can_hold_is_refused_at_once():
+    """One caller's prompt was larger than any engine's memory.
+
+    It was sent to engines that all refused it, and the mean size of long
+    prompts, by which others are admitted, went up a hundred times.
+    """
+    scene = Scene()
+    usual = make_request(tokens=50_000)
+    scene.choose(usual)
+    size = scene.fleet.relative_size(50_000)
+    too_large = make_request(tokens=TRAITS.memory_tokens + 1)
+    assert scene.choose(too_large) == (None, None)
+    assert "larger" in scene.chooser.describe_lack(too_large)
+    assert scene.fleet.relative_size(50_000) == size
+    assert scene.choose(make_request(tokens=TRAITS.memory_tokens))[1]
