Name path and caller of requests at endpoints that crash

For whoever is on call: the fingerprint in `endpoint_crashed` is a digest, and did not say what was asked for nor whether two requests have one caller.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/crashwatch.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/crashwatch.py
@@ -25,6 +25,9 @@
 """How long a request waits for the check before it is sent on: longer than a
 connection takes to be opened or refused, and a small part of any target."""
 
+MOST_PATH = 120
+"""Characters of a path in a line of the log."""
+
 MOST_RUNS = 256
 """Requests that one crash tells of: more than an endpoint has slots."""
 
@@ -37,12 +40,14 @@
         fingerprint: Names the request and its repeats.
         caller_id: Names who sent it.
         request_id: The caller's id of this attempt.
+        path: What it asked for.
         ran_s: Since its answer had begun, None where none had.
     """
 
     fingerprint: str
     caller_id: str
     request_id: str
+    path: str
     ran_s: float | None
 
 
@@ -123,6 +128,7 @@
             fingerprint=request.fingerprint,
             caller_id=request.caller_id,
             request_id=request.info.request_id,
+            path=request.caller.path.decode("latin-1"),
             ran_s=request.ran_s(self._timers.now),
         )
         unchecked = self._unchecked.get(endpoint.incarnation)
@@ -181,6 +187,8 @@
                 {
                     "request": run.request_id,
                     "fingerprint": run.fingerprint,
+                    "caller": run.caller_id,
+                    "path": run.path[:MOST_PATH],
                     "ran_s": None if run.ran_s is None else round(run.ran_s, 3),
                 }
                 for run in runs
--- a/packages/bulrushgrade_daemon/tests/test_crashsharing.py
+++ b/packages/bulrushgrade_daemon/tests/test_crashsharing.py
@@ -21,7 +21,11 @@
         endpoint=make_registration(endpoint, zone=zone),
         runs=tuple(
             crashwatch.BrokenRun(
-                fingerprint=request, caller_id="c1", request_id="r", ran_s=0.1
+                fingerprint=request,
+                caller_id="c1",
+                request_id="r",
+                path="/a",
+                ran_s=0.1,
             )
             for request in requests
         ),
--- a/packages/bulrushgrade_daemon/tests/test_crashwatch.py
+++ b/packages/bulrushgrade_daemon/tests/test_crashwatch.py
@@ -22,6 +22,7 @@
     address: str = "10.0.0.1"
     method: bytes = b"POST"
     uri: bytes = b"/tag/a"
+    path: bytes = b"/tag/a"
     body: bytes = b"draft"
 
 
@@ -85,6 +86,7 @@
     assert second.ran_s is None
     assert first.fingerprint != second.fingerprint
     assert first.fingerprint.encode() in scene.lines.text
+    assert b'"path":"/tag/a"' in scene.lines.text
     assert scene.watch.counts == {"checks": 1, "crashes": 1, "requests": 2}
 
 
