Reproduce a harmful request that comes from several addresses

The trial that was to show what identifies a request had only a caller's own next try, which keeps its address.

The test of the fingerprint held that another address makes another request. That was wrong; it now holds that it does not, and that another path does.

--- a/packages/bulrushgrade_daemon/tests/test_inflight.py
+++ b/packages/bulrushgrade_daemon/tests/test_inflight.py
@@ -81,12 +81,13 @@
 
 
 def test_callers_next_try_has_the_same_fingerprint():
-    assert name(Sent()) == name(Sent(arrived_at=5.0))
-    assert name(Sent()) != name(Sent(address="10.0.0.2"))
+    """A request came again from another address, and was not known."""
+    assert name(Sent()) == name(Sent(arrived_at=5.0, address="10.0.0.2"))
     assert name(Sent()) != name(Sent(body=b""))
+    assert name(Sent()) != name(Sent(uri=b"/tag/b"))
 
 
-def test_workspace_goes_before_the_address_of_its_callers():
+def test_same_request_of_another_workspace_is_another():
     one = workspaces.Workspace(name="dealer")
     other = workspaces.Workspace(name="lessor")
     known = name(Sent(), one)
