Know a harmful request by what endpoints are given, not by its address

Cause: the fingerprint held the caller's address, and the same request comes from several. It is made of workspace, method, host name, path and body now, which is what endpoints are given.

With it a request without a body is one for all its callers, so a wrong quarantine weighs more, and is taken back: a request that ends whole is released, also where it had been sent before its quarantine; for that, answers under way are no longer ended when their request is quarantined. A quarantine lasts 10 minutes and then twice as long with each crash, where it lasted an hour. A sighting is written 0.1 s after the one before, not 0.25 s.

Ruled out: leaving the workspace out too. Where one workspace's data make a common path crash, the others' answers would release it all the time.

--- a/packages/bulrushgrade/bulrushgrade/crashledger.py
+++ b/packages/bulrushgrade/bulrushgrade/crashledger.py
@@ -7,13 +7,18 @@
 sent to endpoints any more.
 
 Requests that only happened to be there look the same at first. Most of them
-were at one crash and run to their end at another endpoint; they are forgotten
-then. Those that had not begun to run, and those whose crashes are all in one
-availability zone in which others crash too, need one crash more.
+were at one crash and run to their end at another endpoint. One that runs to
+its end is not to blame, whatever was held against it: it is forgotten. Those
+that had not begun to run, and those whose crashes are all in one availability
+zone in which others crash too, need one crash more.
+
+A quarantine ends by itself, as nothing else could show that its request has
+become harmless. The next crash begins one that is twice as long.
 """
 
 import collections
 from collections.abc import Iterable
+import math
 
 import attrs
 
@@ -32,17 +37,23 @@
 zone count as parts of one failure."""
 
 SUSPECT_S = 600.0
-"""After the last crash of a request that is not quarantined, how long its
-crashes count against it."""
+"""After the last crash of a request, or the end of its quarantine, how long
+its crashes count against it."""
+
+QUARANTINE_S = 600.0
+"""How long the first quarantine of a request lasts."""
 
-QUARANTINE_S = 3600.0
-"""After the last crash of a request that is quarantined, how long it is."""
+MOST_QUARANTINE_S = 86_400.0
+"""How long one lasts at most."""
 
 MOST_SIGHTINGS = 4096
 """Requests at crashed endpoints that are kept, so that no failure and no
 caller can fill the memory of the hosts. The oldest give way, those of
 quarantined requests last."""
 
+MOST_DOUBLED = math.ceil(math.log2(MOST_QUARANTINE_S / QUARANTINE_S))
+"""Times that it is doubled until it is as long."""
+
 Incarnation = tuple[str, int]
 
 Key = tuple[str, Incarnation]
@@ -89,8 +100,8 @@
         # The oldest first.
         self._entries: dict[Key, _Entry] = {}
         self._by_request: dict[str, dict[Incarnation, _Entry]] = {}
-        # None where it has to be found anew.
-        self._quarantined: frozenset[str] | None = frozenset()
+        # With the crashes that were enough; None where it has to be found anew.
+        self._blamed: dict[str, int] | None = {}
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -99,11 +110,9 @@
         return key in self._entries
 
     @property
-    def quarantined(self) -> frozenset[str]:
-        """The fingerprints of requests that must not be sent to endpoints."""
-        if self._quarantined is None:
-            self._quarantined = frozenset(self._judge())
-        return self._quarantined
+    def blamed(self) -> frozenset[str]:
+        """The fingerprints of requests that are to blame for crashes."""
+        return frozenset(self._find_blamed())
 
     def take(self, sighting: Sighting, *, now: float) -> None:
         """Takes a sighting; one that is known already changes nothing."""
@@ -113,7 +122,7 @@
         self._entries[sighting.key] = entry
         its = self._by_request.setdefault(sighting.fingerprint, {})
         its[sighting.endpoint] = entry
-        self._quarantined = None
+        self._blamed = None
 
     def drop(self, key: Key) -> None:
         """Drops a sighting, where it is known."""
@@ -124,17 +133,14 @@
         del its[endpoint]
         if not its:
             del self._by_request[fingerprint]
-        self._quarantined = None
+        self._blamed = None
 
     def clear(self, fingerprint: str) -> list[Key]:
         """Drops a request's sightings, as it has run to its end.
 
         Returns:
-            What was dropped; nothing where it is quarantined, as what ends
-            then had been sent before.
+            What was dropped.
         """
-        if fingerprint in self.quarantined:
-            return []
         keys = [s.key for s in self.sightings(fingerprint)]
         for key in keys:
             self.drop(key)
@@ -142,18 +148,18 @@
 
     def expire(self, now: float) -> list[Key]:
         """Drops what is too old or too much; returns what was dropped."""
-        quarantined = self.quarantined
+        blamed = self._find_blamed()
         old = {
             fingerprint
             for fingerprint in self._by_request
             if now - self._last_crash(fingerprint)
-            >= (QUARANTINE_S if fingerprint in quarantined else SUSPECT_S)
+            >= SUSPECT_S + self._quarantine_s(fingerprint)
         }
         dropped = [key for key in self._entries if key[0] in old]
         kept = [key for key in self._entries if key[0] not in old]
         excess = len(kept) - MOST_SIGHTINGS
         if excess > 0:
-            kept.sort(key=lambda key: key[0] in quarantined)
+            kept.sort(key=lambda key: key[0] in blamed)
             dropped += kept[:excess]
         for key in dropped:
             self.drop(key)
@@ -168,31 +174,49 @@
         """Returns the availability zones in which endpoints crashed with it."""
         return frozenset(s.zone for s in self.sightings(fingerprint))
 
+    def is_quarantined(self, fingerprint: str, now: float) -> bool:
+        """Returns whether a request must not be sent to endpoints."""
+        return self.left_s(fingerprint, now) > 0
+
     def left_s(self, fingerprint: str, now: float) -> float:
-        """Returns how long a quarantined request remains one."""
-        if fingerprint not in self.quarantined:
+        """Returns how long a request remains quarantined, 0 if it is not."""
+        quarantine_s = self._quarantine_s(fingerprint)
+        if quarantine_s == 0:
             return 0.0
-        return max(0.0, self._last_crash(fingerprint) + QUARANTINE_S - now)
-
-    def _judge(self) -> set[str]:
-        """Returns the requests that are to blame."""
-        found = self._find_blamed(self._by_request, LEAST_CRASHES)
-        by_caller = collections.Counter(map(self._caller, found))
-        of_repeated = [
-            fingerprint
-            for fingerprint in self._by_request
-            if by_caller[self._caller(fingerprint)] >= REPEATED_REQUESTS
-        ]
-        return found | self._find_blamed(of_repeated, LEAST_CRASHES_REPEATED)
+        return max(0.0, self._last_crash(fingerprint) + quarantine_s - now)
 
-    def _find_blamed(self, requests: Iterable[str], least: int) -> set[str]:
-        return {
-            fingerprint
-            for fingerprint in requests
-            if len(self._by_request[fingerprint]) >= least
-            and len(self._by_request[fingerprint])
-            >= self._needed(fingerprint, least)
-        }
+    def _quarantine_s(self, fingerprint: str) -> float:
+        """Returns how long a request is quarantined after its last crash."""
+        enough = self._find_blamed().get(fingerprint)
+        if enough is None:
+            return 0.0
+        more = len(self._by_request[fingerprint]) - enough
+        doubled_s = QUARANTINE_S * 2 ** min(more, MOST_DOUBLED)
+        return min(doubled_s, MOST_QUARANTINE_S)
+
+    def _find_blamed(self) -> dict[str, int]:
+        """Returns the requests to blame, with the crashes that were enough."""
+        if self._blamed is None:
+            found = self._judge(self._by_request, LEAST_CRASHES)
+            by_caller = collections.Counter(map(self._caller, found))
+            of_repeated = [
+                fingerprint
+                for fingerprint in self._by_request
+                if by_caller[self._caller(fingerprint)] >= REPEATED_REQUESTS
+            ]
+            self._blamed = self._judge(of_repeated, LEAST_CRASHES_REPEATED)
+            self._blamed |= found
+        return self._blamed
+
+    def _judge(self, requests: Iterable[str], least: int) -> dict[str, int]:
+        found = {}
+        for fingerprint in requests:
+            crashes = len(self._by_request[fingerprint])
+            if crashes >= least:
+                needed = self._needed(fingerprint, least)
+                if crashes >= needed:
+                    found[fingerprint] = needed
+        return found
 
     def _needed(self, fingerprint: str, least: int) -> int:
         """Returns how many crashes of a request are enough to blame it."""
--- a/packages/bulrushgrade/bulrushgrade/fingerprint.py
+++ b/packages/bulrushgrade/bulrushgrade/fingerprint.py
@@ -1,7 +1,8 @@
 """Names a caller's request, so that it is known when it comes again.
 
-Each try of a caller has an id of its own. What stays the same from one try to
-the next is who calls, what is called and the body.
+Each try of a caller has an id of its own, and may come from another address.
+What stays the same from one try to the next is whose it is, what it asks for
+and the body.
 """
 
 import hashlib
@@ -23,19 +24,19 @@
 
 
 def make_fingerprint(
-    *, caller: str, method: bytes, hostname: str, uri: bytes, body: bytes
+    *, workspace: str, method: bytes, hostname: str, uri: bytes, body: bytes
 ) -> str:
     """Returns the fingerprint of a request, in hexadecimal.
 
     Args:
-        caller: Who calls: a workspace, or an address where there is none.
+        workspace: Whose it is; empty where there are no workspaces.
         method: The HTTP method.
         hostname: The host name of its route.
         uri: Path and query.
         body: The whole body.
     """
     digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
-    for part in (caller.encode(), method, hostname.encode(), uri, body):
+    for part in (workspace.encode(), method, hostname.encode(), uri, body):
         # Without the lengths the end of a part could pass for the beginning
         # of the next.
         digest.update(len(part).to_bytes(_LENGTH_BYTES, "big"))
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/crashsharing.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/crashsharing.py
@@ -21,9 +21,13 @@
 from bulrushgrade_daemon import task
 from bulrushgrade_daemon import topicreader
 
-WRITE_PAUSE_S = 0.25
+WRITE_PAUSE_S = 0.1
 """Between two writes, in which what comes from one failure is gathered."""
 
+CLEAR_PAUSE_S = 2.0
+"""In which sightings that don't count any more are gathered: most requests
+that met a crash run to their end soon after it, each at its time."""
+
 RETRY_S = 0.5
 """Between two writes while the store is away."""
 
@@ -71,7 +75,6 @@
             [Iterable[Record]], Awaitable[Result[None, topicreader.StoreAway]]
         ],
         leads: Callable[[], bool],
-        on_quarantined: Callable[[frozenset[str]], None],
         log: decisionlog.DecisionLog,
         on_broken: Callable[[str], None],
     ):
@@ -82,7 +85,6 @@
             ledger: What is known of crashes.
             write: Writes records to the topic.
             leads: Returns whether this host is the one to drop old records.
-            on_quarantined: Takes the requests that were just quarantined.
             log: Gets a line for each request that is, or is no longer.
             on_broken: Called with the reason where an invariant is broken.
         """
@@ -90,10 +92,10 @@
         self._ledger = ledger
         self._write = write
         self._leads = leads
-        self._on_quarantined = on_quarantined
         self._log = log
         self._on_broken = on_broken
-        self._quarantined: frozenset[str] = frozenset()
+        # The blamed requests with their crashes, as they were logged.
+        self._logged: dict[str, int] = {}
         # What this host saw, to be written again where the store has lost it.
         self._own: dict[crashledger.Key, crashledger.Sighting] = {}
         # The oldest first; None drops the record.
@@ -101,6 +103,7 @@
         self._counts = {"written": 0, "failed": 0, "left_out": 0}
         self._unreadable = 0
         self._tick: Any = None
+        self._delayed: Any = None
         self._writing: defer.Deferred | None = None
 
     @property
@@ -111,7 +114,11 @@
     @property
     def quarantined(self) -> int:
         """Requests that are quarantined."""
-        return len(self._ledger.quarantined)
+        now = self._timers.now
+        return sum(
+            self._ledger.is_quarantined(fingerprint, now)
+            for fingerprint in self._ledger.blamed
+        )
 
     async def start(self) -> None:
         """Begins to drop what is old."""
@@ -121,6 +128,8 @@
         """Writes nothing any more."""
         if self._tick is not None:
             self._tick.cancel()
+        if self._delayed is not None:
+            self._delayed.cancel()
         if self._writing is not None:
             self._writing.cancel()
 
@@ -135,7 +144,7 @@
             "waiting": len(self._waiting),
             "quarantined": {
                 fingerprint: round(self._ledger.left_s(fingerprint, now))
-                for fingerprint in sorted(self._ledger.quarantined)
+                for fingerprint in sorted(self._ledger.blamed)
             },
             **self.counts,
         }
@@ -168,6 +177,7 @@
         for key in self._ledger.clear(fingerprint):
             self._own.pop(key, None)
             self._waiting[key] = None
+        self._note_changes()
         self._begin_to_write()
 
     def take_records(
@@ -205,11 +215,14 @@
             self._ledger.take(sighting, now=self._timers.now)
 
     def _note_changes(self) -> None:
-        before, now = self._quarantined, self._ledger.quarantined
-        if before == now:
-            return
-        self._quarantined = now
-        for fingerprint in now - before:
+        before, now = self._logged, self._timers.now
+        self._logged = {
+            fingerprint: len(self._ledger.sightings(fingerprint))
+            for fingerprint in self._ledger.blamed
+        }
+        for fingerprint, crashes in self._logged.items():
+            if before.get(fingerprint) == crashes:
+                continue
             sightings = self._ledger.sightings(fingerprint)
             self._log.note(
                 "request_quarantined",
@@ -217,11 +230,10 @@
                 endpoints=[sighting.endpoint[0] for sighting in sightings],
                 zones=sorted(self._ledger.zones(fingerprint)),
                 waited_at=sum(not s.has_begun for s in sightings),
+                for_s=round(self._ledger.left_s(fingerprint, now)),
             )
-        for fingerprint in before - now:
+        for fingerprint in before.keys() - self._logged:
             self._log.note("request_released", fingerprint=fingerprint)
-        if now - before:
-            self._on_quarantined(now - before)
 
     def _expire(self) -> None:
         dropped = self._ledger.expire(self._timers.now)
@@ -234,7 +246,19 @@
         self._begin_to_write()
 
     def _begin_to_write(self) -> None:
-        if self._waiting and self._writing is None:
+        """Has what waits written, drops alone a while later."""
+        if self._writing is not None or not self._waiting:
+            return
+        if any(self._waiting.values()):
+            self._write_now()
+        elif self._delayed is None:
+            self._delayed = self._timers.after(CLEAR_PAUSE_S, self._write_now)
+
+    def _write_now(self) -> None:
+        if self._delayed is not None:
+            self._delayed.cancel()
+            self._delayed = None
+        if self._writing is None:
             self._writing = task.spawn(
                 self._write_waiting(),
                 name=self.name,
@@ -243,13 +267,16 @@
 
     async def _write_waiting(self) -> None:
         try:
-            while self._waiting:
-                pause_s = WRITE_PAUSE_S
-                if not await self._write_some():
-                    pause_s = RETRY_S
-                await self._timers.sleep(pause_s)
+            is_written = await self._write_some()
+            while any(self._waiting.values()) or not is_written:
+                await self._timers.sleep(
+                    WRITE_PAUSE_S if is_written else RETRY_S
+                )
+                is_written = await self._write_some()
+            await self._timers.sleep(WRITE_PAUSE_S)
         finally:
             self._writing = None
+        self._begin_to_write()
 
     async def _write_some(self) -> bool:
         batch = dict(list(self._waiting.items())[:MOST_A_WRITE])
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
@@ -118,8 +118,7 @@
         self._observe = observe
         self._note_begun = note_begun
         self._shares: dict[str, retryshare.RetryShare] = {}
-        # With what cancels them, None until they wait for something.
-        self._open: dict[inflight.InFlight, Any] = {}
+        self._open: set[inflight.InFlight] = set()
         self._counts: dict[str, int] = {}
 
     @property
@@ -157,13 +156,12 @@
         if request is None:
             return
         self._share(request.service).count_request(self._timers.now)
-        self._open[request] = None
+        self._open.add(request)
         running = task.spawn(
             self._serve(request), name="request", on_broken=self._on_broken
         )
         if request not in self._open:
             return
-        self._open[request] = running
         caller.on_gone = running.cancel
 
         def expire() -> None:
@@ -174,13 +172,6 @@
         expiry = self._timers.after(left_s - MARGIN_S, expire)
         running.addBoth(lambda result: expiry.cancel() or result)
 
-    def end_quarantined(self, fingerprints: frozenset[str]) -> None:
-        """Ends the requests under way that were just quarantined."""
-        for request, running in list(self._open.items()):
-            if running is not None and request.fingerprint in fingerprints:
-                request.is_quarantined = True
-                running.cancel()
-
     async def _serve(self, request: inflight.InFlight) -> None:
         try:
             await self._try_until_answered(request)
@@ -192,7 +183,7 @@
             self._end_broken(request.caller, request)
         finally:
             request.caller.on_gone = None
-            self._open.pop(request, None)
+            self._open.discard(request)
 
     async def _try_until_answered(self, request: inflight.InFlight) -> None:
         while True:
@@ -238,8 +229,6 @@
         try:
             return await self._read_and_run(request)
         except defer.CancelledError:
-            # What was written may have run, whatever ends the request.
-            request.history.note(attempts.Outcome.LOST)
             # An endpoint whose host vanished closes no connection; its
             # callers leave, or their time is up.
             if request.silent_s(self._timers.now) >= SILENT_S:
@@ -399,9 +388,6 @@
         if request.caller.gone:
             self._count("ended_caller_left")
             return
-        if request.is_quarantined:
-            self._finish(request, None, "quarantined")
-            return
         self._count("ended_timeout")
         self._log.note_timed_out(request)
         if request.history.begun:
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
@@ -298,7 +298,6 @@
             ledger=self._ledger,
             write=topic.write,
             leads=lambda: self._gossip.leads(),
-            on_quarantined=lambda found: self._forwarder.end_quarantined(found),
             log=context.log,
             on_broken=context.kernel.fail,
         )
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/inflight.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/inflight.py
@@ -70,7 +70,6 @@
         answer_began_at: When the answer of the last attempt began, None
             where none did.
         avoid_zones: Availability zones where it had better not go.
-        is_quarantined: Whether it was quarantined while it was under way.
     """
 
     caller: front.CallerRequest
@@ -97,7 +96,6 @@
     sent_at: float | None = None
     answer_began_at: float | None = None
     avoid_zones: frozenset[str] = frozenset()
-    is_quarantined: bool = False
     _fingerprint: str | None = attrs.field(default=None, init=False)
 
     @urgency.default
@@ -143,11 +141,15 @@
 
     @property
     def fingerprint(self) -> str:
-        """What names it and its repeats; made where it is asked for."""
+        """What names it and its repeats; made where it is asked for.
+
+        It is made from what endpoints are given. They don't see an address,
+        and a caller may come from several.
+        """
         if self._fingerprint is None:
             caller = self.caller
             self._fingerprint = fingerprint_module.make_fingerprint(
-                caller=self._describe_caller(),
+                workspace=self.workspace.name if self.workspace else "",
                 method=caller.method,
                 hostname=self.route.hostname,
                 uri=caller.uri,
@@ -157,8 +159,10 @@
 
     @property
     def caller_id(self) -> str:
-        """What names its caller to other hosts."""
-        return fingerprint_module.make_caller_id(self._describe_caller())
+        """What names its caller to other hosts: a workspace or an address."""
+        if self.workspace is not None:
+            return fingerprint_module.make_caller_id(self.workspace.name)
+        return fingerprint_module.make_caller_id(self.caller.address)
 
     def left_s(self, now: float) -> float:
         """Returns the time until its deadline."""
@@ -175,12 +179,6 @@
         began_at = self.answer_began_at
         return None if began_at is None else now - began_at
 
-    def _describe_caller(self) -> str:
-        # Callers of a workspace may come from changing addresses.
-        if self.workspace is not None:
-            return f"workspace/{self.workspace.name}"
-        return f"address/{self.caller.address}"
-
 
 def longest_wait_s(info: dialect.RequestInfo, route: routing.Route) -> float:
     """Returns how long a request may be kept waiting."""
