Log endpoints' limits and what is sent to endpoints that state one

The header is decoded into the verdict of an answer; a change of the limit and the sends by kind are logged, counted and dumped. No request is placed differently: the limit is only known.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/dialect.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/dialect.py
@@ -87,11 +87,16 @@
         not_run: The endpoint states that it did not and will not run the
             request.
         misdirected: The address now belongs to another endpoint.
+        limit_per_s: Requests per second that the endpoint accepts from all
+            hosts together while it says so, None if it states no limit.
+        invalid_limit: The text of a limit that is not a valid number, or None.
     """
 
     request_id: str | None
     not_run: bool
     misdirected: bool
+    limit_per_s: float | None = None
+    invalid_limit: str | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointcalls.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointcalls.py
@@ -9,9 +9,11 @@
 
 from bulrushgrade import attempts
 from bulrushgrade import directory as directory_module
+from bulrushgrade import endpointlimits
 from bulrushgrade_daemon import dialect as dialect_module
 from bulrushgrade_daemon import inflight
 from bulrushgrade_daemon import outbound
+from bulrushgrade_daemon import ratelimits
 from bulrushgrade_daemon import task
 
 CONNECT_TIMEOUT_S = 0.3
@@ -32,6 +34,7 @@
         reactor: Any,
         now: Callable[[], float],
         dialect: dialect_module.Dialect,
+        limits: ratelimits.RateLimits,
         on_broken: Callable[[str], None],
     ):
         """Creates the sender.
@@ -40,11 +43,13 @@
             reactor: The reactor.
             now: Returns the current time in seconds.
             dialect: Translates headers.
+            limits: The limits that endpoints state.
             on_broken: Called with the reason if an invariant is violated.
         """
         self._reactor = reactor
         self._now = now
         self._dialect = dialect
+        self._limits = limits
         self._on_broken = on_broken
 
     async def run(
@@ -63,14 +68,7 @@
             urgency=_urgency(request),
             fetch_from=None if prefilled else _fetch_address(request),
         )
-        sent = await self._send(request, forwarding)
-        if isinstance(sent, inflight.AttemptEnd):
-            return sent
-        refusal = self._read_refusal(request, sent)
-        if refusal is not None:
-            sent.abort()
-            return refusal
-        return sent
+        return await self._send(request, forwarding)
 
     async def prefill(
         self,
@@ -88,10 +86,6 @@
         sent = await self._send(request, forwarding)
         if isinstance(sent, inflight.AttemptEnd):
             return _as_prefill_end(sent)
-        refusal = self._read_refusal(request, sent)
-        if refusal is not None:
-            sent.abort()
-            return _as_prefill_end(refusal)
         parts: list[bytes] = []
         try:
             end = await sent.read(parts.append)
@@ -148,17 +142,25 @@
         request: inflight.InFlight,
         forwarding: dialect_module.ForwardingInfo,
     ) -> outbound.Answer | inflight.AttemptEnd:
+        """Sends a request; returns its answer unless that is a refusal."""
+        written_at = self._now()
+
         def make_request() -> outbound.OutboundRequest:
+            nonlocal written_at
+            written_at = self._now()
             # The remaining time is computed at the time of the write, since
             # opening the connection has taken some of it.
             workspace = request.workspace
             timed = attrs.evolve(
                 forwarding,
-                left_s=request.left_s(self._now()),
+                left_s=request.left_s(written_at),
                 workspace=workspace.name if workspace else None,
                 hides_key=request.hides_key,
             )
             caller = request.caller
+            self._limits.count_sent(
+                forwarding.endpoint, _describe_send(request, forwarding)
+            )
             return outbound.OutboundRequest(
                 method=caller.method,
                 uri=caller.uri,
@@ -185,27 +187,58 @@
                 reason=failed.reason,
                 connection_lost=failed.written,
             )
-        return sent.unwrap()
-
-    def _read_refusal(
-        self, request: inflight.InFlight, answer: outbound.Answer
-    ) -> inflight.AttemptEnd | None:
+        answer = sent.unwrap()
         verdict = self._dialect.read_verdict(answer.status, answer.headers)
-        if verdict.misdirected:
-            return inflight.AttemptEnd(
-                outcome=attempts.Outcome.MISDIRECTED, reason="misdirected"
-            )
-        if verdict.not_run:
-            return inflight.AttemptEnd(
-                outcome=attempts.Outcome.TURNED_AWAY,
-                reason=f"status {answer.status}, not run",
-            )
-        if verdict.request_id not in (None, request.info.request_id):
-            return inflight.AttemptEnd(
-                outcome=attempts.Outcome.LOST,
-                reason="answer to another request",
-            )
-        return None
+        self._limits.observe_answer(
+            forwarding.endpoint,
+            verdict,
+            kind=_answer_kind(forwarding),
+            sent_at=written_at,
+            request_id=request.info.request_id,
+        )
+        refusal = _read_refusal(request, answer, verdict)
+        if refusal is None:
+            return answer
+        answer.abort()
+        return refusal
+
+
+def _answer_kind(
+    forwarding: dialect_module.ForwardingInfo,
+) -> endpointlimits.AnswerKind:
+    if forwarding.prefill_only:
+        return endpointlimits.AnswerKind.PREFILL
+    return endpointlimits.AnswerKind.RUN
+
+
+def _read_refusal(
+    request: inflight.InFlight,
+    answer: outbound.Answer,
+    verdict: dialect_module.Verdict,
+) -> inflight.AttemptEnd | None:
+    if verdict.misdirected:
+        return inflight.AttemptEnd(
+            outcome=attempts.Outcome.MISDIRECTED, reason="misdirected"
+        )
+    if verdict.not_run:
+        return inflight.AttemptEnd(
+            outcome=attempts.Outcome.TURNED_AWAY,
+            reason=f"status {answer.status}, not run",
+        )
+    if verdict.request_id not in (None, request.info.request_id):
+        return inflight.AttemptEnd(
+            outcome=attempts.Outcome.LOST,
+            reason="answer to another request",
+        )
+    return None
+
+
+def _describe_send(
+    request: inflight.InFlight, forwarding: dialect_module.ForwardingInfo
+) -> str:
+    if forwarding.prefill_only:
+        return "prefill"
+    return "repeat" if request.history.arrivals else "first"
 
 
 def _fetch_address(request: inflight.InFlight) -> str | None:
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaypages.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaypages.py
@@ -100,6 +100,11 @@
             "Rounds of queries to peers, and those without all replies.",
             lambda: services.index.counts,
         ),
+        (
+            "limited_endpoint_requests_total",
+            "Requests sent to endpoints that state a limit, by what they were.",
+            lambda: services.limits.counts,
+        ),
         (
             "endpoint_reads_total",
             "Reads of the endpoints' topic.",
@@ -112,6 +117,11 @@
         "Requests under way.",
         read=lambda: services.forwarder.open_requests,
     )
+    services.metrics.gauge(
+        "limited_endpoints",
+        "Endpoints that state how many requests a second they accept.",
+        read=lambda: services.limits.limited_endpoints,
+    )
     services.metrics.gauge(
         "quarantined_requests",
         "Requests that are not sent to endpoints any more.",
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
@@ -34,6 +34,7 @@
 from bulrushgrade_daemon import operatortasks
 from bulrushgrade_daemon import peerlink
 from bulrushgrade_daemon import placementindex
+from bulrushgrade_daemon import ratelimits
 from bulrushgrade_daemon import requestadmission
 from bulrushgrade_daemon import requestlog
 from bulrushgrade_daemon import stagecontrol
@@ -136,6 +137,9 @@
             log=context.log,
             on_broken=context.kernel.fail,
         )
+        self._limits = ratelimits.RateLimits(
+            timers=self._timers, log=context.log
+        )
         self._make_view()
         self._make_chooser()
         self._make_crash_sharing()
@@ -153,6 +157,7 @@
             self._link,
             self._gossip,
             self._index,
+            self._limits,
             self._stage_control,
             *self._tasks.services,
             self._follow_peers,
@@ -222,6 +227,11 @@
         """Queries peers for the best engines to prefill long prompts."""
         return self._index
 
+    @property
+    def limits(self) -> ratelimits.RateLimits:
+        """Follows the limits that endpoints state."""
+        return self._limits
+
     @property
     def tasks(self) -> operatortasks.OperatorTasks:
         """Usage reports and capacity orders, made by one host at a time."""
@@ -319,6 +329,7 @@
             reactor=context.reactor,
             now=lambda: self._timers.now,
             dialect=context.adapter.dialect,
+            limits=self._limits,
             on_broken=context.kernel.fail,
         )
         self._crashes = crashwatch.CrashWatch(
