Have all hosts together keep the limit that an endpoint states

What callers saw: little; the endpoint got three to four times what it accepts (46 and 47 requests in 4 s where 33 and 28 are allowed).

Cause: hosts read no limit. Confirmed by the reproduction, in which hosts knew the limit for 9 s and sent as before, first attempts all of them. Ruled out as the cause here: limits that each host keeps alone, requests that are not counted, late news. They are other ways to break the same bound, which is on the sum over all hosts, so the design excludes them too:

- The owner of an endpoint, by rendezvous hashing, grants the permits of all hosts from one token bucket that starts empty; a host that gets no reply sends nothing.
An even share would give a request in 55 s to each of 195 hosts, and a token a host is 195 at once.
- Every request needs a permit: first attempts, retries, resumed streams, prefills and their decodes, reads of an engine's cache, orders.
- Hosts tell each other limits with their loads, by age; an end is remembered longer than any limit, so that no host brings it back.
- A host that joins or succeeds an owner waits before it grants; sides that have lost each other grant their part of the limit.

Callers above the limit are served by another endpoint; if there is none they wait for a quarter of their target at most, by urgency and age, or are refused at once and told to return one by one at the rate of the limit.

--- a/packages/bulrushgrade/bulrushgrade/attempts.py
+++ b/packages/bulrushgrade/bulrushgrade/attempts.py
@@ -15,7 +15,8 @@
 class Outcome(enum.Enum):
     """How an attempt ended.
 
-    UNREACHED means that no byte of the request was written. TURNED_AWAY and
+    UNREACHED means that no byte of the request was written. WITHHELD means the
+    same, because the endpoint's limit left no room. TURNED_AWAY and
     MISDIRECTED mean that the endpoint reports that it did not run the request.
     UNREAD means that an engine that was to prefill the prompt for another gave
     no usable answer; a prefill is not a run. LOST means that the request was
@@ -23,6 +24,7 @@
     """
 
     UNREACHED = "unreached"
+    WITHHELD = "withheld"
     TURNED_AWAY = "turned_away"
     MISDIRECTED = "misdirected"
     UNREAD = "unread"
@@ -34,6 +36,7 @@
 NOT_RUN = frozenset(
     {
         Outcome.UNREACHED,
+        Outcome.WITHHELD,
         Outcome.TURNED_AWAY,
         Outcome.MISDIRECTED,
         Outcome.UNREAD,
@@ -41,6 +44,9 @@
 )
 
 
+NOT_SENT = frozenset({Outcome.UNREACHED, Outcome.WITHHELD})
+
+
 class NextStep(enum.Enum):
     """What to do with the request.
 
@@ -88,7 +94,7 @@
     def note(self, outcome: Outcome) -> None:
         """Records the outcome of an attempt."""
         self.last = outcome
-        if outcome is Outcome.UNREACHED:
+        if outcome in NOT_SENT:
             self.unreached += 1
             return
         self.arrivals += 1
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/cachewatch.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/cachewatch.py
@@ -23,6 +23,10 @@
 seconds; with a delay of half a second, one prompt in twenty is placed without
 knowing of it and misses the better engine."""
 
+LIMITED_READ_PERIOD_S = 2.0
+"""The same for an engine that limits the requests it accepts, as reads are
+among them."""
+
 RETRY_PERIOD_S = 2.0
 """Interval between reads of an engine that does not answer."""
 
@@ -80,6 +84,8 @@
         engines: Callable[[], list[directory_module.Registration]],
         read: ReadChanges,
         apply: Callable[..., None],
+        is_limited: Callable[[directory_module.Registration], bool],
+        may_read: Callable[[directory_module.Registration], Awaitable[bool]],
         on_broken: Callable[[str], None],
     ):
         """Creates the service.
@@ -90,12 +96,16 @@
             read: Returns an engine's changes from a number on.
             apply: Applies an engine's changes; `reset` tells it to drop the
                 earlier ones first.
+            is_limited: Returns whether an engine limits its requests.
+            may_read: Returns whether such an engine has room for a read.
             on_broken: Called with the reason if an invariant is violated.
         """
         self._timers = timers
         self._engines = engines
         self._read = read
         self._apply = apply
+        self._is_limited = is_limited
+        self._may_read = may_read
         self._on_broken = on_broken
         self._positions: dict[tuple[str, int], _ReadPosition] = {}
         self._failures = 0
@@ -142,6 +152,13 @@
     async def _read_one(
         self, engine: directory_module.Registration, position: _ReadPosition
     ) -> None:
+        period_s = READ_PERIOD_S
+        if self._is_limited(engine):
+            period_s = LIMITED_READ_PERIOD_S
+            if not await self._may_read(engine):
+                position.is_reading = False
+                position.next_read_at = self._timers.now + period_s
+                return
         self._reads += 1
         read = await self._read(engine, position.next)
         position.is_reading = False
@@ -151,7 +168,7 @@
             position.next_read_at = self._timers.now + RETRY_PERIOD_S
             return
         found = read.unwrap()
-        position.next_read_at = self._timers.now + READ_PERIOD_S
+        position.next_read_at = self._timers.now + period_s
         restarted = position.epoch not in (None, found.epoch)
         if restarted and position.next > 0:
             # The numbers of the previous run are not valid in this one.
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointcalls.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointcalls.py
@@ -145,9 +145,11 @@
         """Sends a request; returns its answer unless that is a refusal."""
         written_at = self._now()
 
-        def make_request() -> outbound.OutboundRequest:
+        def make_request() -> outbound.OutboundRequest | None:
             nonlocal written_at
             written_at = self._now()
+            if not request.permit.is_valid(written_at):
+                return None
             # The remaining time is computed at the time of the write, since
             # opening the connection has taken some of it.
             workspace = request.workspace
@@ -182,6 +184,8 @@
             outcome = attempts.Outcome.UNREACHED
             if failed.written:
                 outcome = attempts.Outcome.LOST
+            elif not request.permit.is_valid(written_at):
+                outcome = attempts.Outcome.WITHHELD
             return inflight.AttemptEnd(
                 outcome=outcome,
                 reason=failed.reason,
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointchooser.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointchooser.py
@@ -18,8 +18,13 @@
 from bulrushgrade_daemon import decisionlog
 from bulrushgrade_daemon import enginework
 from bulrushgrade_daemon import inflight
+from bulrushgrade_daemon import permitservice
 from bulrushgrade_daemon import placementindex
 
+MAX_DENIALS = 4
+"""Endpoints at their limit that a request tries. Each costs it a round trip to
+another host; after that it is only sent to endpoints without a limit."""
+
 
 class EndpointChooser:
     """Combines the endpoint directory, the balancer and the planners."""
@@ -33,6 +38,7 @@
         endpoints: directory_module.Directory,
         work: enginework.EngineWork,
         index: placementindex.PlacementIndex,
+        permits: permitservice.PermitService,
         settle_s: float,
         log: decisionlog.DecisionLog,
         rng: random.Random,
@@ -46,6 +52,7 @@
             endpoints: The known endpoints.
             work: This daemon's work at engines, and what it knows of them.
             index: Finds the current waits at engines.
+            permits: Permits for endpoints that state a limit.
             settle_s: Time until every host knows a change that an endpoint
                 registers.
             log: Gets a line for each ejection.
@@ -59,6 +66,7 @@
         self._balancer = balance.Balancer(zone=zone, rng=rng)
         self._work = work
         self._index = index
+        self._permits = permits
         self._settle_s = settle_s
         self._changes = stagechanges.StageChanges()
 
@@ -85,7 +93,7 @@
     ) -> directory_module.Registration | None:
         """Returns the endpoint for the next attempt and stores the plan."""
         now = self._timers.now
-        usable = self._usable(request.service, now)
+        usable = self._open(request, now)
         traits = self._work.traits(request.service)
         prompt = request.info.prompt
         if traits is None or prompt is None:
@@ -121,8 +129,37 @@
         traits, prompt = self._work.traits(request.service), request.info.prompt
         if traits and prompt and prompt.prompt_tokens > traits.memory_tokens:
             return "prompt larger than an engine's memory"
+        if request.permit_retry_s is not None:
+            return "the endpoints are at their limits"
         return "no endpoint"
 
+    def book_return_s(
+        self, request: inflight.InFlight, max_return_s: float
+    ) -> float | None:
+        """Returns when a caller should return for an endpoint at its limit.
+
+        None if no endpoint is at its limit.
+
+        Args:
+            request: The request.
+            max_return_s: How long the caller may stay away.
+        """
+        usable = self._usable(request.service, self._timers.now)
+        return self._permits.book_return_s(usable, max_return_s)
+
+    def has_unlimited_alternative(
+        self,
+        request: inflight.InFlight,
+        endpoint: directory_module.Registration,
+    ) -> bool:
+        """Returns whether an endpoint without a limit can replace another."""
+        return any(
+            other.stage is endpoint.stage
+            and other.incarnation not in request.avoid
+            and not self._permits.is_limited(other)
+            for other in self._usable(request.service, self._timers.now)
+        )
+
     def choose_decoder(
         self, request: inflight.InFlight
     ) -> directory_module.Registration | None:
@@ -167,7 +204,7 @@
         ejected, prefillers can't replace them, and wrong ejections must not
         cause every request to be refused.
         """
-        usable = self._usable(request.service, now)
+        usable = self._open(request, now)
         return [
             engine
             for stage in directory_module.Stage
@@ -200,6 +237,8 @@
         ended: inflight.AttemptEnd,
     ) -> None:
         """Takes in a failed attempt; may eject its endpoint."""
+        if ended.outcome is attempts.Outcome.WITHHELD:
+            return
         request.avoid |= {endpoint.incarnation}
         if self._is_full(endpoint, ended.outcome):
             return
@@ -320,6 +359,19 @@
         usable = self._endpoints.usable(service, now=now)
         return self._changes.exclude_changing(usable, now)
 
+    def _open(
+        self, request: inflight.InFlight, now: float
+    ) -> list[directory_module.Registration]:
+        """Returns the usable endpoints that may have room for a request."""
+        usable = self._usable(request.service, now)
+        if request.denials >= MAX_DENIALS:
+            return [e for e in usable if not self._permits.is_limited(e)]
+        return [
+            endpoint
+            for endpoint in usable
+            if self._permits.closed_s(endpoint, request.urgency) <= 0
+        ]
+
     def _planner(self, service: str) -> engineplan.EnginePlanner:
         fleet = self._work.fleet(service)
         return engineplan.EnginePlanner(zone=self._zone, fleet=fleet)
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
@@ -10,11 +10,15 @@
 from typing import Any
 
 import attrs
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
 from twisted.internet import defer
 from twisted.web import http
 
 from bulrushgrade import attempts
 from bulrushgrade import crashledger
+from bulrushgrade import directory as directory_module
 from bulrushgrade import engineadmission
 from bulrushgrade import errors
 from bulrushgrade import retryshare
@@ -29,6 +33,7 @@
 from bulrushgrade_daemon import frontend
 from bulrushgrade_daemon import inflight
 from bulrushgrade_daemon import outbound
+from bulrushgrade_daemon import permitservice
 from bulrushgrade_daemon import requestadmission
 from bulrushgrade_daemon import requestlog
 from bulrushgrade_daemon import task
@@ -39,6 +44,10 @@
 MIN_ATTEMPT_S = 0.05
 """Minimum time left before the deadline for another attempt."""
 
+MAX_PERMIT_WAIT_FRACTION = 0.25
+"""Part of the latency target that a request may wait for room at endpoints that
+are all at their limits. The rest is needed to run it."""
+
 MIN_SILENCE_S = 1.0
 """Silence after which the endpoint of a cancelled request is checked for a
 crash. Longer than any usual pause."""
@@ -55,6 +64,7 @@
         chooser: Chooses endpoints.
         work: Tracks work at engines.
         calls: Sends requests to endpoints.
+        permits: Permits for endpoints that state a limit.
         crashes: Detects crashes of endpoints.
         ledger: Requests that were in flight at endpoints that crashed.
         observe_completion: Called with the fingerprint of a request that was
@@ -70,6 +80,7 @@
     chooser: endpointchooser.EndpointChooser
     work: enginework.EngineWork
     calls: endpointcalls.EndpointCalls
+    permits: permitservice.PermitService
     crashes: crashwatch.CrashWatch
     ledger: crashledger.CrashLedger
     observe_completion: Callable[[str], None]
@@ -109,6 +120,7 @@
         self._chooser = dependencies.chooser
         self._work = dependencies.work
         self._calls = dependencies.calls
+        self._permits = dependencies.permits
         self._crashes = dependencies.crashes
         self._admission = dependencies.admission
         self._ledger = dependencies.ledger
@@ -190,16 +202,11 @@
     async def _try_until_answered(self, request: inflight.InFlight) -> None:
         while True:
             await self._chooser.query_peers(request)
-            endpoint = self._chooser.choose(request)
-            if endpoint is None:
-                cause = self._chooser.explain_no_endpoint(request)
-                self._finish(request, None, cause)
+            chosen = await self._choose_endpoint(request)
+            if isinstance(chosen, Failure):
+                self._finish(request, None, chosen.failure())
                 return
-            late_s = self._predicted_lateness_s(request)
-            if late_s > 0:
-                self._finish(request, None, f"would be {late_s:.2f} s late")
-                return
-            request.endpoint = endpoint
+            request.endpoint = chosen.unwrap()
             ended = await self._attempt(request)
             if request.is_over:
                 raise defer.CancelledError()
@@ -210,6 +217,79 @@
                 self._finish(request, ended, ended.reason)
                 return
 
+    async def _choose_endpoint(
+        self, request: inflight.InFlight
+    ) -> Result[directory_module.Registration, str]:
+        """Returns the endpoint of the next attempt, or why there is none.
+
+        The request then has the permit for the endpoint that gets it first.
+        """
+        while True:
+            endpoint = self._chooser.choose(request)
+            if endpoint is None:
+                self._note_endpoints_at_limit(request)
+                return Failure(self._chooser.explain_no_endpoint(request))
+            late_s = self._predicted_lateness_s(request)
+            if late_s > 0:
+                return Failure(f"would be {late_s:.2f} s late")
+            first = endpoint
+            if request.plan is not None and request.plan.prefill is not None:
+                first = request.plan.prefill
+            if await self._acquire_permit(request, first):
+                return Success(endpoint)
+
+    async def _choose_decoder(
+        self, request: inflight.InFlight
+    ) -> directory_module.Registration | None:
+        """Returns the decoder of a prefilled prompt, with its permit."""
+        while True:
+            decoder = self._chooser.choose_decoder(request)
+            if decoder is None or await self._acquire_permit(request, decoder):
+                return decoder
+
+    async def _acquire_permit(
+        self,
+        request: inflight.InFlight,
+        endpoint: directory_module.Registration,
+    ) -> bool:
+        """Acquires the permit to send a request; returns whether it did."""
+        request.permit = permitservice.Permit()
+        if not self._permits.is_limited(endpoint):
+            return True
+        now = self._timers.now
+        waited_s = now - request.caller.arrived_at
+        max_wait_s = 0.0
+        if not self._chooser.has_unlimited_alternative(request, endpoint):
+            target_s = request.route.target_s
+            max_wait_s = MAX_PERMIT_WAIT_FRACTION * target_s - waited_s
+        need = permitservice.Need(
+            urgency=request.urgency,
+            waited_s=waited_s,
+            max_wait_s=max(0.0, max_wait_s),
+            max_return_s=self._max_return_s(request),
+        )
+        acquired = await self._permits.acquire(endpoint, need)
+        if isinstance(acquired, permitservice.Denial):
+            request.observe_denial(acquired.retry_s)
+            return False
+        request.permit = acquired
+        return True
+
+    def _note_endpoints_at_limit(self, request: inflight.InFlight) -> None:
+        """Has a request that no endpoint has room for return in time."""
+        if request.permit_retry_s is not None:
+            return
+        retry_s = self._chooser.book_return_s(
+            request, self._max_return_s(request)
+        )
+        if retry_s is not None:
+            request.permit_retry_s = retry_s
+
+    def _max_return_s(self, request: inflight.InFlight) -> float:
+        """Returns how long a caller may stay away before its next try."""
+        left_s = request.left_s(self._timers.now)
+        return left_s * retryshare.MAX_WAIT_FRACTION
+
     def _predicted_lateness_s(self, request: inflight.InFlight) -> float:
         """Returns by how much the first event is expected to be late."""
         if request.plan is None:
@@ -260,11 +340,15 @@
         self._count("prefilled")
         request.prefilled_at = self._timers.now
         try:
-            decoder = self._chooser.choose_decoder(request)
+            denials = request.denials
+            decoder = await self._choose_decoder(request)
             request.endpoint = decoder or request.plan.decode
             if decoder is None:
+                is_withheld = request.denials > denials
                 return inflight.AttemptEnd(
-                    outcome=attempts.Outcome.UNREACHED,
+                    outcome=attempts.Outcome.WITHHELD
+                    if is_withheld
+                    else attempts.Outcome.UNREACHED,
                     reason="no decode engine available",
                 )
             return await self._run(request, prefilled)
@@ -365,7 +449,7 @@
             return False
         if not attempts.may_retry(request.route, request.history):
             return False
-        if request.history.last is attempts.Outcome.UNREACHED:
+        if request.history.last in attempts.NOT_SENT:
             return True
         return self._retry_share(request.service).spend(now)
 
@@ -422,6 +506,8 @@
         quarantined_s = self._quarantined_s(request)
         if quarantined_s > 0:
             return quarantined_s
+        if request.permit_retry_s is not None:
+            return request.permit_retry_s
         return retryshare.choose_retry_after_s(
             request.info.deadline_s,
             self._rng,
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaymessages.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaymessages.py
@@ -18,6 +18,14 @@
 """Cache changes by engine: prompt parts with the tokens that are cached now."""
 
 
+LimitNews = tuple[float | None, int, bool]
+"""An endpoint's limit in requests per second or None for none, the age of this
+in milliseconds, and whether it was stated in answers to prefills."""
+
+EndpointLimitNews = list[tuple[str, int, LimitNews]]
+"""Limits with the ids and the start times of their endpoints."""
+
+
 class Load(msgspec.Struct, array_like=True, tag="load"):
     """A daemon's load, sent to its aggregator.
 
@@ -27,6 +35,7 @@
         engines: The sender's load.
         kept: Changes of the caches that it follows.
         may_order: Whether it is able to order engines to change their roles.
+        limits: Limits of endpoints that the sender knows.
     """
 
     peer: str
@@ -34,6 +43,7 @@
     engines: EngineLoads
     kept: CacheChanges = {}
     may_order: bool = True
+    limits: EndpointLimitNews = []
 
 
 class GroupLoad(msgspec.Struct, array_like=True, tag="group_load"):
@@ -48,6 +58,7 @@
             roles.
         is_passed_on: Whether a member of another group forwarded it to its
             aggregator.
+        limits: Limits of endpoints that the sender knows.
     """
 
     peer: str
@@ -56,6 +67,7 @@
     kept: CacheChanges = {}
     may_order: bool = True
     is_passed_on: bool = False
+    limits: EndpointLimitNews = []
 
 
 class FleetLoad(msgspec.Struct, array_like=True, tag="fleet_load"):
@@ -67,6 +79,7 @@
         your_number: Number of the receiver's last message that is included.
         engines: The fleet's load.
         kept: Changes of engines' caches.
+        limits: Limits of endpoints that the sender knows.
     """
 
     peer: str
@@ -74,6 +87,7 @@
     your_number: int
     engines: EngineLoads
     kept: CacheChanges = {}
+    limits: EndpointLimitNews = []
 
 
 class GroupMembers(msgspec.Struct, array_like=True, tag="group_members"):
@@ -321,6 +335,73 @@
     number: int
 
 
+class PermitQuery(msgspec.Struct, array_like=True, tag="permit_query"):
+    """Asks the owner of an endpoint for a permit for one request.
+
+    Attributes:
+        peer: The sender.
+        number: The sender's number of the query.
+        claim: The sender's number of the request.
+        endpoint: The endpoint's id.
+        born_ms: When the endpoint started.
+        limit: The limit that the sender knows, or None.
+        urgency: The request's urgency; 0 goes first.
+        waited_ms: Time since its caller sent it.
+        max_wait_ms: How long it may wait for a permit.
+        max_return_ms: How long its caller may stay away after a refusal.
+    """
+
+    peer: str
+    number: int
+    claim: int
+    endpoint: str
+    born_ms: int
+    limit: LimitNews | None
+    urgency: int
+    waited_ms: int
+    max_wait_ms: int
+    max_return_ms: int
+
+
+class PermitReply(msgspec.Struct, array_like=True, tag="permit_reply"):
+    """Replies to a `PermitQuery`.
+
+    Attributes:
+        peer: The sender.
+        number: The query's number.
+        granted: Whether the request may be sent.
+        open_ms: Time until a request of its urgency may get a permit.
+        retry_ms: Time after which the caller of a refused request should
+            return.
+        limit: The limit that the sender knows, or None.
+    """
+
+    peer: str
+    number: int
+    granted: bool
+    open_ms: int
+    retry_ms: int
+    limit: LimitNews | None
+
+
+class PermitWithdrawal(
+    msgspec.Struct, array_like=True, tag="permit_withdrawal"
+):
+    """Withdraws a `PermitQuery` that has not been replied to.
+
+    Attributes:
+        peer: The sender.
+        claim: The sender's number of the request.
+        endpoint: The endpoint's id.
+        born_ms: When the endpoint started.
+    """
+
+    peer: str
+    claim: int
+    endpoint: str
+    born_ms: int
+
+
 Message = (
     Load
     | GroupLoad
@@ -340,6 +421,9 @@
     | UsageCounts
     | UsageTaken
     | UsageReporter
+    | PermitQuery
+    | PermitReply
+    | PermitWithdrawal
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaypages.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaypages.py
@@ -105,6 +105,11 @@
             "Requests sent to endpoints that state a limit, by what they were.",
             lambda: services.limits.counts,
         ),
+        (
+            "permits_total",
+            "Permits for limited endpoints: got, denied, granted to all.",
+            lambda: services.permits.counts,
+        ),
         (
             "endpoint_reads_total",
             "Reads of the endpoints' topic.",
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
@@ -29,10 +29,12 @@
 from bulrushgrade_daemon import frontend
 from bulrushgrade_daemon import gatewaymessages
 from bulrushgrade_daemon import gatewaysettings
+from bulrushgrade_daemon import limitexchange
 from bulrushgrade_daemon import loadgossip
 from bulrushgrade_daemon import metrics
 from bulrushgrade_daemon import operatortasks
 from bulrushgrade_daemon import peerlink
+from bulrushgrade_daemon import permitservice
 from bulrushgrade_daemon import placementindex
 from bulrushgrade_daemon import ratelimits
 from bulrushgrade_daemon import requestadmission
@@ -137,9 +139,7 @@
             log=context.log,
             on_broken=context.kernel.fail,
         )
-        self._limits = ratelimits.RateLimits(
-            timers=self._timers, log=context.log
-        )
+        self._make_limits()
         self._make_view()
         self._make_chooser()
         self._make_crash_sharing()
@@ -158,6 +158,7 @@
             self._gossip,
             self._index,
             self._limits,
+            self._permits,
             self._stage_control,
             *self._tasks.services,
             self._follow_peers,
@@ -232,6 +233,11 @@
         """Follows the limits that endpoints state."""
         return self._limits
 
+    @property
+    def permits(self) -> permitservice.PermitService:
+        """Permits for endpoints that state a limit."""
+        return self._permits
+
     @property
     def tasks(self) -> operatortasks.OperatorTasks:
         """Usage reports and capacity orders, made by one host at a time."""
@@ -242,6 +248,23 @@
         """Orders engines to change between prefill and decode."""
         return self._stage_control
 
+    def _make_limits(self) -> None:
+        context = self._context
+        self._limits = ratelimits.RateLimits(
+            timers=self._timers, log=context.log
+        )
+        self._permits = permitservice.PermitService(
+            timers=self._timers,
+            own_name=self._own_name,
+            limits=self._limits,
+            find_owners=lambda key: self._gossip.fleet.find_owners(key),
+            present=lambda: self._gossip.fleet.present,
+            announced=lambda: self._link.hosts,
+            knows_peers=lambda: self._follow_peers.has_loaded,
+            send=lambda peer, message: self._link.send(peer, message),
+            log=context.log,
+        )
+
     def _make_view(self) -> None:
         context, bounds = self._context, self._context.settings().bounds
         self._view = storeview.StoreView(
@@ -297,6 +320,7 @@
             endpoints=self._view.endpoints,
             work=self._work,
             index=self._index,
+            permits=self._permits,
             settle_s=context.settings().bounds.drain_s,
             log=context.log,
             rng=context.rng,
@@ -360,6 +384,7 @@
                 chooser=self._chooser,
                 work=self._work,
                 calls=calls,
+                permits=self._permits,
                 crashes=self._crashes,
                 ledger=self._ledger,
                 observe_completion=self._crash_sharing.observe_completion,
@@ -405,6 +430,7 @@
             may_order=self._may_order,
             apply_changes=sharing.apply_advertised,
             handle_other=self._dispatch,
+            limits=limitexchange.LimitExchange(limits=self._limits),
             log=context.log,
         )
         sharing.set_gossip(self._gossip)
@@ -413,6 +439,8 @@
             engines=sharing.followed_engines,
             read=context.adapter.read_cache_changes,
             apply=sharing.apply_observed,
+            is_limited=self._permits.is_limited,
+            may_read=self._permits.acquire_spare,
             on_broken=context.kernel.fail,
         )
         self._follow_peers = self._topics.follow(
@@ -437,6 +465,7 @@
             holder=self._own_name,
             actions=self._actions,
             control=context.adapter.engine_control,
+            may_call=self._permits.acquire_spare,
             leads=lambda: self._tasks.is_leader(),
             views=self._chooser.engine_views,
             announce=self._announce_role_change,
@@ -474,6 +503,12 @@
                 | gatewaymessages.RecordNotice()
             ):
                 self._topics.receive(message)
+            case (
+                gatewaymessages.PermitQuery()
+                | gatewaymessages.PermitReply()
+                | gatewaymessages.PermitWithdrawal()
+            ):
+                self._permits.receive(message)
             case (
                 gatewaymessages.UsageCounts()
                 | gatewaymessages.UsageTaken()
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/inflight.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/inflight.py
@@ -15,6 +15,7 @@
 from bulrushgrade_daemon import dialect
 from bulrushgrade_daemon import frontend
 from bulrushgrade_daemon import outbound
+from bulrushgrade_daemon import permitservice
 
 
 @attrs.define(kw_only=True)
@@ -71,6 +72,10 @@
             it didn't.
         avoid_zones: Availability zones that are used only if no other has an
             endpoint.
+        permit: Allows the next request to an endpoint.
+        denials: How often an endpoint's limit left no room for it.
+        permit_retry_s: The shortest time after which one may have room, None
+            if none was full.
     """
 
     caller: frontend.CallerRequest
@@ -99,6 +104,9 @@
     sent_at: float | None = None
     answer_began_at: float | None = None
     avoid_zones: frozenset[str] = frozenset()
+    permit: permitservice.Permit = permitservice.Permit()
+    denials: int = 0
+    permit_retry_s: float | None = None
     _fingerprint: str | None = attrs.field(default=None, init=False)
 
     @urgency.default
@@ -125,6 +133,15 @@
             "wait_known": reader.id in self.waits_s,
         }
 
+    def describe_denials(self) -> dict[str, Any]:
+        """Returns how endpoints' limits affected it as fields of a log line."""
+        if self.permit_retry_s is None:
+            return {}
+        return {
+            "denials": self.denials,
+            "permit_retry_s": round(self.permit_retry_s, 3),
+        }
+
     @property
     def is_late(self) -> bool:
         """Whether its first event or a later one missed the route's targets."""
@@ -167,6 +184,12 @@
             return fingerprint_module.make_caller_id(self.workspace.name)
         return fingerprint_module.make_caller_id(self.caller.address)
 
+    def observe_denial(self, retry_s: float) -> None:
+        """Takes in that an endpoint's limit leaves no room for it."""
+        self.denials += 1
+        if self.permit_retry_s is None or retry_s < self.permit_retry_s:
+            self.permit_retry_s = retry_s
+
     def left_s(self, now: float) -> float:
         """Returns the time until its deadline."""
         return self.deadline - now
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadgossip.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadgossip.py
@@ -24,6 +24,7 @@
 from bulrushgrade_daemon import fleetview
 from bulrushgrade_daemon import gatewaymessages
 from bulrushgrade_daemon import grouplists
+from bulrushgrade_daemon import limitexchange
 from bulrushgrade_daemon import loadcodec
 from bulrushgrade_daemon import loadmessages
 from bulrushgrade_daemon import peeraggregators
@@ -77,6 +78,7 @@
         may_order: Callable[[], bool],
         apply_changes: changerelay.ApplyChanges,
         handle_other: Callable[[gatewaymessages.Message], None],
+        limits: limitexchange.LimitExchange,
         log: Any,
     ):
         """Makes the service.
@@ -93,6 +95,7 @@
             apply_changes: Applies cache changes that a peer observed at an
                 engine.
             handle_other: Handles messages that are not about load.
+            limits: Exchanges the limits that endpoints state.
             log: Logs changes of this daemon's aggregator.
         """
         self._timers = timers
@@ -104,8 +107,12 @@
         self._may_order = may_order
         self._changes = changerelay.ChangeRelay(apply=apply_changes)
         self._messages = loadmessages.LoadMessages(
-            own_name=own_name, changes=self._changes, may_order=may_order
+            own_name=own_name,
+            changes=self._changes,
+            may_order=may_order,
+            next_limits=limits.next_batch,
         )
+        self._limits = limits
         self._handle_other = handle_other
         self._log = log
         self._fleet = fleetview.FleetView(
@@ -165,6 +172,13 @@
 
     def receive(self, message: Any) -> None:
         """Handles a peer's message."""
+        match message:
+            case (
+                gatewaymessages.Load()
+                | gatewaymessages.GroupLoad()
+                | gatewaymessages.FleetLoad()
+            ):
+                self._limits.merge_batch(message.limits, peer=message.peer)
         match message:
             case gatewaymessages.Load():
                 self._handle_load(message)
@@ -220,6 +234,7 @@
     def _exchange(self) -> None:
         now = self._timers.now
         self._round += 1
+        self._limits.begin_round()
         period_s = self._period_s()
         silent_s = max(MIN_SILENCE_S, MAX_MISSED_MESSAGES * period_s)
         self._loads.stale_s = max(
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadmessages.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadmessages.py
@@ -17,6 +17,7 @@
         own_name: str,
         changes: changerelay.ChangeRelay,
         may_order: Callable[[], bool],
+        next_limits: Callable[[], gatewaymessages.EndpointLimitNews],
     ):
         """Makes an instance.
 
@@ -25,10 +26,12 @@
             changes: Pending changes of engines' caches.
             may_order: Returns whether this daemon is able to order engines to
                 change their roles.
+            next_limits: Returns the limits of endpoints to send next.
         """
         self._own_name = own_name
         self._changes = changes
         self._may_order = may_order
+        self._next_limits = next_limits
 
     def make_load(
         self, number: int, own: peerloads.Shares
@@ -41,6 +44,7 @@
             engines=loadcodec.encode_shares(own),
             kept=self._changes.pop_for_groups(),
             may_order=self._may_order(),
+            limits=self._next_limits(),
         )
 
     def make_group_load(
@@ -53,6 +57,7 @@
             engines=loadcodec.encode_shares(group),
             kept=self._changes.pop_for_groups(),
             may_order=self._may_order(),
+            limits=self._next_limits(),
         )
 
     def make_fleet_load(
@@ -68,4 +73,5 @@
             your_number=0,
             engines=loadcodec.encode_shares(fleet),
             kept=self._changes.pop_for_members(),
+            limits=self._next_limits(),
         )
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/peerqueries.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/peerqueries.py
@@ -18,11 +18,13 @@
     gatewaymessages.WaitQuery
     | gatewaymessages.HolderQuery
     | gatewaymessages.RecordQuery
+    | gatewaymessages.PermitQuery
 )
 Reply = (
     gatewaymessages.WaitReply
     | gatewaymessages.HolderReply
     | gatewaymessages.RecordReply
+    | gatewaymessages.PermitReply
 )
 MakeQuery = Callable[[int], Query]
 """Makes a query with the given number."""
@@ -78,11 +80,17 @@
         """Rounds of queries, and rounds that timed out."""
         return dict(self._counts)
 
-    async def query(self, queries: Mapping[str, MakeQuery]) -> list[Reply]:
+    async def query(
+        self,
+        queries: Mapping[str, MakeQuery],
+        *,
+        timeout_s: float | None = None,
+    ) -> list[Reply]:
         """Sends queries and returns the replies that came in time.
 
         Args:
             queries: One per peer.
+            timeout_s: How long to wait for replies, if not as usual.
         """
         number = next(self._numbers)
         pending = self._pending[number] = _PendingQuery()
@@ -95,7 +103,8 @@
             if pending.missing:
                 self._counts["queries"] += 1
                 timer = self._timers.after(
-                    self._timeout_s, lambda: self._time_out(pending)
+                    self._timeout_s if timeout_s is None else timeout_s,
+                    lambda: self._time_out(pending),
                 )
                 await pending.done
             return pending.replies
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/ratelimits.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/ratelimits.py
@@ -1,12 +1,15 @@
 """Follows the request rates that endpoints state they accept."""
 
 import collections
+from collections.abc import Callable
+from collections.abc import Iterable
 from typing import Any
 
 from bulrushgrade import directory as directory_module
 from bulrushgrade import endpointlimits
 from bulrushgrade_daemon import decisionlog
 from bulrushgrade_daemon import dialect
+from bulrushgrade_daemon import gatewaymessages
 
 REPORT_PERIOD_S = 4.0
 """Interval between log lines about the requests sent to limited endpoints."""
@@ -34,6 +37,9 @@
             endpointlimits.Incarnation, collections.Counter[str]
         ] = {}
         self._counts: collections.Counter[str] = collections.Counter()
+        self._subscribers: list[
+            Callable[[endpointlimits.Incarnation], None]
+        ] = []
         self._tick: Any = None
 
     @property
@@ -72,6 +78,59 @@
             "sent": self.counts,
         }
 
+    def subscribe(
+        self, callback: Callable[[endpointlimits.Incarnation], None]
+    ) -> None:
+        """Has a callback called with each endpoint whose limit changes."""
+        self._subscribers.append(callback)
+
+    def limit_of(self, endpoint: endpointlimits.Incarnation) -> float | None:
+        """Returns an endpoint's limit in requests per second, or None."""
+        return self._limits.per_s(endpoint)
+
+    def limited(self) -> list[endpointlimits.Incarnation]:
+        """Returns the endpoints that state a limit."""
+        return self._limits.limited()
+
+    def items(
+        self,
+    ) -> Iterable[tuple[endpointlimits.Incarnation, endpointlimits.Limit]]:
+        """Returns all remembered observations, ends of limits included."""
+        return self._limits.items()
+
+    def encode(
+        self, endpoint: endpointlimits.Incarnation
+    ) -> gatewaymessages.LimitNews | None:
+        """Returns what is known of an endpoint's limit for a message."""
+        limit = self._limits.find(endpoint)
+        if limit is None:
+            return None
+        age_ms = round((self._timers.now - limit.as_of) * 1000)
+        is_prefill = limit.kind is endpointlimits.AnswerKind.PREFILL
+        return limit.per_s, max(0, age_ms), is_prefill
+
+    def merge(
+        self,
+        endpoint: endpointlimits.Incarnation,
+        news: gatewaymessages.LimitNews | None,
+        *,
+        peer: str,
+    ) -> None:
+        """Takes in what a peer knows of an endpoint's limit."""
+        if news is None:
+            return
+        now, (per_s, age_ms, is_prefill) = self._timers.now, news
+        kind = endpointlimits.AnswerKind.RUN
+        if is_prefill:
+            kind = endpointlimits.AnswerKind.PREFILL
+        limit = endpointlimits.Limit(
+            per_s=per_s, as_of=now - age_ms / 1000, kind=kind
+        )
+        change = self._limits.merge(endpoint, limit, now)
+        if change is not None:
+            age_s = round(age_ms / 1000, 3)
+            self._record_change(change, source=peer, age_s=age_s)
+
     def count_sent(
         self, endpoint: directory_module.Registration, what: str
     ) -> None:
@@ -129,11 +188,13 @@
             now=self._timers.now,
         )
         if change is not None:
-            self._log_change(change, source=kind.value, request=request_id)
+            self._record_change(change, source=kind.value, request=request_id)
 
-    def _log_change(
+    def _record_change(
         self, change: endpointlimits.LimitChange, **fields: Any
     ) -> None:
+        for callback in self._subscribers:
+            callback(change.endpoint)
         self._log.note(
             "endpoint_limit_changed",
             endpoint=change.endpoint[0],
@@ -146,7 +207,7 @@
     def _report(self) -> None:
         now = self._timers.now
         for change in self._limits.expire(now):
-            self._log_change(change, source="expired")
+            self._record_change(change, source="expired")
         sent, self._sent = self._sent, {}
         for endpoint, counts in sent.items():
             limit = self._limits.find(endpoint)
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/requestlog.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/requestlog.py
@@ -140,6 +140,7 @@
             reason=reason,
             arrivals=request.history.arrivals,
             runs=request.history.runs,
+            **request.describe_denials(),
             **request.describe_plan(),
             took_s=round(self._now() - request.caller.arrived_at, 4),
         )
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/stagecontrol.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/stagecontrol.py
@@ -96,6 +96,7 @@
         holder: str,
         actions: fencedactions.FencedActions,
         control: EngineControl,
+        may_call: Callable[[directory_module.Registration], Awaitable[bool]],
         leads: Callable[[], bool],
         views: Callable[[], list[stageplan.ServiceView]],
         announce: Callable[[stageplan.StageChange, float], None],
@@ -109,6 +110,7 @@
             holder: This host's incarnation.
             actions: Performs actions that only one host at a time may do.
             control: Queries engines and sends them orders.
+            may_call: Returns whether an engine has room for another call.
             leads: Returns whether this host is the leader.
             views: Returns the state of the engines by service.
             announce: Notifies all hosts of a change and of its expected
@@ -120,6 +122,7 @@
         self._holder = holder
         self._actions = actions
         self._control = control
+        self._may_call = may_call
         self._leads = leads
         self._views = views
         self._announce = announce
@@ -210,6 +213,9 @@
 
         async def make() -> orderturn.OrderRecord | fencedactions.Withheld:
             nonlocal report
+            for _ in ("report", "order"):
+                if not await self._may_call(change.engine):
+                    return fencedactions.Withheld(reason="engine at its limit")
             reported = await self._control.report(change.engine)
             if isinstance(reported, Failure):
                 reason = f"no report: {reported.failure().reason}"
--- a/packages/bulrushgrade_daemon/tests/fakes.py
+++ b/packages/bulrushgrade_daemon/tests/fakes.py
@@ -7,6 +7,7 @@
 
 from bulrushgrade_daemon import clock
 from bulrushgrade_daemon import decisionlog
+from bulrushgrade_daemon import permitservice
 
 
 def make_timers():
@@ -37,6 +38,31 @@
         return self.text.count(f'"event":"{event}"'.encode())
 
 
+class Permits:
+    """Permits for endpoints without a limit, unless a test closes some."""
+
+    def __init__(self):
+        # Seconds until each endpoint at its limit has room, by its id.
+        self.closed = {}
+        self.needs = []
+
+    def is_limited(self, endpoint):
+        return endpoint.id in self.closed
+
+    def closed_s(self, endpoint, urgency):
+        return self.closed.get(endpoint.id, 0.0)
+
+    def book_return_s(self, endpoints, max_return_s):
+        waits_s = [self.closed.get(e.id) for e in endpoints]
+        return min((s for s in waits_s if s is not None), default=None)
+
+    async def acquire(self, endpoint, need):
+        self.needs.append((endpoint.id, need))
+        if self.closed_s(endpoint, need.urgency) > 0:
+            return permitservice.Denial(retry_s=self.closed[endpoint.id])
+        return permitservice.Permit()
+
+
 def run(coroutine):
     """Starts a coroutine."""
     return defer.Deferred.fromCoroutine(coroutine)
--- a/packages/bulrushgrade_daemon/tests/gossipscene.py
+++ b/packages/bulrushgrade_daemon/tests/gossipscene.py
@@ -6,8 +6,10 @@
 
 from bulrushgrade import peerloads
 from bulrushgrade_daemon import keys
+from bulrushgrade_daemon import limitexchange
 from bulrushgrade_daemon import loadgossip
 from bulrushgrade_daemon import peerlink
+from bulrushgrade_daemon import ratelimits
 from bulrushgrade_daemon import topicreader
 
 
@@ -58,6 +60,9 @@
         self.changes = []
         self.others = []
         self.lines = fakes.EventRecorder()
+        self.limits = ratelimits.RateLimits(
+            timers=timers, log=self.lines.make()
+        )
         self.link = peerlink.PeerLink(
             reactor=None,
             timers=timers,
@@ -84,6 +89,7 @@
             may_order=lambda: self.able,
             apply_changes=lambda e, c: self.changes.append((e, c)),
             handle_other=self.others.append,
+            limits=limitexchange.LimitExchange(limits=self.limits),
             log=self.lines.make(),
         )
         self.gossip.schedule()
--- a/packages/bulrushgrade_daemon/tests/test_cachewatch.py
+++ b/packages/bulrushgrade_daemon/tests/test_cachewatch.py
@@ -19,7 +19,19 @@
     )
 
 
-def make(*answers):
+class Room:
+    """Whether engines limit their requests, and have room for a read."""
+
+    def __init__(self):
+        self.is_limited = False
+        self.has_room = True
+
+    async def may_read(self, engine):
+        return self.has_room
+
+
+def make(*answers, room=None):
+    room = room or Room()
     reactor, timers, broken = fakes.make_timers()
     read = fakes.Answers(*answers)
     applied = []
@@ -33,6 +45,8 @@
         engines=lambda: engines,
         read=read,
         apply=apply,
+        is_limited=lambda engine: room.is_limited,
+        may_read=room.may_read,
         on_broken=broken.append,
     )
     fakes.run(watch.start())
@@ -84,3 +98,20 @@
     asked = len(read.calls)
     reactor.pump([0.25] * 8)
     assert len(read.calls) == asked
+
+
+def test_limited_engine_is_read_seldom_and_only_if_it_has_room():
+    """Guards against reads that take up what an engine accepts."""
+    room = Room()
+    reactor, read, _, _ = make(found(), room=room)
+    reactor.pump([0.25] * 40)
+    assert len(read.calls) >= 15
+    room.is_limited = True
+    before = len(read.calls)
+    reactor.pump([0.25] * 40)
+    assert 3 <= len(read.calls) - before <= 6
+    room.has_room = False
+    reactor.pump([0.25] * 10)
+    before = len(read.calls)
+    reactor.pump([0.25] * 40)
+    assert len(read.calls) == before
--- a/packages/bulrushgrade_daemon/tests/test_endpointchooser.py
+++ b/packages/bulrushgrade_daemon/tests/test_endpointchooser.py
@@ -64,6 +64,7 @@
     def __init__(self):
         self.reactor, self.timers, _ = fakes.make_timers()
         self.peers = peerloads.PeerLoads()
+        self.permits = fakes.Permits()
         endpoints = directory.Directory(leaving_use_s=1.0)
         self.engines = [
             make_registration(id, service="llm", stage=stage)
@@ -92,6 +93,7 @@
             endpoints=endpoints,
             work=work,
             index=None,
+            permits=self.permits,
             settle_s=2.0,
             log=fakes.EventRecorder().make(),
             rng=random.Random(1),
@@ -308,3 +310,31 @@
     assert "larger" in scene.chooser.explain_no_endpoint(too_large)
     assert scene.fleet.relative_size(50_000) == size
     assert scene.choose(make_request(tokens=TRAITS.memory_tokens))[1]
+
+
+def test_endpoints_at_their_limit_are_left_out():
+    """Guards against prompts planned for engines that accept no more."""
+    scene = Scene()
+    scene.permits.closed = {"d1": 0.5, "p1": 0.2}
+    for _ in range(5):
+        prefiller, decoder = scene.choose(make_request())
+        assert decoder == "d2"
+        assert prefiller in (None, "p2")
+    request = make_request()
+    assert scene.chooser.has_unlimited_alternative(request, scene.find("d1"))
+    scene.permits.closed = {"d1": 0.5, "d2": 0.3}
+    assert scene.choose(request) == (None, None)
+    assert not scene.chooser.has_unlimited_alternative(
+        request, scene.find("d1")
+    )
+    assert scene.chooser.book_return_s(request, 1.0) == 0.3
+
+
+def test_request_stops_to_try_limited_endpoints_after_some_denials():
+    """Guards against requests that ask one owner after the other."""
+    scene = Scene()
+    scene.permits.closed = {"d1": 0.0}
+    request = make_request()
+    for _ in range(endpointchooser.MAX_DENIALS):
+        request.observe_denial(0.2)
+    assert scene.choose(request)[1] == "d2"
--- a/packages/bulrushgrade_daemon/tests/test_forwarder.py
+++ b/packages/bulrushgrade_daemon/tests/test_forwarder.py
@@ -114,6 +114,7 @@
         self.avoided = []
         self.completed = []
         self.calls = self.chooser = self
+        self.permits = fakes.Permits()
         log = requestlog.RequestLog(
             log=self.lines.make(), now=lambda: timers.now
         )
@@ -154,6 +155,7 @@
                 chooser=self,
                 work=work,
                 calls=self,
+                permits=self.permits,
                 crashes=self.watch,
                 ledger=self.ledger,
                 observe_completion=self.completed.append,
@@ -179,7 +181,28 @@
 
     def choose(self, request):
         self.avoided.append(request.avoid_zones)
-        return self.endpoints[len(self.sent) % len(self.endpoints)]
+        skipped = [e for e in self.endpoints if e.id in self.denied]
+        if len(skipped) == len(self.endpoints):
+            return None
+        endpoint = self.endpoints[len(self.sent) % len(self.endpoints)]
+        while endpoint.id in self.denied:
+            endpoint = self.endpoints[self.endpoints.index(endpoint) + 1]
+        return endpoint
+
+    @property
+    def denied(self):
+        """The endpoints that the permits have denied."""
+        asked = [id for id, _ in self.permits.needs]
+        return {id for id in asked if self.permits.closed[id] > 0}
+
+    def has_unlimited_alternative(self, request, endpoint):
+        return len(self.permits.closed) < len(self.endpoints)
+
+    def book_return_s(self, request, max_return_s):
+        return None
+
+    def explain_no_endpoint(self, request):
+        return "no endpoint"
 
     def observe_success(self, endpoint, latency_s):
         """Does nothing."""
@@ -300,3 +323,38 @@
     request.history.begun = True
     answer.errback(ValueError("unexpected"))
     assert caller.answers == ["cut"]
+
+
+def test_request_above_an_endpoints_limit_is_served_elsewhere():
+    """Guards against requests to an endpoint that accepts no more of them."""
+    scene = Scene(Answer())
+    scene.permits.closed = {"e1": 0.4}
+    caller = scene.send()
+    assert scene.sent == ["e2"]
+    assert caller.answers == [200]
+    # It does not wait while another endpoint can serve it.
+    ((_, need),) = scene.permits.needs
+    assert need.max_wait_s == 0
+
+
+def test_request_above_all_limits_is_refused_with_the_time_to_return():
+    """Guards against callers who wait, or return when nothing has changed."""
+    scene = Scene()
+    scene.permits.closed = {"e1": 0.7, "e2": 0.5, "e3": 0.9}
+    caller = scene.send()
+    assert scene.sent == []
+    assert caller.answers == [("refused", 0.5)]
+    waits_s = {need.max_wait_s for _, need in scene.permits.needs}
+    target_s = SAFE.target_s
+    assert waits_s == {forwarder.MAX_PERMIT_WAIT_FRACTION * target_s}
+
+
+def test_retry_needs_a_permit_too():
+    """Guards against retries on top of what an endpoint accepts."""
+    scene = Scene(LOST, Answer())
+    scene.watch.is_crash = False
+    scene.permits.closed = {"e2": 0.4}
+    caller = scene.send()
+    assert scene.sent == ["e1", "e3"]
+    assert caller.answers == [200]
+    assert [id for id, _ in scene.permits.needs] == ["e2"]
--- a/packages/bulrushgrade_daemon/tests/test_stagecontrol.py
+++ b/packages/bulrushgrade_daemon/tests/test_stagecontrol.py
@@ -48,6 +48,7 @@
         self.views_made = 0
         self.turn = orderturn.OrderTurn(holder="me", lease_s=3.0)
         self.waits_s = {"p1": 3.0}
+        self.has_room = True
         control = stagecontrol.StageControl(
             timers=timers,
             holder="me",
@@ -61,6 +62,7 @@
             control=stagecontrol.EngineControl(
                 report=self.report, order=self._order
             ),
+            may_call=self._may_call,
             leads=lambda: leads,
             views=self._views,
             announce=lambda change, s: self.announced.append((change, s)),
@@ -69,6 +71,9 @@
         )
         fakes.run(control.start())
 
+    async def _may_call(self, engine):
+        return self.has_room
+
     def _views(self):
         self.views_made += 1
         return [
@@ -176,3 +181,14 @@
     scene = Scene(report=busy)
     scene.pump(5.0)
     assert scene.append.calls == []
+
+
+def test_engine_at_its_limit_gets_no_order():
+    """Guards against orders on top of the requests that an engine accepts."""
+    scene = Scene()
+    scene.has_room = False
+    scene.pump(3.0)
+    assert (scene.sent, scene.report.calls) == ([], [])
+    scene.has_room = True
+    scene.pump(10.0)
+    assert scene.sent
--- a/tools/exchangecost.py
+++ b/tools/exchangecost.py
@@ -13,8 +13,10 @@
 from bulrushgrade import peerloads
 from bulrushgrade_daemon import clock
 from bulrushgrade_daemon import decisionlog
+from bulrushgrade_daemon import limitexchange
 from bulrushgrade_daemon import loadgossip
 from bulrushgrade_daemon import peerlink
+from bulrushgrade_daemon import ratelimits
 from bulrushgrade_daemon import topicreader
 
 SIZES = ((9, 4, 9), (63, 3, 60), (195, 6, 74), (330, 12, 1800))
@@ -63,6 +65,7 @@
         self.loads = peerloads.PeerLoads()
         name = f"front-{zone}-{port}"
         log = decisionlog.DecisionLog(host=name, write=len)
+        self.limits = ratelimits.RateLimits(timers=timers, log=log)
         self.link = peerlink.PeerLink(
             reactor=None,
             timers=timers,
@@ -98,6 +101,7 @@
             may_order=lambda: True,
             apply_changes=lambda engine, changes: None,
             handle_other=print,
+            limits=limitexchange.LimitExchange(limits=self.limits),
             log=log,
         )
         self.link.transport = Transport(network=network, port=port)
