Emulate fleets before endpoints that limit their requests

Found by the emulation: a timer that fires a little early made the owner check its waiting claims again without end on a clock that stands still, and busily for half a millisecond on a real one. Checks are 1 ms apart now.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/permitservice.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/permitservice.py
@@ -27,6 +27,10 @@
 from bulrushgrade_daemon import peerqueries
 from bulrushgrade_daemon import ratelimits
 
+MIN_WAKEUP_S = 0.001
+"""Minimum time until waiting claims are checked again. Timers may fire a little
+early, when the next permit is not quite earned."""
+
 CHECK_PERIOD_S = 0.1
 """Interval between checks for changed owners and lost peers."""
 
@@ -505,7 +509,7 @@
         due_s = None if queue is None else queue.next_due_s(self._timers.now)
         if due_s is not None:
             self._wakeups[endpoint] = self._timers.after(
-                due_s, lambda: self._wake(endpoint)
+                max(due_s, MIN_WAKEUP_S), lambda: self._wake(endpoint)
             )
 
     def _wake(self, endpoint: endpointlimits.Incarnation) -> None:
--- /dev/null
+++ b/packages/bulrushgrade_standins/bulrushgrade_standins/limitfleet.py
@@ -0,0 +1,582 @@
+"""Emulates a fleet of hosts before endpoints that limit their requests.
+
+The hosts' own modules run on simulated time: the exchange of loads, permits,
+the choice of endpoints and the forwarder. The network, the endpoints and the
+callers are emulated, with what can go wrong among them: datagrams are lost,
+hosts end, restart and are cut off from each other, endpoints restart under
+their ids, limits move and end.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import itertools
+import random
+from typing import Any
+
+import attrs
+from twisted.internet import defer
+from twisted.web import http_headers
+
+from bulrushgrade import attempts
+from bulrushgrade import crashledger
+from bulrushgrade import directory
+from bulrushgrade import endpointlimits
+from bulrushgrade import peerloads
+from bulrushgrade import retryshare
+from bulrushgrade import routing
+from bulrushgrade_daemon import clock
+from bulrushgrade_daemon import decisionlog
+from bulrushgrade_daemon import dialect
+from bulrushgrade_daemon import endpointchooser
+from bulrushgrade_daemon import enginework
+from bulrushgrade_daemon import forwarder
+from bulrushgrade_daemon import inflight
+from bulrushgrade_daemon import limitexchange
+from bulrushgrade_daemon import loadgossip
+from bulrushgrade_daemon import outbound
+from bulrushgrade_daemon import peerlink
+from bulrushgrade_daemon import permitservice
+from bulrushgrade_daemon import ratelimits
+from bulrushgrade_daemon import requestadmission
+from bulrushgrade_daemon import requestlog
+from bulrushgrade_daemon import topicreader
+from bulrushgrade_standins import eventloop
+
+HOP_S = 0.001
+"""Time that a datagram or a request is under way."""
+
+DEADLINE_S = 3.0
+TARGET_S = 0.4
+WORK_S = 0.05
+
+ROUTES = tuple(
+    routing.Route(
+        name=f"r{priority}",
+        hostname=f"p{priority}",
+        path_prefix="/",
+        kind=routing.RequestKind.IDEMPOTENT,
+        resumable=False,
+        timeout_s=DEADLINE_S,
+        target_s=TARGET_S,
+        gap_s=None,
+        priority=priority,
+        max_attempts=2,
+        by_prompt=False,
+        targets=(routing.Target(service="s", weight=1.0),),
+    )
+    for priority in (0, 1)
+)
+TABLE = routing.RouteTable(
+    configuration=routing.Configuration(
+        version=1, routes=ROUTES, services={}, limits=None
+    )
+)
+
+
+@attrs.define(kw_only=True)
+class Endpoint:
+    """An endpoint, and when requests arrived at it from which host.
+
+    Attributes:
+        id: Its id.
+        born_ms: When it started.
+        limit: Requests per second that it states to accept, or None.
+        is_up: Whether it accepts connections.
+        failing: The fraction of its requests that fail.
+        arrivals: Times and hosts of all requests.
+    """
+
+    id: str
+    born_ms: int = 0
+    limit: float | None = None
+    is_up: bool = True
+    failing: float = 0.0
+    arrivals: list[tuple[float, str]] = attrs.field(factory=list)
+
+    def count(self, since: float, until: float) -> int:
+        """Returns the number of requests in a time span."""
+        return sum(since <= at < until for at, _ in self.arrivals)
+
+    def most_in_window(self, since: float, until: float, window_s: float):
+        """Returns the largest number of requests in any window of a span."""
+        times = sorted(at for at, _ in self.arrivals if since <= at < until)
+        most, first = 0, 0
+        for last, at in enumerate(times):
+            while at - times[first] >= window_s:
+                first += 1
+            most = max(most, last - first + 1)
+        return most
+
+
+@attrs.define(kw_only=True)
+class CallerRequest:
+    """One try of a caller, with the interface that the forwarder expects.
+
+    Attributes:
+        fleet: The emulation.
+        priority: The priority of its route.
+        arrived_at: When it was sent.
+        deadline_at: Until when the caller waits, further tries included.
+        tries_left: How often the caller may still return.
+        status: The status of the answer, or ``refused``.
+        ended_at: When it was answered.
+        retry_s: When the caller was told to return.
+    """
+
+    fleet: "LimitFleet"
+    priority: int
+    arrived_at: float
+    deadline_at: float
+    tries_left: int = 1
+    status: int | str | None = None
+    ended_at: float = 0.0
+    retry_s: float = 0.0
+    is_returning: bool = False
+    is_disconnected: bool = False
+    on_disconnect: Any = None
+    address: str = "10.0.0.1"
+    method: bytes = b"GET"
+    uri: bytes = b"/a"
+    path: bytes = b"/a"
+    body: bytes = b""
+    requestHeaders: Any = None  # noqa: N815
+
+    def answer(self, status: int, fields: Any, body: bytes) -> None:
+        """Takes an answer."""
+        self.status, self.ended_at = status, self.fleet.now
+
+    def refuse(self, after_s: float) -> None:
+        """Takes a refusal; the caller returns if it has the time for it."""
+        self.status, self.ended_at = "refused", self.fleet.now
+        self.retry_s = after_s
+        self.fleet.return_later(self)
+
+    def abort_connection(self) -> None:
+        """Takes the end of its connection."""
+        self.status, self.ended_at = "cut", self.fleet.now
+
+
+class _Answer:
+    """An endpoint's whole answer."""
+
+    def __init__(self, *, status: int):
+        self.status = status
+        self.headers = http_headers.Headers()
+
+    async def read(self, on_data: Callable[[bytes], None]) -> outbound.BodyEnd:
+        """Reads the body."""
+        on_data(b"done")
+        return outbound.BodyEnd(whole=True)
+
+    def abort(self) -> None:
+        """Does nothing; there is no connection."""
+
+
+class _Calls:
+    """Sends requests of one host to the emulated endpoints."""
+
+    def __init__(self, *, host: "Host"):
+        self._host = host
+
+    async def run(
+        self,
+        request: inflight.InFlight,
+        registration: directory.Registration,
+        prefilled: Any,
+    ) -> _Answer | inflight.AttemptEnd:
+        """Sends a request and returns its answer."""
+        host, fleet = self._host, self._host.fleet
+        sent_at = fleet.now
+        endpoint = fleet.endpoints[registration.id]
+        if not request.permit.is_valid(sent_at):
+            return inflight.AttemptEnd(
+                outcome=attempts.Outcome.WITHHELD, reason="withheld"
+            )
+        if not endpoint.is_up:
+            return inflight.AttemptEnd(
+                outcome=attempts.Outcome.UNREACHED, reason="refused"
+            )
+        host.limits.count_sent(registration, "first")
+        await host.timers.sleep(HOP_S)
+        endpoint.arrivals.append((fleet.now, host.name))
+        born_ms = endpoint.born_ms
+        await host.timers.sleep(WORK_S + HOP_S)
+        if not endpoint.is_up or endpoint.born_ms != born_ms:
+            return inflight.AttemptEnd(
+                outcome=attempts.Outcome.LOST, reason="reset"
+            )
+        verdict = dialect.Verdict(
+            request_id=None,
+            not_run=False,
+            misdirected=False,
+            limit_per_s=endpoint.limit,
+        )
+        host.limits.observe_answer(
+            registration,
+            verdict,
+            kind=endpointlimits.AnswerKind.RUN,
+            sent_at=sent_at,
+            request_id=request.info.request_id,
+        )
+        has_failed = fleet.rng.random() < endpoint.failing
+        return _Answer(status=500 if has_failed else 200)
+
+
+class _Watch:
+    """Takes no broken answer for a crash."""
+
+    def observe_broken_answer(self, request: inflight.InFlight) -> None:
+        """Does nothing."""
+
+    async def wait_for_check(self, endpoint: directory.Registration) -> None:
+        """Returns at once."""
+
+
+@attrs.frozen(kw_only=True)
+class _Transport:
+    """The datagram transport of one host."""
+
+    fleet: "LimitFleet"
+    port: int
+
+    def write(self, data: bytes, address: tuple[str, int]) -> None:
+        """Sends a datagram."""
+        self.fleet.deliver(self.port, address[1], data)
+
+
+class Host:
+    """One start of a host."""
+
+    def __init__(self, *, fleet: "LimitFleet", port: int, zone: str):
+        """Starts a host that has read the store's records.
+
+        Args:
+            fleet: The emulation.
+            port: Its port, which identifies it.
+            zone: Its availability zone.
+        """
+        self.fleet = fleet
+        self.name = f"h{port}"
+        self.is_up = True
+        self.timers = clock.TimerService(
+            reactor=fleet.reactor,
+            on_broken=fleet.broken.append,
+            clock=fleet.reactor.seconds,
+        )
+        defer.Deferred.fromCoroutine(self.timers.start())
+        own_name = f"{self.name}/{next(fleet.starts):08x}"
+        log = decisionlog.DecisionLog(
+            host=self.name,
+            write=fleet.record_line,
+            wall_clock=fleet.reactor.seconds,
+            clock=fleet.reactor.seconds,
+        )
+        self.limits = ratelimits.RateLimits(timers=self.timers, log=log)
+        self.link = peerlink.PeerLink(
+            reactor=None,
+            timers=self.timers,
+            host_name=self.name,
+            zone=zone,
+            listen=None,
+            membership=None,
+            on_message=self._receive,
+            log=log,
+            on_broken=fleet.broken.append,
+        )
+        self.link.transport = _Transport(fleet=fleet, port=port)
+        self.gossip = loadgossip.LoadGossip(
+            timers=self.timers,
+            own_name=own_name,
+            link=self.link,
+            loads=peerloads.PeerLoads(),
+            read_own=dict,
+            may_order=lambda: True,
+            apply_changes=lambda engine, changes: None,
+            handle_other=lambda message: self.permits.receive(message),
+            limits=limitexchange.LimitExchange(limits=self.limits),
+            log=log,
+        )
+        self.permits = permitservice.PermitService(
+            timers=self.timers,
+            own_name=own_name,
+            limits=self.limits,
+            find_owners=self.gossip.fleet.find_owners,
+            present=lambda: self.gossip.fleet.present,
+            announced=lambda: self.link.hosts,
+            knows_peers=lambda: True,
+            send=self.link.send,
+            log=log,
+        )
+        self._make_forwarder(zone, log)
+        self.link.apply_records(fleet.announcements())
+        self.read_endpoints()
+        for service in (self.limits, self.permits):
+            defer.Deferred.fromCoroutine(service.start())
+        # Hosts send their loads at different moments.
+        self.timers.after(
+            fleet.rng.uniform(0, loadgossip.PERIOD_S), self.gossip.schedule
+        )
+
+    def _make_forwarder(self, zone: str, log: decisionlog.DecisionLog) -> None:
+        rng = random.Random(self.fleet.rng.random())
+        self._endpoints = directory.Directory(leaving_use_s=1.0)
+        work = enginework.EngineWork(
+            timers=self.timers,
+            table=lambda: TABLE,
+            endpoints=self._endpoints,
+            peers=None,
+            index=None,
+        )
+        self._chooser = endpointchooser.EndpointChooser(
+            timers=self.timers,
+            zone=zone,
+            table=lambda: TABLE,
+            endpoints=self._endpoints,
+            work=work,
+            index=None,
+            permits=self.permits,
+            settle_s=2.0,
+            log=log,
+            rng=rng,
+        )
+        request_log = requestlog.RequestLog(
+            log=log, now=lambda: self.timers.now
+        )
+        ledger = crashledger.CrashLedger()
+        self.forwarder = forwarder.Forwarder(
+            dependencies=forwarder.Dependencies(
+                timers=self.timers,
+                admission=requestadmission.RequestAdmission(
+                    timers=self.timers,
+                    dialect=_DIALECT,
+                    table=lambda: TABLE,
+                    ledger=ledger,
+                    ends_in_s=lambda: None,
+                    log=request_log,
+                    rng=rng,
+                ),
+                dialect=_DIALECT,
+                chooser=self._chooser,
+                work=work,
+                calls=_Calls(host=self),
+                permits=self.permits,
+                crashes=_Watch(),
+                ledger=ledger,
+                observe_completion=lambda fingerprint: None,
+                log=request_log,
+                rng=rng,
+                on_broken=self.fleet.broken.append,
+            ),
+            make_retry_share=lambda: retryshare.RetryShare(
+                ratio=0.2, extra=lambda: 1.0, window_s=10.0
+            ),
+            record_run_start=lambda workspace, at: None,
+        )
+
+    def read_endpoints(self) -> None:
+        """Reads the registrations of the endpoints."""
+        for endpoint in self.fleet.endpoints.values():
+            registration = directory.Registration(
+                id=endpoint.id,
+                born_ms=endpoint.born_ms,
+                service="s",
+                host="10.0.0.1",
+                port=1,
+                zone="z0",
+                slots=8,
+                state=directory.EndpointState.READY,
+                cold_s=0.0,
+                stage=None,
+                sequence=1,
+            )
+            self._endpoints.put(registration, now=self.timers.now)
+
+    def end(self) -> None:
+        """Ends the host at once."""
+        self.is_up = False
+        defer.Deferred.fromCoroutine(self.timers.stop())
+
+    def _receive(self, message: Any) -> None:
+        if self.is_up:
+            self.gossip.receive(message)
+
+
+class LimitFleet:
+    """Hosts, endpoints and callers on simulated time."""
+
+    def __init__(
+        self,
+        *,
+        hosts: int,
+        zones: int,
+        limits: Iterable[float | None],
+        offered_per_s: float,
+        urgent_fraction: float = 0.0,
+        loss: float = 0.0,
+        seed: int = 1,
+    ):
+        """Starts all hosts; callers press from `press` on.
+
+        Args:
+            hosts: The number of hosts.
+            zones: The number of availability zones.
+            limits: The limit of each endpoint, None for none.
+            offered_per_s: New requests per second.
+            urgent_fraction: The fraction of them on the more urgent route.
+            loss: The fraction of datagrams that are lost.
+            seed: Seeds all random choices.
+        """
+        self.reactor = eventloop.SimulatedReactor()
+        self.rng = random.Random(seed)
+        self.broken: list[str] = []
+        self.starts = itertools.count(1)
+        self.lines: list[bytes] = []
+        self.requests: list[CallerRequest] = []
+        self.messages = 0
+        self._offered_per_s = offered_per_s
+        self._urgent_fraction = urgent_fraction
+        self._loss = loss
+        self._zones = zones
+        self._count = hosts
+        self._sides: dict[int, int] = {}
+        self.endpoints = {
+            f"e{number}": Endpoint(id=f"e{number}", limit=limit)
+            for number, limit in enumerate(limits)
+        }
+        # Callers reach hosts unevenly.
+        self._weights = [self.rng.uniform(0.3, 1.7) for _ in range(hosts)]
+        self.hosts: dict[int, Host] = {}
+        for port in range(1, hosts + 1):
+            self.start(port)
+
+    @property
+    def now(self) -> float:
+        """The simulated time."""
+        return self.reactor.seconds()
+
+    def announcements(self) -> tuple[topicreader.KeyedRecord, ...]:
+        """Returns the records with the addresses of all hosts."""
+        return tuple(
+            topicreader.KeyedRecord(
+                key=f"h{port}",
+                value=b'{"address":"127.0.0.1:%d","zone":"z%d"}'
+                % (port, port % self._zones),
+            )
+            for port in range(1, self._count + 1)
+        )
+
+    def record_line(self, line: bytes) -> int:
+        """Records a line of a host's log."""
+        self.lines.append(line)
+        return len(line)
+
+    def run(self, seconds: float) -> None:
+        """Lets time pass."""
+        self.reactor.run_until(self.now + seconds)
+        assert not self.broken, self.broken
+
+    # What callers do.
+
+    def press(self) -> None:
+        """Starts the callers."""
+        self._send_next()
+
+    def _send_next(self) -> None:
+        is_urgent = self.rng.random() < self._urgent_fraction
+        self._send(
+            CallerRequest(
+                fleet=self,
+                priority=0 if is_urgent else 1,
+                arrived_at=self.now,
+                deadline_at=self.now + DEADLINE_S,
+            )
+        )
+        pause_s = self.rng.expovariate(self._offered_per_s)
+        self.reactor.callLater(pause_s, self._send_next)
+
+    def _send(self, request: CallerRequest) -> None:
+        ports = [port for port, host in self.hosts.items() if host.is_up]
+        weights = [self._weights[port - 1] for port in ports]
+        (port,) = self.rng.choices(ports, weights)
+        left_ms = b"%d" % ((request.deadline_at - self.now) * 1000)
+        request.requestHeaders = http_headers.Headers(
+            {b"host": [b"p%d" % request.priority], b"left": [left_ms]}
+        )
+        self.requests.append(request)
+        self.hosts[port].forwarder.handle(request)
+
+    def return_later(self, request: CallerRequest) -> None:
+        """Has a refused caller return, as late as it can wait at most."""
+        left_s = request.deadline_at - self.now
+        pause_s = min(request.retry_s, left_s * retryshare.MAX_WAIT_FRACTION)
+        if request.tries_left <= 0 or left_s - pause_s < TARGET_S:
+            return
+        again = attrs.evolve(
+            request,
+            arrived_at=self.now + pause_s,
+            tries_left=request.tries_left - 1,
+            status=None,
+            is_returning=True,
+        )
+        self.reactor.callLater(pause_s, self._send, again)
+
+    # What goes wrong.
+
+    def start(self, port: int) -> None:
+        """Starts a host, or starts it again if it runs."""
+        if port in self.hosts:
+            self.hosts[port].end()
+        self.hosts[port] = Host(
+            fleet=self, port=port, zone=f"z{port % self._zones}"
+        )
+
+    def cut(self, sides: dict[int, int]) -> None:
+        """Cuts hosts off from those that have another number in `sides`."""
+        self._sides = sides
+
+    def restart_endpoint(self, id: str, *, away_s: float) -> None:
+        """Ends an endpoint, which is back under its id after a time."""
+        endpoint = self.endpoints[id]
+        endpoint.is_up = False
+
+        def be_back() -> None:
+            endpoint.is_up = True
+            endpoint.born_ms = round(self.now * 1000)
+            for host in self.hosts.values():
+                self.reactor.callLater(
+                    self.rng.uniform(0, 1), host.read_endpoints
+                )
+
+        self.reactor.callLater(away_s, be_back)
+
+    def deliver(self, source: int, target: int, data: bytes) -> None:
+        """Delivers a datagram, unless it is lost or cut off."""
+        self.messages += 1
+        if self._sides.get(source) != self._sides.get(target):
+            return
+        if self._loss and self.rng.random() < self._loss:
+            return
+        link = self.hosts[target].link
+        address = ("127.0.0.1", source)
+        self.reactor.callLater(HOP_S, link.datagramReceived, data, address)
+
+
+def _read_request_info(headers: http_headers.Headers) -> dialect.RequestInfo:
+    left_ms = headers.getRawHeaders(b"left")[0]
+    return dialect.RequestInfo(
+        request_id="r1",
+        deadline_s=int(left_ms) / 1000,
+        prompt=None,
+        last_event_id=None,
+    )
+
+
+_DIALECT = dialect.Dialect(
+    read_request_info=_read_request_info,
+    write_fields=None,
+    read_verdict=None,
+    write_answer_fields=lambda headers: [],
+    read_prefilled=None,
+    free_prefilled=None,
+    challenge=(),
+)
