--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointchooser.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointchooser.py
@@ -147,6 +147,11 @@
         usable = self._usable(request.service, self._timers.now)
         return self._permits.book_return_s(usable, max_return_s)
 
+    def is_usable(self, endpoint: directory_module.Registration) -> bool:
+        """Returns whether an endpoint may still get requests."""
+        usable = self._usable(endpoint.service, self._timers.now)
+        return endpoint.incarnation in {e.incarnation for e in usable}
+
     def has_unlimited_alternative(
         self,
         request: inflight.InFlight,
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
@@ -232,25 +232,64 @@
             late_s = self._predicted_lateness_s(request)
             if late_s > 0:
                 return Failure(f"would be {late_s:.2f} s late")
-            first = endpoint
-            if request.plan is not None and request.plan.prefill is not None:
-                first = request.plan.prefill
-            if await self._acquire_permit(request, first):
+            if await self._acquire_permits(request, endpoint):
                 return Success(endpoint)
 
     async def _choose_decoder(
         self, request: inflight.InFlight
     ) -> directory_module.Registration | None:
         """Returns the decoder of a prefilled prompt, with its permit."""
+        if request.reservation is not None:
+            decoder, permit = request.reservation
+            request.reservation = None
+            is_valid = permit.is_valid(self._timers.now)
+            if is_valid and self._chooser.is_usable(decoder):
+                request.permit = permit
+                return decoder
         while True:
             decoder = self._chooser.choose_decoder(request)
             if decoder is None or await self._acquire_permit(request, decoder):
                 return decoder
 
+    async def _acquire_permits(
+        self,
+        request: inflight.InFlight,
+        endpoint: directory_module.Registration,
+    ) -> bool:
+        """Acquires the permits for a plan; returns whether it got them.
+
+        The permit of a decoder is reserved before the prefill, which would
+        be wasted without it.
+        """
+        plan = request.plan
+        if plan is None or plan.prefill is None:
+            return await self._acquire_permit(request, endpoint)
+        if not self._has_reservation(request, endpoint):
+            if not await self._acquire_permit(
+                request, endpoint, permitservice.RESERVATION_TTL_S
+            ):
+                return False
+            request.reservation = None
+            if self._permits.is_limited(endpoint):
+                request.reservation = (endpoint, request.permit)
+        return await self._acquire_permit(request, plan.prefill)
+
+    def _has_reservation(
+        self,
+        request: inflight.InFlight,
+        decoder: directory_module.Registration,
+    ) -> bool:
+        if request.reservation is None:
+            return False
+        reserved, permit = request.reservation
+        is_same = reserved.incarnation == decoder.incarnation
+        return is_same and permit.is_valid(self._timers.now)
+
     async def _acquire_permit(
         self,
         request: inflight.InFlight,
         endpoint: directory_module.Registration,
+        use_within_s: float = permitservice.PERMIT_TTL_S,
     ) -> bool:
         """Acquires the permit to send a request; returns whether it did."""
         request.permit = permitservice.Permit()
@@ -267,6 +306,7 @@
             waited_s=waited_s,
             max_wait_s=max(0.0, max_wait_s),
             max_return_s=self._max_return_s(request),
+            use_within_s=use_within_s,
         )
         acquired = await self._permits.acquire(endpoint, need)
         if isinstance(acquired, permitservice.Denial):
@@ -340,11 +380,10 @@
         self._count("prefilled")
         request.prefilled_at = self._timers.now
         try:
-            denials = request.denials
             decoder = await self._choose_decoder(request)
             request.endpoint = decoder or request.plan.decode
             if decoder is None:
-                is_withheld = request.denials > denials
+                is_withheld = self._permits.is_limited(request.plan.decode)
                 return inflight.AttemptEnd(
                     outcome=attempts.Outcome.WITHHELD
                     if is_withheld
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/inflight.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/inflight.py
@@ -73,6 +73,8 @@
         avoid_zones: Availability zones that are used only if no other has an
             endpoint.
         permit: Allows the next request to an endpoint.
+        reservation: The decoder that has room for it after its prefill, with
+            the permit, or None.
         denials: How often an endpoint's limit left no room for it.
         permit_retry_s: The shortest time after which one may have room, None
             if none was full.
@@ -105,6 +107,9 @@
     answer_began_at: float | None = None
     avoid_zones: frozenset[str] = frozenset()
     permit: permitservice.Permit = permitservice.Permit()
+    reservation: tuple[directory.Registration, permitservice.Permit] | None = (
+        None
+    )
     denials: int = 0
     permit_retry_s: float | None = None
     _fingerprint: str | None = attrs.field(default=None, init=False)
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/permitservice.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/permitservice.py
@@ -38,6 +38,10 @@
 """Time within which a permit must be used. One that a slow host used later
 would add to the permits of that time."""
 
+RESERVATION_TTL_S = 1.5
+"""The same for the decode of a prompt that is prefilled first. Most prefills
+are faster; a longer time would allow too many requests in some seconds."""
+
 REPLY_TIMEOUT_S = 0.1
 """Time limit for a reply of an owner that decides at once. Replies take a few
 milliseconds; a lost one costs a request this time."""
@@ -73,12 +77,14 @@
         max_wait_s: How long it may wait for a permit; 0 if it is served
             elsewhere otherwise.
         max_return_s: How long its caller may stay away after a refusal.
+        use_within_s: How long the permit is to last.
     """
 
     urgency: int
     waited_s: float = 0.0
     max_wait_s: float = 0.0
     max_return_s: float = 0.0
+    use_within_s: float = PERMIT_TTL_S
 
 
 @attrs.frozen(kw_only=True)
@@ -277,7 +283,7 @@
         now = self._timers.now
         self._counts["got" if decision.granted else "denied"] += 1
         if decision.granted:
-            return Permit(use_by=now + PERMIT_TTL_S)
+            return Permit(use_by=now + need.use_within_s)
         self._close(endpoint.incarnation, decision, need.urgency)
         return Denial(retry_s=decision.retry_s)
 
