--- a/packages/bulrushgrade/bulrushgrade/permits.py
+++ b/packages/bulrushgrade/bulrushgrade/permits.py
@@ -13,9 +13,17 @@
 import attrs
 
 BURST_S = 0.25
-"""Time for which unused permits are kept, in addition to one permit. Requests
-arrive unevenly, but what an endpoint accepts within a few seconds must not be
-exceeded by much."""
+"""Time for which unused permits are kept, in addition to one permit and the
+reserve. Requests arrive unevenly, but what an endpoint accepts within a few
+seconds must not be exceeded by much."""
+
+RESERVE = 1.0
+"""Permits that are left for more urgent claims, if there were any lately.
+Without it, less urgent ones take each permit at once, and an urgent claim
+mostly comes when there is none."""
+
+RESERVE_MEMORY_S = 10.0
+"""Time after an urgent claim for which permits are left for more of them."""
 
 _EPSILON = 1e-9
 _MIN_RATE_PER_S = 1e-6
@@ -76,6 +84,8 @@
         self._permits = 0.0
         self._filled_at = now
         self._waiting: list[Claim] = []
+        # When a claim of each urgency came last.
+        self._asked_at: dict[int, float] = {}
         # Up to this time, denied callers were told to return one by one.
         self._returns_until = now
 
@@ -98,10 +108,11 @@
         if not self._waiting:
             return None
         self._fill(now)
-        return max(0.0, (1.0 - self._permits) / self._per_s)
+        return self._wait_s(self._waiting[0], 0, now)
 
     def submit(self, claim: Claim, now: float) -> list[Decision]:
         """Adds a claim; returns the decisions on it and on others."""
+        self._asked_at[claim.urgency] = now
         self._waiting.append(claim)
         self._waiting.sort(key=lambda one: one.rank)
         return self.decide(now)
@@ -118,14 +129,17 @@
         """
         self._fill(now)
         decisions = []
-        while self._waiting and self._permits >= 1.0 - _EPSILON:
+        while self._waiting:
+            claim = self._waiting[0]
+            if self._permits < self._needed(claim, now) - _EPSILON:
+                break
             self._permits -= 1.0
-            claim = self._waiting.pop(0)
+            self._waiting.pop(0)
             decisions.append(Decision(key=claim.key, granted=True))
         kept: list[Claim] = []
         hopeless: list[Claim] = []
         for claim in self._waiting:
-            due_at = now + self._wait_s(len(kept))
+            due_at = now + self._wait_s(claim, len(kept), now)
             (kept if due_at <= claim.wait_until else hopeless).append(claim)
         self._waiting = kept
         decisions += [self._deny(claim, now) for claim in hopeless]
@@ -138,12 +152,11 @@
 
     def _deny(self, claim: Claim, now: float) -> Decision:
         before = sum(one.rank <= claim.rank for one in self._waiting)
-        open_s = self._wait_s(before)
+        open_s = self._wait_s(claim, before, now)
         # Callers who return at the same time would be refused again, all but
         # one. So each is told a time of its own, the first one the earliest.
-        return_at = max(
-            now + self._wait_s(len(self._waiting)), self._returns_until
-        )
+        return_at = now + self._wait_s(claim, len(self._waiting), now)
+        return_at = max(return_at, self._returns_until)
         if return_at <= claim.return_by:
             self._returns_until = return_at + 1.0 / self._per_s
         return Decision(
@@ -153,12 +166,21 @@
             retry_s=return_at - now,
         )
 
-    def _wait_s(self, before: int) -> float:
+    def _needed(self, claim: Claim, now: float) -> float:
+        """Returns how many permits there must be for a claim to get one."""
+        has_more_urgent = any(
+            urgency < claim.urgency and now - at < RESERVE_MEMORY_S
+            for urgency, at in self._asked_at.items()
+        )
+        return 1.0 + RESERVE if has_more_urgent else 1.0
+
+    def _wait_s(self, claim: Claim, before: int, now: float) -> float:
         """Returns the wait of a claim with a number of others before it."""
-        return max(0.0, (before + 1.0 - self._permits) / self._per_s)
+        missing = before + self._needed(claim, now) - self._permits
+        return max(0.0, missing / self._per_s)
 
     def _fill(self, now: float) -> None:
         passed_s = max(0.0, now - self._filled_at)
         self._filled_at = now
-        most = 1.0 + BURST_S * self._per_s
+        most = 1.0 + RESERVE + BURST_S * self._per_s
         self._permits = min(self._permits + passed_s * self._per_s, most)
--- a/packages/bulrushgrade_standins/tests/test_limitfleet.py
+++ b/packages/bulrushgrade_standins/tests/test_limitfleet.py
@@ -91,6 +91,23 @@
     assert served(0) > 3 * served(1)
 
 
+def test_urgent_callers_find_room_where_others_press():
+    """Guards against permits that are gone whenever an urgent request comes."""
+    fleet = make(limits=[LIMIT_PER_S] * 9, urgent_fraction=0.2)
+    since = fleet.now
+    fleet.run(12.0)
+    # 8 urgent requests a second where 31 are accepted.
+    urgent = [
+        r.status == 200
+        for r in fleet.requests
+        if r.priority == 0 and r.status and r.arrived_at > since
+    ]
+    assert sum(urgent) >= 0.95 * len(urgent)
+    for id in fleet.endpoints:
+        check_limit(fleet, since, id=id)
+        assert use_of(fleet, since, id=id) >= MIN_USE
+
+
 def test_limit_is_kept_while_hosts_restart_in_turn():
     """Guards against owners that restart, and successors that grant twice."""
     fleet = make()
