--- a/packages/bulrushgrade_daemon/tests/test_failures_answers.py
+++ b/packages/bulrushgrade_daemon/tests/test_failures_answers.py
@@ -44,9 +44,23 @@
 
 @pytest.fixture
 def _clear_faults(fleet):
+    """Clears the faults of a test and has its engine in use again.
+
+    Without an answer in between, each test would fail the probe of an ejected
+    engine once more, and the ejections would become longer than a test waits.
+    """
     yield
     for engine in fleet.engines:
         scene.fault(engine.address)
+    address, rounds = fleet.engines[0].address, itertools.count()
+    known = len(scene.read_runs(address))
+
+    def serves():
+        _ask_at_once(fleet, f"clear-{known}-{next(rounds)}")
+        runs = scene.read_runs(address)[known:]
+        return any(run["ended"] == "done" for run in runs)
+
+    processes.wait_for(serves)
 
 
 def _ask_at_once(fleet, name, max_tokens=12, at_once=_AT_ONCE):
