Leave engines that state a limit out of the plan of roles

Limited engines are left out of the views from which roles are planned. The test found d1 and p2 among them before.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointchooser.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointchooser.py
@@ -313,13 +313,20 @@
     def _live_engines(
         self, service: str, fleet: enginefleet.EngineFleet, now: float
     ) -> list[directory_module.Registration]:
-        """Returns the engines that are not known to be lost.
+        """Returns the engines that are not known to be lost or limited.
 
         Engines that this daemon has ejected count as live if peers have
         streams at them. Otherwise a daemon that alone and briefly fails to
         reach all decoders would order a prefiller to replace them.
+
+        Engines that state a limit do little of their role's work and look
+        idle. If they counted, a role would give up those that do it.
         """
-        usable = self._usable(service, now)
+        usable = [
+            engine
+            for engine in self._usable(service, now)
+            if not self._permits.is_limited(engine)
+        ]
         not_ejected = self._balancer.eligible(
             usable, avoid=frozenset(), now=now
         )
--- a/packages/bulrushgrade_daemon/tests/test_endpointchooser.py
+++ b/packages/bulrushgrade_daemon/tests/test_endpointchooser.py
@@ -338,3 +338,14 @@
     for _ in range(endpointchooser.MAX_DENIALS):
         request.observe_denial(0.2)
     assert scene.choose(request)[1] == "d2"
+
+
+def test_engines_at_a_limit_do_not_count_for_their_role():
+    """Guards against a role that gives up its only engines without a limit.
+
+    Engines that accept few requests look idle, as if the role could do
+    without one.
+    """
+    scene = Scene()
+    scene.permits.closed = {"d1": 0.0, "p2": 0.3}
+    assert scene.visible_engines() == ["p1", "d2"]
