Tell hosts that they are not heard, and have them grant only their part

Found by the emulation: an owner whose datagrams are lost, while it hears all others, takes itself for the owner beside the one that replaced it. Hosts name in their loads those that fell silent and that nobody else hears; a named host doesn't count those that name it.

--- a/packages/bulrushgrade/bulrushgrade/fleetmembers.py
+++ b/packages/bulrushgrade/bulrushgrade/fleetmembers.py
@@ -4,6 +4,9 @@
 
 import attrs
 
+MISSING_TTL_S = 600.0
+"""Time for which a daemon that fell silent is reported as missing."""
+
 
 @attrs.frozen(kw_only=True)
 class _MemberList:
@@ -40,11 +43,32 @@
         self._lists: dict[tuple[str, int], _MemberList] = {}
         self._unable: set[str] = set()
         self._excluded: dict[str, float] = {}
+        # Hosts that were heard and fell silent, and since when.
+        self._silent_since: dict[str, float] = {}
+        # Daemons that report that they don't hear this one.
+        self._unheard_by: set[str] = set()
 
     def observe_message(self, name: str, now: float) -> None:
         """Records that a message of a daemon arrived."""
         self._heard[name] = now
         self._excluded.pop(name, None)
+        self._silent_since.pop(host_of(name), None)
+
+    def observe_missing(self, name: str, missing: Iterable[str]) -> None:
+        """Records which hosts a daemon reports as missing."""
+        if host_of(self._own_name) in missing:
+            self._unheard_by.add(name)
+        else:
+            self._unheard_by.discard(name)
+
+    def missing(self) -> list[str]:
+        """Returns the hosts that fell silent and that no other one hears."""
+        present = {host_of(name) for name in self.present()}
+        return sorted(self._silent_since.keys() - present)
+
+    def unheard_by(self) -> set[str]:
+        """Returns the daemons that report that they don't hear this one."""
+        return set(self._unheard_by)
 
     def observe_ability(self, name: str, is_able: bool) -> None:
         """Records whether a daemon that sent a message could give orders."""
@@ -133,6 +157,7 @@
         """Drops a daemon that is known to have gone."""
         self._heard.pop(name, None)
         self._unable.discard(name)
+        self._unheard_by.discard(name)
 
     def forget(
         self, now: float, *, silent_s: float, list_silent_s: float
@@ -147,6 +172,12 @@
         for name, at in list(self._heard.items()):
             if now - at >= silent_s:
                 self.drop(name)
+                self._silent_since[host_of(name)] = now
+        self._silent_since = {
+            host: since
+            for host, since in self._silent_since.items()
+            if now - since < MISSING_TTL_S
+        }
         self._lists = {
             key: one
             for key, one in self._lists.items()
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/fleetview.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/fleetview.py
@@ -59,6 +59,15 @@
         """The present daemons, this one first, the others sorted."""
         return self._present
 
+    def in_contact(self) -> list[str]:
+        """Returns the present daemons that hear this one, this one included.
+
+        Where messages get lost in one direction only, a host hears peers that
+        take it for gone.
+        """
+        unheard_by = self._members.unheard_by()
+        return [name for name in self._present if name not in unheard_by]
+
     def refresh(self) -> None:
         """Recomputes the present daemons from `members`."""
         present = [self._own_name, *self._members.present()]
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaymessages.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaymessages.py
@@ -59,6 +59,8 @@
         is_passed_on: Whether a member of another group forwarded it to its
             aggregator.
         limits: Limits of endpoints that the sender knows.
+        missing: Hosts that the sender no longer hears, nor any other one that
+            it hears.
     """
 
     peer: str
@@ -68,6 +70,7 @@
     may_order: bool = True
     is_passed_on: bool = False
     limits: EndpointLimitNews = []
+    missing: list[str] = []
 
 
 class FleetLoad(msgspec.Struct, array_like=True, tag="fleet_load"):
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
@@ -259,6 +259,7 @@
             limits=self._limits,
             find_owners=lambda key: self._gossip.fleet.find_owners(key),
             present=lambda: self._gossip.fleet.present,
+            in_contact=lambda: self._gossip.fleet.in_contact(),
             announced=lambda: self._link.hosts,
             knows_peers=lambda: self._follow_peers.has_loaded,
             send=lambda peer, message: self._link.send(peer, message),
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadgossip.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadgossip.py
@@ -316,7 +316,9 @@
 
     def _send_sums(self, own: peerloads.Shares, now: float) -> None:
         group = self._loads.group_sum(own, now)
-        message = self._messages.make_group_load(self._round, group)
+        message = self._messages.make_group_load(
+            self._round, group, self._members.missing()
+        )
         self._link.send_datagram(
             self._group_hosts(), gatewaymessages.serialize(message)
         )
@@ -383,6 +385,7 @@
                 [self._aggregator_choice.chosen],
                 gatewaymessages.serialize(message),
             )
+        self._members.observe_missing(name, message.missing)
         self._aggregators.observe(name, now)
         shares = loadcodec.decode_shares(message.engines)
         if not self._loads.update_group(name, message.number, shares, now):
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadmessages.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadmessages.py
@@ -48,9 +48,15 @@
         )
 
     def make_group_load(
-        self, number: int, group: peerloads.Shares
+        self, number: int, group: peerloads.Shares, missing: list[str]
     ) -> gatewaymessages.GroupLoad:
-        """Returns a group's load, for the aggregators of other groups."""
+        """Returns a group's load, for the aggregators of other groups.
+
+        Args:
+            number: The message's number.
+            group: The load.
+            missing: Hosts that fell silent.
+        """
         return gatewaymessages.GroupLoad(
             peer=self._own_name,
             number=number,
@@ -58,6 +64,7 @@
             kept=self._changes.pop_for_groups(),
             may_order=self._may_order(),
             limits=self._next_limits(),
+            missing=missing,
         )
 
     def make_fleet_load(
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/permitservice.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/permitservice.py
@@ -155,6 +155,7 @@
         limits: ratelimits.RateLimits,
         find_owners: Callable[[str], list[str]],
         present: Callable[[], list[str]],
+        in_contact: Callable[[], list[str]],
         announced: Callable[[], list[str]],
         knows_peers: Callable[[], bool],
         send: Callable[[str, gatewaymessages.Message], bool],
@@ -169,6 +170,7 @@
             find_owners: Returns the owners of an endpoint; the first one
                 grants its permits.
             present: Returns the daemons that are present, this one included.
+            in_contact: Returns those of them that hear this one.
             announced: Returns the other hosts that have announced themselves.
             knows_peers: Returns whether these have been read since the start.
             send: Sends a message to a peer; returns whether its address is
@@ -180,6 +182,7 @@
         self._limits = limits
         self._find_owners = find_owners
         self._present = present
+        self._in_contact = in_contact
         self._announced = announced
         self._knows_peers = knows_peers
         self._send = send
@@ -559,7 +562,9 @@
             self._seen = list(present)
             self._view_changed_at = now
         self._share.update(
-            map(fleetmembers.host_of, present), self._announced(), now
+            map(fleetmembers.host_of, self._in_contact()),
+            self._announced(),
+            now,
         )
         limited = set(self._limits.limited())
         for endpoint in limited:
--- a/packages/bulrushgrade_daemon/tests/test_loadgossip.py
+++ b/packages/bulrushgrade_daemon/tests/test_loadgossip.py
@@ -184,3 +184,24 @@
     assert one.gossip.is_leader()
     one.able = False
     assert not one.gossip.is_leader()
+
+
+def test_host_that_is_not_heard_learns_of_it():
+    """Guards against a host that takes peers for its own that have lost it."""
+    reactor, _, net, (one, two, three) = make()
+    reactor.pump([0.1] * 5)
+    carry = net.carry
+
+    def carry_unless_muted(port, data, address):
+        if port != one.port:
+            carry(port, data, address)
+
+    net.carry = carry_unless_muted
+    reactor.pump([0.1] * 25)
+    assert len(one.gossip.fleet.present) == 3
+    assert one.gossip.fleet.in_contact() == [one.gossip.fleet.present[0]]
+    assert len(two.gossip.fleet.in_contact()) == 2
+    net.carry = carry
+    reactor.pump([0.1] * 5)
+    for host in (one, two, three):
+        assert len(host.gossip.fleet.in_contact()) == 3
--- a/packages/bulrushgrade_standins/bulrushgrade_standins/limitfleet.py
+++ b/packages/bulrushgrade_standins/bulrushgrade_standins/limitfleet.py
@@ -302,6 +302,7 @@
             limits=self.limits,
             find_owners=self.gossip.fleet.find_owners,
             present=lambda: self.gossip.fleet.present,
+            in_contact=lambda: self.gossip.fleet.in_contact(),
             announced=lambda: self.link.hosts,
             knows_peers=lambda: True,
             send=self.link.send,
@@ -439,6 +440,7 @@
         self._zones = zones
         self._count = hosts
         self._sides: dict[int, int] = {}
+        self._mute: frozenset[int] = frozenset()
         self.endpoints = {
             f"e{number}": Endpoint(id=f"e{number}", limit=limit)
             for number, limit in enumerate(limits)
@@ -534,6 +536,10 @@
         """Cuts hosts off from those that have another number in `sides`."""
         self._sides = sides
 
+    def mute(self, ports: Iterable[int]) -> None:
+        """Drops all datagrams that these hosts send; they receive others'."""
+        self._mute = frozenset(ports)
+
     def restart_endpoint(self, id: str, *, away_s: float) -> None:
         """Ends an endpoint, which is back under its id after a time."""
         endpoint = self.endpoints[id]
@@ -554,6 +560,8 @@
         self.messages += 1
         if self._sides.get(source) != self._sides.get(target):
             return
+        if source in self._mute:
+            return
         if self._loss and self.rng.random() < self._loss:
             return
         link = self.hosts[target].link
--- a/packages/bulrushgrade_standins/tests/test_limitfleet.py
+++ b/packages/bulrushgrade_standins/tests/test_limitfleet.py
@@ -256,3 +256,19 @@
         host.forwarder.handle = lambda caller: None
     fleet.run(endpointlimits.LIMIT_TTL_S + 5.0)
     assert not any(len(h.limits.limited()) for h in fleet.hosts.values())
+
+
+@pytest.mark.parametrize("limit", [3.5, 20.0])
+@pytest.mark.parametrize("ports", [[2], [1, 2, 3, 4]], ids=["one", "four"])
+def test_limit_is_kept_while_hosts_hear_others_and_are_not_heard(ports, limit):
+    """Guards against an owner that grants on after others have replaced it."""
+    fleet = make(limits=[limit])
+    since = fleet.now
+    fleet.mute(ports)
+    fleet.run(25.0)
+    fleet.mute([])
+    fleet.run(8.0)
+    check_limit(fleet, since, limit=limit)
+    since = fleet.now
+    fleet.run(8.0)
+    assert use_of(fleet, since, limit) >= MIN_USE
