Give a host that doesn't know the others no fixed part of the retry budget

The division moved to the library, where a test sums it over hosts; the test needs the new function, so it could not fail before.

--- a/packages/bulrushgrade/bulrushgrade/retryshare.py
+++ b/packages/bulrushgrade/bulrushgrade/retryshare.py
@@ -10,6 +10,14 @@
 from collections.abc import Callable
 import random
 
+MIN_HOSTS = 64
+"""Minimum number of hosts that the fixed part of the budget is divided by. The
+settings don't state the number of hosts."""
+
+HOST_HEADROOM_FACTOR = 2
+"""Factor on the number of known hosts in the same division. It allows for as
+many hosts again that start at the same moment."""
+
 RATIO_SAFETY_FACTOR = 0.9
 """Fraction of the ratio that is used. Requests are counted in a window when
 they arrive here. A count taken elsewhere may place the window's edge some
@@ -68,6 +76,20 @@
                 times.popleft()
 
 
+def divide_extra(extra: float, *, known_hosts: int | None) -> float:
+    """Returns one host's part of the fixed number of retries.
+
+    Args:
+        extra: The fixed number of retries of all hosts.
+        known_hosts: The number of known hosts, this one included; None if it
+            has not read which others there are. If hundreds restart at once,
+            each would otherwise take the part of one of a few.
+    """
+    if known_hosts is None:
+        return 0.0
+    return extra / max(MIN_HOSTS, HOST_HEADROOM_FACTOR * known_hosts)
+
+
 def choose_retry_after_s(
     deadline_s: float | None, rng: random.Random, *, queued_s: float = 0.0
 ) -> float:
--- a/packages/bulrushgrade/tests/test_retryshare.py
+++ b/packages/bulrushgrade/tests/test_retryshare.py
@@ -92,3 +92,12 @@
         for _ in range(50)
     ]
     assert max(short) <= 0.6 * retryshare.MAX_WAIT_FRACTION
+
+
+def test_host_that_does_not_know_the_others_has_no_fixed_part():
+    """Guards against hundreds of hosts that restart as if they were alone."""
+    for hosts in (6, 195, 330):
+        for known in (None, hosts):
+            share = retryshare.divide_extra(52.0, known_hosts=known)
+            assert hosts * share <= 52.0
+    assert retryshare.divide_extra(52.0, known_hosts=6) > 0
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
@@ -70,15 +70,6 @@
 same time, each host's record would otherwise end a long poll of every other
 host."""
 
-MIN_HOSTS = 64
-"""Minimum number of hosts that the fixed part of the retry budget is divided
-by. The settings don't state the number of hosts, and a host that has just
-started does not know its peers yet."""
-
-HOST_HEADROOM_FACTOR = 2
-"""Factor on the number of known hosts in the same division. It allows for as
-many hosts again that start at the same moment."""
-
 _DEFAULT_LIMITS = routing.CallerLimits(
     max_header_bytes=16384,
     max_body_bytes=4 * 1024 * 1024,
@@ -546,8 +537,13 @@
         )
 
     def _retry_extra(self) -> float:
-        hosts = max(MIN_HOSTS, HOST_HEADROOM_FACTOR * self._link.host_count)
-        return self._context.settings().bounds.retry_extra / hosts
+        known_hosts = None
+        if self._follow_peers.has_loaded:
+            known_hosts = self._link.host_count
+        return retryshare.divide_extra(
+            self._context.settings().bounds.retry_extra,
+            known_hosts=known_hosts,
+        )
 
     def _observe_answer(self, kind: str, took_s: float) -> None:
         self._metrics.histogram(
