--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
@@ -36,6 +36,7 @@
 from bulrushgrade_daemon import permitservice
 from bulrushgrade_daemon import requestadmission
 from bulrushgrade_daemon import requestlog
+from bulrushgrade_daemon import requestpermits
 from bulrushgrade_daemon import task
 
 DEADLINE_MARGIN_S = 0.02
@@ -44,10 +45,6 @@
 MIN_ATTEMPT_S = 0.05
 """Minimum time left before the deadline for another attempt."""
 
-MAX_PERMIT_WAIT_FRACTION = 0.25
-"""Part of the latency target that a request may wait for room at endpoints that
-are all at their limits. The rest is needed to run it."""
-
 MIN_SILENCE_S = 1.0
 """Silence after which the endpoint of a cancelled request is checked for a
 crash. Longer than any usual pause."""
@@ -120,7 +117,11 @@
         self._chooser = dependencies.chooser
         self._work = dependencies.work
         self._calls = dependencies.calls
-        self._permits = dependencies.permits
+        self._permits = requestpermits.RequestPermits(
+            timers=dependencies.timers,
+            permits=dependencies.permits,
+            chooser=dependencies.chooser,
+        )
         self._crashes = dependencies.crashes
         self._admission = dependencies.admission
         self._ledger = dependencies.ledger
@@ -227,109 +228,26 @@
         while True:
             endpoint = self._chooser.choose(request)
             if endpoint is None:
-                self._note_endpoints_at_limit(request)
+                self._permits.note_refusal(request)
                 return Failure(self._chooser.explain_no_endpoint(request))
             late_s = self._predicted_lateness_s(request)
             if late_s > 0:
                 return Failure(f"would be {late_s:.2f} s late")
-            if await self._acquire_permits(request, endpoint):
+            if await self._permits.acquire_for_plan(request, endpoint):
                 return Success(endpoint)
 
     async def _choose_decoder(
         self, request: inflight.InFlight
     ) -> directory_module.Registration | None:
         """Returns the decoder of a prefilled prompt, with its permit."""
-        if request.reservation is not None:
-            decoder, permit = request.reservation
-            request.reservation = None
-            is_valid = permit.is_valid(self._timers.now)
-            if is_valid and self._chooser.is_usable(decoder):
-                request.permit = permit
-                return decoder
+        decoder = self._permits.use_reservation(request)
+        if decoder is not None:
+            return decoder
         while True:
             decoder = self._chooser.choose_decoder(request)
-            if decoder is None or await self._acquire_permit(request, decoder):
+            if decoder is None or await self._permits.acquire(request, decoder):
                 return decoder
 
-    async def _acquire_permits(
-        self,
-        request: inflight.InFlight,
-        endpoint: directory_module.Registration,
-    ) -> bool:
-        """Acquires the permits for a plan; returns whether it got them.
-
-        The permit of a decoder is reserved before the prefill, which would
-        be wasted without it.
-        """
-        plan = request.plan
-        if plan is None or plan.prefill is None:
-            return await self._acquire_permit(request, endpoint)
-        if not self._has_reservation(request, endpoint):
-            if not await self._acquire_permit(
-                request, endpoint, permitservice.RESERVATION_TTL_S
-            ):
-                return False
-            request.reservation = None
-            if self._permits.is_limited(endpoint):
-                request.reservation = (endpoint, request.permit)
-        return await self._acquire_permit(request, plan.prefill)
-
-    def _has_reservation(
-        self,
-        request: inflight.InFlight,
-        decoder: directory_module.Registration,
-    ) -> bool:
-        if request.reservation is None:
-            return False
-        reserved, permit = request.reservation
-        is_same = reserved.incarnation == decoder.incarnation
-        return is_same and permit.is_valid(self._timers.now)
-
-    async def _acquire_permit(
-        self,
-        request: inflight.InFlight,
-        endpoint: directory_module.Registration,
-        use_within_s: float = permitservice.PERMIT_TTL_S,
-    ) -> bool:
-        """Acquires the permit to send a request; returns whether it did."""
-        request.permit = permitservice.Permit()
-        if not self._permits.is_limited(endpoint):
-            return True
-        now = self._timers.now
-        waited_s = now - request.caller.arrived_at
-        max_wait_s = 0.0
-        if not self._chooser.has_unlimited_alternative(request, endpoint):
-            target_s = request.route.target_s
-            max_wait_s = MAX_PERMIT_WAIT_FRACTION * target_s - waited_s
-        need = permitservice.Need(
-            urgency=request.urgency,
-            waited_s=waited_s,
-            max_wait_s=max(0.0, max_wait_s),
-            max_return_s=self._max_return_s(request),
-            use_within_s=use_within_s,
-        )
-        acquired = await self._permits.acquire(endpoint, need)
-        if isinstance(acquired, permitservice.Denial):
-            request.observe_denial(acquired.retry_s)
-            return False
-        request.permit = acquired
-        return True
-
-    def _note_endpoints_at_limit(self, request: inflight.InFlight) -> None:
-        """Has a request that no endpoint has room for return in time."""
-        if request.permit_retry_s is not None:
-            return
-        retry_s = self._chooser.book_return_s(
-            request, self._max_return_s(request)
-        )
-        if retry_s is not None:
-            request.permit_retry_s = retry_s
-
-    def _max_return_s(self, request: inflight.InFlight) -> float:
-        """Returns how long a caller may stay away before its next try."""
-        left_s = request.left_s(self._timers.now)
-        return left_s * retryshare.MAX_WAIT_FRACTION
-
     def _predicted_lateness_s(self, request: inflight.InFlight) -> float:
         """Returns by how much the first event is expected to be late."""
         if request.plan is None:
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
@@ -34,6 +34,7 @@
 from bulrushgrade_daemon import metrics
 from bulrushgrade_daemon import operatortasks
 from bulrushgrade_daemon import peerlink
+from bulrushgrade_daemon import permitgranter
 from bulrushgrade_daemon import permitservice
 from bulrushgrade_daemon import placementindex
 from bulrushgrade_daemon import ratelimits
@@ -248,11 +249,13 @@
             timers=self._timers,
             own_name=self._own_name,
             limits=self._limits,
-            find_owners=lambda key: self._gossip.fleet.find_owners(key),
-            present=lambda: self._gossip.fleet.present,
-            in_contact=lambda: self._gossip.fleet.in_contact(),
-            announced=lambda: self._link.hosts,
-            knows_peers=lambda: self._follow_peers.has_loaded,
+            contacts=permitgranter.Contacts(
+                find_owners=lambda key: self._gossip.fleet.find_owners(key),
+                present=lambda: self._gossip.fleet.present,
+                in_contact=lambda: self._gossip.fleet.in_contact(),
+                announced=lambda: self._link.hosts,
+                knows_peers=lambda: self._follow_peers.has_loaded,
+            ),
             send=lambda peer, message: self._link.send(peer, message),
             log=context.log,
         )
--- a/packages/bulrushgrade_daemon/tests/test_forwarder.py
+++ b/packages/bulrushgrade_daemon/tests/test_forwarder.py
@@ -21,6 +21,7 @@
 from bulrushgrade_daemon import outbound
 from bulrushgrade_daemon import requestadmission
 from bulrushgrade_daemon import requestlog
+from bulrushgrade_daemon import requestpermits
 
 ONE = make_registration("e1", zone="z1")
 OTHER = make_registration("e2", zone="z2")
@@ -346,7 +347,7 @@
     assert caller.answers == [("refused", 0.5)]
     waits_s = {need.max_wait_s for _, need in scene.permits.needs}
     target_s = SAFE.target_s
-    assert waits_s == {forwarder.MAX_PERMIT_WAIT_FRACTION * target_s}
+    assert waits_s == {requestpermits.MAX_WAIT_FRACTION * target_s}
 
 
 def test_retry_needs_a_permit_too():
--- a/packages/bulrushgrade_standins/bulrushgrade_standins/limitfleet.py
+++ b/packages/bulrushgrade_standins/bulrushgrade_standins/limitfleet.py
@@ -35,6 +35,7 @@
 from bulrushgrade_daemon import loadgossip
 from bulrushgrade_daemon import outbound
 from bulrushgrade_daemon import peerlink
+from bulrushgrade_daemon import permitgranter
 from bulrushgrade_daemon import permitservice
 from bulrushgrade_daemon import ratelimits
 from bulrushgrade_daemon import requestadmission
@@ -300,11 +301,13 @@
             timers=self.timers,
             own_name=own_name,
             limits=self.limits,
-            find_owners=self.gossip.fleet.find_owners,
-            present=lambda: self.gossip.fleet.present,
-            in_contact=lambda: self.gossip.fleet.in_contact(),
-            announced=lambda: self.link.hosts,
-            knows_peers=lambda: True,
+            contacts=permitgranter.Contacts(
+                find_owners=self.gossip.fleet.find_owners,
+                present=lambda: self.gossip.fleet.present,
+                in_contact=lambda: self.gossip.fleet.in_contact(),
+                announced=lambda: self.link.hosts,
+                knows_peers=lambda: True,
+            ),
             send=self.link.send,
             log=log,
         )
