--- a/packages/bulrushgrade_standins/bulrushgrade_standins/limitfleet.py
+++ b/packages/bulrushgrade_daemon/tests/limitfleet.py
@@ -14,6 +14,7 @@
 from typing import Any
 
 import attrs
+import simulatedreactor
 from twisted.internet import defer
 from twisted.web import http_headers
 
@@ -41,7 +42,6 @@
 from bulrushgrade_daemon import requestadmission
 from bulrushgrade_daemon import requestlog
 from bulrushgrade_daemon import topicreader
-from bulrushgrade_standins import eventloop
 
 HOP_S = 0.001
 """Time that a datagram or a request is under way."""
@@ -430,7 +430,7 @@
             loss: The fraction of datagrams that are lost.
             seed: Seeds all random choices.
         """
-        self.reactor = eventloop.SimulatedReactor()
+        self.reactor = simulatedreactor.SimulatedReactor()
         self.rng = random.Random(seed)
         self.broken: list[str] = []
         self.starts = itertools.count(1)
--- a/packages/bulrushgrade_standins/tests/test_limitfleet.py
+++ b/packages/bulrushgrade_daemon/tests/test_limitfleet.py
@@ -1,9 +1,9 @@
 """Tests of fleets whose endpoints limit the requests of all hosts."""
 
+import limitfleet
 import pytest
 
 from bulrushgrade import endpointlimits
-from bulrushgrade_standins import limitfleet
 
 LIMIT_PER_S = 3.5
 OFFERED_PER_S = 40.0
--- a/tools/limitfleet.py
+++ b/tools/limitedfleets.py
@@ -1,12 +1,17 @@
 """Emulates fleets whose endpoints limit their requests, and prints figures.
 
-Usage: python tools/limitfleet.py [HOSTS ...]
+Usage: python tools/limitedfleets.py [HOSTS ...]
 """
 
+import pathlib
 import sys
 import time
 
-from bulrushgrade_standins import limitfleet
+# The emulation is shared with the tests.
+_ROOT = pathlib.Path(__file__).parents[1]
+sys.path.insert(0, str(_ROOT / "packages/bulrushgrade_daemon/tests"))
+
+import limitfleet  # noqa: E402
 
 SIZES = ((6, 4), (9, 4), (63, 3), (195, 6))
 """Numbers of hosts and availability zones."""
