Log what endpoints state of themselves, and requests sent in spite of it

The lines and metrics of hosts could not tell whether a host read that an endpoint leaves or wants a pause, forgot it, or was overruled by a record. Both statements are now decoded into the verdict of an answer, whatever was asked: runs, prefills, cache reads, reports, orders, frees. News are logged with their source, sends in spite of them are counted by kind every 4 s, and the dump has the ages. No request is placed differently: nothing reads these states yet.

--- a/packages/bulrushgrade/bulrushgrade/endpointlimits.py
+++ b/packages/bulrushgrade/bulrushgrade/endpointlimits.py
@@ -24,10 +24,15 @@
 
 
 class AnswerKind(enum.Enum):
-    """What was asked of an endpoint: to run a request or only its prefill."""
+    """What was asked of an endpoint.
+
+    RUN and PREFILL are callers' requests, to be run or only prefilled. CONTROL
+    are the system's own calls.
+    """
 
     RUN = "run"
     PREFILL = "prefill"
+    CONTROL = "control"
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/cachewatch.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/cachewatch.py
@@ -15,6 +15,7 @@
 
 from bulrushgrade import directory as directory_module
 from bulrushgrade import enginecache
+from bulrushgrade_daemon import endpointsignals
 from bulrushgrade_daemon import outbound
 from bulrushgrade_daemon import task
 
@@ -49,7 +50,7 @@
 
 
 ReadChanges = Callable[
-    [directory_module.Registration, int],
+    [directory_module.Registration, int, endpointsignals.CallGuard],
     Awaitable[Result[CacheChanges, outbound.CallFailed]],
 ]
 
@@ -86,6 +87,9 @@
         apply: Callable[..., None],
         is_limited: Callable[[directory_module.Registration], bool],
         may_read: Callable[[directory_module.Registration], Awaitable[bool]],
+        guard: Callable[
+            [directory_module.Registration], endpointsignals.CallGuard
+        ],
         on_broken: Callable[[str], None],
     ):
         """Creates the service.
@@ -98,6 +102,7 @@
                 earlier ones first.
             is_limited: Returns whether an engine limits its requests.
             may_read: Returns whether such an engine has room for a read.
+            guard: Returns the checks of calls to an engine.
             on_broken: Called with the reason if an invariant is violated.
         """
         self._timers = timers
@@ -106,6 +111,7 @@
         self._apply = apply
         self._is_limited = is_limited
         self._may_read = may_read
+        self._guard = guard
         self._on_broken = on_broken
         self._positions: dict[tuple[str, int], _ReadPosition] = {}
         self._failures = 0
@@ -160,7 +166,7 @@
                 position.next_read_at = self._timers.now + period_s
                 return
         self._reads += 1
-        read = await self._read(engine, position.next)
+        read = await self._read(engine, position.next, self._guard(engine))
         position.is_reading = False
 
         if isinstance(read, Failure):
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/dialect.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/dialect.py
@@ -89,7 +89,13 @@
         misdirected: The address now belongs to another endpoint.
         limit_per_s: Requests per second that the endpoint accepts from all
             hosts together while it says so, None if it states no limit.
-        invalid_limit: The text of a limit that is not a valid number, or None.
+        invalid_limit: The text of a limit that is not one valid number, or
+            None.
+        is_leaving: The endpoint states that it is leaving.
+        backoff_s: Seconds for which the endpoint, which turned the request
+            away, wants no more of them from this host, or None.
+        invalid_signals: The names and texts of such statements that are not
+            one valid value.
     """
 
     request_id: str | None
@@ -97,6 +103,9 @@
     misdirected: bool
     limit_per_s: float | None = None
     invalid_limit: str | None = None
+    is_leaving: bool = False
+    backoff_s: float | None = None
+    invalid_signals: tuple[tuple[str, str], ...] = ()
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointcalls.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointcalls.py
@@ -5,15 +5,16 @@
 
 import attrs
 from returns.result import Failure
+from returns.result import Success
 from twisted.web import http
 
 from bulrushgrade import attempts
 from bulrushgrade import directory as directory_module
 from bulrushgrade import endpointlimits
 from bulrushgrade_daemon import dialect as dialect_module
+from bulrushgrade_daemon import endpointsignals
 from bulrushgrade_daemon import inflight
 from bulrushgrade_daemon import outbound
-from bulrushgrade_daemon import ratelimits
 from bulrushgrade_daemon import task
 
 CONNECT_TIMEOUT_S = 0.3
@@ -34,7 +35,7 @@
         reactor: Any,
         now: Callable[[], float],
         dialect: dialect_module.Dialect,
-        limits: ratelimits.RateLimits,
+        signals: endpointsignals.EndpointSignals,
         on_broken: Callable[[str], None],
     ):
         """Creates the sender.
@@ -43,13 +44,13 @@
             reactor: The reactor.
             now: Returns the current time in seconds.
             dialect: Translates headers.
-            limits: The limits that endpoints state.
+            signals: What endpoints state of themselves.
             on_broken: Called with the reason if an invariant is violated.
         """
         self._reactor = reactor
         self._now = now
         self._dialect = dialect
-        self._limits = limits
+        self._signals = signals
         self._on_broken = on_broken
 
     async def run(
@@ -110,21 +111,42 @@
         prefilled: dialect_module.PrefilledBy,
     ) -> None:
         """Frees a prefill that may not have been used, without waiting."""
+        task.spawn(
+            self._free(engine, prefilled),
+            name="free",
+            on_broken=self._on_broken,
+        )
+
+    async def _free(
+        self,
+        engine: directory_module.Registration,
+        prefilled: dialect_module.PrefilledBy,
+    ) -> None:
         method, uri = self._dialect.free_prefilled(prefilled.handle)
-        freeing = outbound.fetch(
-            self._reactor,
-            engine.host,
-            engine.port,
-            outbound.OutboundRequest(
+        guard = self._signals.guard(engine)
+
+        def make_request() -> outbound.OutboundRequest:
+            guard.begin("free")
+            return outbound.OutboundRequest(
                 method=method,
                 uri=uri,
                 headers=[(b"host", prefilled.address.encode("ascii"))],
-            ),
+            )
+
+        freed = await outbound.fetch(
+            self._reactor,
+            engine.host,
+            engine.port,
+            make_request,
             connect_timeout_s=CONNECT_TIMEOUT_S,
             timeout_s=FREE_TIMEOUT_S,
             max_bytes=outbound.MAX_FETCHED_BODY_BYTES,
         )
-        task.spawn(freeing, name="free", on_broken=self._on_broken)
+        if isinstance(freed, Success):
+            answer = freed.unwrap()
+            guard.observe(
+                self._dialect.read_verdict(answer.status, answer.headers)
+            )
 
     async def find_connect_error(
         self, endpoint: directory_module.Registration
@@ -160,7 +182,7 @@
                 hides_key=request.hides_key,
             )
             caller = request.caller
-            self._limits.count_sent(
+            self._signals.count_sent(
                 forwarding.endpoint, _describe_send(request, forwarding)
             )
             return outbound.OutboundRequest(
@@ -193,7 +215,7 @@
             )
         answer = sent.unwrap()
         verdict = self._dialect.read_verdict(answer.status, answer.headers)
-        self._limits.observe_answer(
+        self._signals.observe_answer(
             forwarding.endpoint,
             verdict,
             kind=_answer_kind(forwarding),
--- /dev/null
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointsignals.py
@@ -0,0 +1,238 @@
+"""Takes in what endpoints state of themselves in any of their answers.
+
+An endpoint may state a request limit for all hosts, that it is leaving, or
+that it wants nothing from this host for a time. Every answer is read for this,
+whatever was asked.
+"""
+
+import collections
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from bulrushgrade import directory as directory_module
+from bulrushgrade import endpointbackoffs
+from bulrushgrade import endpointdrains
+from bulrushgrade import endpointlimits
+from bulrushgrade_daemon import decisionlog
+from bulrushgrade_daemon import dialect
+from bulrushgrade_daemon import ratelimits
+
+REPORT_PERIOD_S = 4.0
+"""Interval between log lines about requests that endpoints did not want."""
+
+
+@attrs.frozen(kw_only=True)
+class CallGuard:
+    """Checks the system's own calls to one engine.
+
+    Attributes:
+        begin: Called in the turn of the write with what is called; counts the
+            call.
+        observe: Takes in the head of the answer.
+    """
+
+    begin: Callable[[str], None]
+    observe: Callable[[dialect.Verdict], None]
+
+
+class EndpointSignals:
+    """What endpoints state of themselves, by incarnation."""
+
+    name = "endpointsignals"
+    requires = ("timer", "ratelimits")
+
+    def __init__(
+        self,
+        *,
+        timers: Any,
+        limits: ratelimits.RateLimits,
+        log: decisionlog.DecisionLog,
+    ):
+        """Creates the service without any statement.
+
+        Args:
+            timers: The timer service.
+            limits: The limits that endpoints state.
+            log: Gets a line for each statement that is news.
+        """
+        self._timers = timers
+        self._limits = limits
+        self._log = log
+        self._drains = endpointdrains.EndpointDrains()
+        self._backoffs = endpointbackoffs.EndpointBackoffs()
+        self._counts: collections.Counter[str] = collections.Counter()
+        # Requests sent since the last report to endpoints that wanted none,
+        # by what they were.
+        self._unwanted: dict[
+            endpointlimits.Incarnation, collections.Counter[str]
+        ] = {}
+        self._tick: Any = None
+
+    @property
+    def drains(self) -> endpointdrains.EndpointDrains:
+        """The endpoints that state that they are leaving."""
+        return self._drains
+
+    @property
+    def counts(self) -> dict[str, int]:
+        """Statements by kind, and requests sent in spite of them."""
+        return dict(self._counts)
+
+    async def start(self) -> None:
+        """Starts the periodic reports."""
+        self._tick = self._timers.every(REPORT_PERIOD_S, self._report)
+
+    async def stop(self) -> None:
+        """Stops the periodic reports."""
+        if self._tick is not None:
+            self._tick.cancel()
+
+    def receive(self, message: Any) -> None:
+        """Ignores messages."""
+
+    def dump(self) -> dict[str, Any]:
+        """Returns the drains with their age, backoffs and counts."""
+        now = self._timers.now
+        return {
+            "leaving": {
+                endpoint[0]: {"age_s": round(now - drain.since, 3)}
+                for endpoint, drain in self._drains.items()
+            },
+            "backoff": {
+                endpoint[0]: {"left_s": round(backoff.until - now, 3)}
+                for endpoint, backoff in self._backoffs.items()
+                if backoff.until > now
+            },
+            "counts": self.counts,
+        }
+
+    def count_sent(
+        self, endpoint: directory_module.Registration, what: str
+    ) -> None:
+        """Counts a request that is being sent to an endpoint.
+
+        Args:
+            endpoint: The endpoint.
+            what: ``first``, ``repeat`` or ``prefill`` for callers' requests,
+                else the name of the call.
+        """
+        self._limits.count_sent(endpoint, what)
+        incarnation, now = endpoint.incarnation, self._timers.now
+        is_backing_off = self._backoffs.left_s(incarnation, now) > 0
+        if not is_backing_off and self._drains.since(incarnation) is None:
+            return
+        self._counts["unwanted"] += 1
+        sent = self._unwanted.setdefault(incarnation, collections.Counter())
+        sent[what] += 1
+
+    def guard(self, engine: directory_module.Registration) -> CallGuard:
+        """Returns the checks of calls to an engine."""
+
+        def begin(what: str) -> None:
+            self.count_sent(engine, what)
+
+        def observe(verdict: dialect.Verdict) -> None:
+            self.observe_answer(
+                engine,
+                verdict,
+                kind=endpointlimits.AnswerKind.CONTROL,
+                sent_at=self._timers.now,
+                request_id=None,
+            )
+
+        return CallGuard(begin=begin, observe=observe)
+
+    def observe_answer(
+        self,
+        endpoint: directory_module.Registration,
+        verdict: dialect.Verdict,
+        *,
+        kind: endpointlimits.AnswerKind,
+        sent_at: float,
+        request_id: str | None,
+    ) -> None:
+        """Takes in what an answer states of its endpoint.
+
+        Args:
+            endpoint: The endpoint that answered.
+            verdict: What the answer's head says.
+            kind: What was asked of the endpoint.
+            sent_at: When the request was sent.
+            request_id: The caller's request, None for the system's own calls.
+        """
+        if verdict.misdirected:
+            # The answer is another endpoint's.
+            return
+        for signal, text in verdict.invalid_signals:
+            self._counts["invalid"] += 1
+            self._log.note(
+                "endpoint_signal_invalid",
+                endpoint=endpoint.id,
+                request=request_id,
+                signal=signal,
+                text=text,
+            )
+        self._limits.observe_answer(
+            endpoint, verdict, kind=kind, sent_at=sent_at, request_id=request_id
+        )
+        now = self._timers.now
+        if verdict.is_leaving and self._drains.observe(
+            endpoint.incarnation, now
+        ):
+            self._record_drain(
+                endpoint.incarnation, source=kind.value, request=request_id
+            )
+        if verdict.backoff_s is not None:
+            self._observe_backoff(endpoint, verdict.backoff_s, kind, request_id)
+
+    def _observe_backoff(
+        self,
+        endpoint: directory_module.Registration,
+        stated_s: float,
+        kind: endpointlimits.AnswerKind,
+        request_id: str | None,
+    ) -> None:
+        now = self._timers.now
+        self._counts["backoff"] += 1
+        if self._backoffs.observe(endpoint.incarnation, stated_s, now):
+            self._log.note(
+                "endpoint_backoff",
+                endpoint=endpoint.id,
+                born_ms=endpoint.born_ms,
+                stated_s=stated_s,
+                left_s=self._backoffs.left_s(endpoint.incarnation, now),
+                source=kind.value,
+                request=request_id,
+            )
+
+    def _record_drain(
+        self, endpoint: endpointlimits.Incarnation, **fields: Any
+    ) -> None:
+        self._counts["leaving"] += 1
+        self._log.note(
+            "endpoint_leaving",
+            endpoint=endpoint[0],
+            born_ms=endpoint[1],
+            **fields,
+        )
+
+    def _report(self) -> None:
+        now = self._timers.now
+        unwanted, self._unwanted = self._unwanted, {}
+        for endpoint, counts in unwanted.items():
+            backoff = self._backoffs.find(endpoint)
+            leaving_since = self._drains.since(endpoint)
+            self._log.note(
+                "unwanted_endpoint_sends",
+                endpoint=endpoint[0],
+                leaving_age_s=_age_s(leaving_since, now),
+                backoff_age_s=_age_s(backoff and backoff.since, now),
+                window_s=REPORT_PERIOD_S,
+                **counts,
+            )
+
+
+def _age_s(since: float | None, now: float) -> float | None:
+    return None if since is None else round(now - since, 3)
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaypages.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaypages.py
@@ -105,6 +105,11 @@
             "Requests sent to endpoints that state a limit, by what they were.",
             lambda: services.limits.counts,
         ),
+        (
+            "endpoint_signals_total",
+            "What endpoints stated of themselves; requests they didn't want.",
+            lambda: services.signals.counts,
+        ),
         (
             "permits_total",
             "Permits for limited endpoints: got, denied, granted to all.",
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
@@ -22,6 +22,7 @@
 from bulrushgrade_daemon import decisionlog
 from bulrushgrade_daemon import endpointcalls
 from bulrushgrade_daemon import endpointchooser
+from bulrushgrade_daemon import endpointsignals
 from bulrushgrade_daemon import enginework
 from bulrushgrade_daemon import fencedactions
 from bulrushgrade_daemon import follower
@@ -150,6 +151,7 @@
             self._gossip,
             self._index,
             self._limits,
+            self._signals,
             self._permits,
             self._stage_control,
             *self._tasks.services,
@@ -225,6 +227,11 @@
         """Follows the limits that endpoints state."""
         return self._limits
 
+    @property
+    def signals(self) -> endpointsignals.EndpointSignals:
+        """Takes in what endpoints state of themselves."""
+        return self._signals
+
     @property
     def permits(self) -> permitservice.PermitService:
         """Permits for endpoints that state a limit."""
@@ -245,6 +252,9 @@
         self._limits = ratelimits.RateLimits(
             timers=self._timers, log=context.log
         )
+        self._signals = endpointsignals.EndpointSignals(
+            timers=self._timers, limits=self._limits, log=context.log
+        )
         self._permits = permitservice.PermitService(
             timers=self._timers,
             own_name=self._own_name,
@@ -348,7 +358,7 @@
             reactor=context.reactor,
             now=lambda: self._timers.now,
             dialect=context.adapter.dialect,
-            limits=self._limits,
+            signals=self._signals,
             on_broken=context.kernel.fail,
         )
         self._crashes = crashwatch.CrashWatch(
@@ -436,6 +446,7 @@
             apply=sharing.apply_observed,
             is_limited=self._permits.is_limited,
             may_read=self._permits.acquire_spare,
+            guard=self._signals.guard,
             on_broken=context.kernel.fail,
         )
         self._follow_peers = self._topics.follow(
@@ -461,6 +472,7 @@
             actions=self._actions,
             control=context.adapter.engine_control,
             may_call=self._permits.acquire_spare,
+            guard=self._signals.guard,
             leads=lambda: self._tasks.is_leader(),
             views=self._chooser.engine_views,
             announce=self._announce_role_change,
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/outbound.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/outbound.py
@@ -221,6 +221,21 @@
     body: bytes = b""
 
 
+@attrs.frozen(kw_only=True)
+class Fetched:
+    """A whole answer.
+
+    Attributes:
+        status: The status code.
+        headers: The headers, without those of the connection.
+        body: The body.
+    """
+
+    status: int
+    headers: http_headers.Headers
+    body: bytes
+
+
 async def send(
     reactor: Any,
     host: str,
@@ -323,14 +338,14 @@
     connect_timeout_s: float,
     timeout_s: float,
     max_bytes: int,
-) -> Result[tuple[int, bytes], CallFailed]:
-    """Returns the status and the complete body of a small answer.
+) -> Result[Fetched, CallFailed]:
+    """Returns a small answer with its complete body.
 
     Args:
         reactor: The reactor.
         host: The IP address.
         port: The port.
-        request: The request.
+        request: The request, or a function that returns it, see `send`.
         connect_timeout_s: Timeout for opening the connection.
         timeout_s: Timeout for the whole exchange.
         max_bytes: Maximum size of the body.
@@ -352,7 +367,7 @@
     request: OutboundRequest | Callable[[], OutboundRequest | None],
     connect_timeout_s: float,
     max_bytes: int,
-) -> Result[tuple[int, bytes], CallFailed]:
+) -> Result[Fetched, CallFailed]:
     sent = await send(
         reactor, host, port, request, connect_timeout_s=connect_timeout_s
     )
@@ -367,7 +382,7 @@
 
 async def _read_body(
     answer: Answer, max_bytes: int
-) -> Result[tuple[int, bytes], CallFailed]:
+) -> Result[Fetched, CallFailed]:
     parts: list[bytes] = []
     size = 0
 
@@ -383,7 +398,11 @@
     if not end.whole or size > max_bytes:
         reason = end.reason or "the answer is too large"
         return Failure(CallFailed(written=True, reason=reason))
-    return Success((answer.status, b"".join(parts)))
+    return Success(
+        Fetched(
+            status=answer.status, headers=answer.headers, body=b"".join(parts)
+        )
+    )
 
 
 def _was_cancelled(error: BaseException) -> bool:
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/ratelimits.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/ratelimits.py
@@ -138,7 +138,7 @@
 
         Args:
             endpoint: The endpoint.
-            what: ``first``, ``repeat`` or ``prefill``.
+            what: What is sent, see `EndpointSignals.count_sent`.
         """
         if self._limits.per_s(endpoint.incarnation) is None:
             return
@@ -155,7 +155,7 @@
         *,
         kind: endpointlimits.AnswerKind,
         sent_at: float,
-        request_id: str,
+        request_id: str | None,
     ) -> None:
         """Takes in the limit that an answer states or doesn't state.
 
@@ -164,7 +164,7 @@
             verdict: What the answer's headers say.
             kind: What was asked of the endpoint.
             sent_at: When the request was sent.
-            request_id: The request.
+            request_id: The caller's request, None for the system's own calls.
         """
         if verdict.misdirected:
             # The answer is another endpoint's.
@@ -176,7 +176,8 @@
                 request=request_id,
                 limit=verdict.invalid_limit,
             )
-            return
+            if verdict.limit_per_s is None:
+                return
         if verdict.limit_per_s is None and verdict.not_run:
             # Whatever refuses on the endpoint's behalf may not know of it.
             return
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/stagecontrol.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/stagecontrol.py
@@ -17,6 +17,7 @@
 from bulrushgrade import orderturn
 from bulrushgrade import stageplan
 from bulrushgrade_daemon import decisionlog
+from bulrushgrade_daemon import endpointsignals
 from bulrushgrade_daemon import fencedactions
 from bulrushgrade_daemon import outbound
 from bulrushgrade_daemon import task
@@ -74,11 +75,11 @@
     """
 
     report: Callable[
-        [directory_module.Registration],
+        [directory_module.Registration, endpointsignals.CallGuard],
         Awaitable[Result[EngineReport, outbound.CallFailed]],
     ]
     order: Callable[
-        [StageOrder, Callable[[], bool]],
+        [StageOrder, Callable[[], bool], endpointsignals.CallGuard],
         Awaitable[Result[bool, outbound.CallFailed]],
     ]
 
@@ -97,6 +98,9 @@
         actions: fencedactions.FencedActions,
         control: EngineControl,
         may_call: Callable[[directory_module.Registration], Awaitable[bool]],
+        guard: Callable[
+            [directory_module.Registration], endpointsignals.CallGuard
+        ],
         leads: Callable[[], bool],
         views: Callable[[], list[stageplan.ServiceView]],
         announce: Callable[[stageplan.StageChange, float], None],
@@ -111,6 +115,7 @@
             actions: Performs actions that only one host at a time may do.
             control: Queries engines and sends them orders.
             may_call: Returns whether an engine has room for another call.
+            guard: Returns the checks of calls to an engine.
             leads: Returns whether this host is the leader.
             views: Returns the state of the engines by service.
             announce: Notifies all hosts of a change and of its expected
@@ -123,6 +128,7 @@
         self._actions = actions
         self._control = control
         self._may_call = may_call
+        self._guard = guard
         self._leads = leads
         self._views = views
         self._announce = announce
@@ -210,13 +216,14 @@
     async def _order(self, change: stageplan.StageChange) -> str:
         """Orders a change; returns the outcome for the log."""
         report: EngineReport | None = None
+        guard = self._guard(change.engine)
 
         async def make() -> orderturn.OrderRecord | fencedactions.Withheld:
             nonlocal report
             for _ in ("report", "order"):
                 if not await self._may_call(change.engine):
                     return fencedactions.Withheld(reason="engine at its limit")
-            reported = await self._control.report(change.engine)
+            reported = await self._control.report(change.engine, guard)
             if isinstance(reported, Failure):
                 reason = f"no report: {reported.failure().reason}"
                 return fencedactions.Withheld(reason=reason)
@@ -240,7 +247,7 @@
                 expected_orders=report.orders,
             )
             self._orders_sent += 1
-            return await self._control.order(order, permit.check)
+            return await self._control.order(order, permit.check, guard)
 
         sent = await self._actions.perform(make, send)
         if isinstance(sent, Failure):
--- a/packages/bulrushgrade_daemon/tests/limitfleet.py
+++ b/packages/bulrushgrade_daemon/tests/limitfleet.py
@@ -29,6 +29,7 @@
 from bulrushgrade_daemon import decisionlog
 from bulrushgrade_daemon import dialect
 from bulrushgrade_daemon import endpointchooser
+from bulrushgrade_daemon import endpointsignals
 from bulrushgrade_daemon import enginework
 from bulrushgrade_daemon import forwarder
 from bulrushgrade_daemon import inflight
@@ -197,7 +198,7 @@
             return inflight.AttemptEnd(
                 outcome=attempts.Outcome.UNREACHED, reason="refused"
             )
-        host.limits.count_sent(registration, "first")
+        host.signals.count_sent(registration, "first")
         await host.timers.sleep(HOP_S)
         endpoint.arrivals.append((fleet.now, host.name))
         born_ms = endpoint.born_ms
@@ -212,7 +213,7 @@
             misdirected=False,
             limit_per_s=endpoint.limit,
         )
-        host.limits.observe_answer(
+        host.signals.observe_answer(
             registration,
             verdict,
             kind=endpointlimits.AnswerKind.RUN,
@@ -273,6 +274,9 @@
             clock=fleet.reactor.seconds,
         )
         self.limits = ratelimits.RateLimits(timers=self.timers, log=log)
+        self.signals = endpointsignals.EndpointSignals(
+            timers=self.timers, limits=self.limits, log=log
+        )
         self.link = peerlink.PeerLink(
             reactor=None,
             timers=self.timers,
@@ -314,7 +318,7 @@
         self._make_forwarder(zone, log)
         self.link.apply_records(fleet.announcements())
         self.read_endpoints()
-        for service in (self.limits, self.permits):
+        for service in (self.limits, self.signals, self.permits):
             defer.Deferred.fromCoroutine(service.start())
         # Hosts send their loads at different moments.
         self.timers.after(
--- a/packages/bulrushgrade_daemon/tests/test_stagecontrol.py
+++ b/packages/bulrushgrade_daemon/tests/test_stagecontrol.py
@@ -63,6 +63,7 @@
                 report=self.report, order=self._order
             ),
             may_call=self._may_call,
+            guard=lambda engine: None,
             leads=lambda: leads,
             views=self._views,
             announce=lambda change, s: self.announced.append((change, s)),
@@ -93,7 +94,7 @@
             )
         ]
 
-    async def _order(self, order, check):
+    async def _order(self, order, check, guard):
         self.before_send()
         if not check():
             return Failure(
