Stop sending to endpoints that say in their answers that they leave

Cause: what an endpoint says of itself was passed on and not read, so the store was the only source of a drain. Ruled out by the lines and arrivals: a record that overrules the answer, the lack of another endpoint, retries or prefills alone.

Change: a drain is stated by incarnation and kept until that has ended. It outranks all records of the incarnation, newer or older, as one that says ready may have been read late; the directory combines both, so every choice, crash check, role and capacity plan sees one state. Hosts tell each other in the messages of loads, with the age, and repeat it until the records show it. Each sender asks again in the turn of the write: attempts, retries, resumed streams, prefills, decodes, cache reads, reports, orders.

Hosts of the code before ignore the new field at the end of the messages, and send none.

--- a/packages/bulrushgrade/bulrushgrade/attempts.py
+++ b/packages/bulrushgrade/bulrushgrade/attempts.py
@@ -16,7 +16,7 @@
     """How an attempt ended.
 
     UNREACHED means that no byte of the request was written. WITHHELD means the
-    same, because the endpoint's limit left no room. TURNED_AWAY and
+    same, because the endpoint has no room or wants no requests. TURNED_AWAY and
     MISDIRECTED mean that the endpoint reports that it did not run the request.
     UNREAD means that an engine that was to prefill the prompt for another gave
     no usable answer; a prefill is not a run. LOST means that the request was
--- a/packages/bulrushgrade/bulrushgrade/directory.py
+++ b/packages/bulrushgrade/bulrushgrade/directory.py
@@ -5,6 +5,10 @@
 incarnation. Records of another writer may look like those of an endpoint;
 records that can't be decoded don't get here, and records that are older than
 the known one are ignored.
+
+An endpoint also states in its answers that it is leaving. That outranks every
+record of the same incarnation: one that says ready may be older, as the store
+may be slow or unavailable, and an endpoint that leaves does not become ready.
 """
 
 from collections.abc import Iterable
@@ -12,6 +16,8 @@
 
 import attrs
 
+from bulrushgrade import endpointdrains
+
 LEAVING_USE_FRACTION = 0.5
 """Fraction of the time until an endpoint's announced end in which it may still
 get requests. Those have to complete in the rest."""
@@ -112,7 +118,12 @@
 class Directory:
     """The known endpoints, and until when each may be used."""
 
-    def __init__(self, *, leaving_use_s: float):
+    def __init__(
+        self,
+        *,
+        leaving_use_s: float,
+        drains: endpointdrains.EndpointDrains | None = None,
+    ):
         """Initializes an empty directory.
 
         Args:
@@ -121,8 +132,13 @@
                 requests at such an endpoint have to complete. Records that
                 expired because of an outage of the store are restored within
                 this time.
+            drains: The endpoints that state that they are leaving.
         """
         self._leaving_use_s = leaving_use_s
+        # An instance without drains is false.
+        self._drains = (
+            endpointdrains.EndpointDrains() if drains is None else drains
+        )
         self._entries: dict[str, _Entry] = {}
 
     def __len__(self) -> int:
@@ -148,7 +164,19 @@
         if entry is None:
             return True
         is_same = entry.known.incarnation == known.incarnation
-        return is_same and entry.leaving_since is not None
+        return is_same and self._leaving_since(entry) is not None
+
+    def knows(self, incarnation: tuple[str, int]) -> bool:
+        """Returns whether an incarnation is remembered, also if it is gone."""
+        entry = self._entries.get(incarnation[0])
+        return entry is not None and entry.known.incarnation == incarnation
+
+    def records_leaving(self, incarnation: tuple[str, int]) -> bool:
+        """Returns whether the records show that an incarnation leaves."""
+        entry = self._entries.get(incarnation[0])
+        if entry is None or entry.known.incarnation != incarnation:
+            return False
+        return entry.leaving_since is not None
 
     def put(self, found: Registration, *, now: float) -> Change | None:
         """Applies a record; returns the change, or None.
@@ -250,12 +278,38 @@
         for entry in self._entries.values():
             if entry.known.service != service:
                 continue
-            if entry.leaving_since is None or now < entry.trusted_until:
+            if self._is_ready(entry, now):
                 ready.append(entry.known)
-            elif now - entry.leaving_since < self._leaving_use(entry):
+            elif self._may_use_leaving(entry, now):
                 leaving.append(entry.known)
         return ready or leaving
 
+    def accepts(self, known: Registration, *, now: float) -> bool:
+        """Returns whether a request may be sent to an endpoint now.
+
+        It may have begun to leave, or may have been replaced by a later start,
+        since it was chosen.
+        """
+        entry = self._entries.get(known.id)
+        if entry is None or entry.known.incarnation != known.incarnation:
+            return False
+        return self._is_ready(entry, now) or self._may_use_leaving(entry, now)
+
+    def _is_ready(self, entry: _Entry, now: float) -> bool:
+        if self._drains.since(entry.known.incarnation) is not None:
+            return False
+        return entry.leaving_since is None or now < entry.trusted_until
+
+    def _may_use_leaving(self, entry: _Entry, now: float) -> bool:
+        since = self._leaving_since(entry)
+        return now - since < self._leaving_use(entry)
+
+    def _leaving_since(self, entry: _Entry) -> float | None:
+        """Returns when an endpoint was first known to leave, or None."""
+        stated_since = self._drains.since(entry.known.incarnation)
+        known = [entry.leaving_since, stated_since]
+        return min((at for at in known if at is not None), default=None)
+
     def _leaving_use(self, entry: _Entry) -> float:
         """Returns for how long a leaving endpoint may still be used."""
         leaves_s = entry.known.leaves_s
--- a/packages/bulrushgrade/tests/test_directory.py
+++ b/packages/bulrushgrade/tests/test_directory.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 
 from bulrushgrade import directory
+from bulrushgrade import endpointdrains
 
 LEAVING_USE_S = 1.0
 
@@ -155,6 +156,64 @@
     assert len(found) == 1
 
 
+def make_draining_directory(*registrations):
+    drains = endpointdrains.EndpointDrains()
+    found = directory.Directory(leaving_use_s=LEAVING_USE_S, drains=drains)
+    for registration in registrations:
+        found.put(registration, now=0.0)
+    return found, drains
+
+
+def test_stated_drain_outranks_records_that_say_ready():
+    """Guards against an old record that puts a leaving endpoint to use again.
+
+    The store may be slow, and a host of the zone may hand on what it had read
+    before. Neither a newer heartbeat nor a record that is back counts.
+    """
+    found, drains = make_draining_directory(make("e1"), make("e2"))
+    drains.observe(("e1", 1), 5.0)
+    assert ids(found, 5.0) == ["e2"]
+    found.put(make("e1", sequence=9), now=5.5)
+    assert ids(found, 5.5) == ["e2"]
+    found.remove("e1", now=6.0, trusted_until=8.0)
+    found.put(make("e1", sequence=10), now=7.0)
+    assert ids(found, 7.0) == ["e2"]
+    assert found.is_leaving(make("e1"))
+    assert not found.records_leaving(("e1", 1))
+
+
+def test_drain_known_before_its_record_counts():
+    """Guards against an endpoint that a peer has reported and is then read."""
+    found, drains = make_draining_directory(make("e2"))
+    drains.observe(("e1", 1), 5.0)
+    found.put(make("e1"), now=5.5)
+    assert ids(found, 5.5) == ["e2"]
+
+
+def test_stated_drain_ends_with_the_incarnation():
+    found, drains = make_draining_directory(make("e1"), make("e2"))
+    drains.observe(("e1", 1), 5.0)
+    found.put(make("e1", born_ms=2), now=6.0)
+    assert ids(found, 6.0) == ["e1", "e2"]
+
+
+def test_only_leaving_endpoints_are_used_for_a_part_of_the_drain_bound():
+    """Guards against a use that begins anew with the record of the drain."""
+    found, drains = make_draining_directory(make("e1"))
+    drains.observe(("e1", 1), 5.0)
+    assert ids(found, 5.9) == ["e1"]
+    found.put(make("e1", sequence=2, state="draining"), now=5.9)
+    assert ids(found, 5.0 + LEAVING_USE_S) == []
+    assert not found.accepts(make("e1"), now=5.0 + LEAVING_USE_S)
+
+
+def test_endpoint_accepts_nothing_once_another_start_replaced_it():
+    found = make_directory(make("e1", born_ms=1))
+    assert found.accepts(make("e1", born_ms=1), now=1.0)
+    found.put(make("e1", born_ms=2), now=1.0)
+    assert not found.accepts(make("e1", born_ms=1), now=1.0)
+
+
 class DirectoryMachine(stateful.RuleBasedStateMachine):
     """Records arrive late, twice and out of order; views must not go back."""
 
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointcalls.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointcalls.py
@@ -123,10 +123,11 @@
         prefilled: dialect_module.PrefilledBy,
     ) -> None:
         method, uri = self._dialect.free_prefilled(prefilled.handle)
-        guard = self._signals.guard(engine)
+        guard = self._signals.guard(engine, may_be_leaving=True)
 
-        def make_request() -> outbound.OutboundRequest:
-            guard.begin("free")
+        def make_request() -> outbound.OutboundRequest | None:
+            if not guard.begin("free"):
+                return None
             return outbound.OutboundRequest(
                 method=method,
                 uri=uri,
@@ -166,11 +167,16 @@
     ) -> outbound.Answer | inflight.AttemptEnd:
         """Sends a request; returns its answer unless that is a refusal."""
         written_at = self._now()
+        withheld: str | None = None
 
         def make_request() -> outbound.OutboundRequest | None:
-            nonlocal written_at
+            nonlocal written_at, withheld
             written_at = self._now()
+            reason = self._signals.why_withheld(forwarding.endpoint)
+            withheld = None if reason is None else reason.value
             if not request.permit.is_valid(written_at):
+                withheld = "permit expired"
+            if withheld is not None:
                 return None
             # The remaining time is computed at the time of the write, since
             # opening the connection has taken some of it.
@@ -206,11 +212,11 @@
             outcome = attempts.Outcome.UNREACHED
             if failed.written:
                 outcome = attempts.Outcome.LOST
-            elif not request.permit.is_valid(written_at):
+            elif withheld is not None:
                 outcome = attempts.Outcome.WITHHELD
             return inflight.AttemptEnd(
                 outcome=outcome,
-                reason=failed.reason,
+                reason=withheld or failed.reason,
                 connection_lost=failed.written,
             )
         answer = sent.unwrap()
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointsignals.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointsignals.py
@@ -7,6 +7,7 @@
 
 import collections
 from collections.abc import Callable
+import enum
 from typing import Any
 
 import attrs
@@ -17,23 +18,30 @@
 from bulrushgrade import endpointlimits
 from bulrushgrade_daemon import decisionlog
 from bulrushgrade_daemon import dialect
+from bulrushgrade_daemon import gatewaymessages
 from bulrushgrade_daemon import ratelimits
 
 REPORT_PERIOD_S = 4.0
 """Interval between log lines about requests that endpoints did not want."""
 
 
+class Reason(enum.Enum):
+    """Why nothing may be sent to an endpoint."""
+
+    LEAVING = "leaving"
+
+
 @attrs.frozen(kw_only=True)
 class CallGuard:
     """Checks the system's own calls to one engine.
 
     Attributes:
-        begin: Called in the turn of the write with what is called; counts the
-            call.
+        begin: Called in the turn of the write with what is called; returns
+            whether the call may be sent, and counts it if so.
         observe: Takes in the head of the answer.
     """
 
-    begin: Callable[[str], None]
+    begin: Callable[[str], bool]
     observe: Callable[[dialect.Verdict], None]
 
 
@@ -48,6 +56,7 @@
         *,
         timers: Any,
         limits: ratelimits.RateLimits,
+        directory: Callable[[], directory_module.Directory],
         log: decisionlog.DecisionLog,
     ):
         """Creates the service without any statement.
@@ -55,10 +64,12 @@
         Args:
             timers: The timer service.
             limits: The limits that endpoints state.
+            directory: Returns the known endpoints.
             log: Gets a line for each statement that is news.
         """
         self._timers = timers
         self._limits = limits
+        self._directory = directory
         self._log = log
         self._drains = endpointdrains.EndpointDrains()
         self._backoffs = endpointbackoffs.EndpointBackoffs()
@@ -68,6 +79,9 @@
         self._unwanted: dict[
             endpointlimits.Incarnation, collections.Counter[str]
         ] = {}
+        self._subscribers: list[
+            Callable[[endpointlimits.Incarnation], None]
+        ] = []
         self._tick: Any = None
 
     @property
@@ -108,6 +122,54 @@
             "counts": self.counts,
         }
 
+    def subscribe(
+        self, callback: Callable[[endpointlimits.Incarnation], None]
+    ) -> None:
+        """Has a callback called with each endpoint that begins to leave."""
+        self._subscribers.append(callback)
+
+    def why_withheld(
+        self, endpoint: directory_module.Registration
+    ) -> Reason | None:
+        """Returns why nothing may be sent to an endpoint now, or None.
+
+        To be called in the turn of the write: what an endpoint states may have
+        changed since it was chosen.
+        """
+        if not self._directory().accepts(endpoint, now=self._timers.now):
+            return Reason.LEAVING
+        return None
+
+    def unrecorded_drains(self) -> list[endpointlimits.Incarnation]:
+        """Returns the drains that the store's records don't show yet."""
+        directory = self._directory()
+        return [
+            endpoint
+            for endpoint, _ in self._drains.items()
+            if not directory.records_leaving(endpoint)
+        ]
+
+    def encode_drain(
+        self, endpoint: endpointlimits.Incarnation
+    ) -> gatewaymessages.DrainNews | None:
+        """Returns what is known of an endpoint's drain for a message."""
+        since = self._drains.since(endpoint)
+        if since is None:
+            return None
+        age_ms = max(0, round((self._timers.now - since) * 1000))
+        return (*endpoint, age_ms)
+
+    def merge_drain(
+        self, news: gatewaymessages.DrainNews, *, peer: str
+    ) -> None:
+        """Takes in what a peer knows of an endpoint's drain."""
+        id, born_ms, age_ms = news
+        endpoint = (id, born_ms)
+        as_of = self._timers.now - age_ms / 1000
+        if self._drains.observe(endpoint, as_of):
+            age_s = round(age_ms / 1000, 3)
+            self._record_drain(endpoint, source=peer, age_s=age_s)
+
     def count_sent(
         self, endpoint: directory_module.Registration, what: str
     ) -> None:
@@ -127,11 +189,28 @@
         sent = self._unwanted.setdefault(incarnation, collections.Counter())
         sent[what] += 1
 
-    def guard(self, engine: directory_module.Registration) -> CallGuard:
-        """Returns the checks of calls to an engine."""
+    def guard(
+        self,
+        engine: directory_module.Registration,
+        *,
+        may_be_leaving: bool = False,
+    ) -> CallGuard:
+        """Returns the checks of calls to an engine.
+
+        Args:
+            engine: The engine.
+            may_be_leaving: Whether the calls help an engine that is leaving.
+        """
 
-        def begin(what: str) -> None:
+        def begin(what: str) -> bool:
+            reason = self.why_withheld(engine)
+            if reason is not None and not (
+                may_be_leaving and reason is Reason.LEAVING
+            ):
+                self._counts["withheld"] += 1
+                return False
             self.count_sent(engine, what)
+            return True
 
         def observe(verdict: dialect.Verdict) -> None:
             self.observe_answer(
@@ -211,6 +290,8 @@
         self, endpoint: endpointlimits.Incarnation, **fields: Any
     ) -> None:
         self._counts["leaving"] += 1
+        for callback in self._subscribers:
+            callback(endpoint)
         self._log.note(
             "endpoint_leaving",
             endpoint=endpoint[0],
@@ -220,6 +301,7 @@
 
     def _report(self) -> None:
         now = self._timers.now
+        self._drains.forget(now, self._directory().knows)
         unwanted, self._unwanted = self._unwanted, {}
         for endpoint, counts in unwanted.items():
             backoff = self._backoffs.find(endpoint)
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaymessages.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaymessages.py
@@ -22,6 +22,10 @@
 """An endpoint's limit in requests per second or None for none, the age of this
 in milliseconds, and whether it was stated in answers to prefills."""
 
+DrainNews = tuple[str, int, int]
+"""The id and the start time of an endpoint that is leaving, and for how many
+milliseconds it is known to be."""
+
 EndpointLimitNews = list[tuple[str, int, LimitNews]]
 """Limits with the ids and the start times of their endpoints."""
 
@@ -36,6 +40,7 @@
         kept: Changes of the caches that it follows.
         may_order: Whether it is able to order engines to change their roles.
         limits: Limits of endpoints that the sender knows.
+        leaving: Endpoints that state that they are leaving.
     """
 
     peer: str
@@ -44,6 +49,7 @@
     kept: CacheChanges = {}
     may_order: bool = True
     limits: EndpointLimitNews = []
+    leaving: list[DrainNews] = []
 
 
 class GroupLoad(msgspec.Struct, array_like=True, tag="group_load"):
@@ -61,6 +67,7 @@
         limits: Limits of endpoints that the sender knows.
         missing: Hosts that the sender no longer hears, nor any other one that
             it hears.
+        leaving: Endpoints that state that they are leaving.
     """
 
     peer: str
@@ -71,6 +78,7 @@
     is_passed_on: bool = False
     limits: EndpointLimitNews = []
     missing: list[str] = []
+    leaving: list[DrainNews] = []
 
 
 class FleetLoad(msgspec.Struct, array_like=True, tag="fleet_load"):
@@ -83,6 +91,7 @@
         engines: The fleet's load.
         kept: Changes of engines' caches.
         limits: Limits of endpoints that the sender knows.
+        leaving: Endpoints that state that they are leaving.
     """
 
     peer: str
@@ -91,6 +100,7 @@
     engines: EngineLoads
     kept: CacheChanges = {}
     limits: EndpointLimitNews = []
+    leaving: list[DrainNews] = []
 
 
 class GroupMembers(msgspec.Struct, array_like=True, tag="group_members"):
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
@@ -30,7 +30,6 @@
 from bulrushgrade_daemon import frontend
 from bulrushgrade_daemon import gatewaymessages
 from bulrushgrade_daemon import gatewaysettings
-from bulrushgrade_daemon import limitexchange
 from bulrushgrade_daemon import loadgossip
 from bulrushgrade_daemon import metrics
 from bulrushgrade_daemon import operatortasks
@@ -41,6 +40,7 @@
 from bulrushgrade_daemon import ratelimits
 from bulrushgrade_daemon import requestadmission
 from bulrushgrade_daemon import requestlog
+from bulrushgrade_daemon import signalexchange
 from bulrushgrade_daemon import stagecontrol
 from bulrushgrade_daemon import storetopics
 from bulrushgrade_daemon import storeview
@@ -253,7 +253,10 @@
             timers=self._timers, log=context.log
         )
         self._signals = endpointsignals.EndpointSignals(
-            timers=self._timers, limits=self._limits, log=context.log
+            timers=self._timers,
+            limits=self._limits,
+            directory=lambda: self._view.endpoints,
+            log=context.log,
         )
         self._permits = permitservice.PermitService(
             timers=self._timers,
@@ -276,6 +279,7 @@
             adapter=context.adapter,
             timers=self._timers,
             drain_s=bounds.drain_s,
+            drains=self._signals.drains,
             regained_at=lambda: self._follow_endpoints.regained_at,
             on_changed=lambda: self._chooser.forget_gone(),
             log=context.log,
@@ -435,7 +439,9 @@
             may_order=self._may_order,
             apply_changes=sharing.apply_advertised,
             handle_other=self._dispatch,
-            limits=limitexchange.LimitExchange(limits=self._limits),
+            signals=signalexchange.SignalExchange(
+                limits=self._limits, signals=self._signals
+            ),
             log=context.log,
         )
         sharing.set_gossip(self._gossip)
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadgossip.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadgossip.py
@@ -24,11 +24,11 @@
 from bulrushgrade_daemon import fleetview
 from bulrushgrade_daemon import gatewaymessages
 from bulrushgrade_daemon import grouplists
-from bulrushgrade_daemon import limitexchange
 from bulrushgrade_daemon import loadcodec
 from bulrushgrade_daemon import loadmessages
 from bulrushgrade_daemon import peeraggregators
 from bulrushgrade_daemon import peerlink as peerlink_module
+from bulrushgrade_daemon import signalexchange
 
 PERIOD_S = 0.1
 """Interval between messages to a peer in a small fleet: a fraction of the time
@@ -78,7 +78,7 @@
         may_order: Callable[[], bool],
         apply_changes: changerelay.ApplyChanges,
         handle_other: Callable[[gatewaymessages.Message], None],
-        limits: limitexchange.LimitExchange,
+        signals: signalexchange.SignalExchange,
         log: Any,
     ):
         """Makes the service.
@@ -95,7 +95,7 @@
             apply_changes: Applies cache changes that a peer observed at an
                 engine.
             handle_other: Handles messages that are not about load.
-            limits: Exchanges the limits that endpoints state.
+            signals: Exchanges what endpoints state of themselves.
             log: Logs changes of this daemon's aggregator.
         """
         self._timers = timers
@@ -110,9 +110,10 @@
             own_name=own_name,
             changes=self._changes,
             may_order=may_order,
-            next_limits=limits.next_batch,
+            next_limits=signals.next_limits,
+            next_drains=signals.next_drains,
         )
-        self._limits = limits
+        self._signals = signals
         self._handle_other = handle_other
         self._log = log
         self._fleet = fleetview.FleetView(
@@ -178,7 +179,11 @@
                 | gatewaymessages.GroupLoad()
                 | gatewaymessages.FleetLoad()
             ):
-                self._limits.merge_batch(message.limits, peer=message.peer)
+                self._signals.merge(
+                    limits=message.limits,
+                    drains=message.leaving,
+                    peer=message.peer,
+                )
         match message:
             case gatewaymessages.Load():
                 self._handle_load(message)
@@ -234,7 +239,7 @@
     def _exchange(self) -> None:
         now = self._timers.now
         self._round += 1
-        self._limits.begin_round()
+        self._signals.begin_round()
         period_s = self._period_s()
         silent_s = max(MIN_SILENCE_S, MAX_MISSED_MESSAGES * period_s)
         self._loads.stale_s = max(
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadmessages.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadmessages.py
@@ -18,6 +18,7 @@
         changes: changerelay.ChangeRelay,
         may_order: Callable[[], bool],
         next_limits: Callable[[], gatewaymessages.EndpointLimitNews],
+        next_drains: Callable[[], list[gatewaymessages.DrainNews]],
     ):
         """Makes an instance.
 
@@ -27,11 +28,13 @@
             may_order: Returns whether this daemon is able to order engines to
                 change their roles.
             next_limits: Returns the limits of endpoints to send next.
+            next_drains: Returns the leaving endpoints to send next.
         """
         self._own_name = own_name
         self._changes = changes
         self._may_order = may_order
         self._next_limits = next_limits
+        self._next_drains = next_drains
 
     def make_load(
         self, number: int, own: peerloads.Shares
@@ -45,6 +48,7 @@
             kept=self._changes.pop_for_groups(),
             may_order=self._may_order(),
             limits=self._next_limits(),
+            leaving=self._next_drains(),
         )
 
     def make_group_load(
@@ -64,6 +68,7 @@
             kept=self._changes.pop_for_groups(),
             may_order=self._may_order(),
             limits=self._next_limits(),
+            leaving=self._next_drains(),
             missing=missing,
         )
 
@@ -81,4 +86,5 @@
             engines=loadcodec.encode_shares(fleet),
             kept=self._changes.pop_for_members(),
             limits=self._next_limits(),
+            leaving=self._next_drains(),
         )
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/operatortasks.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/operatortasks.py
@@ -4,7 +4,6 @@
 from typing import Any
 
 from bulrushgrade import capacityplan
-from bulrushgrade import directory
 from bulrushgrade import usagewindows
 from bulrushgrade import workspaces
 from bulrushgrade_daemon import capacitycontrol
@@ -158,8 +157,8 @@
     def _count_running(self, service: str) -> dict[capacityplan.Pool, int]:
         running: dict[capacityplan.Pool, int] = {}
         for found in self._view.endpoints.registrations:
-            is_ready = found.state is directory.EndpointState.READY
-            if found.service == service and is_ready:
+            is_leaving = self._view.endpoints.is_leaving(found)
+            if found.service == service and not is_leaving:
                 pool = found.zone, found.is_spot
                 running[pool] = running.get(pool, 0) + 1
         return running
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/storeview.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/storeview.py
@@ -7,6 +7,7 @@
 from returns.result import Failure
 
 from bulrushgrade import directory as directory_module
+from bulrushgrade import endpointdrains
 from bulrushgrade import routing
 from bulrushgrade_daemon import adapter as adapter_module
 from bulrushgrade_daemon import decisionlog
@@ -37,6 +38,7 @@
         adapter: adapter_module.Adapter,
         timers: Any,
         drain_s: float,
+        drains: endpointdrains.EndpointDrains,
         regained_at: Callable[[], float | None],
         on_changed: Callable[[], None],
         log: decisionlog.DecisionLog,
@@ -47,6 +49,7 @@
             adapter: Decodes records.
             timers: The timer service.
             drain_s: How long a leaving endpoint may still get work.
+            drains: The endpoints that state that they are leaving.
             regained_at: Returns when the store was last regained, or None.
             on_changed: Called when endpoints may have changed.
             log: Logs each change and each invalid record.
@@ -59,7 +62,7 @@
         self._log = log
         self._table: routing.RouteTable | None = None
         self._endpoints = directory_module.Directory(
-            leaving_use_s=drain_s * LEAVING_USE_FRACTION
+            leaving_use_s=drain_s * LEAVING_USE_FRACTION, drains=drains
         )
         self._unreadable = 0
 
--- a/packages/bulrushgrade_daemon/tests/gossipscene.py
+++ b/packages/bulrushgrade_daemon/tests/gossipscene.py
@@ -4,12 +4,14 @@
 
 import fakes
 
+from bulrushgrade import directory
 from bulrushgrade import peerloads
+from bulrushgrade_daemon import endpointsignals
 from bulrushgrade_daemon import keys
-from bulrushgrade_daemon import limitexchange
 from bulrushgrade_daemon import loadgossip
 from bulrushgrade_daemon import peerlink
 from bulrushgrade_daemon import ratelimits
+from bulrushgrade_daemon import signalexchange
 from bulrushgrade_daemon import topicreader
 
 
@@ -63,6 +65,13 @@
         self.limits = ratelimits.RateLimits(
             timers=timers, log=self.lines.make()
         )
+        self.directory = directory.Directory(leaving_use_s=1.0)
+        self.signals = endpointsignals.EndpointSignals(
+            timers=timers,
+            limits=self.limits,
+            directory=lambda: self.directory,
+            log=self.lines.make(),
+        )
         self.link = peerlink.PeerLink(
             reactor=None,
             timers=timers,
@@ -89,7 +98,9 @@
             may_order=lambda: self.able,
             apply_changes=lambda e, c: self.changes.append((e, c)),
             handle_other=self.others.append,
-            limits=limitexchange.LimitExchange(limits=self.limits),
+            signals=signalexchange.SignalExchange(
+                limits=self.limits, signals=self.signals
+            ),
             log=self.lines.make(),
         )
         self.gossip.schedule()
--- a/packages/bulrushgrade_daemon/tests/limitfleet.py
+++ b/packages/bulrushgrade_daemon/tests/limitfleet.py
@@ -33,7 +33,6 @@
 from bulrushgrade_daemon import enginework
 from bulrushgrade_daemon import forwarder
 from bulrushgrade_daemon import inflight
-from bulrushgrade_daemon import limitexchange
 from bulrushgrade_daemon import loadgossip
 from bulrushgrade_daemon import outbound
 from bulrushgrade_daemon import peerlink
@@ -42,6 +41,7 @@
 from bulrushgrade_daemon import ratelimits
 from bulrushgrade_daemon import requestadmission
 from bulrushgrade_daemon import requestlog
+from bulrushgrade_daemon import signalexchange
 from bulrushgrade_daemon import topicreader
 
 HOP_S = 0.001
@@ -275,7 +275,10 @@
         )
         self.limits = ratelimits.RateLimits(timers=self.timers, log=log)
         self.signals = endpointsignals.EndpointSignals(
-            timers=self.timers, limits=self.limits, log=log
+            timers=self.timers,
+            limits=self.limits,
+            directory=lambda: self._endpoints,
+            log=log,
         )
         self.link = peerlink.PeerLink(
             reactor=None,
@@ -298,7 +301,9 @@
             may_order=lambda: True,
             apply_changes=lambda engine, changes: None,
             handle_other=lambda message: self.permits.receive(message),
-            limits=limitexchange.LimitExchange(limits=self.limits),
+            signals=signalexchange.SignalExchange(
+                limits=self.limits, signals=self.signals
+            ),
             log=log,
         )
         self.permits = permitservice.PermitService(
@@ -327,7 +332,9 @@
 
     def _make_forwarder(self, zone: str, log: decisionlog.DecisionLog) -> None:
         rng = random.Random(self.fleet.rng.random())
-        self._endpoints = directory.Directory(leaving_use_s=1.0)
+        self._endpoints = directory.Directory(
+            leaving_use_s=0.8, drains=self.signals.drains
+        )
         work = enginework.EngineWork(
             timers=self.timers,
             table=lambda: TABLE,
--- a/packages/bulrushgrade_daemon/tests/test_endpointsignals.py
+++ b/packages/bulrushgrade_daemon/tests/test_endpointsignals.py
@@ -3,6 +3,7 @@
 import fakes
 from test_directory import make as make_registration
 
+from bulrushgrade import directory
 from bulrushgrade import endpointlimits
 from bulrushgrade_daemon import dialect
 from bulrushgrade_daemon import endpointsignals
@@ -19,9 +20,14 @@
         self.clock, self.timers, _ = fakes.make_timers()
         self.lines = fakes.EventRecorder()
         log = self.lines.make()
+        self.directory = directory.Directory(leaving_use_s=1.0)
+        self.directory.put(E1, now=0.0)
         self.limits = ratelimits.RateLimits(timers=self.timers, log=log)
         self.signals = endpointsignals.EndpointSignals(
-            timers=self.timers, limits=self.limits, log=log
+            timers=self.timers,
+            limits=self.limits,
+            directory=lambda: self.directory,
+            log=log,
         )
         fakes.run(self.signals.start())
 
--- a/tools/exchangecost.py
+++ b/tools/exchangecost.py
@@ -10,13 +10,15 @@
 import attrs
 from twisted.internet import task
 
+from bulrushgrade import directory
 from bulrushgrade import peerloads
 from bulrushgrade_daemon import clock
 from bulrushgrade_daemon import decisionlog
-from bulrushgrade_daemon import limitexchange
+from bulrushgrade_daemon import endpointsignals
 from bulrushgrade_daemon import loadgossip
 from bulrushgrade_daemon import peerlink
 from bulrushgrade_daemon import ratelimits
+from bulrushgrade_daemon import signalexchange
 from bulrushgrade_daemon import topicreader
 
 SIZES = ((9, 4, 9), (63, 3, 60), (195, 6, 74), (330, 12, 1800))
@@ -101,7 +103,15 @@
             may_order=lambda: True,
             apply_changes=lambda engine, changes: None,
             handle_other=print,
-            limits=limitexchange.LimitExchange(limits=self.limits),
+            signals=signalexchange.SignalExchange(
+                limits=self.limits,
+                signals=endpointsignals.EndpointSignals(
+                    timers=timers,
+                    limits=self.limits,
+                    directory=lambda: directory.Directory(leaving_use_s=1.0),
+                    log=log,
+                ),
+            ),
             log=log,
         )
         self.link.transport = Transport(network=network, port=port)
