Send nothing to endpoints in the time without requests that they ask for

Cause: Retry-After of an endpoint's refusal was not read. A refusal concerned one request, and an engine that refuses within a millisecond and has no queue looks like the best one. Ruled out by the lines and arrivals: retries or decodes alone, hosts that return too early.

Change: the time is kept by incarnation and host, at most 60 s; each answer counts by itself, a shorter one ends none. Every sender asks in the turn of the write; the chooser, the planner and role planning leave such endpoints out, so no prompt is prefilled for a decoder that takes none. Callers who no endpoint can serve are refused at once and told to return after the backoff one by one, urgent ones first. After it a host resumes at a rate that rises from zero to the accepted one in 2 s and doubles each 5 s: the permits of limits, granted by each host for itself. An endpoint that refuses again is given less. Requests with one attempt avoid endpoints until an answer shows that they are well. The queues of claims are parted from the granting of limits for this.

--- a/packages/bulrushgrade/bulrushgrade/permits.py
+++ b/packages/bulrushgrade/bulrushgrade/permits.py
@@ -73,15 +73,25 @@
 class PermitQueue:
     """The permits for one endpoint, and the claims that wait for one."""
 
-    def __init__(self, *, per_s: float, now: float):
-        """Creates a queue that has no permit to grant yet.
+    def __init__(
+        self,
+        *,
+        per_s: float,
+        now: float,
+        permits: float = 0.0,
+        reserve: float = RESERVE,
+    ):
+        """Creates a queue without claims.
 
         Args:
             per_s: Permits per second.
             now: The current time.
+            permits: Permits that it has already.
+            reserve: Permits that are left for more urgent claims.
         """
         self._per_s = max(per_s, _MIN_RATE_PER_S)
-        self._permits = 0.0
+        self._permits = permits
+        self._reserve = reserve
         self._filled_at = now
         self._waiting: list[Claim] = []
         # When a claim of each urgency came last.
@@ -172,7 +182,7 @@
             urgency < claim.urgency and now - at < RESERVE_MEMORY_S
             for urgency, at in self._asked_at.items()
         )
-        return 1.0 + RESERVE if has_more_urgent else 1.0
+        return 1.0 + self._reserve if has_more_urgent else 1.0
 
     def _wait_s(self, claim: Claim, before: int, now: float) -> float:
         """Returns the wait of a claim with a number of others before it."""
@@ -182,5 +192,5 @@
     def _fill(self, now: float) -> None:
         passed_s = max(0.0, now - self._filled_at)
         self._filled_at = now
-        most = 1.0 + RESERVE + BURST_S * self._per_s
+        most = 1.0 + self._reserve + BURST_S * self._per_s
         self._permits = min(self._permits + passed_s * self._per_s, most)
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/cachewatch.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/cachewatch.py
@@ -85,7 +85,7 @@
         engines: Callable[[], list[directory_module.Registration]],
         read: ReadChanges,
         apply: Callable[..., None],
-        is_limited: Callable[[directory_module.Registration], bool],
+        needs_permit: Callable[[directory_module.Registration], bool],
         may_read: Callable[[directory_module.Registration], Awaitable[bool]],
         guard: Callable[
             [directory_module.Registration], endpointsignals.CallGuard
@@ -100,7 +100,8 @@
             read: Returns an engine's changes from a number on.
             apply: Applies an engine's changes; `reset` tells it to drop the
                 earlier ones first.
-            is_limited: Returns whether an engine limits its requests.
+            needs_permit: Returns whether not all calls to an engine may be
+                made.
             may_read: Returns whether such an engine has room for a read.
             guard: Returns the checks of calls to an engine.
             on_broken: Called with the reason if an invariant is violated.
@@ -109,7 +110,7 @@
         self._engines = engines
         self._read = read
         self._apply = apply
-        self._is_limited = is_limited
+        self._needs_permit = needs_permit
         self._may_read = may_read
         self._guard = guard
         self._on_broken = on_broken
@@ -159,7 +160,7 @@
         self, engine: directory_module.Registration, position: _ReadPosition
     ) -> None:
         period_s = READ_PERIOD_S
-        if self._is_limited(engine):
+        if self._needs_permit(engine):
             period_s = LIMITED_READ_PERIOD_S
             if not await self._may_read(engine):
                 position.is_reading = False
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointcalls.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointcalls.py
@@ -67,7 +67,7 @@
             or request.info.last_event_id,
             prefilled_by=prefilled,
             urgency=_urgency(request),
-            fetch_from=None if prefilled else _fetch_address(request),
+            fetch_from=None if prefilled else self._fetch_address(request),
         )
         return await self._send(request, forwarding)
 
@@ -82,7 +82,7 @@
             left_s=0.0,
             prefill_only=True,
             urgency=_urgency(request),
-            fetch_from=_fetch_address(request),
+            fetch_from=self._fetch_address(request),
         )
         sent = await self._send(request, forwarding)
         if isinstance(sent, inflight.AttemptEnd):
@@ -160,6 +160,13 @@
             connect_timeout_s=CONNECT_TIMEOUT_S,
         )
 
+    def _fetch_address(self, request: inflight.InFlight) -> str | None:
+        """Returns the engine that cached parts are fetched from, or None."""
+        source = request.plan.fetch_from if request.plan else None
+        if source is None or self._signals.backoff_left_s(source) > 0:
+            return None
+        return f"{source.host}:{source.port}"
+
     async def _send(
         self,
         request: inflight.InFlight,
@@ -273,11 +280,6 @@
     return "repeat" if request.history.arrivals else "first"
 
 
-def _fetch_address(request: inflight.InFlight) -> str | None:
-    source = request.plan.fetch_from if request.plan else None
-    return f"{source.host}:{source.port}" if source else None
-
-
 def _as_prefill_end(ended: inflight.AttemptEnd) -> inflight.AttemptEnd:
     """Returns the end of a prefill: a lost one means that nothing has run."""
     if ended.outcome is attempts.Outcome.LOST:
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointchooser.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointchooser.py
@@ -136,16 +136,25 @@
     def book_return_s(
         self, request: inflight.InFlight, max_return_s: float
     ) -> float | None:
-        """Returns when a caller should return for an endpoint at its limit.
+        """Returns when a caller should return for an endpoint without room.
 
-        None if no endpoint is at its limit.
+        None if no endpoint is at its limit or wants no requests.
 
         Args:
             request: The request.
             max_return_s: How long the caller may stay away.
         """
-        usable = self._usable(request.service, self._timers.now)
-        return self._permits.book_return_s(usable, max_return_s)
+        usable = self._in_service(request.service, self._timers.now)
+        return self._permits.book_return_s(
+            usable, urgency=request.urgency, max_return_s=max_return_s
+        )
+
+    def has_room(self, request: inflight.InFlight) -> bool:
+        """Returns whether an endpoint may have room to run a request now."""
+        return any(
+            endpoint.stage is not directory_module.Stage.PREFILL
+            for endpoint in self._open(request, self._timers.now)
+        )
 
     def is_usable(self, endpoint: directory_module.Registration) -> bool:
         """Returns whether an endpoint may still get requests."""
@@ -161,7 +170,7 @@
         return any(
             other.stage is endpoint.stage
             and other.incarnation not in request.avoid
-            and not self._permits.is_limited(other)
+            and not self._permits.needs_permit(other)
             for other in self._usable(request.service, self._timers.now)
         )
 
@@ -315,25 +324,28 @@
     ) -> list[directory_module.Registration]:
         """Returns the engines that are not known to be lost or limited.
 
-        Engines that this daemon has ejected count as live if peers have
-        streams at them. Otherwise a daemon that alone and briefly fails to
-        reach all decoders would order a prefiller to replace them.
+        Engines that this daemon has ejected, or that want nothing from it for
+        a time, count as live if peers have streams at them. Otherwise a daemon
+        that alone and briefly fails to reach all decoders would order a
+        prefiller to replace them.
 
         Engines that state a limit do little of their role's work and look
         idle. If they counted, a role would give up those that do it.
         """
         usable = [
             engine
-            for engine in self._usable(service, now)
+            for engine in self._in_service(service, now)
             if not self._permits.is_limited(engine)
         ]
-        not_ejected = self._balancer.eligible(
-            usable, avoid=frozenset(), now=now
+        in_use = self._balancer.eligible(
+            [e for e in usable if self._permits.backoff_s(e) <= 0],
+            avoid=frozenset(),
+            now=now,
         )
         return [
             engine
             for engine in usable
-            if engine in not_ejected or fleet.has_peer_streams(engine, now)
+            if engine in in_use or fleet.has_peer_streams(engine, now)
         ]
 
     def record_stage_change(
@@ -368,6 +380,21 @@
     def _usable(
         self, service: str, now: float
     ) -> list[directory_module.Registration]:
+        """Returns the endpoints that want requests of this host now."""
+        return [
+            endpoint
+            for endpoint in self._in_service(service, now)
+            if self._permits.backoff_s(endpoint) <= 0
+        ]
+
+    def _in_service(
+        self, service: str, now: float
+    ) -> list[directory_module.Registration]:
+        """Returns the endpoints, with those that want no requests for a time.
+
+        Leaving endpoints are among them only if all others have gone, not if
+        these want no requests: they would be overloaded while they leave.
+        """
         usable = self._endpoints.usable(service, now=now)
         return self._changes.exclude_changing(usable, now)
 
@@ -377,12 +404,32 @@
         """Returns the usable endpoints that may have room for a request."""
         usable = self._usable(request.service, now)
         if request.denials >= MAX_DENIALS:
-            return [e for e in usable if not self._permits.is_limited(e)]
-        return [
+            return [e for e in usable if not self._permits.needs_permit(e)]
+        open_now = [
             endpoint
             for endpoint in usable
             if self._permits.closed_s(endpoint, request.urgency) <= 0
         ]
+        if request.route.max_attempts > 1 and request.route.repeatable:
+            return open_now
+        return self._prefer_confirmed(open_now)
+
+    def _prefer_confirmed(
+        self, endpoints: list[directory_module.Registration]
+    ) -> list[directory_module.Registration]:
+        """Drops endpoints whose backoff may go on, if others of a role don't.
+
+        If such an endpoint refuses a request that has no other attempt, its
+        caller is refused, and a prefill for it is wasted.
+        """
+        found = []
+        for stage in (None, *directory_module.Stage):
+            of_stage = [e for e in endpoints if e.stage is stage]
+            confirmed = [
+                e for e in of_stage if not self._permits.is_unconfirmed(e)
+            ]
+            found += confirmed or of_stage
+        return found
 
     def _planner(self, service: str) -> engineplan.EnginePlanner:
         fleet = self._work.fleet(service)
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointsignals.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointsignals.py
@@ -24,11 +24,17 @@
 REPORT_PERIOD_S = 4.0
 """Interval between log lines about requests that endpoints did not want."""
 
+ACCEPTED_KINDS = frozenset(
+    {endpointlimits.AnswerKind.RUN, endpointlimits.AnswerKind.PREFILL}
+)
+"""Kinds of answers that show that an endpoint accepts callers' requests."""
+
 
 class Reason(enum.Enum):
     """Why nothing may be sent to an endpoint."""
 
     LEAVING = "leaving"
+    BACKOFF = "backoff"
 
 
 @attrs.frozen(kw_only=True)
@@ -89,6 +95,11 @@
         """The endpoints that state that they are leaving."""
         return self._drains
 
+    @property
+    def backoffs(self) -> endpointbackoffs.EndpointBackoffs:
+        """The backoffs that endpoints asked for."""
+        return self._backoffs
+
     @property
     def counts(self) -> dict[str, int]:
         """Statements by kind, and requests sent in spite of them."""
@@ -138,8 +149,20 @@
         """
         if not self._directory().accepts(endpoint, now=self._timers.now):
             return Reason.LEAVING
+        if self.backoff_left_s(endpoint) > 0:
+            return Reason.BACKOFF
         return None
 
+    def backoff_left_s(self, endpoint: directory_module.Registration) -> float:
+        """Returns how long an endpoint wants nothing from this host."""
+        return self._backoffs.left_s(endpoint.incarnation, self._timers.now)
+
+    def is_unconfirmed(self, endpoint: directory_module.Registration) -> bool:
+        """Returns whether no request shows yet that a backoff has ended."""
+        return self._backoffs.is_unconfirmed(
+            endpoint.incarnation, self._timers.now
+        )
+
     def unrecorded_drains(self) -> list[endpointlimits.Incarnation]:
         """Returns the drains that the store's records don't show yet."""
         directory = self._directory()
@@ -265,6 +288,8 @@
             )
         if verdict.backoff_s is not None:
             self._observe_backoff(endpoint, verdict.backoff_s, kind, request_id)
+        elif not verdict.not_run and kind in ACCEPTED_KINDS:
+            self._backoffs.observe_accepted(endpoint.incarnation, sent_at, now)
 
     def _observe_backoff(
         self,
@@ -282,10 +307,14 @@
                 born_ms=endpoint.born_ms,
                 stated_s=stated_s,
                 left_s=self._backoffs.left_s(endpoint.incarnation, now),
+                accepted_per_s=self._describe_accepted(endpoint.incarnation),
                 source=kind.value,
                 request=request_id,
             )
 
+    def _describe_accepted(self, endpoint: endpointlimits.Incarnation) -> float:
+        return round(self._backoffs.find(endpoint).accepted_per_s, 2)
+
     def _record_drain(
         self, endpoint: endpointlimits.Incarnation, **fields: Any
     ) -> None:
@@ -302,6 +331,10 @@
     def _report(self) -> None:
         now = self._timers.now
         self._drains.forget(now, self._directory().knows)
+        for endpoint in self._backoffs.expire(now):
+            self._log.note(
+                "endpoint_recovered", endpoint=endpoint[0], born_ms=endpoint[1]
+            )
         unwanted, self._unwanted = self._unwanted, {}
         for endpoint, counts in unwanted.items():
             backoff = self._backoffs.find(endpoint)
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
@@ -301,7 +301,10 @@
             decoder = await self._choose_decoder(request)
             request.endpoint = decoder or request.plan.decode
             if decoder is None:
-                is_withheld = self._permits.is_limited(request.plan.decode)
+                planned = request.plan.decode
+                is_withheld = self._permits.needs_permit(
+                    planned
+                ) or not self._chooser.is_usable(planned)
                 return inflight.AttemptEnd(
                     outcome=attempts.Outcome.WITHHELD
                     if is_withheld
@@ -463,6 +466,8 @@
         quarantined_s = self._quarantined_s(request)
         if quarantined_s > 0:
             return quarantined_s
+        if not self._chooser.has_room(request):
+            self._permits.note_refusal(request)
         if request.permit_retry_s is not None:
             return request.permit_retry_s
         return retryshare.choose_retry_after_s(
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
@@ -262,6 +262,7 @@
             timers=self._timers,
             own_name=self._own_name,
             limits=self._limits,
+            signals=self._signals,
             contacts=permitgranter.Contacts(
                 find_owners=lambda key: self._gossip.fleet.find_owners(key),
                 present=lambda: self._gossip.fleet.present,
@@ -450,7 +451,7 @@
             engines=sharing.followed_engines,
             read=context.adapter.read_cache_changes,
             apply=sharing.apply_observed,
-            is_limited=self._permits.is_limited,
+            needs_permit=self._permits.needs_permit,
             may_read=self._permits.acquire_spare,
             guard=self._signals.guard,
             on_broken=context.kernel.fail,
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/inflight.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/inflight.py
@@ -189,9 +189,15 @@
             return fingerprint_module.make_caller_id(self.workspace.name)
         return fingerprint_module.make_caller_id(self.caller.address)
 
-    def observe_denial(self, retry_s: float) -> None:
-        """Takes in that an endpoint's limit leaves no room for it."""
+    def observe_denial(self, retry_s: float | None) -> None:
+        """Takes in that an endpoint has no room for it.
+
+        Args:
+            retry_s: Time after which it may have room, or None if unknown.
+        """
         self.denials += 1
+        if retry_s is None:
+            return
         if self.permit_retry_s is None or retry_s < self.permit_retry_s:
             self.permit_retry_s = retry_s
 
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/permitgranter.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/permitgranter.py
@@ -16,13 +16,10 @@
 from bulrushgrade import fleetmembers
 from bulrushgrade import hostshare
 from bulrushgrade import permits as permits_module
+from bulrushgrade_daemon import claimqueues
 from bulrushgrade_daemon import decisionlog
 from bulrushgrade_daemon import ratelimits
 
-MIN_WAKEUP_S = 0.001
-"""Minimum time until waiting claims are checked again. Timers may fire a little
-early, when the next permit is not quite earned."""
-
 NOT_OWNER_PAUSE_S = 0.1
 """Time for which an endpoint is not used if the queried host does not take
 itself for its owner. Hosts agree again with one of the next messages."""
@@ -39,9 +36,6 @@
 """The same for a host that replaces an owner that fell silent. If that owner
 is alive, it has lost its peers at about the same time."""
 
-Decide = Callable[[permits_module.Decision], None]
-"""Called with the decision on a claim."""
-
 
 @attrs.frozen(kw_only=True)
 class _Owner:
@@ -109,25 +103,27 @@
         self._seen: list[str] = []
         self._view_changed_at = timers.now
         self._owners: dict[endpointlimits.Incarnation, _Owner] = {}
-        self._queues: dict[
-            endpointlimits.Incarnation, permits_module.PermitQueue
-        ] = {}
-        self._wakeups: dict[endpointlimits.Incarnation, Any] = {}
-        # The claims that wait.
-        self._claimants: dict[Hashable, Decide] = {}
+
+        def observe_grant() -> None:
+            counts["granted"] += 1
+
+        self._queues = claimqueues.ClaimQueues(
+            timers=timers,
+            make_queue=lambda endpoint: permits_module.PermitQueue(
+                per_s=self._rate_per_s(endpoint), now=timers.now
+            ),
+            rate_per_s=self._rate_per_s,
+            observe_grant=observe_grant,
+        )
 
     def stop(self) -> None:
         """Cancels all timers."""
-        for wakeup in self._wakeups.values():
-            wakeup.cancel()
+        self._queues.stop()
 
     def dump(self) -> dict[str, Any]:
         """Returns the queues, and the part of limits that is granted."""
         return {
-            "queues": {
-                endpoint[0]: {"per_s": queue.per_s, "waiting": len(queue)}
-                for endpoint, queue in self._queues.items()
-            },
+            "queues": self._queues.dump(),
             "fraction": round(self._share.fraction(self._timers.now), 3),
         }
 
@@ -139,7 +135,7 @@
         self,
         endpoint: endpointlimits.Incarnation,
         claim: permits_module.Claim,
-        decide: Decide,
+        decide: claimqueues.Decide,
     ) -> None:
         """Decides on a claim now or later.
 
@@ -160,8 +156,7 @@
             )
             decide(decision)
             return
-        self._claimants[claim.key] = decide
-        self._apply(endpoint, self._queue(endpoint).submit(claim, now))
+        self._queues.submit(endpoint, claim, decide)
 
     def _pause_s(
         self, endpoint: endpointlimits.Incarnation, now: float
@@ -176,10 +171,7 @@
         self, endpoint: endpointlimits.Incarnation, key: Hashable
     ) -> None:
         """Drops a claim that is not needed any more."""
-        self._claimants.pop(key, None)
-        queue = self._queues.get(endpoint)
-        if queue is not None:
-            queue.withdraw(key)
+        self._queues.withdraw(endpoint, key)
 
     def check(self) -> None:
         """Checks for changed owners and lost peers; called periodically."""
@@ -197,50 +189,13 @@
             self._owner(endpoint)
         for endpoint in self._owners.keys() - limited:
             del self._owners[endpoint]
-        for endpoint in list(self._queues):
+        for endpoint in self._queues.endpoints:
             self._check_queue(endpoint, endpoint in limited)
 
-    def _queue(
-        self, endpoint: endpointlimits.Incarnation
-    ) -> permits_module.PermitQueue:
-        now = self._timers.now
+    def _rate_per_s(self, endpoint: endpointlimits.Incarnation) -> float:
+        """Returns the rate that this side grants."""
         per_s = max(self._limits.limit_of(endpoint) or 0.0, MIN_RATE_PER_S)
-        per_s *= self._share.fraction(now)
-        queue = self._queues.get(endpoint)
-        if queue is None:
-            queue = permits_module.PermitQueue(per_s=per_s, now=now)
-            self._queues[endpoint] = queue
-        else:
-            queue.set_rate(per_s, now)
-        return queue
-
-    def _apply(
-        self,
-        endpoint: endpointlimits.Incarnation,
-        decisions: list[permits_module.Decision],
-    ) -> None:
-        """Passes decisions on and schedules the next ones."""
-        for decision in decisions:
-            decide = self._claimants.pop(decision.key, None)
-            if decision.granted:
-                self._counts["granted"] += 1
-            if decide is not None:
-                decide(decision)
-        wakeup = self._wakeups.pop(endpoint, None)
-        if wakeup is not None:
-            wakeup.cancel()
-        queue = self._queues.get(endpoint)
-        due_s = None if queue is None else queue.next_due_s(self._timers.now)
-        if due_s is not None:
-            self._wakeups[endpoint] = self._timers.after(
-                max(due_s, MIN_WAKEUP_S), lambda: self._wake(endpoint)
-            )
-
-    def _wake(self, endpoint: endpointlimits.Incarnation) -> None:
-        self._wakeups.pop(endpoint, None)
-        if endpoint in self._queues:
-            queue = self._queue(endpoint)
-            self._apply(endpoint, queue.decide(self._timers.now))
+        return per_s * self._share.fraction(self._timers.now)
 
     def _owner(self, endpoint: endpointlimits.Incarnation) -> _Owner:
         """Returns an endpoint's owner, and notes if it has changed."""
@@ -276,8 +231,4 @@
         is_own = is_limited and self._owner(endpoint).name == self._own_name
         if is_own:
             return
-        queue = self._queues.pop(endpoint)
-        decisions = queue.close(self._timers.now)
-        if not is_limited:
-            decisions = [attrs.evolve(one, granted=True) for one in decisions]
-        self._apply(endpoint, decisions)
+        self._queues.close(endpoint, grants=not is_limited)
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/permitservice.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/permitservice.py
@@ -1,6 +1,8 @@
-"""Acquires permits for requests to endpoints that state a limit.
+"""Acquires permits for requests to endpoints that don't accept all of them.
 
-The owner of an endpoint grants the permits of all hosts. A host that gets no
+An endpoint that is leaving or backs off gets none. After a backoff, this host
+grants its own permits for a while. For an endpoint that states a limit, the
+owner of the endpoint grants the permits of all hosts. A host that gets no
 reply from it has no permit: it serves the request at another endpoint or
 refuses it.
 """
@@ -21,10 +23,12 @@
 from bulrushgrade import permits as permits_module
 from bulrushgrade import routing
 from bulrushgrade_daemon import decisionlog
+from bulrushgrade_daemon import endpointsignals
 from bulrushgrade_daemon import gatewaymessages
 from bulrushgrade_daemon import peerqueries
 from bulrushgrade_daemon import permitgranter
 from bulrushgrade_daemon import ratelimits
+from bulrushgrade_daemon import recoverypermits
 
 CHECK_PERIOD_S = 0.1
 """Interval between checks for changed owners and lost peers."""
@@ -86,10 +90,11 @@
     """No request may be sent to an endpoint.
 
     Attributes:
-        retry_s: Time after which the caller may expect a permit.
+        retry_s: Time after which the caller may expect a permit, None if it is
+            found only once the request is refused.
     """
 
-    retry_s: float
+    retry_s: float | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -119,6 +124,7 @@
         timers: Any,
         own_name: str,
         limits: ratelimits.RateLimits,
+        signals: endpointsignals.EndpointSignals,
         contacts: permitgranter.Contacts,
         send: Callable[[str, gatewaymessages.Message], bool],
         log: decisionlog.DecisionLog,
@@ -129,6 +135,7 @@
             timers: The timer service.
             own_name: This daemon's name among its peers.
             limits: The limits that endpoints state.
+            signals: What else endpoints state of themselves.
             contacts: Tells which hosts there are.
             send: Sends a message to a peer; returns whether its address is
                 known.
@@ -137,6 +144,7 @@
         self._timers = timers
         self._own_name = own_name
         self._limits = limits
+        self._signals = signals
         self._contacts = contacts
         self._send = send
         self._queries = peerqueries.PeerQueries(
@@ -153,6 +161,13 @@
             counts=self._counts,
             log=log,
         )
+        self._recovery = recoverypermits.RecoveryPermits(
+            timers=timers,
+            own_name=own_name,
+            backoffs=signals.backoffs,
+            count_hosts=lambda: len(contacts.present()),
+            counts=self._counts,
+        )
         self._tick: Any = None
 
     @property
@@ -169,6 +184,7 @@
         if self._tick is not None:
             self._tick.cancel()
         self._granter.stop()
+        self._recovery.stop()
 
     def receive(self, message: Any) -> None:
         """Handles a peer's query, reply or withdrawal."""
@@ -187,6 +203,7 @@
         now = self._timers.now
         return {
             **self._granter.dump(),
+            "recovering": self._recovery.dump(),
             "closed": {
                 endpoint[0]: round(closure.until - now, 3)
                 for endpoint, closure in self._closures.items()
@@ -199,6 +216,22 @@
         """Returns whether an endpoint states a limit."""
         return self._limits.limit_of(endpoint.incarnation) is not None
 
+    def needs_permit(self, endpoint: directory_module.Registration) -> bool:
+        """Returns whether not all requests to an endpoint may be sent."""
+        return (
+            self.is_limited(endpoint)
+            or self.backoff_s(endpoint) > 0
+            or self._recovery.needs_permit(endpoint.incarnation)
+        )
+
+    def backoff_s(self, endpoint: directory_module.Registration) -> float:
+        """Returns how long an endpoint wants nothing from this host."""
+        return self._signals.backoff_left_s(endpoint)
+
+    def is_unconfirmed(self, endpoint: directory_module.Registration) -> bool:
+        """Returns whether no request shows yet that a backoff has ended."""
+        return self._signals.is_unconfirmed(endpoint)
+
     def closed_s(
         self, endpoint: directory_module.Registration, urgency: int
     ) -> float:
@@ -206,7 +239,7 @@
         closure = self._closures.get(endpoint.incarnation)
         if closure is None or urgency < closure.urgency:
             return 0.0
-        if not self.is_limited(endpoint):
+        if not self.needs_permit(endpoint):
             return 0.0
         return max(0.0, closure.until - self._timers.now)
 
@@ -219,8 +252,17 @@
             endpoint: The endpoint.
             need: What the permit is for.
         """
-        if not self.is_limited(endpoint):
+        if not self.needs_permit(endpoint):
             return Permit()
+        if self.backoff_s(endpoint) > 0:
+            return Denial()
+        if self._recovery.needs_permit(endpoint.incarnation):
+            decision = await self._claim_recovery(endpoint, need)
+            if not decision.granted:
+                self._close(endpoint.incarnation, decision, need.urgency)
+                return Denial()
+        if not self.is_limited(endpoint):
+            return Permit(use_by=self._timers.now + need.use_within_s)
         owner = self._granter.find_owner(endpoint.incarnation)
         if owner == self._own_name:
             decision = await self._claim_here(endpoint, need)
@@ -246,20 +288,41 @@
     def book_return_s(
         self,
         endpoints: Iterable[directory_module.Registration],
+        urgency: int,
         max_return_s: float,
     ) -> float | None:
         """Returns when a caller that is refused here should return.
 
-        All hosts refuse callers until the next permit, so this host has its
-        callers return at its part of the rate. The owner sets the times of
-        those for which it was asked.
-
         Args:
             endpoints: The endpoints that may serve the request.
+            urgency: The urgency of the request.
             max_return_s: How long the caller may stay away.
 
         Returns:
-            The time in seconds, or None if no endpoint is at its limit.
+            The time in seconds, or None if no endpoint is at its limit or
+            backs off.
+        """
+        endpoints = list(endpoints)
+        found = (
+            self._book_return_to_limited(endpoints, max_return_s),
+            self._recovery.book_return_s(
+                (e.incarnation for e in endpoints),
+                urgency=urgency,
+                max_return_s=max_return_s,
+            ),
+        )
+        return min((one for one in found if one is not None), default=None)
+
+    def _book_return_to_limited(
+        self,
+        endpoints: list[directory_module.Registration],
+        max_return_s: float,
+    ) -> float | None:
+        """Returns when a caller should return to endpoints at their limits.
+
+        All hosts refuse callers until the next permit, so this host has its
+        callers return at its part of the rate. The owner sets the times of
+        those for which it was asked.
         """
         now = self._timers.now
         closed = [e.incarnation for e in endpoints if self.is_limited(e)]
@@ -301,14 +364,30 @@
     async def _claim_here(
         self, endpoint: directory_module.Registration, need: Need
     ) -> permits_module.Decision:
+        return await self._claim_from(self._granter, endpoint, need)
+
+    async def _claim_recovery(
+        self, endpoint: directory_module.Registration, need: Need
+    ) -> permits_module.Decision:
+        decision = await self._claim_from(self._recovery, endpoint, need)
+        open_s = min(decision.open_s, recoverypermits.MAX_CLOSED_S)
+        return attrs.evolve(decision, open_s=open_s, retry_s=0.0)
+
+    async def _claim_from(
+        self,
+        source: permitgranter.PermitGranter | recoverypermits.RecoveryPermits,
+        endpoint: directory_module.Registration,
+        need: Need,
+    ) -> permits_module.Decision:
+        """Claims a permit that this host grants."""
         key = (self._own_name, next(self._numbers))
         decided: defer.Deferred = defer.Deferred()
         claim = _make_claim(key, need, self._timers.now)
-        self._granter.submit(endpoint.incarnation, claim, decided.callback)
+        source.submit(endpoint.incarnation, claim, decided.callback)
         try:
             return await decided
         except defer.CancelledError:
-            self._granter.withdraw(endpoint.incarnation, key)
+            source.withdraw(endpoint.incarnation, key)
             raise
 
     async def _claim_at(
@@ -392,6 +471,7 @@
 
     def _check(self) -> None:
         self._granter.check()
+        self._recovery.check()
         now = self._timers.now
         self._closures = {
             endpoint: closure
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/requestpermits.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/requestpermits.py
@@ -14,7 +14,7 @@
 
 
 class RequestPermits:
-    """Acquires permits for requests to endpoints that state a limit."""
+    """Acquires permits for requests to endpoints that don't accept all."""
 
     def __init__(
         self,
@@ -34,9 +34,9 @@
         self._permits = permits
         self._chooser = chooser
 
-    def is_limited(self, endpoint: directory_module.Registration) -> bool:
-        """Returns whether an endpoint states a limit."""
-        return self._permits.is_limited(endpoint)
+    def needs_permit(self, endpoint: directory_module.Registration) -> bool:
+        """Returns whether not all requests to an endpoint may be sent."""
+        return self._permits.needs_permit(endpoint)
 
     async def acquire_for_plan(
         self,
@@ -63,7 +63,7 @@
                 use_within_s=permitservice.RESERVATION_TTL_S,
             ):
                 return False
-            if self._permits.is_limited(endpoint):
+            if self._permits.needs_permit(endpoint):
                 request.reservation = (endpoint, request.permit)
         return await self.acquire(request, plan.prefill)
 
@@ -82,7 +82,7 @@
             use_within_s: How long the permit is to last.
         """
         request.permit = permitservice.Permit()
-        if not self._permits.is_limited(endpoint):
+        if not self._permits.needs_permit(endpoint):
             return True
         waited_s = self._timers.now - request.caller.arrived_at
         max_wait_s = 0.0
@@ -117,7 +117,7 @@
         return decoder
 
     def note_refusal(self, request: inflight.InFlight) -> None:
-        """Sets when the caller should return if all endpoints are full."""
+        """Sets when the caller should return if no endpoint has room."""
         if request.permit_retry_s is None:
             request.permit_retry_s = self._chooser.book_return_s(
                 request, self._max_return_s(request)
--- a/packages/bulrushgrade_daemon/tests/fakes.py
+++ b/packages/bulrushgrade_daemon/tests/fakes.py
@@ -44,16 +44,29 @@
     def __init__(self):
         # Seconds until each endpoint at its limit has room, by its id.
         self.closed = {}
+        # Seconds for which endpoints want nothing, by their ids.
+        self.backing_off = {}
+        self.unconfirmed = set()
         self.needs = []
 
     def is_limited(self, endpoint):
         return endpoint.id in self.closed
 
+    def needs_permit(self, endpoint):
+        return endpoint.id in self.closed or endpoint.id in self.backing_off
+
+    def backoff_s(self, endpoint):
+        return self.backing_off.get(endpoint.id, 0.0)
+
+    def is_unconfirmed(self, endpoint):
+        return endpoint.id in self.unconfirmed
+
     def closed_s(self, endpoint, urgency):
         return self.closed.get(endpoint.id, 0.0)
 
-    def book_return_s(self, endpoints, max_return_s):
-        waits_s = [self.closed.get(e.id) for e in endpoints]
+    def book_return_s(self, endpoints, *, urgency, max_return_s):
+        waits = self.closed | self.backing_off
+        waits_s = [waits.get(e.id) for e in endpoints]
         return min((s for s in waits_s if s is not None), default=None)
 
     async def acquire(self, endpoint, need):
--- a/packages/bulrushgrade_daemon/tests/gossipscene.py
+++ b/packages/bulrushgrade_daemon/tests/gossipscene.py
@@ -65,13 +65,15 @@
         self.limits = ratelimits.RateLimits(
             timers=timers, log=self.lines.make()
         )
-        self.directory = directory.Directory(leaving_use_s=1.0)
         self.signals = endpointsignals.EndpointSignals(
             timers=timers,
             limits=self.limits,
             directory=lambda: self.directory,
             log=self.lines.make(),
         )
+        self.directory = directory.Directory(
+            leaving_use_s=1.0, drains=self.signals.drains
+        )
         self.link = peerlink.PeerLink(
             reactor=None,
             timers=timers,
--- a/packages/bulrushgrade_daemon/tests/limitfleet.py
+++ b/packages/bulrushgrade_daemon/tests/limitfleet.py
@@ -1,15 +1,19 @@
-"""Emulates a fleet of hosts before endpoints that limit their requests.
+"""Emulates a fleet of hosts before endpoints that don't accept all requests.
 
 The hosts' own modules run on simulated time: the exchange of loads, permits,
 the choice of endpoints and the forwarder. The network, the endpoints and the
 callers are emulated, with what can go wrong among them: datagrams are lost,
 hosts end, restart and are cut off from each other, endpoints restart under
-their ids, limits move and end.
+their ids, limits move and end. Endpoints refuse requests above their capacity,
+or all of them for a time, and ask for a time without requests; they leave.
 """
 
+import bisect
 from collections.abc import Callable
 from collections.abc import Iterable
+import heapq
 import itertools
+import math
 import random
 from typing import Any
 
@@ -85,7 +89,15 @@
         limit: Requests per second that it states to accept, or None.
         is_up: Whether it accepts connections.
         failing: The fraction of its requests that fail.
+        work_s: The time that it works on a request.
+        slots: Requests that it works on at the same time, None for any number.
+        queue: Requests that may wait for a slot.
+        refuses_until: Until when it refuses all requests.
+        backoff_s: The time without requests that its refusals ask for, or None.
+        is_leaving: Whether it says so in its answers.
         arrivals: Times and hosts of all requests.
+        refusals: Times and hosts of the requests that it refused.
+        told_leaving: When each host first got an answer that says so.
     """
 
     id: str
@@ -93,7 +105,74 @@
     limit: float | None = None
     is_up: bool = True
     failing: float = 0.0
+    work_s: float = WORK_S
+    slots: int | None = None
+    queue: int = 0
+    refuses_until: float = 0.0
+    backoff_s: float | None = None
+    is_leaving: bool = False
     arrivals: list[tuple[float, str]] = attrs.field(factory=list)
+    refusals: list[tuple[float, str]] = attrs.field(factory=list)
+    told_leaving: dict[str, float] = attrs.field(factory=dict)
+    # When each slot is free.
+    _free_at: list[float] = attrs.field(factory=list)
+
+    def begin(self, now: float) -> float | None:
+        """Returns when it ends a request that arrives now, None if it refuses.
+
+        Args:
+            now: The current time.
+        """
+        if now < self.refuses_until:
+            return None
+        if self.slots is None:
+            return now + self.work_s
+        if len(self._free_at) < self.slots:
+            self._free_at += [0.0] * (self.slots - len(self._free_at))
+        # Each request that waits has made a slot busy for longer than a whole
+        # request from now.
+        waiting = sum(
+            math.ceil((at - now) / self.work_s - 1)
+            for at in self._free_at
+            if at > now + self.work_s
+        )
+        begins_at = max(now, self._free_at[0])
+        if begins_at > now and waiting >= self.queue:
+            return None
+        ends_at = begins_at + self.work_s
+        heapq.heapreplace(self._free_at, ends_at)
+        return ends_at
+
+    def most_in_backoff(self, notice_s: float, since: float = 0.0) -> int:
+        """Returns the most requests of one host in a time it wanted none.
+
+        Args:
+            notice_s: Time after a refusal from which on they count.
+            since: Refusals before this time don't count.
+        """
+        most = 0
+        by_host: dict[str, list[float]] = {}
+        for at, host in self.arrivals:
+            by_host.setdefault(host, []).append(at)
+        for at, host in self.refusals:
+            if at < since or self.backoff_s is None:
+                continue
+            times = by_host[host]
+            first = bisect.bisect_right(times, at + notice_s)
+            last = bisect.bisect_left(times, at + self.backoff_s)
+            most = max(most, last - first)
+        return most
+
+    def last_after_leaving_s(self) -> float:
+        """Returns for how long a host sent on after it was told."""
+        return max(
+            (
+                at - self.told_leaving[host]
+                for at, host in self.arrivals
+                if host in self.told_leaving
+            ),
+            default=0.0,
+        )
 
     def count(self, since: float, until: float) -> int:
         """Returns the number of requests in a time span."""
@@ -190,7 +269,8 @@
         host, fleet = self._host, self._host.fleet
         sent_at = fleet.now
         endpoint = fleet.endpoints[registration.id]
-        if not request.permit.is_valid(sent_at):
+        is_wanted = host.signals.why_withheld(registration) is None
+        if not is_wanted or not request.permit.is_valid(sent_at):
             return inflight.AttemptEnd(
                 outcome=attempts.Outcome.WITHHELD, reason="withheld"
             )
@@ -202,16 +282,28 @@
         await host.timers.sleep(HOP_S)
         endpoint.arrivals.append((fleet.now, host.name))
         born_ms = endpoint.born_ms
-        await host.timers.sleep(WORK_S + HOP_S)
+        ends_at = endpoint.begin(fleet.now)
+        has_refused = ends_at is None
+        if has_refused:
+            endpoint.refusals.append((fleet.now, host.name))
+        else:
+            await host.timers.sleep(ends_at - fleet.now)
+        if endpoint.is_leaving:
+            endpoint.told_leaving.setdefault(host.name, fleet.now)
+        await host.timers.sleep(HOP_S)
         if not endpoint.is_up or endpoint.born_ms != born_ms:
             return inflight.AttemptEnd(
                 outcome=attempts.Outcome.LOST, reason="reset"
             )
         verdict = dialect.Verdict(
             request_id=None,
-            not_run=False,
+            not_run=has_refused,
             misdirected=False,
             limit_per_s=endpoint.limit,
+            is_leaving=endpoint.is_leaving and fleet.reads_signals,
+            backoff_s=endpoint.backoff_s
+            if has_refused and fleet.reads_signals
+            else None,
         )
         host.signals.observe_answer(
             registration,
@@ -220,6 +312,10 @@
             sent_at=sent_at,
             request_id=request.info.request_id,
         )
+        if has_refused:
+            return inflight.AttemptEnd(
+                outcome=attempts.Outcome.TURNED_AWAY, reason="refused"
+            )
         has_failed = fleet.rng.random() < endpoint.failing
         return _Answer(status=500 if has_failed else 200)
 
@@ -310,6 +406,7 @@
             timers=self.timers,
             own_name=own_name,
             limits=self.limits,
+            signals=self.signals,
             contacts=permitgranter.Contacts(
                 find_owners=self.gossip.fleet.find_owners,
                 present=lambda: self.gossip.fleet.present,
@@ -398,7 +495,7 @@
                 host="10.0.0.1",
                 port=1,
                 zone="z0",
-                slots=8,
+                slots=endpoint.slots or 8,
                 state=directory.EndpointState.READY,
                 cold_s=0.0,
                 stage=None,
@@ -429,6 +526,7 @@
         urgent_fraction: float = 0.0,
         loss: float = 0.0,
         seed: int = 1,
+        reads_signals: bool = True,
     ):
         """Starts all hosts; callers press from `press` on.
 
@@ -440,7 +538,10 @@
             urgent_fraction: The fraction of them on the more urgent route.
             loss: The fraction of datagrams that are lost.
             seed: Seeds all random choices.
+            reads_signals: Whether hosts read that endpoints leave or want no
+                requests for a time.
         """
+        self.reads_signals = reads_signals
         self.reactor = simulatedreactor.SimulatedReactor()
         self.rng = random.Random(seed)
         self.broken: list[str] = []
--- a/packages/bulrushgrade_daemon/tests/test_endpointsignals.py
+++ b/packages/bulrushgrade_daemon/tests/test_endpointsignals.py
@@ -20,8 +20,6 @@
         self.clock, self.timers, _ = fakes.make_timers()
         self.lines = fakes.EventRecorder()
         log = self.lines.make()
-        self.directory = directory.Directory(leaving_use_s=1.0)
-        self.directory.put(E1, now=0.0)
         self.limits = ratelimits.RateLimits(timers=self.timers, log=log)
         self.signals = endpointsignals.EndpointSignals(
             timers=self.timers,
@@ -29,6 +27,10 @@
             directory=lambda: self.directory,
             log=log,
         )
+        self.directory = directory.Directory(
+            leaving_use_s=1.0, drains=self.signals.drains
+        )
+        self.directory.put(E1, now=0.0)
         fakes.run(self.signals.start())
 
     def answer(self, *, kind=RUN, endpoint=E1, **verdict):
@@ -85,3 +87,48 @@
     )
     assert scene.lines.count("endpoint_backoff") == 1
     assert b'"source":"control"' in scene.lines.text
+
+
+def test_calls_are_withheld_in_a_backoff_and_from_a_leaving_endpoint():
+    """Guards against reads and orders that an endpoint does not want."""
+    scene = Scene()
+    scene.answer(backoff_s=2.0)
+    guard = scene.signals.guard(E1)
+    assert not guard.begin("order")
+    scene.clock.advance(2.1)
+    assert guard.begin("order")
+    scene.answer(is_leaving=True)
+    scene.clock.advance(1.1)
+    assert not guard.begin("order")
+    # Freeing a prefill helps an engine that is leaving.
+    assert scene.signals.guard(E1, may_be_leaving=True).begin("free")
+    assert scene.signals.counts["withheld"] == 2
+
+
+def test_refusals_do_not_count_as_accepted():
+    """Guards against a rate that rises with the requests that are refused."""
+    scene = Scene()
+    for _ in range(20):
+        scene.answer(not_run=True)
+        scene.clock.advance(0.1)
+    scene.answer(not_run=True, backoff_s=1.0)
+    assert scene.signals.backoffs.find(E1.incarnation).accepted_per_s == 0.0
+
+
+def test_restarted_endpoint_has_no_backoff():
+    scene = Scene()
+    scene.answer(backoff_s=9.0)
+    assert scene.signals.backoff_left_s(E1) == 9.0
+    again = make_registration("e1", born_ms=2)
+    assert scene.signals.backoff_left_s(again) == 0.0
+
+
+def test_drain_of_a_peer_counts_from_its_time():
+    """Guards against a drain that begins anew at each host that hears of it."""
+    scene = Scene()
+    scene.clock.advance(5.0)
+    scene.signals.merge_drain((*E1.incarnation, 700), peer="h2/1")
+    assert scene.lines.count("endpoint_leaving") == 1
+    assert scene.signals.why_withheld(E1) is None
+    scene.clock.advance(0.4)
+    assert scene.signals.why_withheld(E1) is endpointsignals.Reason.LEAVING
--- a/packages/bulrushgrade_daemon/tests/test_forwarder.py
+++ b/packages/bulrushgrade_daemon/tests/test_forwarder.py
@@ -196,6 +196,10 @@
         asked = [id for id, _ in self.permits.needs]
         return {id for id in asked if self.permits.closed[id] > 0}
 
+    def has_room(self, request):
+        closed = self.permits.closed | self.permits.backing_off
+        return len(closed) < len(self.endpoints)
+
     def has_unlimited_alternative(self, request, endpoint):
         return len(self.permits.closed) < len(self.endpoints)
 
--- a/packages/bulrushgrade_daemon/tests/test_permitservice.py
+++ b/packages/bulrushgrade_daemon/tests/test_permitservice.py
@@ -4,8 +4,10 @@
 from test_directory import make as make_registration
 from test_ratelimits import RUN
 
+from bulrushgrade import directory
 from bulrushgrade import routing
 from bulrushgrade_daemon import dialect
+from bulrushgrade_daemon import endpointsignals
 from bulrushgrade_daemon import gatewaymessages
 from bulrushgrade_daemon import permitgranter
 from bulrushgrade_daemon import permitservice
@@ -25,10 +27,21 @@
         self.knows_peers = True
         log = fakes.EventRecorder().make()
         self.limits = ratelimits.RateLimits(timers=self.timers, log=log)
+        self.signals = endpointsignals.EndpointSignals(
+            timers=self.timers,
+            limits=self.limits,
+            directory=lambda: self.directory,
+            log=log,
+        )
+        self.directory = directory.Directory(
+            leaving_use_s=1.0, drains=self.signals.drains
+        )
+        self.directory.put(E1, now=0.0)
         self.permits = permitservice.PermitService(
             timers=self.timers,
             own_name=OWN,
             limits=self.limits,
+            signals=self.signals,
             contacts=permitgranter.Contacts(
                 find_owners=lambda id: [self.owner],
                 present=lambda: [OWN, PEER],
@@ -49,11 +62,13 @@
 
     def state(self, per_s):
         """Has the endpoint state a limit."""
-        verdict = dialect.Verdict(
-            request_id="q", not_run=False, misdirected=False, limit_per_s=per_s
-        )
-        self.limits.observe_answer(
-            E1, verdict, kind=RUN, sent_at=self.timers.now, request_id="q"
+        self.answer(not_run=False, limit_per_s=per_s)
+
+    def answer(self, **verdict):
+        """Has the endpoint answer a request."""
+        found = dialect.Verdict(request_id="q", misdirected=False, **verdict)
+        self.signals.observe_answer(
+            E1, found, kind=RUN, sent_at=self.timers.now, request_id="q"
         )
 
     def acquire(self, **need):
@@ -210,3 +225,97 @@
     scene.clock.pump([0.1] * 10)
     (reply,) = scene.query(claim=6)
     assert reply.granted
+
+
+def back_off(scene, seconds):
+    """Has the endpoint accept requests for a while, then ask for a pause."""
+    scene.state(None)
+    for _ in range(40):
+        scene.answer(not_run=False)
+        scene.clock.advance(0.1)
+    scene.answer(not_run=True, backoff_s=seconds)
+
+
+def test_backoff_denies_all_without_a_query():
+    """Guards against requests to an endpoint that wants none."""
+    scene = Scene()
+    back_off(scene, 3.0)
+    (found, _) = scene.acquire(max_wait_s=0.1)
+    assert found == [permitservice.Denial()]
+    assert scene.sent == []
+
+
+def test_requests_resume_slowly_after_a_backoff():
+    """Guards against a host that returns with all of its requests."""
+    scene = Scene()
+    back_off(scene, 1.0)
+    scene.clock.advance(1.0)
+    granted = []
+    for _ in range(2):
+        got = 0
+        for _ in range(50):
+            (found, _) = scene.acquire()
+            got += isinstance(found[0], permitservice.Permit)
+            scene.clock.advance(0.02)
+        granted.append(got)
+    # It had accepted 10 a second: 2.5 in the first second, 7.5 in the next.
+    assert granted[0] <= 4
+    assert granted[0] < granted[1] <= 10
+
+
+def test_urgent_requests_resume_first():
+    """Guards against a recovery in which less urgent ones take all room."""
+    scene = Scene()
+    back_off(scene, 1.0)
+    scene.clock.advance(1.0)
+    got = {0: 0, 1: 0}
+    for _ in range(100):
+        for urgency in (1, 0):
+            (found, _) = scene.acquire(urgency=urgency)
+            got[urgency] += isinstance(found[0], permitservice.Permit)
+        scene.clock.advance(0.02)
+    assert got[0] > 3 * got[1]
+
+
+def test_callers_are_told_to_return_after_the_backoff_one_by_one():
+    """Guards against callers who are refused again, or all return at once."""
+    scene = Scene()
+    back_off(scene, 3.0)
+
+    def book(urgency):
+        return scene.permits.book_return_s(
+            [E1], urgency=urgency, max_return_s=30.0
+        )
+
+    times = [book(1) for _ in range(5)]
+    assert times[0] > 3.0
+    assert times == sorted(set(times))
+    assert book(0) < times[1]
+    # About 10 a second had been accepted.
+    assert 0.05 <= times[1] - times[0] <= 0.2
+
+
+def test_claims_that_wait_are_decided_when_the_endpoint_backs_off_again():
+    """Guards against requests that wait for an endpoint that wants none."""
+    scene = Scene()
+    back_off(scene, 1.0)
+    scene.clock.advance(1.9)
+    while True:
+        (found, _) = scene.acquire(max_wait_s=0.5)
+        if not found:
+            break
+    scene.answer(not_run=True, backoff_s=5.0)
+    scene.clock.advance(0.2)
+    assert found == [permitservice.Denial()]
+
+
+def test_limit_holds_after_a_backoff_too():
+    """Guards against an own permit that stands in for that of all hosts."""
+    scene = Scene()
+    back_off(scene, 1.0)
+    scene.clock.advance(1.0 + 4.0)
+    scene.state(4.0)
+    (found, _) = scene.acquire()
+    assert found == []
+    scene.reply(granted=True)
+    assert isinstance(found[0], permitservice.Permit)
--- a/packages/bulrushgrade_daemon/tests/test_signalexchange.py
+++ b/packages/bulrushgrade_daemon/tests/test_signalexchange.py
@@ -17,13 +17,15 @@
         self.limits = ratelimits.RateLimits(
             timers=timers, log=fakes.EventRecorder().make()
         )
-        self.directory = directory.Directory(leaving_use_s=1.0)
         self.signals = endpointsignals.EndpointSignals(
             timers=timers,
             limits=self.limits,
             directory=lambda: self.directory,
             log=fakes.EventRecorder().make(),
         )
+        self.directory = directory.Directory(
+            leaving_use_s=1.0, drains=self.signals.drains
+        )
         self.exchange = signalexchange.SignalExchange(
             limits=self.limits, signals=self.signals
         )
