--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/inflight.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/inflight.py
@@ -193,11 +193,12 @@
         """Takes in that an endpoint has no room for it.
 
         Args:
-            retry_s: Time after which it may have room, or None if unknown.
+            retry_s: Time after which it may have room, or None if this host
+                decided by itself, which cost the request no time.
         """
-        self.denials += 1
         if retry_s is None:
             return
+        self.denials += 1
         if self.permit_retry_s is None or retry_s < self.permit_retry_s:
             self.permit_retry_s = retry_s
 
