--- a/packages/bulrushgrade/bulrushgrade/directory.py
+++ b/packages/bulrushgrade/bulrushgrade/directory.py
@@ -275,10 +275,12 @@
         at once although every endpoint is alive.
         """
         ready, leaving = [], []
-        for entry in self._entries.values():
+        stated_ids = self._drains.ids
+        for id, entry in self._entries.items():
             if entry.known.service != service:
                 continue
-            if self._is_ready(entry, now):
+            is_staying = entry.leaving_since is None and id not in stated_ids
+            if is_staying or self._is_ready(entry, now):
                 ready.append(entry.known)
             elif self._may_use_leaving(entry, now):
                 leaving.append(entry.known)
--- a/packages/bulrushgrade/bulrushgrade/endpointbackoffs.py
+++ b/packages/bulrushgrade/bulrushgrade/endpointbackoffs.py
@@ -113,6 +113,25 @@
         """Returns an endpoint's last backoff, or None if it has recovered."""
         return self._known.get(endpoint)
 
+    def active(self, now: float) -> frozenset[endpointlimits.Incarnation]:
+        """Returns the endpoints that want no requests now."""
+        return frozenset(
+            endpoint
+            for endpoint, known in self._known.items()
+            if known.until > now
+        )
+
+    def unconfirmed(self, now: float) -> frozenset[endpointlimits.Incarnation]:
+        """Returns the endpoints that may still want no requests.
+
+        No request shows yet that their backoff has ended.
+        """
+        return frozenset(
+            endpoint
+            for endpoint, known in self._known.items()
+            if now - known.until < RECOVERY_S and not known.has_accepted
+        )
+
     def left_s(self, endpoint: endpointlimits.Incarnation, now: float) -> float:
         """Returns how long an endpoint still wants no requests."""
         known = self._known.get(endpoint)
@@ -136,15 +155,6 @@
             return None
         return _rise(base_per_s(known, hosts), max(0.0, now - known.until))
 
-    def is_unconfirmed(
-        self, endpoint: endpointlimits.Incarnation, now: float
-    ) -> bool:
-        """Returns whether no request shows yet that a backoff has ended."""
-        known = self._known.get(endpoint)
-        if known is None or now - known.until >= RECOVERY_S:
-            return False
-        return not known.has_accepted
-
     def observe_accepted(
         self, endpoint: endpointlimits.Incarnation, sent_at: float, now: float
     ) -> None:
--- a/packages/bulrushgrade/bulrushgrade/endpointdrains.py
+++ b/packages/bulrushgrade/bulrushgrade/endpointdrains.py
@@ -37,6 +37,16 @@
 
     def __init__(self):
         self._known: dict[endpointlimits.Incarnation, Drain] = {}
+        self._ids: frozenset[str] = frozenset()
+
+    @property
+    def ids(self) -> frozenset[str]:
+        """The ids of these endpoints, of any incarnation.
+
+        Most endpoints are not among them, which is faster to find out here
+        where thousands are checked for each request.
+        """
+        return self._ids
 
     def __len__(self) -> int:
         return len(self._known)
@@ -62,6 +72,7 @@
         known = self._known.get(endpoint)
         if known is None:
             self._known[endpoint] = Drain(since=as_of, confirmed_at=as_of)
+            self._ids |= {endpoint[0]}
             return True
         self._known[endpoint] = Drain(
             since=min(known.since, as_of),
@@ -84,3 +95,4 @@
             is_old = now - drain.confirmed_at >= FORGET_S
             if is_old and not is_known(endpoint):
                 del self._known[endpoint]
+        self._ids = frozenset(id for id, _ in self._known)
--- a/packages/bulrushgrade/tests/test_endpointbackoffs.py
+++ b/packages/bulrushgrade/tests/test_endpointbackoffs.py
@@ -91,10 +91,10 @@
     backoffs.observe(E1, 3.0, now=10.0)
     before = backoffs.find(E1).accepted_per_s
     backoffs.observe_accepted(E1, 13.5, 13.5)
-    assert not backoffs.is_unconfirmed(E1, 14.0)
+    assert backoffs.unconfirmed(14.0) == frozenset()
     backoffs.observe(E1, 3.0, now=15.0)
     assert before / 2 <= backoffs.find(E1).accepted_per_s < before
-    assert backoffs.is_unconfirmed(E1, 19.0)
+    assert backoffs.unconfirmed(19.0) == {E1}
 
 
 def test_answer_to_an_earlier_request_confirms_nothing():
@@ -102,7 +102,7 @@
     backoffs = endpointbackoffs.EndpointBackoffs()
     backoffs.observe(E1, 1.0, now=10.0)
     backoffs.observe_accepted(E1, sent_at=9.9, now=11.5)
-    assert backoffs.is_unconfirmed(E1, 11.5)
+    assert backoffs.unconfirmed(11.5) == {E1}
 
 
 def test_hosts_together_resume_alike_whatever_their_number():
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointchooser.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointchooser.py
@@ -338,7 +338,7 @@
             if not self._permits.is_limited(engine)
         ]
         in_use = self._balancer.eligible(
-            [e for e in usable if self._permits.backoff_s(e) <= 0],
+            self._exclude_backing_off(usable),
             avoid=frozenset(),
             now=now,
         )
@@ -381,11 +381,15 @@
         self, service: str, now: float
     ) -> list[directory_module.Registration]:
         """Returns the endpoints that want requests of this host now."""
-        return [
-            endpoint
-            for endpoint in self._in_service(service, now)
-            if self._permits.backoff_s(endpoint) <= 0
-        ]
+        return self._exclude_backing_off(self._in_service(service, now))
+
+    def _exclude_backing_off(
+        self, endpoints: list[directory_module.Registration]
+    ) -> list[directory_module.Registration]:
+        backing_off = self._permits.backing_off()
+        if not backing_off:
+            return endpoints
+        return [e for e in endpoints if e.incarnation not in backing_off]
 
     def _in_service(
         self, service: str, now: float
@@ -422,11 +426,14 @@
         If such an endpoint refuses a request that has no other attempt, its
         caller is refused, and a prefill for it is wasted.
         """
+        unconfirmed = self._permits.unconfirmed()
+        if not unconfirmed:
+            return endpoints
         found = []
         for stage in (None, *directory_module.Stage):
             of_stage = [e for e in endpoints if e.stage is stage]
             confirmed = [
-                e for e in of_stage if not self._permits.is_unconfirmed(e)
+                e for e in of_stage if e.incarnation not in unconfirmed
             ]
             found += confirmed or of_stage
         return found
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointsignals.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointsignals.py
@@ -157,12 +157,6 @@
         """Returns how long an endpoint wants nothing from this host."""
         return self._backoffs.left_s(endpoint.incarnation, self._timers.now)
 
-    def is_unconfirmed(self, endpoint: directory_module.Registration) -> bool:
-        """Returns whether no request shows yet that a backoff has ended."""
-        return self._backoffs.is_unconfirmed(
-            endpoint.incarnation, self._timers.now
-        )
-
     def unrecorded_drains(self) -> list[endpointlimits.Incarnation]:
         """Returns the drains that the store's records don't show yet."""
         directory = self._directory()
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/permitservice.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/permitservice.py
@@ -220,17 +220,17 @@
         """Returns whether not all requests to an endpoint may be sent."""
         return (
             self.is_limited(endpoint)
-            or self.backoff_s(endpoint) > 0
+            or self._signals.backoff_left_s(endpoint) > 0
             or self._recovery.needs_permit(endpoint.incarnation)
         )
 
-    def backoff_s(self, endpoint: directory_module.Registration) -> float:
-        """Returns how long an endpoint wants nothing from this host."""
-        return self._signals.backoff_left_s(endpoint)
+    def backing_off(self) -> frozenset[endpointlimits.Incarnation]:
+        """Returns the endpoints that want nothing from this host now."""
+        return self._signals.backoffs.active(self._timers.now)
 
-    def is_unconfirmed(self, endpoint: directory_module.Registration) -> bool:
-        """Returns whether no request shows yet that a backoff has ended."""
-        return self._signals.is_unconfirmed(endpoint)
+    def unconfirmed(self) -> frozenset[endpointlimits.Incarnation]:
+        """Returns the endpoints whose backoff may not have ended yet."""
+        return self._signals.backoffs.unconfirmed(self._timers.now)
 
     def closed_s(
         self, endpoint: directory_module.Registration, urgency: int
@@ -254,7 +254,7 @@
         """
         if not self.needs_permit(endpoint):
             return Permit()
-        if self.backoff_s(endpoint) > 0:
+        if self._signals.backoff_left_s(endpoint) > 0:
             return Denial()
         if self._recovery.needs_permit(endpoint.incarnation):
             decision = await self._claim_recovery(endpoint, need)
--- a/packages/bulrushgrade_daemon/tests/fakes.py
+++ b/packages/bulrushgrade_daemon/tests/fakes.py
@@ -45,27 +45,27 @@
         # Seconds until each endpoint at its limit has room, by its id.
         self.closed = {}
         # Seconds for which endpoints want nothing, by their ids.
-        self.backing_off = {}
-        self.unconfirmed = set()
+        self.backoffs_s = {}
+        self.unconfirmed_ids = set()
         self.needs = []
 
     def is_limited(self, endpoint):
         return endpoint.id in self.closed
 
     def needs_permit(self, endpoint):
-        return endpoint.id in self.closed or endpoint.id in self.backing_off
+        return endpoint.id in self.closed or endpoint.id in self.backoffs_s
 
-    def backoff_s(self, endpoint):
-        return self.backing_off.get(endpoint.id, 0.0)
+    def backing_off(self):
+        return frozenset((id, 1) for id in self.backoffs_s)
 
-    def is_unconfirmed(self, endpoint):
-        return endpoint.id in self.unconfirmed
+    def unconfirmed(self):
+        return frozenset((id, 1) for id in self.unconfirmed_ids)
 
     def closed_s(self, endpoint, urgency):
         return self.closed.get(endpoint.id, 0.0)
 
     def book_return_s(self, endpoints, *, urgency, max_return_s):
-        waits = self.closed | self.backing_off
+        waits = self.closed | self.backoffs_s
         waits_s = [waits.get(e.id) for e in endpoints]
         return min((s for s in waits_s if s is not None), default=None)
 
--- a/packages/bulrushgrade_daemon/tests/test_endpointchooser.py
+++ b/packages/bulrushgrade_daemon/tests/test_endpointchooser.py
@@ -333,7 +333,7 @@
 def test_endpoints_that_back_off_are_left_out():
     """Guards against prompts planned for engines that want no requests."""
     scene = Scene()
-    scene.permits.backing_off = {"d1": 2.0, "p1": 2.0}
+    scene.permits.backoffs_s = {"d1": 2.0, "p1": 2.0}
     for _ in range(5):
         prefiller, decoder = scene.choose(make_request())
         assert decoder == "d2"
@@ -341,7 +341,7 @@
     assert not scene.chooser.is_usable(scene.find("d1"))
     request = make_request()
     assert scene.chooser.has_room(request)
-    scene.permits.backing_off = {"d1": 2.0, "d2": 1.0}
+    scene.permits.backoffs_s = {"d1": 2.0, "d2": 1.0}
     # Prefillers alone are no use, and no prompt is planned for them.
     assert scene.choose(request) == (None, None)
     assert not scene.chooser.has_room(request)
@@ -351,19 +351,19 @@
 def test_request_with_one_attempt_avoids_unconfirmed_endpoints():
     """Guards against prefills and callers spent on finding out."""
     scene = Scene()
-    scene.permits.unconfirmed = {"d1", "p1"}
+    scene.permits.unconfirmed_ids = {"d1", "p1"}
     for _ in range(5):
         prefiller, decoder = scene.choose(make_request())
         assert decoder == "d2"
         assert prefiller in (None, "p2")
-    scene.permits.unconfirmed = {"d1", "d2"}
+    scene.permits.unconfirmed_ids = {"d1", "d2"}
     assert scene.choose(make_request())[1] in ("d1", "d2")
 
 
 def test_engines_that_back_off_count_where_others_use_them():
     """Guards against a role change for engines that refuse one host alone."""
     scene = Scene()
-    scene.permits.backing_off = {"d1": 2.0, "d2": 2.0, "p1": 2.0}
+    scene.permits.backoffs_s = {"d1": 2.0, "d2": 2.0, "p1": 2.0}
     assert scene.visible_engines() == ["p2"]
     scene.peers.update_group(
         "h2/1",
--- a/packages/bulrushgrade_daemon/tests/test_forwarder.py
+++ b/packages/bulrushgrade_daemon/tests/test_forwarder.py
@@ -197,7 +197,7 @@
         return {id for id in asked if self.permits.closed[id] > 0}
 
     def has_room(self, request):
-        closed = self.permits.closed | self.permits.backing_off
+        closed = self.permits.closed | self.permits.backoffs_s
         return len(closed) < len(self.endpoints)
 
     def has_unlimited_alternative(self, request, endpoint):
