Prefill no prompt again for decoders that don't take it

Emulated: nine engines, all five decoders refuse for 9 s and ask for 3 s each time. 259 prompts were prefilled in 8 s, at 78 refused decodes, and an engine was ordered to become a decoder.

- A prompt that was prefilled and found no decoder counted as not sent, so the request was prefilled again, up to four times.
It is an arrival now (untaken), and is prefilled again only as a retry, where the route allows one.
- After a backoff each host granted permits for several prefills before the first decode showed that the decoder still refuses.
One prefill at a time finds out now, for each decoder and host.
- Decoders that back off were missing from the plan of roles, as if all had crashed.
A role whose engines all back off keeps them: they are back within seconds, a change takes as long.

--- a/packages/bulrushgrade/bulrushgrade/attempts.py
+++ b/packages/bulrushgrade/bulrushgrade/attempts.py
@@ -19,7 +19,9 @@
     same, because the endpoint has no room or wants no requests. TURNED_AWAY and
     MISDIRECTED mean that the endpoint reports that it did not run the request.
     UNREAD means that an engine that was to prefill the prompt for another gave
-    no usable answer; a prefill is not a run. LOST means that the request was
+    no usable answer; a prefill is not a run. UNTAKEN means that the prompt was
+    prefilled and then no engine was left to decode it; it is not prefilled
+    again without a retry. LOST means that the request was
     written and no complete answer arrived.
     """
 
@@ -28,6 +30,7 @@
     TURNED_AWAY = "turned_away"
     MISDIRECTED = "misdirected"
     UNREAD = "unread"
+    UNTAKEN = "untaken"
     FAILED = "failed"
     LOST = "lost"
     BROKEN_STREAM = "broken_stream"
@@ -40,6 +43,7 @@
         Outcome.TURNED_AWAY,
         Outcome.MISDIRECTED,
         Outcome.UNREAD,
+        Outcome.UNTAKEN,
     }
 )
 
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointchooser.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointchooser.py
@@ -26,6 +26,12 @@
 another host; after that it is only sent to endpoints without a limit."""
 
 
+_NOT_THE_ENDPOINTS = frozenset(
+    {attempts.Outcome.WITHHELD, attempts.Outcome.UNTAKEN}
+)
+"""Ends of attempts that are no failure of an endpoint."""
+
+
 class EndpointChooser:
     """Combines the endpoint directory, the balancer and the planners."""
 
@@ -130,7 +136,10 @@
         if traits and prompt and prompt.prompt_tokens > traits.memory_tokens:
             return "prompt larger than an engine's memory"
         if request.permit_retry_s is not None:
-            return "the endpoints are at their limits"
+            in_service = self._in_service(request.service, self._timers.now)
+            if any(self._permits.is_limited(one) for one in in_service):
+                return "the endpoints are at their limits"
+            return "the endpoints want no requests now"
         return "no endpoint"
 
     def book_return_s(
@@ -251,7 +260,7 @@
         ended: inflight.AttemptEnd,
     ) -> None:
         """Takes in a failed attempt; may eject its endpoint."""
-        if ended.outcome is attempts.Outcome.WITHHELD:
+        if ended.outcome in _NOT_THE_ENDPOINTS:
             return
         request.avoid |= {endpoint.incarnation}
         if self._is_full(endpoint, ended.outcome):
@@ -324,10 +333,9 @@
     ) -> list[directory_module.Registration]:
         """Returns the engines that are not known to be lost or limited.
 
-        Engines that this daemon has ejected, or that want nothing from it for
-        a time, count as live if peers have streams at them. Otherwise a daemon
-        that alone and briefly fails to reach all decoders would order a
-        prefiller to replace them.
+        Engines that this daemon has ejected count as live if peers have
+        streams at them. Otherwise a daemon that alone and briefly fails to
+        reach all decoders would order a prefiller to replace them.
 
         Engines that state a limit do little of their role's work and look
         idle. If they counted, a role would give up those that do it.
@@ -337,16 +345,42 @@
             for engine in self._in_service(service, now)
             if not self._permits.is_limited(engine)
         ]
-        in_use = self._balancer.eligible(
-            self._exclude_backing_off(usable),
-            avoid=frozenset(),
-            now=now,
+        not_ejected = self._balancer.eligible(
+            usable, avoid=frozenset(), now=now
         )
-        return [
+        live = [
             engine
             for engine in usable
-            if engine in in_use or fleet.has_peer_streams(engine, now)
+            if engine in not_ejected or fleet.has_peer_streams(engine, now)
         ]
+        return self._exclude_backing_off_by_role(live, fleet, now)
+
+    def _exclude_backing_off_by_role(
+        self,
+        engines: list[directory_module.Registration],
+        fleet: enginefleet.EngineFleet,
+        now: float,
+    ) -> list[directory_module.Registration]:
+        """Drops engines that want nothing, unless a role has only these.
+
+        They do little of their role's work and look idle, as those with a
+        limit. But they are back within seconds, and a change of another
+        engine's role takes as long.
+        """
+        backing_off = self._permits.backing_off()
+        if not backing_off:
+            return engines
+        found = []
+        for stage in directory_module.Stage:
+            of_stage = [e for e in engines if e.stage is stage]
+            in_use = [
+                engine
+                for engine in of_stage
+                if engine.incarnation not in backing_off
+                or fleet.has_peer_streams(engine, now)
+            ]
+            found += in_use or of_stage
+        return found
 
     def record_stage_change(
         self, engine: str, stage: directory_module.Stage, change_s: float
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
@@ -198,6 +198,7 @@
             self._end_with_internal_error(request.caller, request)
         finally:
             request.caller.on_disconnect = None
+            self._permits.release(request)
             self._open.discard(request)
 
     async def _try_until_answered(self, request: inflight.InFlight) -> None:
@@ -301,14 +302,8 @@
             decoder = await self._choose_decoder(request)
             request.endpoint = decoder or request.plan.decode
             if decoder is None:
-                planned = request.plan.decode
-                is_withheld = self._permits.needs_permit(
-                    planned
-                ) or not self._chooser.is_usable(planned)
                 return inflight.AttemptEnd(
-                    outcome=attempts.Outcome.WITHHELD
-                    if is_withheld
-                    else attempts.Outcome.UNREACHED,
+                    outcome=attempts.Outcome.UNTAKEN,
                     reason="no decode engine available",
                 )
             return await self._run(request, prefilled)
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/requestpermits.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/requestpermits.py
@@ -33,10 +33,8 @@
         self._timers = timers
         self._permits = permits
         self._chooser = chooser
-
-    def needs_permit(self, endpoint: directory_module.Registration) -> bool:
-        """Returns whether not all requests to an endpoint may be sent."""
-        return self._permits.needs_permit(endpoint)
+        # The requests with a prefill for decoders whose backoff may go on.
+        self._probes: dict[tuple[str, int], inflight.InFlight] = {}
 
     async def acquire_for_plan(
         self,
@@ -46,7 +44,8 @@
         """Acquires the permits for a request's plan; returns whether it did.
 
         The permit of a decoder is reserved before the prefill, which would
-        be wasted without it.
+        be wasted without it. If its backoff may go on, one prefill at a time
+        finds out.
 
         Args:
             request: The request.
@@ -55,6 +54,9 @@
         plan = request.plan
         if plan is None or plan.prefill is None:
             return await self.acquire(request, endpoint)
+        if not self._may_prefill_for(request, endpoint):
+            request.avoid |= {endpoint.incarnation}
+            return False
         if not self._has_reservation(request, endpoint):
             request.reservation = None
             if not await self.acquire(
@@ -102,6 +104,27 @@
         request.permit = acquired
         return True
 
+    def release(self, request: inflight.InFlight) -> None:
+        """Lets other requests have prompts prefilled for the same decoder."""
+        for incarnation, probe in list(self._probes.items()):
+            if probe is request:
+                del self._probes[incarnation]
+
+    def _may_prefill_for(
+        self,
+        request: inflight.InFlight,
+        decoder: directory_module.Registration,
+    ) -> bool:
+        """Returns whether a prompt may be prefilled for a decoder."""
+        self.release(request)
+        incarnation = decoder.incarnation
+        if incarnation not in self._permits.unconfirmed():
+            return True
+        if incarnation in self._probes:
+            return False
+        self._probes[incarnation] = request
+        return True
+
     def use_reservation(
         self, request: inflight.InFlight
     ) -> directory_module.Registration | None:
