Drop old news of endpoints that have ended

Hosts that forget a drain at different times would have told it to each other again and again, each time with a line in the log. A backoff now also holds for the frees of an engine that leaves.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointsignals.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointsignals.py
@@ -147,10 +147,10 @@
         To be called in the turn of the write: what an endpoint states may have
         changed since it was chosen.
         """
-        if not self._directory().accepts(endpoint, now=self._timers.now):
-            return Reason.LEAVING
         if self.backoff_left_s(endpoint) > 0:
             return Reason.BACKOFF
+        if not self._directory().accepts(endpoint, now=self._timers.now):
+            return Reason.LEAVING
         return None
 
     def backoff_left_s(self, endpoint: directory_module.Registration) -> float:
@@ -179,13 +179,18 @@
     def merge_drain(
         self, news: gatewaymessages.DrainNews, *, peer: str
     ) -> None:
-        """Takes in what a peer knows of an endpoint's drain."""
+        """Takes in what a peer knows of an endpoint's drain.
+
+        Old news of an endpoint that is not known here are of one that has
+        ended; hosts would go on telling them to each other.
+        """
         id, born_ms, age_ms = news
-        endpoint = (id, born_ms)
-        as_of = self._timers.now - age_ms / 1000
-        if self._drains.observe(endpoint, as_of):
-            age_s = round(age_ms / 1000, 3)
-            self._record_drain(endpoint, source=peer, age_s=age_s)
+        endpoint, age_s = (id, born_ms), age_ms / 1000
+        is_old = age_s >= endpointdrains.FORGET_S
+        if is_old and not self._directory().knows(endpoint):
+            return
+        if self._drains.observe(endpoint, self._timers.now - age_s):
+            self._record_drain(endpoint, source=peer, age_s=round(age_s, 3))
 
     def count_sent(
         self, endpoint: directory_module.Registration, what: str
@@ -221,9 +226,9 @@
 
         def begin(what: str) -> bool:
             reason = self.why_withheld(engine)
-            if reason is not None and not (
-                may_be_leaving and reason is Reason.LEAVING
-            ):
+            if reason is Reason.LEAVING and may_be_leaving:
+                reason = None
+            if reason is not None:
                 self._counts["withheld"] += 1
                 return False
             self.count_sent(engine, what)
--- a/packages/bulrushgrade_daemon/tests/test_endpointsignals.py
+++ b/packages/bulrushgrade_daemon/tests/test_endpointsignals.py
@@ -4,6 +4,7 @@
 from test_directory import make as make_registration
 
 from bulrushgrade import directory
+from bulrushgrade import endpointdrains
 from bulrushgrade import endpointlimits
 from bulrushgrade_daemon import dialect
 from bulrushgrade_daemon import endpointsignals
@@ -132,3 +133,13 @@
     assert scene.signals.why_withheld(E1) is None
     scene.clock.advance(0.4)
     assert scene.signals.why_withheld(E1) is endpointsignals.Reason.LEAVING
+
+
+def test_old_news_of_an_unknown_endpoint_are_dropped():
+    """Guards against drains of ended endpoints that go round for ever."""
+    scene = Scene()
+    old_ms = round(endpointdrains.FORGET_S * 1000)
+    scene.signals.merge_drain(("gone", 1, old_ms), peer="h2/1")
+    assert scene.lines.count("endpoint_leaving") == 0
+    scene.signals.merge_drain((*E1.incarnation, old_ms), peer="h2/1")
+    assert scene.lines.count("endpoint_leaving") == 1
