--- a/packages/bulrushgrade_daemon/tests/test_gatewaymessages.py
+++ b/packages/bulrushgrade_daemon/tests/test_gatewaymessages.py
@@ -1,5 +1,6 @@
 """Tests of the messages among gateways."""
 
+import msgspec
 import pytest
 
 from bulrushgrade import directory
@@ -60,3 +61,16 @@
 )
 def test_an_invalid_datagram_parses_to_none(datagram):
     assert gatewaymessages.parse(datagram) is None
+
+
+def test_loads_of_older_and_newer_hosts_are_read():
+    """Guards against hosts that lose each other while they are upgraded.
+
+    Older hosts don't send the last fields, newer ones may send further ones.
+    """
+    older = ["load", "h1/1", 7, {}, {}, True, []]
+    message = gatewaymessages.parse(msgspec.msgpack.encode(older))
+    assert (message.number, message.leaving) == (7, [])
+    newer = [*older, [("e1", 1, 200)], "unknown"]
+    message = gatewaymessages.parse(msgspec.msgpack.encode(newer))
+    assert message.leaving == [("e1", 1, 200)]
