--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointsignals.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointsignals.py
@@ -85,6 +85,10 @@
         self._unwanted: dict[
             endpointlimits.Incarnation, collections.Counter[str]
         ] = {}
+        # The last invalid text of each signal.
+        self._invalid_texts: dict[
+            endpointlimits.Incarnation, dict[str, str]
+        ] = {}
         self._subscribers: list[
             Callable[[endpointlimits.Incarnation], None]
         ] = []
@@ -267,14 +271,7 @@
             # The answer is another endpoint's.
             return
         for signal, text in verdict.invalid_signals:
-            self._counts["invalid"] += 1
-            self._log.note(
-                "endpoint_signal_invalid",
-                endpoint=endpoint.id,
-                request=request_id,
-                signal=signal,
-                text=text,
-            )
+            self._observe_invalid(endpoint, signal, text, request_id)
         self._limits.observe_answer(
             endpoint, verdict, kind=kind, sent_at=sent_at, request_id=request_id
         )
@@ -290,6 +287,27 @@
         elif not verdict.not_run and kind in ACCEPTED_KINDS:
             self._backoffs.observe_accepted(endpoint.incarnation, sent_at, now)
 
+    def _observe_invalid(
+        self,
+        endpoint: directory_module.Registration,
+        signal: str,
+        text: str,
+        request_id: str | None,
+    ) -> None:
+        """Logs a statement that can't be used, once while it is the same."""
+        self._counts["invalid"] += 1
+        texts = self._invalid_texts.setdefault(endpoint.incarnation, {})
+        if texts.get(signal) == text:
+            return
+        texts[signal] = text
+        self._log.note(
+            "endpoint_signal_invalid",
+            endpoint=endpoint.id,
+            request=request_id,
+            signal=signal,
+            text=text,
+        )
+
     def _observe_backoff(
         self,
         endpoint: directory_module.Registration,
@@ -329,7 +347,10 @@
 
     def _report(self) -> None:
         now = self._timers.now
-        self._drains.forget(now, self._directory().knows)
+        knows = self._directory().knows
+        self._drains.forget(now, knows)
+        for endpoint in [e for e in self._invalid_texts if not knows(e)]:
+            del self._invalid_texts[endpoint]
         for endpoint in self._backoffs.expire(now):
             self._log.note(
                 "endpoint_recovered", endpoint=endpoint[0], born_ms=endpoint[1]
--- a/packages/bulrushgrade_daemon/tests/test_endpointsignals.py
+++ b/packages/bulrushgrade_daemon/tests/test_endpointsignals.py
@@ -71,9 +71,13 @@
 def test_invalid_statements_are_logged_and_do_no_harm():
     """Guards against a date or a negative number that is taken for a time."""
     scene = Scene()
-    scene.answer(invalid_signals=(("backoff", "-3"), ("leaving", "maybe")))
+    for _ in range(3):
+        scene.answer(invalid_signals=(("backoff", "-3"), ("leaving", "maybe")))
+    # An endpoint that says it in each answer must not fill the log.
     assert scene.lines.count("endpoint_signal_invalid") == 2
-    assert scene.signals.counts == {"invalid": 2}
+    assert scene.signals.counts == {"invalid": 6}
+    scene.answer(invalid_signals=(("backoff", "soon"),))
+    assert scene.lines.count("endpoint_signal_invalid") == 3
 
 
 def test_answers_to_calls_of_the_system_count():
