--- a/packages/bulrushgrade/bulrushgrade/endpointbackoffs.py
+++ b/packages/bulrushgrade/bulrushgrade/endpointbackoffs.py
@@ -26,8 +26,8 @@
 
 RAMP_S = 2.0
 """Time after a backoff in which the rate of requests rises to the accepted one.
-Within it, an endpoint that is not well yet turns away some of the requests and
-not all."""
+Within it, an endpoint that still refuses turns away some of the requests, not
+all."""
 
 DOUBLING_S = 5.0
 """Time in which the rate doubles from then on. A faster rise has endpoints
@@ -212,7 +212,7 @@
         if before is None or now - before.until >= RECOVERY_S:
             return per_s
         if not before.has_accepted:
-            # It had not recovered yet, which says nothing about the rate.
+            # It still refused everything, which says nothing about the rate.
             return before.accepted_per_s
         per_s = max(per_s, before.accepted_per_s)
         refused_per_s = _rise(before.accepted_per_s, now - before.until)
--- a/packages/bulrushgrade/tests/test_endpointbackoffs.py
+++ b/packages/bulrushgrade/tests/test_endpointbackoffs.py
@@ -73,8 +73,8 @@
     assert 8.0 <= backoffs.find(E1).accepted_per_s <= 12.0
 
 
-def test_endpoint_that_is_not_well_yet_does_not_lose_its_rate():
-    """Guards against a rate that shrinks with each try in a long illness."""
+def test_endpoint_that_still_refuses_all_does_not_lose_its_rate():
+    """Guards against a rate that shrinks with each try in a long outage."""
     backoffs = endpointbackoffs.EndpointBackoffs()
     accept(backoffs, per_s=10.0, since=0.0, until=10.0)
     backoffs.observe(E1, 3.0, now=10.0)
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/requestpermits.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/requestpermits.py
@@ -44,8 +44,8 @@
         """Acquires the permits for a request's plan; returns whether it did.
 
         The permit of a decoder is reserved before the prefill, which would
-        be wasted without it. If its backoff may go on, one prefill at a time
-        finds out.
+        be wasted without it. While its backoff may go on, one prompt at a time
+        is prefilled for it.
 
         Args:
             request: The request.
--- a/tools/signalfleets.py
+++ b/tools/signalfleets.py
@@ -23,7 +23,7 @@
 BACKOFF_S = 3.0
 NOTICE_S = 0.5
 SETTLE_S = 6.0
-ILL_S = 9.0
+REFUSING_S = 9.0
 MEASUREMENT_S = 24.0
 CAPACITY_PER_S = ENDPOINTS * SLOTS / WORK_S
 """Requests per second that all endpoints can work on, 270."""
@@ -59,7 +59,7 @@
     fleet.run(2.0)
     since = fleet.now
     for endpoint in endpoints[:refusing]:
-        endpoint.refuses_until = since + ILL_S
+        endpoint.refuses_until = since + REFUSING_S
     for endpoint in endpoints[:leaving]:
         endpoint.is_leaving = True
     fleet.run(MEASUREMENT_S)
@@ -95,11 +95,11 @@
     refusals = sum(
         since <= at < until for e in endpoints for at, _ in e.refusals
     )
-    # The first seconds after the endpoints are well again.
-    well_at = since + ILL_S
+    # The first seconds after the endpoints accept requests again.
+    resumed_at = since + REFUSING_S
     peak = max(
         (
-            e.most_in_window(well_at, well_at + 5.0, 0.25)
+            e.most_in_window(resumed_at, resumed_at + 5.0, 0.25)
             for e in endpoints[:refusing]
         ),
         default=0,
@@ -111,8 +111,8 @@
     print(
         f"{hosts} | {'after' if fleet.reads_signals else 'before'} |"
         f" {unwanted} | {refusals} | {sent_on_s:.2f} s |"
-        f" {served(since, since + ILL_S)},"
-        f" {served(since + ILL_S, until)} |"
+        f" {served(since, since + REFUSING_S)},"
+        f" {served(since + REFUSING_S, until)} |"
         f" {served(since, until, 0)}, {served(since, until, 1)} |"
         f" {returned()} | {done:.0f} | {len(refused)}, {late * 1000:.0f} ms |"
         f" {peak} | {took_s:.0f} s",
