Take endpoints for crashed only with the word of peers

What callers saw: requests that were under way when a host lost its links were recorded at endpoints that 'crashed'; three such records quarantine a request for ten minutes.

Cause: the check of an endpoint whose answer broke off or stayed silent was a connection over the host's own link.

Change: the check also asks up to three peers. One that reaches the endpoint ends it; one with sound links that doesn't, while none does, shows the crash. A host has sound links if it has opened a connection to another endpoint lately, or opens one now. If no host has, the check goes on for up to 10 s. An endpoint that doesn't respond must stay silent for 1.5 s, since one that runs may be silent for a second; one that refuses connections has ended at once.

Evidence: the four cases of test_lost_links_to_endpoints_are_no_crash_of_theirs failed with the relayed path alone (4 xfailed, 9 passed) and pass with this; the tests of requests that crash endpoints pass unchanged.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointconnector.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointconnector.py
@@ -336,18 +336,6 @@
         opened = await defer.gatherResults(probes)
         return any(opened)
 
-    async def find_connect_error(
-        self, endpoint: directory_module.Registration
-    ) -> str | None:
-        """Returns why an endpoint accepts no connection, None if it does."""
-        failed = await connections.find_connect_error(
-            self._reactor,
-            endpoint.host,
-            endpoint.port,
-            timeout_s=CONNECT_TIMEOUT_S,
-        )
-        return None if failed is None else failed.reason
-
     def pick_judges(self, count: int) -> list[str]:
         """Returns peers that may tell whether they reach an endpoint."""
         return self._pick_peers(count)
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
@@ -20,6 +20,7 @@
 from bulrushgrade_daemon import cachewatch
 from bulrushgrade_daemon import clock
 from bulrushgrade_daemon import configurationversions
+from bulrushgrade_daemon import crashcheck
 from bulrushgrade_daemon import crashsharing
 from bulrushgrade_daemon import crashwatch
 from bulrushgrade_daemon import decisionlog
@@ -441,9 +442,14 @@
             tell_backoff=self._tell_backoff,
             on_broken=context.kernel.fail,
         )
+        crash_check = crashcheck.CrashCheck(
+            timers=self._timers,
+            connector=self._connector,
+            endpoints=self._view.endpoints,
+        )
         self._crashes = crashwatch.CrashWatch(
             timers=self._timers,
-            check=self._connector.find_connect_error,
+            check=crash_check.find_crash,
             is_leaving=self._view.endpoints.is_leaving,
             on_crash=self._crash_sharing.observe_crash,
             log=context.log,
