Give duties at engines away where the own links to them are lost

What was seen: the host that orders engines to change their roles went on to lead while it was cut off from all of them. Its reports failed, no other host took over, and roles stayed as they were until its links were back.

Cause: who leads was decided by the reach of the store alone.

A host that is cut off says that it is unable to give orders as long as some present peer isn't cut off, so that the first able host leads. If all are cut off, the first by name still leads, as usage has to be reported without endpoints too.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
@@ -665,10 +665,16 @@
         return None if self._versions.holds_back else self._view.table
 
     def _may_order(self) -> bool:
-        """Returns whether this host can append to the topic of orders."""
+        """Returns whether this host can append to the topic and reach engines.
+
+        A host that is cut off from engines gives the duty away if there is a
+        host that isn't. If there is none, usage is still reported.
+        """
+        has_links = not self._connector.is_cut
         return (
             self._follow_endpoints.reaches_store
             and not self._context.is_stopping()
+            and (has_links or not self._gossip.fleet.linked_peers())
         )
 
     def _forget_gone(self) -> None:
