Verify failed links off the path of requests, and for each endpoint

Change: after a failed connection two peers are asked at once, beside the request, which goes to another endpoint meanwhile. Peers reply whether just this link is lost, and are left out for just this endpoint. Failures count as the endpoint's until peers tell; they are dropped if the link was the cause, and the endpoint is ejected if peers don't reach it. Only a link that was sound before says that the host may be cut off. A crash isn't recorded while a peer says that others reached the endpoint lately.

--- a/packages/bulrushgrade/bulrushgrade/endpointlinks.py
+++ b/packages/bulrushgrade/bulrushgrade/endpointlinks.py
@@ -97,8 +97,10 @@
     def __init__(self):
         """Creates the state of a host all of whose links are sound."""
         self._links: dict[Incarnation, _Link] = {}
-        # Endpoints without a connection since the last one that was opened.
+        # Endpoints that could not be connected to since the last connection
+        # was opened, and those to which the last attempt succeeded.
         self._failing: set[Incarnation] = set()
+        self._sound: set[Incarnation] = set()
         self._last_opened_at = -math.inf
         # When endpoints were probed while this host was cut off.
         self._probed_at: dict[Incarnation, float] = {}
@@ -149,6 +151,7 @@
                 link.next_probe_at = now
                 link.probe_period_s = PROBE_PERIOD_S
         self._last_opened_at = now
+        self._sound.add(endpoint)
         self._failing.clear()
         self._probed_at.clear()
         link = self._links.get(endpoint)
@@ -168,8 +171,12 @@
 
     def observe_failed(self, endpoint: Incarnation, now: float) -> None:
         """Takes in that no connection could be opened."""
-        self._failing.add(endpoint)
+        self._sound.discard(endpoint)
         link = self._links.get(endpoint)
+        # A link that has failed before says nothing of the others, unless none
+        # of them is sound.
+        if link is None or not link.is_failing or not self._sound:
+            self._failing.add(endpoint)
         if link is None:
             self._links[endpoint] = _Link(
                 failed_at=now, next_probe_at=now + PROBE_PERIOD_S
@@ -257,6 +264,7 @@
         """Drops the state of endpoints that are gone and of sound links."""
         kept = set(live)
         self._failing &= kept
+        self._sound &= kept
         self._probed_at = {
             endpoint: at
             for endpoint, at in self._probed_at.items()
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/crashcheck.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/crashcheck.py
@@ -35,16 +35,21 @@
 class Reach(enum.Enum):
     """What is known of an endpoint's crash.
 
-    ALIVE means that a host can connect to it. REFUSED and SILENT mean that no
-    host with sound links can, and UNKNOWN that there is no such host.
+    ALIVE means that a host can connect to it. DISPUTED means that one says that
+    others could lately. REFUSED and SILENT mean that no host with sound links
+    can, and UNKNOWN that there is no such host.
     """
 
     ALIVE = "alive"
+    DISPUTED = "disputed"
     REFUSED = "refused"
     SILENT = "silent"
     UNKNOWN = "unknown"
 
 
+_PRECEDENCE = (Reach.ALIVE, Reach.DISPUTED, Reach.REFUSED, Reach.SILENT)
+
+
 @attrs.frozen(kw_only=True)
 class _Finding:
     reach: Reach
@@ -106,7 +111,7 @@
             for peer in judges
         ]
         findings = await defer.gatherResults(asked)
-        for reach in (Reach.ALIVE, Reach.REFUSED, Reach.SILENT):
+        for reach in _PRECEDENCE:
             for finding in findings:
                 if finding.reach is reach:
                     return finding
@@ -123,6 +128,8 @@
                 connected.client.transport.abortConnection()
                 return _Finding(reach=Reach.ALIVE)
             case Failure(failed):
+                if failed.is_link_lost:
+                    return _Finding(reach=Reach.DISPUTED)
                 if failed.cause is not endpointconnector.Cause.UNREACHED:
                     return _Finding(reach=Reach.UNKNOWN)
                 reach = Reach.REFUSED if failed.is_refused else Reach.SILENT
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointchooser.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointchooser.py
@@ -7,6 +7,7 @@
 from bulrushgrade import attempts
 from bulrushgrade import balance
 from bulrushgrade import directory as directory_module
+from bulrushgrade import endpointlinks
 from bulrushgrade import engineadmission
 from bulrushgrade import enginefleet
 from bulrushgrade import engineplan
@@ -27,11 +28,7 @@
 
 
 _NOT_THE_ENDPOINTS = frozenset(
-    {
-        attempts.Outcome.NO_LINK,
-        attempts.Outcome.WITHHELD,
-        attempts.Outcome.UNTAKEN,
-    }
+    {attempts.Outcome.WITHHELD, attempts.Outcome.UNTAKEN}
 )
 """Ends of attempts that are no failure of an endpoint."""
 
@@ -264,8 +261,9 @@
         ended: inflight.AttemptEnd,
     ) -> None:
         """Takes in a failed attempt; may eject its endpoint."""
-        if ended.is_last_path:
-            request.avoid |= {endpoint.incarnation}
+        if ended.outcome is attempts.Outcome.NO_LINK:
+            self._observe_failed_link(request, endpoint, ended)
+            return
         if ended.outcome in _NOT_THE_ENDPOINTS:
             return
         request.avoid |= {endpoint.incarnation}
@@ -281,6 +279,35 @@
                 reason=ended.reason,
             )
 
+    def _observe_failed_link(
+        self,
+        request: inflight.InFlight,
+        endpoint: directory_module.Registration,
+        ended: inflight.AttemptEnd,
+    ) -> None:
+        """Takes in that the path to an endpoint failed.
+
+        The endpoint may be down. Until peers tell, the request goes to another
+        one if there is one, and the failure counts as the endpoint's.
+        """
+        if ended.is_last_path or self._has_alternative(request, endpoint):
+            request.avoid |= {endpoint.incarnation}
+        is_direct = ended.path is endpointlinks.Path.DIRECT
+        if is_direct and not self._work.is_streaming(endpoint):
+            self.observe_failure(endpoint)
+
+    def _has_alternative(
+        self,
+        request: inflight.InFlight,
+        endpoint: directory_module.Registration,
+    ) -> bool:
+        """Returns whether a request may go to another endpoint instead."""
+        avoided = request.avoid | {endpoint.incarnation}
+        return any(
+            other.stage is endpoint.stage and other.incarnation not in avoided
+            for other in self._open(request, self._timers.now)
+        )
+
     def _is_full(
         self,
         endpoint: directory_module.Registration,
@@ -299,6 +326,22 @@
         unreached = outcome is attempts.Outcome.UNREACHED
         return unreached and self._work.is_streaming(endpoint)
 
+    def observe_unreached(
+        self, endpoint: directory_module.Registration, reason: str
+    ) -> None:
+        """Takes in that no host reaches an endpoint; ejects it."""
+        # An engine that still streams answers is only full.
+        if self._work.is_streaming(endpoint):
+            return
+        if self.observe_failure(endpoint, is_certain=True):
+            self._log.note(
+                "endpoint_ejected",
+                endpoint=endpoint.id,
+                service=endpoint.service,
+                outcome=attempts.Outcome.UNREACHED.value,
+                reason=reason,
+            )
+
     def forgive(self, endpoint: directory_module.Registration) -> None:
         """Drops the failures of an endpoint that only this host can't reach.
 
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointconnector.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointconnector.py
@@ -30,6 +30,10 @@
 packet is sent again after 0.2 s or more. If it takes longer, the host is down
 or unreachable."""
 
+VERIFIERS = 2
+"""Peers that are asked whether they reach an endpoint that this host can't
+connect to. Several hosts may have lost the link to the same endpoint."""
+
 CHECK_PERIOD_S = 0.1
 """Interval between checks for due probes."""
 
@@ -49,6 +53,17 @@
     WITHHELD = "withheld"
 
 
+_OF_THE_ENDPOINT = frozenset(
+    {
+        relayframes.Status.UNREACHED,
+        relayframes.Status.LINK_LOST,
+        relayframes.Status.UNKNOWN,
+    }
+)
+"""Replies for which a peer is not asked again for the same endpoint, but may be
+for others."""
+
+
 @attrs.frozen(kw_only=True)
 class NotConnected:
     """A connection that could not be opened.
@@ -58,6 +73,7 @@
         reason: Text for logs.
         path: How it was tried.
         peer: The peer that was asked, or None.
+        is_link_lost: Whether that peer says that others reach the endpoint.
         is_refused: Whether the endpoint refused it.
     """
 
@@ -65,6 +81,7 @@
     reason: str
     path: endpointlinks.Path
     peer: str | None = None
+    is_link_lost: bool = False
     is_refused: bool = False
 
 
@@ -114,6 +131,7 @@
         peers: Peers,
         relays: relaychoice.RelayChoice,
         on_link_lost: Callable[[directory_module.Registration], None],
+        on_unreached: Callable[[directory_module.Registration, str], None],
         log: decisionlog.DecisionLog,
         on_broken: Callable[[str], None],
     ):
@@ -126,6 +144,8 @@
             peers: The peers that may relay connections.
             relays: Chooses among them.
             on_link_lost: Called with an endpoint that only peers reach.
+            on_unreached: Called with an endpoint that peers don't reach
+                either, and why.
             log: Gets a line for each link that is lost or back.
             on_broken: Called with the reason if an invariant is violated.
         """
@@ -135,10 +155,12 @@
         self._peers = peers
         self._relays = relays
         self._on_link_lost = on_link_lost
+        self._on_unreached = on_unreached
         self._log = log
         self._on_broken = on_broken
         self._links = endpointlinks.EndpointLinks()
         self._was_cut = False
+        self._verifying: set[endpointlinks.Incarnation] = set()
         self._counts: collections.Counter[str] = collections.Counter()
         self._tick: Any = None
 
@@ -199,7 +221,7 @@
             path = endpointlinks.Path.RELAYED
         if path is endpointlinks.Path.DIRECT:
             return await self._connect_directly(endpoint)
-        peers = self._pick_peers(1)
+        peers = self._pick_peers(1, endpoint)
         if peers:
             return await self.connect_by(
                 peers[0], endpoint, may_be_leaving=may_be_leaving
@@ -249,17 +271,15 @@
         now = self._timers.now
         path = self._links.path(endpoint.incarnation, now)
         if path is not endpointlinks.Path.DIRECT:
-            return Failure(
-                relayframes.Reply(
-                    status=relayframes.Status.NO_LINK,
-                    reason="cut off" if self.is_cut else "link lost",
-                )
-            )
+            status = relayframes.Status.LINK_LOST
+            if self.is_cut:
+                status = relayframes.Status.CUT_OFF
+            return Failure(relayframes.Reply(status=status))
         opened = await self.open_direct(endpoint, build)
         if not isinstance(opened, Failure):
             return opened
         failed = opened.failure()
-        status = relayframes.Status.NO_LINK
+        status = relayframes.Status.CUT_OFF
         if await self.may_judge(endpoint):
             status = relayframes.Status.UNREACHED
         return Failure(
@@ -301,6 +321,9 @@
             return self._handle_not_relayed(peer, endpoint, opened.failure())
         self._counts["relayed"] += 1
         self._relays.succeeded(peer)
+        self._relays.observe_reach(
+            peer, endpoint.incarnation, True, self._timers.now
+        )
         self._observe_relayed(endpoint, peer)
         return Success(
             Connected(
@@ -313,13 +336,16 @@
     async def may_judge(self, endpoint: directory_module.Registration) -> bool:
         """Returns whether this host's links are sound.
 
-        If so, an endpoint that it can't connect to is down. A host that has
+        If so, an endpoint that it can't connect to is down, unless the link to
+        just this endpoint is known to be lost. A host that has
         opened no connection lately tries one to another endpoint; where there
         is no other one, the endpoint is taken for the cause.
 
         Args:
             endpoint: The endpoint that can't be connected to.
         """
+        if endpoint.incarnation in self._links.lost:
+            return False
         if self._links.has_opened_recently(self._timers.now):
             return True
         others = [
@@ -356,6 +382,7 @@
         cause = Cause.UNREACHED
         if self._may_be_relayed(endpoint) and self._pick_peers(1):
             cause = Cause.NO_LINK
+            self._start_verifying(endpoint)
         return Failure(
             NotConnected(
                 cause=cause,
@@ -378,7 +405,9 @@
             self._links.observe_unreached(endpoint.incarnation, now)
         elif failed.status is relayframes.Status.WITHHELD:
             cause = Cause.WITHHELD
-        else:
+        if failed.status in _OF_THE_ENDPOINT:
+            self._relays.observe_reach(peer, endpoint.incarnation, False, now)
+        elif cause is Cause.NO_LINK:
             self._relays.failed(peer, now)
         self._counts[f"relayed_{cause.value}"] += 1
         return Failure(
@@ -387,6 +416,7 @@
                 reason=failed.reason,
                 path=endpointlinks.Path.RELAYED,
                 peer=peer,
+                is_link_lost=failed.status is relayframes.Status.LINK_LOST,
                 is_refused=failed.is_refused,
             )
         )
@@ -396,13 +426,50 @@
             endpoint.incarnation, self._timers.now
         )
 
-    def _pick_peers(self, count: int) -> list[str]:
+    def _start_verifying(self, endpoint: directory_module.Registration) -> None:
+        """Finds out whether an endpoint or the own link to it has failed."""
+        if endpoint.incarnation in self._verifying:
+            return
+        self._verifying.add(endpoint.incarnation)
+        task.spawn(
+            self._verify(endpoint), name=self.name, on_broken=self._on_broken
+        )
+
+    async def _verify(self, endpoint: directory_module.Registration) -> None:
+        asked = [
+            defer.Deferred.fromCoroutine(self.connect_by(peer, endpoint))
+            for peer in self._pick_peers(VERIFIERS, endpoint)
+        ]
+        results = await defer.gatherResults(asked)
+        self._verifying.discard(endpoint.incarnation)
+        unreached = None
+        for result in results:
+            if isinstance(result, Failure):
+                failed = result.failure()
+                if failed.cause is Cause.UNREACHED:
+                    unreached = failed
+            else:
+                result.unwrap().client.transport.abortConnection()
+        is_reached = any(not isinstance(one, Failure) for one in results)
+        if unreached is not None and not is_reached:
+            self._on_unreached(endpoint, unreached.reason)
+
+    def _pick_peers(
+        self,
+        count: int,
+        endpoint: directory_module.Registration | None = None,
+    ) -> list[str]:
         peers = [
             peer
             for peer in self._peers.present()
             if self._peers.find_address(peer) is not None
         ]
-        return self._relays.pick(peers, self._timers.now, count)
+        return self._relays.pick(
+            peers,
+            self._timers.now,
+            count,
+            endpoint=None if endpoint is None else endpoint.incarnation,
+        )
 
     def _observe_direct(
         self, endpoint: directory_module.Registration, is_open: bool
@@ -452,7 +519,7 @@
     def _probe_due(self) -> None:
         if not self._links.needs_probes:
             return
-        self._relays.forget(self._peers.present())
+        self._relays.forget(self._peers.present(), self._timers.now)
         known = {e.incarnation: e for e in self._endpoints.registrations}
         picked = self._links.pick_probes(known, self._timers.now)
         for endpoint in (known[one] for one in picked if one in known):
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
@@ -395,6 +395,7 @@
             ),
             relays=relaychoice.RelayChoice(rng=context.rng),
             on_link_lost=self._chooser.forgive,
+            on_unreached=self._chooser.observe_unreached,
             log=context.log,
             on_broken=context.kernel.fail,
         )
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/relayframes.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/relayframes.py
@@ -33,16 +33,18 @@
     """What a peer replies.
 
     OPENED means that it has a connection to the endpoint. UNREACHED means that
-    it has none although its links are sound, and NO_LINK that its own link may
-    be the cause. UNKNOWN means that it does not know this endpoint, BUSY that
-    it relays as many connections as it can, and STOPPING that it is about to
-    end. WITHHELD means that the endpoint is leaving or wants nothing from this
-    peer. After any reply but OPENED, nothing was passed on.
+    it has none although its other links are sound, LINK_LOST that others reach
+    the endpoint, and CUT_OFF that its own links may be the cause. UNKNOWN
+    means that it does not know this endpoint, BUSY that it relays as many
+    connections as it can, and STOPPING that it is about to end. WITHHELD means
+    that the endpoint is leaving or wants nothing from this peer. After any
+    reply but OPENED, nothing was passed on.
     """
 
     OPENED = "opened"
     UNREACHED = "unreached"
-    NO_LINK = "no_link"
+    LINK_LOST = "link_lost"
+    CUT_OFF = "cut_off"
     UNKNOWN = "unknown"
     BUSY = "busy"
     STOPPING = "stopping"
--- a/packages/bulrushgrade_daemon/tests/test_crashcheck.py
+++ b/packages/bulrushgrade_daemon/tests/test_crashcheck.py
@@ -55,6 +55,9 @@
     async def connect_by(self, peer, endpoint):
         self.asked += 1
         cause = self.peers[int(peer)]
+        is_link_lost = cause == "link lost"
+        if is_link_lost:
+            cause = Cause.NO_LINK
         if cause is None:
             return Success(Connection())
         return Failure(
@@ -63,6 +66,7 @@
                 reason="refused",
                 path=endpointlinks.Path.RELAYED,
                 peer=peer,
+                is_link_lost=is_link_lost,
                 is_refused=self.own is REFUSED,
             )
         )
@@ -77,6 +81,15 @@
     assert scene.ended == [None]
 
 
+def test_endpoint_that_others_reached_lately_is_checked_again():
+    """Guards against a judge that has not noticed its own lost link."""
+    scene = Scene(REFUSED, Cause.UNREACHED, "link lost")
+    assert scene.ended == []
+    scene.peers = [Cause.UNREACHED, None]
+    scene.clock.advance(crashcheck.REPEAT_S)
+    assert scene.ended == [None]
+
+
 def test_endpoint_that_no_host_reaches_has_crashed():
     scene = Scene(REFUSED, Cause.UNREACHED, Cause.NO_LINK)
     assert scene.ended == ["refused"]
