--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/crashcheck.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/crashcheck.py
@@ -17,7 +17,7 @@
 from bulrushgrade import directory as directory_module
 from bulrushgrade_daemon import endpointconnector
 
-MAX_JUDGES = 3
+MAX_JUDGES = 5
 """Number of peers that are asked at a time. Several hosts may have lost the
 link to the same endpoint; one that reaches it is enough."""
 
