Judge endpoints by connections opened since, and keep to peers' backoffs

Causes: an endpoint that wanted nothing from the relaying gateway was asked for again with each attempt (253 attempts withheld at one gateway); and a gateway whose links had just been cut took a connection of up to 2 s before for a sign that they were sound, so that its word showed a crash.

Change: a peer states for how long an endpoint wants nothing from it, and is not asked for that endpoint meanwhile; the request goes to another endpoint. Only a connection opened since the failed attempt began lets a host judge an endpoint; otherwise it probes other ones first.

--- a/packages/bulrushgrade/bulrushgrade/endpointlinks.py
+++ b/packages/bulrushgrade/bulrushgrade/endpointlinks.py
@@ -46,10 +46,6 @@
 """How long it counts that peers don't reach an endpoint either. Meanwhile
 requests to it are not sent by way of peers."""
 
-RECENT_S = 2.0
-"""Time since the last opened connection within which a host's links count as
-sound, so that it may judge an endpoint that it can't connect to."""
-
 
 class Path(enum.Enum):
     """How a request reaches its endpoint.
@@ -115,6 +111,11 @@
         """Whether any link may have to be probed."""
         return bool(self._links)
 
+    @property
+    def last_opened_at(self) -> float:
+        """When a connection to any endpoint was last opened."""
+        return self._last_opened_at
+
     @property
     def lost(self) -> list[Incarnation]:
         """The endpoints that only peers reach."""
@@ -134,10 +135,6 @@
         link = self._links.get(endpoint)
         return link is None or link.is_lost or now >= link.unreached_until
 
-    def has_opened_recently(self, now: float) -> bool:
-        """Returns whether a connection to any endpoint was opened lately."""
-        return now - self._last_opened_at <= RECENT_S
-
     def observe_opened(self, endpoint: Incarnation, now: float) -> bool:
         """Takes in that a connection was opened; returns if that ends a loss.
 
--- a/packages/bulrushgrade/bulrushgrade/relaychoice.py
+++ b/packages/bulrushgrade/bulrushgrade/relaychoice.py
@@ -87,10 +87,24 @@
         return candidates[:count]
 
     def observe_reach(
-        self, peer: str, endpoint: Hashable, is_reached: bool, now: float
+        self,
+        peer: str,
+        endpoint: Hashable,
+        is_reached: bool,
+        now: float,
+        *,
+        for_s: float = NO_LINK_S,
     ) -> None:
-        """Takes in whether a peer could connect to an endpoint."""
-        self._reached[peer, endpoint] = (is_reached, now + NO_LINK_S)
+        """Takes in whether an endpoint can be reached by way of a peer.
+
+        Args:
+            peer: The peer.
+            endpoint: The endpoint.
+            is_reached: Whether it was reached.
+            now: The current time in seconds.
+            for_s: How long that counts.
+        """
+        self._reached[peer, endpoint] = (is_reached, now + for_s)
 
     def begin(self, peer: str) -> None:
         """Counts a connection by way of a peer."""
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/crashcheck.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/crashcheck.py
@@ -100,6 +100,7 @@
             await self._timers.sleep(REPEAT_S)
 
     async def _check(self, endpoint: directory_module.Registration) -> _Finding:
+        began = self._timers.now
         opened = await self._connector.open_direct(endpoint, protocol.Protocol)
         if not isinstance(opened, Failure):
             opened.unwrap().transport.abortConnection()
@@ -115,7 +116,7 @@
             for finding in findings:
                 if finding.reach is reach:
                     return finding
-        if await self._connector.may_judge(endpoint):
+        if await self._connector.may_judge(endpoint, began):
             reach = Reach.REFUSED if own.is_refused else Reach.SILENT
             return _Finding(reach=reach, reason=own.reason)
         return _Finding(reach=Reach.UNKNOWN, reason=own.reason)
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointchooser.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointchooser.py
@@ -265,6 +265,9 @@
             self._observe_failed_link(request, endpoint, ended)
             return
         if ended.outcome in _NOT_THE_ENDPOINTS:
+            # What a peer withholds, it withholds from the next attempt too.
+            if ended.peer is not None:
+                request.avoid |= {endpoint.incarnation}
             return
         request.avoid |= {endpoint.incarnation}
         if self._is_full(endpoint, ended.outcome):
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointconnector.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointconnector.py
@@ -275,12 +275,13 @@
             if self.is_cut:
                 status = relayframes.Status.CUT_OFF
             return Failure(relayframes.Reply(status=status))
+        began = self._timers.now
         opened = await self.open_direct(endpoint, build)
         if not isinstance(opened, Failure):
             return opened
         failed = opened.failure()
         status = relayframes.Status.CUT_OFF
-        if await self.may_judge(endpoint):
+        if await self.may_judge(endpoint, began):
             status = relayframes.Status.UNREACHED
         return Failure(
             relayframes.Reply(
@@ -333,20 +334,23 @@
             )
         )
 
-    async def may_judge(self, endpoint: directory_module.Registration) -> bool:
+    async def may_judge(
+        self, endpoint: directory_module.Registration, since: float
+    ) -> bool:
         """Returns whether this host's links are sound.
 
         If so, an endpoint that it can't connect to is down, unless the link to
-        just this endpoint is known to be lost. A host that has
-        opened no connection lately tries one to another endpoint; where there
-        is no other one, the endpoint is taken for the cause.
+        just this endpoint is known to be lost. A host that has opened no
+        connection since then tries one to another endpoint; where there is no
+        other one, the endpoint is taken for the cause.
 
         Args:
             endpoint: The endpoint that can't be connected to.
+            since: When the failed connection attempt began.
         """
         if endpoint.incarnation in self._links.lost:
             return False
-        if self._links.has_opened_recently(self._timers.now):
+        if self._links.last_opened_at >= since:
             return True
         others = [
             other
@@ -405,7 +409,15 @@
             self._links.observe_unreached(endpoint.incarnation, now)
         elif failed.status is relayframes.Status.WITHHELD:
             cause = Cause.WITHHELD
-        if failed.status in _OF_THE_ENDPOINT:
+        if cause is Cause.WITHHELD:
+            self._relays.observe_reach(
+                peer,
+                endpoint.incarnation,
+                False,
+                now,
+                for_s=failed.withheld_s or relaychoice.NO_LINK_S,
+            )
+        elif failed.status in _OF_THE_ENDPOINT:
             self._relays.observe_reach(peer, endpoint.incarnation, False, now)
         elif cause is Cause.NO_LINK:
             self._relays.failed(peer, now)
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/relayclient.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/relayclient.py
@@ -33,11 +33,13 @@
         status: The peer's reply, None if it gave none.
         reason: Text for logs.
         is_refused: Whether the endpoint refused the peer's connection.
+        withheld_s: For how long the endpoint wants nothing from the peer.
     """
 
     status: relayframes.Status | None
     reason: str
     is_refused: bool = False
+    withheld_s: float = 0.0
 
 
 class RelayedConnection(protocol.Protocol):
@@ -113,6 +115,7 @@
                 status=reply.status,
                 reason=reply.reason or reply.status.value,
                 is_refused=reply.is_refused,
+                withheld_s=reply.withheld_ms / 1000,
             )
         )
         self.transport.abortConnection()
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/relayframes.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/relayframes.py
@@ -75,11 +75,14 @@
         status: What came of it.
         reason: Text for logs.
         is_refused: Whether the endpoint refused the connection.
+        withheld_ms: For how long the endpoint wants nothing from the peer, 0
+            if that is not known.
     """
 
     status: Status
     reason: str = ""
     is_refused: bool = False
+    withheld_ms: int = 0
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/relayserver.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/relayserver.py
@@ -318,5 +318,7 @@
         if reason is None or (is_leaving and wanted.may_be_leaving):
             return None
         return relayframes.Reply(
-            status=relayframes.Status.WITHHELD, reason=reason.value
+            status=relayframes.Status.WITHHELD,
+            reason=reason.value,
+            withheld_ms=round(self._signals.backoff_left_s(endpoint) * 1000),
         )
--- a/packages/bulrushgrade_daemon/tests/test_crashcheck.py
+++ b/packages/bulrushgrade_daemon/tests/test_crashcheck.py
@@ -71,7 +71,7 @@
             )
         )
 
-    async def may_judge(self, endpoint):
+    async def may_judge(self, endpoint, since):
         return self.is_judge
 
 
