Let peers try a link of which they only know that it failed once

A host that had failed to connect to an endpoint once replied to peers that its link was lost, so that of an endpoint that was down each host said that others reached it: nobody could find the crash, and nobody ejected it.

Change: only a link that is known to be lost is reported as such; otherwise the host tries. Each request that is answered by way of a peer gets a log line and is counted. Probes are only looked for while a link is failing or lost.

--- a/packages/bulrushgrade/bulrushgrade/endpointlinks.py
+++ b/packages/bulrushgrade/bulrushgrade/endpointlinks.py
@@ -109,7 +109,9 @@
     @property
     def needs_probes(self) -> bool:
         """Whether any link may have to be probed."""
-        return bool(self._links)
+        return any(
+            link.is_lost or link.is_failing for link in self._links.values()
+        )
 
     @property
     def last_opened_at(self) -> float:
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointcalls.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointcalls.py
@@ -227,6 +227,7 @@
         if isinstance(opened, Failure):
             return _describe_unconnected(opened.failure())
         connected = opened.unwrap()
+        request.relay = connected.peer
         sent = await outbound.send_on(connected.client, make_request)
         if isinstance(sent, Failure):
             failed = sent.failure()
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointconnector.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointconnector.py
@@ -268,13 +268,12 @@
         Returns:
             The connected protocol, or the reply for the peer.
         """
-        now = self._timers.now
-        path = self._links.path(endpoint.incarnation, now)
-        if path is not endpointlinks.Path.DIRECT:
-            status = relayframes.Status.LINK_LOST
-            if self.is_cut:
-                status = relayframes.Status.CUT_OFF
-            return Failure(relayframes.Reply(status=status))
+        if self.is_cut:
+            return Failure(relayframes.Reply(status=relayframes.Status.CUT_OFF))
+        if endpoint.incarnation in self._links.lost:
+            return Failure(
+                relayframes.Reply(status=relayframes.Status.LINK_LOST)
+            )
         began = self._timers.now
         opened = await self.open_direct(endpoint, build)
         if not isinstance(opened, Failure):
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
@@ -355,6 +355,9 @@
                 self._record_first_run(request, began)
             if isinstance(sent, inflight.AttemptEnd):
                 return sent
+            if request.relay is not None:
+                self._count("relayed")
+                self._log.log_relayed(request, endpoint)
             request.endpoint_answer = sent
             request.answer_began_at = self._timers.now
             latency_s = request.answer_began_at - began
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/inflight.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/inflight.py
@@ -81,6 +81,7 @@
             if none was full.
         prefers_relay: Whether a link failed in an earlier attempt, so that
             the next one goes by way of a peer.
+        relay: The peer that relays its connection, None for the own link.
     """
 
     caller: frontend.CallerRequest
@@ -116,6 +117,7 @@
     denials: int = 0
     permit_retry_s: float | None = None
     prefers_relay: bool = False
+    relay: str | None = None
     _fingerprint: str | None = attrs.field(default=None, init=False)
 
     @urgency.default
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/relayframes.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/relayframes.py
@@ -121,12 +121,6 @@
             except ValueError as error:
                 raise FrameError(str(error)) from None
 
-    def take_rest(self) -> bytes:
-        """Returns and drops the bytes after the last frame."""
-        rest = bytes(self._buffered)
-        self._buffered.clear()
-        return rest
-
 
 def make_frame(kind: FrameKind, body: bytes = b"") -> bytes:
     """Returns a frame."""
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/requestlog.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/requestlog.py
@@ -131,6 +131,18 @@
             again=again,
         )
 
+    def log_relayed(
+        self, request: inflight.InFlight, endpoint: directory.Registration
+    ) -> None:
+        """Logs that an endpoint answers a request by way of a peer."""
+        self._log.note(
+            "request_relayed",
+            request=request.info.request_id,
+            route=request.route.name,
+            endpoint=endpoint.id,
+            relay=request.relay,
+        )
+
     def log_ended(
         self, request: inflight.InFlight, step: attempts.NextStep, reason: str
     ) -> None:
