Learn of lost links from the calls for orders too

Change: reports and orders are opened by the connector, over the own link only, so that their failures count.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/adapter.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/adapter.py
@@ -13,6 +13,7 @@
 from bulrushgrade_daemon import dialect
 from bulrushgrade_daemon import operatorcalls
 from bulrushgrade_daemon import ordertopic
+from bulrushgrade_daemon import outbound
 from bulrushgrade_daemon import peerlink
 from bulrushgrade_daemon import stagecontrol
 from bulrushgrade_daemon import topicreader
@@ -34,7 +35,8 @@
         crash_topic: The topic of requests in flight at endpoints that
             crashed.
         order_topic: The topic that decides which gateway may give orders.
-        engine_control: Queries engines and sends them orders.
+        make_engine_control: Returns the functions that query engines and send
+            them orders, from one that opens a connection to an engine.
         operator_calls: Calls for the operator that one host at a time makes;
             None if there are none.
         watch_epoch: Sets the function that is called with the epoch that each
@@ -56,6 +58,8 @@
     membership: peerlink.Membership
     crash_topic: crashsharing.CrashTopic
     order_topic: ordertopic.OrderTopic
-    engine_control: stagecontrol.EngineControl
+    make_engine_control: Callable[
+        [outbound.OpenClient], stagecontrol.EngineControl
+    ]
     operator_calls: operatorcalls.OperatorCalls | None = None
     watch_epoch: Callable[[Callable[[int], None]], None] = lambda observe: None
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/cachewatch.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/cachewatch.py
@@ -49,18 +49,12 @@
     changes: tuple[enginecache.CacheChange, ...]
 
 
-OpenClient = Callable[
-    [directory_module.Registration],
-    Awaitable[Result[outbound.Client, outbound.CallFailed]],
-]
-"""Opens a connection to an engine, on the path that reaches it."""
-
 ReadChanges = Callable[
     [
         directory_module.Registration,
         int,
         endpointsignals.CallGuard,
-        OpenClient,
+        outbound.OpenClient,
     ],
     Awaitable[Result[CacheChanges, outbound.CallFailed]],
 ]
@@ -95,7 +89,7 @@
         timers: Any,
         engines: Callable[[], list[directory_module.Registration]],
         read: ReadChanges,
-        open_client: OpenClient,
+        open_client: outbound.OpenClient,
         apply: Callable[..., None],
         needs_permit: Callable[[directory_module.Registration], bool],
         may_read: Callable[[directory_module.Registration], Awaitable[bool]],
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointcalls.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointcalls.py
@@ -168,11 +168,13 @@
         opened = await self._connector.connect(
             engine, may_be_leaving=may_be_leaving
         )
-        return opened.map(lambda connected: connected.client).alt(
-            lambda failed: outbound.CallFailed(
-                written=False, reason=failed.reason
-            )
-        )
+        return _take_client(opened)
+
+    async def open_own_client(
+        self, engine: directory_module.Registration
+    ) -> Result[outbound.Client, outbound.CallFailed]:
+        """Opens a connection for a call that only this host may make."""
+        return _take_client(await self._connector.connect_directly(engine))
 
     def _fetch_address(self, request: inflight.InFlight) -> str | None:
         """Returns the engine that cached parts are fetched from, or None."""
@@ -263,6 +265,14 @@
         return refusal
 
 
+def _take_client(
+    opened: Result[endpointconnector.Connected, endpointconnector.NotConnected],
+) -> Result[outbound.Client, outbound.CallFailed]:
+    return opened.map(lambda connected: connected.client).alt(
+        lambda failed: outbound.CallFailed(written=False, reason=failed.reason)
+    )
+
+
 def _describe_unconnected(
     failed: endpointconnector.NotConnected,
 ) -> inflight.AttemptEnd:
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointconnector.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointconnector.py
@@ -220,14 +220,14 @@
         if prefers_relay and self._may_be_relayed(endpoint):
             path = endpointlinks.Path.RELAYED
         if path is endpointlinks.Path.DIRECT:
-            return await self._connect_directly(endpoint)
+            return await self.connect_directly(endpoint)
         peers = self._pick_peers(1, endpoint)
         if peers:
             return await self.connect_by(
                 peers[0], endpoint, may_be_leaving=may_be_leaving
             )
         if not self.is_cut:
-            return await self._connect_directly(endpoint)
+            return await self.connect_directly(endpoint)
         self._counts["no_relay"] += 1
         return Failure(
             NotConnected(
@@ -237,6 +237,32 @@
             )
         )
 
+    async def connect_directly(
+        self, endpoint: directory_module.Registration
+    ) -> Result[Connected, NotConnected]:
+        """Opens a connection for one request over this host's own link.
+
+        Args:
+            endpoint: The endpoint.
+        """
+        path = endpointlinks.Path.DIRECT
+        opened = await self.open_direct(endpoint, outbound.Client)
+        if not isinstance(opened, Failure):
+            return Success(Connected(client=opened.unwrap(), path=path))
+        failed = opened.failure()
+        cause = Cause.UNREACHED
+        if self._may_be_relayed(endpoint) and self._pick_peers(1):
+            cause = Cause.NO_LINK
+            self._start_verifying(endpoint)
+        return Failure(
+            NotConnected(
+                cause=cause,
+                reason=failed.reason,
+                path=path,
+                is_refused=failed.is_refused,
+            )
+        )
+
     async def open_direct(
         self, endpoint: directory_module.Registration, build: Callable[[], Any]
     ) -> Result[Any, connections.ConnectFailed]:
@@ -374,27 +400,6 @@
         live = [found.incarnation for found in self._endpoints.registrations]
         self._links.forget(live, self._timers.now)
 
-    async def _connect_directly(
-        self, endpoint: directory_module.Registration
-    ) -> Result[Connected, NotConnected]:
-        path = endpointlinks.Path.DIRECT
-        opened = await self.open_direct(endpoint, outbound.Client)
-        if not isinstance(opened, Failure):
-            return Success(Connected(client=opened.unwrap(), path=path))
-        failed = opened.failure()
-        cause = Cause.UNREACHED
-        if self._may_be_relayed(endpoint) and self._pick_peers(1):
-            cause = Cause.NO_LINK
-            self._start_verifying(endpoint)
-        return Failure(
-            NotConnected(
-                cause=cause,
-                reason=failed.reason,
-                path=path,
-                is_refused=failed.is_refused,
-            )
-        )
-
     def _handle_not_relayed(
         self,
         peer: str,
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
@@ -576,7 +576,11 @@
             timers=self._timers,
             holder=self._own_name,
             actions=self._actions,
-            control=context.adapter.engine_control,
+            # An order that a peer relayed would reach the engine from another
+            # host than the one that may give it.
+            control=context.adapter.make_engine_control(
+                self._calls.open_own_client
+            ),
             may_call=self._permits.acquire_spare,
             guard=self._signals.guard,
             leads=lambda: self._tasks.is_leader(),
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/outbound.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/outbound.py
@@ -24,6 +24,7 @@
 from twisted.web import iweb
 from zope.interface import implementer
 
+from bulrushgrade import directory
 from bulrushgrade_daemon import connections
 
 MAX_FETCHED_BODY_BYTES = 65_536
@@ -81,6 +82,12 @@
         return lost is None or not lost.check(NotPassedOnError)
 
 
+OpenClient = Callable[
+    [directory.Registration], Awaitable[Result[Client, CallFailed]]
+]
+"""Opens a connection to an endpoint, on a path that its maker chooses."""
+
+
 @implementer(iweb.IBodyProducer)
 class BytesBody:
     """A request body that is in memory and sent in one write."""
