Relay nothing on the port that serves operators

Where the range of internal ports has one port only, the relay and the page of operators would have the same address, and the one that starts later ends the process. The relay is left out then: callers of this host are served all the same, and peers find no address of it.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
@@ -383,7 +383,9 @@
         )
 
     def _make_connector(self) -> None:
-        context = self._context
+        context, listen = self._context, self._context.settings().listen
+        # A host with a single port for internal use serves operators there.
+        relay = None if listen.relay == listen.admin else listen.relay
         self._connector = endpointconnector.EndpointConnector(
             reactor=context.reactor,
             timers=self._timers,
@@ -402,7 +404,7 @@
         self._relay_server = relayserver.RelayServer(
             reactor=context.reactor,
             timers=self._timers,
-            listen=context.settings().listen.relay,
+            listen=relay,
             endpoints=self._view.endpoints,
             connect=self._connector.open_for_peer,
             signals=self._signals,
