--- a/packages/bulrushgrade/bulrushgrade/endpointlinks.py
+++ b/packages/bulrushgrade/bulrushgrade/endpointlinks.py
@@ -40,7 +40,8 @@
 """Maximum of that time."""
 
 RELAPSE_S = 30.0
-"""Time after which an earlier loss of a link is forgotten."""
+"""Time since a link was used again after which a new loss of it counts as the
+first one."""
 
 UNREACHED_TTL_S = 1.0
 """How long it counts that peers don't reach an endpoint either. Meanwhile
@@ -62,7 +63,6 @@
     """A link on which the last connection attempt failed, or that was lost.
 
     Attributes:
-        failed_at: When the first of these attempts failed.
         is_lost: Whether a peer has reached the endpoint since.
         opened_since: Since when all connection attempts succeed, or None.
         next_probe_at: Time of the next probe.
@@ -72,7 +72,6 @@
         restored_at: When the link was last used again.
     """
 
-    failed_at: float
     is_lost: bool = False
     opened_since: float | None = None
     next_probe_at: float
@@ -177,12 +176,9 @@
         if link is None or not link.is_failing or not self._sound:
             self._failing.add(endpoint)
         if link is None:
-            self._links[endpoint] = _Link(
-                failed_at=now, next_probe_at=now + PROBE_PERIOD_S
-            )
+            self._links[endpoint] = _Link(next_probe_at=now + PROBE_PERIOD_S)
             return
         if not link.is_failing:
-            link.failed_at = now
             link.next_probe_at = now + PROBE_PERIOD_S
         link.opened_since = None
 
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/relayserver.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/relayserver.py
@@ -202,8 +202,8 @@
             log: Gets a line if the address can't be used.
             on_broken: Called with the reason if an invariant is broken.
         """
-        self.timers = timers
-        self.on_broken = on_broken
+        self._timers = timers
+        self._on_broken = on_broken
         self._reactor = reactor
         self._listen = listen
         self._endpoints = endpoints
@@ -215,6 +215,16 @@
         self._counts: collections.Counter[str] = collections.Counter()
         self._port: Any = None
 
+    @property
+    def timers(self) -> Any:
+        """The timer service."""
+        return self._timers
+
+    @property
+    def on_broken(self) -> Callable[[str], None]:
+        """Called with the reason if an invariant is broken."""
+        return self._on_broken
+
     @property
     def address(self) -> str:
         """The address that peers connect to, ``IP:PORT``; empty if none."""
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/requestlog.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/requestlog.py
@@ -12,6 +12,7 @@
 from bulrushgrade_daemon import inflight
 
 _UNCONNECTED = frozenset({attempts.Outcome.UNREACHED, attempts.Outcome.NO_LINK})
+"""Ends of attempts without an open connection, which tell nothing of a run."""
 
 
 class RequestLog:
