Count an endpoint's silence only while a host can judge it

Cause: while no gateway had links nobody could judge the endpoint, and that time counted as its silence; as the links came back, the first check that could judge met a connection from just before, and the crash was found at once. Change: only silence that was judged all along counts, and a refused connection is tried again after another endpoint has shown that the links are sound, at the host itself and at the peer that judges.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/crashcheck.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/crashcheck.py
@@ -15,6 +15,7 @@
 from twisted.internet import protocol
 
 from bulrushgrade import directory as directory_module
+from bulrushgrade_daemon import connections
 from bulrushgrade_daemon import endpointconnector
 
 MAX_JUDGES = 5
@@ -81,18 +82,19 @@
         self, endpoint: directory_module.Registration
     ) -> str | None:
         """Returns why an endpoint counts as crashed, None if it doesn't."""
-        began = self._timers.now
+        began = silent_since = self._timers.now
         while True:
             finding = await self._check(endpoint)
-            checked_s = self._timers.now - began
+            now = self._timers.now
             if finding.reach is Reach.ALIVE:
                 return None
             if finding.reach is Reach.REFUSED:
                 return finding.reason
-            is_silent = finding.reach is Reach.SILENT
-            if is_silent and checked_s >= MAX_SILENCE_S:
+            if finding.reach is not Reach.SILENT:
+                silent_since = now
+            elif now - silent_since >= MAX_SILENCE_S:
                 return finding.reason
-            if checked_s >= LIMIT_S:
+            if now - began >= LIMIT_S:
                 return None
             if not self._endpoints.knows(endpoint.incarnation):
                 # It may as well have left.
@@ -101,11 +103,9 @@
 
     async def _check(self, endpoint: directory_module.Registration) -> _Finding:
         began = self._timers.now
-        opened = await self._connector.open_direct(endpoint, protocol.Protocol)
-        if not isinstance(opened, Failure):
-            opened.unwrap().transport.abortConnection()
+        own = await self._find_connect_error(endpoint)
+        if own is None:
             return _Finding(reach=Reach.ALIVE)
-        own = opened.failure()
         judges = self._connector.pick_judges(MAX_JUDGES)
         asked = [
             defer.Deferred.fromCoroutine(self._ask(peer, endpoint))
@@ -117,10 +117,27 @@
                 if finding.reach is reach:
                     return finding
         if await self._connector.may_judge(endpoint, began):
+            if own.is_refused and await self._can_connect(endpoint):
+                # The links of this host came back in between.
+                return _Finding(reach=Reach.ALIVE)
             reach = Reach.REFUSED if own.is_refused else Reach.SILENT
             return _Finding(reach=reach, reason=own.reason)
         return _Finding(reach=Reach.UNKNOWN, reason=own.reason)
 
+    async def _can_connect(
+        self, endpoint: directory_module.Registration
+    ) -> bool:
+        return await self._find_connect_error(endpoint) is None
+
+    async def _find_connect_error(
+        self, endpoint: directory_module.Registration
+    ) -> connections.ConnectFailed | None:
+        opened = await self._connector.open_direct(endpoint, protocol.Protocol)
+        if isinstance(opened, Failure):
+            return opened.failure()
+        opened.unwrap().transport.abortConnection()
+        return None
+
     async def _ask(
         self, peer: str, endpoint: directory_module.Registration
     ) -> _Finding:
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointconnector.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointconnector.py
@@ -308,6 +308,11 @@
         status = relayframes.Status.CUT_OFF
         if await self.may_judge(endpoint, began):
             status = relayframes.Status.UNREACHED
+            if failed.is_refused:
+                # The links of this host may have come back in between.
+                opened = await self.open_direct(endpoint, build)
+                if not isinstance(opened, Failure):
+                    return opened
         return Failure(
             relayframes.Reply(
                 status=status,
