Log the prompts of requests at crashes, and which of them complete

The lines of a crash named fingerprint, caller and path of each request there, so that nothing told what different requests at many crashes had in common. They now state model, size and parts of the prompt, when the request was sent and whether the endpoint only prefilled it, and a line tells of each request that was at a crash and got its whole answer. No decision changes. test_lines_of_crashes_tell_the_prompts_apart failed before.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/crashwatch.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/crashwatch.py
@@ -13,6 +13,7 @@
 from twisted.internet import defer
 
 from bulrushgrade import directory
+from bulrushgrade import prompt as prompt_module
 from bulrushgrade_daemon import decisionlog
 from bulrushgrade_daemon import inflight
 from bulrushgrade_daemon import task
@@ -30,6 +31,9 @@
 MAX_PATH_CHARS = 120
 """Maximum length of a path in a log line."""
 
+MAX_LOGGED_PARTS = 8
+"""Maximum number of prompt parts of a request in a log line."""
+
 MAX_RUNS = 256
 """Requests reported for one crash; more than an endpoint has slots."""
 
@@ -44,6 +48,9 @@
         request_id: The caller's id of this attempt.
         path: The path of the request.
         ran_s: Time since its answer began, None if it had not.
+        sent_s: Time since it was sent to the endpoint.
+        prompt: Its prompt, or None.
+        is_prefilling: Whether the endpoint only prefilled its prompt.
     """
 
     fingerprint: str
@@ -51,6 +58,9 @@
     request_id: str
     path: str
     ran_s: float | None
+    sent_s: float = 0.0
+    prompt: prompt_module.Prompt | None = None
+    is_prefilling: bool = False
 
 
 @attrs.define(kw_only=True)
@@ -133,6 +143,9 @@
             request_id=request.info.request_id,
             path=request.caller.path.decode("latin-1"),
             ran_s=request.ran_s(self._timers.now),
+            sent_s=request.sent_s(self._timers.now),
+            prompt=request.info.prompt,
+            is_prefilling=request.is_prefilling,
         )
         pending_check = self._pending_checks.get(endpoint.incarnation)
         if pending_check is None:
@@ -188,18 +201,29 @@
             endpoint=endpoint.id,
             born_ms=endpoint.born_ms,
             service=endpoint.service,
+            software=endpoint.software,
             zone=endpoint.zone,
             reason=reason,
-            runs=[
-                {
-                    "request": run.request_id,
-                    "fingerprint": run.fingerprint,
-                    "caller": run.caller_id,
-                    "path": run.path[:MAX_PATH_CHARS],
-                    "ran_s": None if run.ran_s is None else round(run.ran_s, 3),
-                }
-                for run in runs
-            ],
+            runs=[_describe_run(run) for run in runs],
         )
         crash = Crash(endpoint=endpoint, runs=tuple(runs), reason=reason)
         self._on_crash(crash)
+
+
+def _describe_run(run: InterruptedRequest) -> dict[str, Any]:
+    fields = {
+        "request": run.request_id,
+        "fingerprint": run.fingerprint,
+        "caller": run.caller_id,
+        "path": run.path[:MAX_PATH_CHARS],
+        "ran_s": None if run.ran_s is None else round(run.ran_s, 3),
+        "sent_s": round(run.sent_s, 3),
+        "prefilling": run.is_prefilling,
+    }
+    if run.prompt is not None:
+        fields["model"] = run.prompt.model
+        fields["prompt_tokens"] = run.prompt.prompt_tokens
+        fields["parts"] = [
+            part.id for part in run.prompt.parts[:MAX_LOGGED_PARTS]
+        ]
+    return fields
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointcalls.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointcalls.py
@@ -202,6 +202,8 @@
                 return None
             # The remaining time is computed at the time of the write, since
             # opening the connection has taken some of it.
+            request.written_at = written_at
+            request.is_prefilling = forwarding.prefill_only
             workspace = request.workspace
             timed = attrs.evolve(
                 forwarding,
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
@@ -561,11 +561,17 @@
 
     def _record_answered(self, request: inflight.InFlight) -> None:
         self._count("answered")
-        if len(self._ledger) and self._ledger.involvements(request.fingerprint):
-            self._observe_completion(request.fingerprint)
+        if len(self._ledger):
+            self._record_completed_after_crash(request)
         took_s = self._timers.now - request.caller.arrived_at
         self._observe_latency(request.route.kind.value, took_s)
 
+    def _record_completed_after_crash(self, request: inflight.InFlight) -> None:
+        crashes = len(self._ledger.involvements(request.fingerprint))
+        if crashes:
+            self._log.log_completed_after_crash(request, crashes)
+            self._observe_completion(request.fingerprint)
+
     def _retry_share(self, service: str) -> retryshare.RetryShare:
         share = self._retry_shares.get(service)
         if share is None:
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/inflight.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/inflight.py
@@ -70,6 +70,8 @@
         hides_key: Whether its API key is withheld from endpoints.
         is_counted: Whether it was counted as a request that began to run.
         sent_at: When the current attempt began, None between attempts.
+        written_at: When it was last written to an endpoint, None before.
+        is_prefilling: Whether that endpoint only prefills its prompt.
         answer_began_at: When the answer of the last attempt began, None if
             it didn't.
         avoid_zones: Availability zones that are used only if no other has an
@@ -111,6 +113,8 @@
     hides_key: bool = False
     is_counted: bool = False
     sent_at: float | None = None
+    written_at: float | None = None
+    is_prefilling: bool = False
     answer_began_at: float | None = None
     avoid_zones: frozenset[str] = frozenset()
     permit: permitservice.Permit = permitservice.Permit()
@@ -244,6 +248,10 @@
             return 0.0
         return now - max(self.sent_at, self.pace.last_at)
 
+    def sent_s(self, now: float) -> float:
+        """Returns the time since it was last written to an endpoint."""
+        return 0.0 if self.written_at is None else now - self.written_at
+
     def ran_s(self, now: float) -> float | None:
         """Returns the time since its answer began, None if it hasn't."""
         began_at = self.answer_began_at
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/requestlog.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/requestlog.py
@@ -7,6 +7,7 @@
 from bulrushgrade import directory
 from bulrushgrade import routing
 from bulrushgrade import workspaces
+from bulrushgrade_daemon import crashwatch
 from bulrushgrade_daemon import decisionlog
 from bulrushgrade_daemon import dialect
 from bulrushgrade_daemon import inflight
@@ -67,6 +68,24 @@
             left_s=round(left_s),
         )
 
+    def log_completed_after_crash(
+        self, request: inflight.InFlight, crashes: int
+    ) -> None:
+        """Logs the complete answer of a request that was at crashes."""
+        prompt = request.info.prompt
+        parts = () if prompt is None else prompt.parts
+        self._log.note(
+            "request_completed_after_crash",
+            request=request.info.request_id,
+            route=request.route.name,
+            fingerprint=request.fingerprint,
+            crashes=crashes,
+            endpoint=request.endpoint.id,
+            software=request.endpoint.software,
+            ran_s=_rounded(request.ran_s(self._now())),
+            parts=[part.id for part in parts[: crashwatch.MAX_LOGGED_PARTS]],
+        )
+
     def log_no_route(
         self,
         info: dialect.RequestInfo,
--- a/packages/bulrushgrade_daemon/tests/test_crashwatch.py
+++ b/packages/bulrushgrade_daemon/tests/test_crashwatch.py
@@ -7,6 +7,7 @@
 from test_inflight import ROUTE
 from twisted.internet import defer
 
+from bulrushgrade import prompt as prompt_module
 from bulrushgrade_daemon import crashwatch
 from bulrushgrade_daemon import dialect
 from bulrushgrade_daemon import inflight
@@ -157,3 +158,24 @@
     scene.run_check()
     (crash,) = scene.crashes
     assert len(crash.runs) == crashwatch.MAX_RUNS
+
+
+def test_lines_of_crashes_tell_the_prompts_apart():
+    """No line told what different requests at crashes had in common."""
+    scene = Scene()
+    request = make_request("r1", began_at=0.0)
+    request.info = attrs.evolve(request.info, prompt=make_prompt("a1", "b2"))
+    scene.watch.observe_broken_answer(request)
+    scene.run_check()
+    (line,) = scene.lines.read("endpoint_crashed")
+    (run,) = line["runs"]
+    assert run["parts"] == ["a1", "b2"]
+    assert run["model"] == "m"
+    assert run["prefilling"] is False
+
+
+def make_prompt(*ids):
+    parts = tuple(prompt_module.PromptPart(id=id, tokens=10) for id in ids)
+    return prompt_module.Prompt(
+        model="m", parts=parts, prompt_tokens=10 * len(ids), output_tokens=5
+    )
