Leave connections unread that an overloaded host can't serve

What callers saw: while the load balancer handed most new connections of a region to one host, that host read all of them and lost most. The event loop was late by seconds, so its timers, its probes and its connections to endpoints ran into timeouts too.

Cause: the caller's listener bounded neither connections nor open requests. A request that has been read has to be answered here, while a connection that is closed unread sends its caller to another host at once.

Ruled out: a bound on open requests alone (requests are short, and the loop is late before many are open), and a fixed rate (hosts differ, and turn slow).

Change: the rate of new connections may grow step by step while the event loop is on time, and falls while it is late; connections above it are closed before anything is read, and kept ones end after their next answer. The number of open connections is bounded by the file descriptors the process may have.

Not bounded: the memory of the request bodies that are buffered at a time.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/frontend.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/frontend.py
@@ -4,6 +4,9 @@
 complete with its length, or in chunks as they arrive. If an answer can't be
 completed, the connection is closed or reset so that the answer does not look
 complete.
+
+While the host is overloaded, new connections are closed before anything is read
+from them, and kept ones after their next answer.
 """
 
 from collections.abc import Callable
@@ -13,7 +16,9 @@
 
 from twisted.web import http
 
+from bulrushgrade import intake
 from bulrushgrade import routing
+from bulrushgrade_daemon import decisionlog
 from bulrushgrade_daemon import httpfactory
 
 
@@ -23,6 +28,7 @@
     limits: routing.CallerLimits
     handle: Callable[["CallerRequest"], None]
     is_closing: Callable[[], bool]
+    on_answered: Callable[[], None]
 
     arrived_at: float = 0.0
     on_disconnect: Callable[[], None] | None = None
@@ -75,6 +81,11 @@
         self.clientproto = version
         self.handle(self)
 
+    def finish(self) -> None:
+        """Ends a complete answer."""
+        self.on_answered()
+        super().finish()
+
     def connectionLost(self, reason: Any) -> None:  # noqa: N802
         """Calls `on_disconnect`, so that work on the request can stop."""
         self._is_disconnected = True
@@ -182,13 +193,24 @@
     """Makes the connections and keeps the set of open ones."""
 
     def __init__(
-        self, *, reactor: Any, make_request: Callable[..., CallerRequest]
+        self,
+        *,
+        reactor: Any,
+        make_request: Callable[..., CallerRequest],
+        accepts: Callable[[int], bool],
     ):
         super().__init__(
             reactor=reactor, make_request=make_request, channel_type=_Channel
         )
+        self._accepts = accepts
         self.channels: set[_Channel] = set()
 
+    def buildProtocol(self, addr: Any) -> http.HTTPChannel | None:  # noqa: N802
+        """Returns the channel for a new connection, None to close it unread."""
+        if not self._accepts(len(self.channels)):
+            return None
+        return super().buildProtocol(addr)
+
 
 class Frontend:
     """Listens for callers and passes each request to a handler."""
@@ -200,32 +222,45 @@
         self,
         *,
         reactor: Any,
+        timers: Any,
         host: str,
         port: int,
-        now: Callable[[], float],
         limits: Callable[[], routing.CallerLimits],
+        max_connections: int,
         handle: Callable[[CallerRequest], None],
+        log: decisionlog.DecisionLog,
     ):
         """Makes the service.
 
         Args:
             reactor: The reactor that the server runs in.
+            timers: The timer service.
             host: The IP address to listen on.
             port: The port; 0 for any free one.
-            now: Returns the current time in seconds.
             limits: Returns the limits on callers that are in force.
+            max_connections: Maximum number of open connections.
             handle: Called with each complete request.
+            log: Gets a line when the host becomes overloaded, and when that
+                ends.
         """
         self._reactor = reactor
         self._host = host
         self._port_number = port
-        self._now = now
+        self._timers = timers
+        self._log = log
+        self._intake = intake.Intake(
+            max_connections=max_connections, now=timers.now
+        )
+        self._tick: Any = None
+        self._tick_due = 0.0
         self._limits = limits
         self._handle = handle
         self._stopping = False
         self._port: Any = None
         self._factory = _Factory(
-            reactor=reactor, make_request=self._make_request
+            reactor=reactor,
+            make_request=self._make_request,
+            accepts=self._accepts,
         )
 
     @property
@@ -239,14 +274,27 @@
         """The number of open connections from callers."""
         return len(self._factory.channels)
 
+    @property
+    def loop_delay_s(self) -> float:
+        """The average delay of the event loop."""
+        return self._intake.delay_s
+
+    @property
+    def counts(self) -> dict[str, int]:
+        """Number of connections that were closed unread."""
+        return {"closed_unread": self._intake.left_out}
+
     async def start(self) -> None:
         """Starts to listen."""
+        self._schedule_tick()
         self._port = self._reactor.listenTCP(
             self._port_number, self._factory, backlog=512, interface=self._host
         )
 
     async def stop(self) -> None:
         """Stops listening and closes idle connections."""
+        if self._tick is not None:
+            self._tick.cancel()
         if self._port is not None:
             await self._port.stopListening()
         self.close_idle()
@@ -265,8 +313,15 @@
         """Ignores messages; none are sent to this service."""
 
     def dump(self) -> dict[str, Any]:
-        """Returns the number of connections and whether it is draining."""
-        return {"connections": self.connections, "stopping": self._stopping}
+        """Returns the number of connections, the load and whether it drains."""
+        return {
+            "connections": self.connections,
+            "stopping": self._stopping,
+            "loop_delay_s": round(self._intake.delay_s, 4),
+            "offered_per_s": round(self._intake.offered_per_s, 1),
+            "accepted_up_to_per_s": round(self._intake.rate_per_s, 1),
+            **self.counts,
+        }
 
     def _make_request(self, channel: Any, queued: Any = None) -> CallerRequest:
         request = CallerRequest(channel, queued)
@@ -275,10 +330,33 @@
         # Twisted measures the idle timeout from the last byte received, so
         # a changed limit takes effect with the next request.
         channel.timeOut = limits.idle_timeout_s
-        request.is_closing = lambda: self._stopping
+        request.is_closing = lambda: self._stopping or self._intake.is_limiting
+        request.on_answered = self._intake.observe_answer
         request.handle = self._receive_request
         return request
 
     def _receive_request(self, request: CallerRequest) -> None:
-        request.arrived_at = self._now()
+        request.arrived_at = self._timers.now
         self._handle(request)
+
+    def _schedule_tick(self) -> None:
+        self._tick_due = self._timers.now + intake.TICK_S
+        self._tick = self._timers.after(intake.TICK_S, self._measure_delay)
+
+    def _measure_delay(self) -> None:
+        """Takes in how late the event loop is."""
+        now = self._timers.now
+        if self._intake.observe_tick(now - self._tick_due, now):
+            is_limiting = self._intake.is_limiting
+            self._log.note(
+                "overload_began" if is_limiting else "overload_ended",
+                loop_delay_s=round(self._intake.delay_s, 4),
+                offered_per_s=round(self._intake.offered_per_s, 1),
+                accepted_up_to_per_s=round(self._intake.rate_per_s, 1),
+                connections=self.connections,
+                closed_unread=self._intake.left_out,
+            )
+        self._schedule_tick()
+
+    def _accepts(self, connections: int) -> bool:
+        return self._intake.accepts(connections, self._timers.now)
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaypages.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaypages.py
@@ -50,6 +50,11 @@
             "Requests by how they ended, attempts by what came of them.",
             lambda: services.forwarder.counts,
         ),
+        (
+            "caller_connections_total",
+            "Connections from callers that were closed unread.",
+            lambda: services.frontend.counts,
+        ),
         (
             "endpoint_connections_total",
             "Connections that failed or were relayed, probes, lost links.",
@@ -192,3 +197,8 @@
         "Prompt parts, or combinations, that are not sent to endpoints.",
         read=lambda: services.crash_services.parts.quarantined,
     )
+    services.metrics.gauge(
+        "event_loop_delay_seconds",
+        "Average delay of the event loop.",
+        read=lambda: services.frontend.loop_delay_s,
+    )
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
@@ -506,11 +506,13 @@
         )
         self._frontend = frontend.Frontend(
             reactor=context.reactor,
+            timers=self._timers,
             host=listen.callers.host,
             port=listen.callers.port,
-            now=lambda: self._timers.now,
             limits=self._caller_limits,
+            max_connections=context.settings().limits.max_caller_connections,
             handle=self._forwarder.handle,
+            log=context.log,
         )
 
     def _make_gossip(self) -> None:
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaysettings.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaysettings.py
@@ -131,6 +131,30 @@
         return self.address is not None and ORDER_CAPACITY in self.tasks
 
 
+RESERVED_DESCRIPTORS = 500
+"""Descriptors for files, and for connections to the store, peers, operators and
+engines beside those of callers' requests."""
+
+
+@attrs.frozen(kw_only=True)
+class Limits:
+    """Section ``[limits]``: what the host may use.
+
+    Attributes:
+        descriptors: Maximum number of file descriptors of the process.
+    """
+
+    descriptors: int = _key(keys.number(int, 600, 10**7, "descriptors"), 4096)
+
+    @property
+    def max_caller_connections(self) -> int:
+        """Maximum number of connections from callers.
+
+        The request of each may need a connection to an endpoint too.
+        """
+        return (self.descriptors - RESERVED_DESCRIPTORS) // 2
+
+
 @attrs.frozen(kw_only=True)
 class GatewaySettings:
     """The settings of one gateway, with one attribute per section."""
@@ -140,6 +164,7 @@
     store: Store
     bounds: Bounds
     operator: Operator
+    limits: Limits
 
 
 _SECTIONS = {
@@ -148,6 +173,7 @@
     "store": Store,
     "bounds": Bounds,
     "operator": Operator,
+    "limits": Limits,
 }
 
 
