Take answers that end with their connection as whole

What callers saw: a plain service behind bulrushgraded that answers without a length had each answer taken for truncated; its request was repeated, or its outcome called unknown. A stream that ended within an event was passed on as a whole answer.

Cause: Twisted ends such a body alike whether the connection was closed in order or reset, and the adapter took both as a loss. It did not look at events at all.

Change: connections of the pool keep why they were lost, as those of the gateway did, and one function decides for both. Answers of plain services that are event streams are whole only if they end between two events.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/httpclient.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/httpclient.py
@@ -43,6 +43,30 @@
     """No connection was opened, so no byte of the request was written."""
 
 
+class _Connection(outbound.Client):
+    """A pooled connection that its responses refer to."""
+
+    def request(self, request: Any) -> defer.Deferred:
+        """Sends a request; the response gets the attribute `connection`."""
+        answered = outbound.Client.request(self, request)
+        return answered.addCallback(self._attach)
+
+    def _attach(self, response: Any) -> Any:
+        response.connection = self
+        return response
+
+
+class _ConnectionFactory(web_client._HTTP11ClientFactory):
+    """Makes the connections of a pool."""
+
+    def buildProtocol(self, addr: Any) -> _Connection:  # noqa: N802
+        return _Connection(self._quiescentCallback)
+
+
+class _Pool(web_client.HTTPConnectionPool):
+    _factory = _ConnectionFactory
+
+
 @implementer(interfaces.IStreamClientEndpoint)
 class _CheckedEndpoint:
     """Connects, sets socket options and runs a check before the write.
@@ -142,7 +166,7 @@
             the request fails with `RefusedByCheckError`.
         connect_timeout_s: How long opening a connection may take.
     """
-    pool = web_client.HTTPConnectionPool(reactor, persistent=persistent)
+    pool = _Pool(reactor, persistent=persistent)
     pool.maxPersistentPerHost = MAX_IDLE_CONNECTIONS_PER_HOST
     pool.cachedConnectionTimeout = IDLE_TIMEOUT_S
     # Agent would silently send a request twice; retries are counted and decided
@@ -191,6 +215,16 @@
     )
 
 
+def is_body_whole(response: Any, reason: Any) -> bool:
+    """Returns whether the body of a response has arrived completely.
+
+    Args:
+        response: The response of a connection that `send` used.
+        reason: Why Twisted ended the body.
+    """
+    return outbound.is_body_whole(response.connection, reason)
+
+
 def was_not_sent(error: BaseException) -> bool:
     """Returns whether an error proves that no byte of a request was written."""
     return isinstance(error, ConnectFailedError | RefusedByCheckError)
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/outbound.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/outbound.py
@@ -82,6 +82,24 @@
         return lost is None or not lost.check(NotPassedOnError)
 
 
+def is_body_whole(client: Client, reason: Any) -> bool:
+    """Returns whether the body of a response has arrived completely.
+
+    A body without framing ends with its connection, so it is whole if the
+    connection was closed in order.
+
+    Args:
+        client: The connection of the response.
+        reason: Why Twisted ended the body.
+    """
+    if reason.check(http.PotentialDataLoss):
+        lost = client.lost_reason
+        return lost is not None and bool(
+            lost.check(internet_error.ConnectionDone)
+        )
+    return bool(reason.check(_newclient.ResponseDone))
+
+
 OpenClient = Callable[
     [directory.Registration], Awaitable[Result[Client, CallFailed]]
 ]
@@ -130,18 +148,10 @@
         ended, self._ended = self._ended, None
         if ended is None:
             return
-        if reason.check(http.PotentialDataLoss):
-            lost = self._client.lost_reason
-            whole = lost is not None and bool(
-                lost.check(internet_error.ConnectionDone)
-            )
-            ended.callback(BodyEnd(whole=whole, reason="reset"))
-        elif reason.check(_newclient.ResponseDone):
-            ended.callback(BodyEnd(whole=True))
-        else:
-            ended.callback(
-                BodyEnd(whole=False, reason=_describe_failure(reason))
-            )
+        whole = is_body_whole(self._client, reason)
+        ended.callback(
+            BodyEnd(whole=whole, reason="" if whole else _describe_end(reason))
+        )
 
 
 class Answer:
@@ -413,6 +423,12 @@
     return type(error).__name__
 
 
+def _describe_end(reason: Any) -> str:
+    if reason.check(http.PotentialDataLoss):
+        return "reset"
+    return _describe_failure(reason)
+
+
 def _describe_failure(failure: Any) -> str:
     if failure is None:
         return "unknown"
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/plain.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/plain.py
@@ -7,8 +7,8 @@
 from twisted.internet import defer
 from twisted.internet import protocol
 from twisted.python import failure as twisted_failure
-from twisted.web import client as web_client
 
+from bulrushgrade import eventstream
 from bulrushgrade_daemon import engine
 from bulrushgrade_daemon import httpclient
 
@@ -16,6 +16,7 @@
 # a truncated one is detected and, where allowed, the request retried. This
 # limits the memory per answer.
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
+EVENT_STREAM = "text/event-stream"
 # Headers that belong to a single connection, or that this host sets itself. A
 # caller that could set the attempt id could make its answer look like the
 # answer to another request.
@@ -68,7 +69,8 @@
 class _Body(protocol.Protocol):
     """Buffers a body up to its limit and checks that it is complete."""
 
-    def __init__(self):
+    def __init__(self, *, response: Any):
+        self._response = response
         self._parts: list[bytes] = []
         self._size = 0
         self.done: defer.Deferred = defer.Deferred()
@@ -84,12 +86,13 @@
     def connectionLost(  # noqa: N802
         self, reason: twisted_failure.Failure = protocol.connectionDone
     ) -> None:
-        if reason.check(web_client.ResponseDone):
-            self._finish(b"".join(self._parts))
-        else:
-            # Includes PotentialDataLoss: without a length, a truncated answer
-            # looks the same as a complete one.
+        body = b"".join(self._parts)
+        if not httpclient.is_body_whole(self._response, reason):
             self._finish(engine.Lost(reason="answer was truncated"))
+        elif _is_event_stream(self._response) and _ends_within_event(body):
+            self._finish(engine.Lost(reason="stream ended within an event"))
+        else:
+            self._finish(body)
 
     def _finish(self, outcome: Any) -> None:
         if not self.done.called:
@@ -168,7 +171,7 @@
             ),
             body=call.body,
         )
-        body = _Body()
+        body = _Body(response=response)
         response.deliverBody(body)
         outcome = await body.done
         if isinstance(outcome, engine.Lost):
@@ -202,6 +205,18 @@
     )
 
 
+def _is_event_stream(response: Any) -> bool:
+    types = response.headers.getRawHeaders("Content-Type", [""])
+    media_type, _, _ = types[0].partition(";")
+    return media_type.strip().lower() == EVENT_STREAM
+
+
+def _ends_within_event(body: bytes) -> bool:
+    splitter = eventstream.EventSplitter()
+    splitter.feed(body)
+    return splitter.partial
+
+
 def _read_answer_headers(response: Any) -> tuple[tuple[str, str], ...]:
     return drop_hop_by_hop_headers(
         [
