Keep a gateway running when a peer gives up a relayed connection

What callers saw: a whole host was gone. A peer closed its relay connection while the host tried its own links, and the process ended with "broken invariant".

Cause: coroutines that run others at once awaited gatherResults. A cancellation reaches each of those, and the first comes back as FirstError, which is no cancellation to whoever cancelled. task.spawn took it for a broken invariant, and the others were errors that nobody handled. The class: a cancellation that comes back as another error.

Change: task.gather runs coroutines at once; its cancellation cancels all of them and is a cancellation, also if they end with a result then. It replaces gatherResults at every await (twice in endpointconnector, in crashcheck and the CLI's status). authority waits for its releases in a way that nothing cancels; it stays. Errors that nothing handles are logged as unhandled_error.

Searched: each spawn, by a test that cancels the kinds of tasks that wait for several connections, one connection or an answer at any of their awaits, 400 random cases each. Before, the three kinds that gather broke and connecting and fetching did not; now none breaks. The process test, in which eight peers give up while a gateway tries its links, failed before ("broken_invariant" and seven unhandled errors) and passes.

--- a/packages/bulrushgrade_cli/bulrushgrade_cli/status.py
+++ b/packages/bulrushgrade_cli/bulrushgrade_cli/status.py
@@ -13,6 +13,7 @@
 
 from bulrushgrade_cli import outcome
 from bulrushgrade_daemon import httpclient
+from bulrushgrade_daemon import task
 
 TIMEOUT_S = 5.0
 
@@ -94,11 +95,8 @@
         Done if all are ready, refused if one reports that it is not ready, and
         unknown if one did not answer.
     """
-    fetched = await defer.gatherResults(
-        [
-            defer.Deferred.fromCoroutine(fetch(reactor, address, "/dump"))
-            for address in addresses
-        ]
+    fetched = await task.gather(
+        fetch(reactor, address, "/dump") for address in addresses
     )
     rows = [
         _summarize(address, answer)
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/crashcheck.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/crashcheck.py
@@ -11,12 +11,12 @@
 import attrs
 from returns.result import Failure
 from returns.result import Success
-from twisted.internet import defer
 from twisted.internet import protocol
 
 from bulrushgrade import directory as directory_module
 from bulrushgrade_daemon import connections
 from bulrushgrade_daemon import endpointconnector
+from bulrushgrade_daemon import task
 
 MAX_JUDGES = 5
 """Number of peers that are asked at a time. Several hosts may have lost the
@@ -107,11 +107,9 @@
         if own is None:
             return _Finding(reach=Reach.ALIVE)
         judges = self._connector.pick_judges(MAX_JUDGES)
-        asked = [
-            defer.Deferred.fromCoroutine(self._ask(peer, endpoint))
-            for peer in judges
-        ]
-        findings = await defer.gatherResults(asked)
+        findings = await task.gather(
+            self._ask(peer, endpoint) for peer in judges
+        )
         for reach in _PRECEDENCE:
             for finding in findings:
                 if finding.reach is reach:
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointconnector.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointconnector.py
@@ -13,7 +13,6 @@
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
-from twisted.internet import defer
 
 from bulrushgrade import directory as directory_module
 from bulrushgrade import endpointlinks
@@ -389,11 +388,9 @@
         ]
         if not others:
             return True
-        probes = [
-            defer.Deferred.fromCoroutine(self._probe(other))
-            for other in others[: endpointlinks.MAX_PROBES]
-        ]
-        opened = await defer.gatherResults(probes)
+        opened = await task.gather(
+            self._probe(other) for other in others[: endpointlinks.MAX_PROBES]
+        )
         return any(opened)
 
     def pick_judges(self, count: int) -> list[str]:
@@ -457,11 +454,10 @@
         )
 
     async def _verify(self, endpoint: directory_module.Registration) -> None:
-        asked = [
-            defer.Deferred.fromCoroutine(self.connect_by(peer, endpoint))
+        results = await task.gather(
+            self.connect_by(peer, endpoint)
             for peer in self._pick_peers(VERIFIERS, endpoint)
-        ]
-        results = await defer.gatherResults(asked)
+        )
         self._verifying.discard(endpoint.incarnation)
         unreached = None
         for result in results:
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayprocess.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayprocess.py
@@ -5,10 +5,12 @@
 from typing import Any
 
 from returns.result import Failure
+from twisted import logger
 from twisted.internet import error as internet_error
 
 from bulrushgrade_daemon import adapter
 from bulrushgrade_daemon import clock
+from bulrushgrade_daemon import decisionlog
 from bulrushgrade_daemon import gateway as gateway_module
 from bulrushgrade_daemon import gatewaysettings
 from bulrushgrade_daemon import settings as settings_module
@@ -21,6 +23,19 @@
 BuildAdapter = Callable[[gatewaysettings.GatewaySettings, Any], adapter.Adapter]
 
 
+def make_error_observer(
+    log: decisionlog.DecisionLog,
+) -> Callable[[dict[str, Any]], None]:
+    """Returns an observer of Twisted's log that logs errors nobody handled."""
+
+    def observe(event: dict[str, Any]) -> None:
+        failure = event.get("log_failure")
+        if failure is not None:
+            log.note("unhandled_error", reason=failure.getTraceback())
+
+    return observe
+
+
 class GatewayProcess:
     """Runs one gateway until a signal stops it."""
 
@@ -60,6 +75,9 @@
         # A write to a closed connection must raise an error instead of
         # ending the process.
         signal.signal(signal.SIGPIPE, signal.SIG_IGN)
+        logger.globalLogPublisher.addObserver(
+            make_error_observer(self._gateway.log)
+        )
         self._reactor.callWhenRunning(self._start)
         self._reactor.run(installSignalHandlers=False)
         return self._exit_code
