Read what a host can handle at once after it was paused

What callers saw: after a gateway had been paused for two seconds it left nearly all connections unread for more than ten seconds, at 20 a second that it could easily handle.

Cause: the one long turn counted as overload. In it no connection came, so the rate fell to twice almost nothing, and the rate of answers meanwhile, nearly zero, was taken for what the host handles, above which the rate grows by a fifth a second.

Change: a turn that is late by more than what is counted, after one that was on time, is a pause and is not measured. The rate of connections until the loop became late counts as handled, too, and 50 a second, which any host handles.

--- a/packages/bulrushgrade/bulrushgrade/intake.py
+++ b/packages/bulrushgrade/bulrushgrade/intake.py
@@ -24,8 +24,8 @@
 that decodes a large configuration, limits little."""
 
 MAX_SAMPLE_S = 0.25
-"""Maximum delay that is counted of one turn: a host that was paused is not
-overloaded."""
+"""Maximum delay that is counted of one turn. A longer one after a turn that was
+on time is a pause of the process, which is no overload, and isn't counted."""
 
 STALLED_S = 0.15
 """Delay of the last turn at which no connection is accepted. Requests that came
@@ -46,7 +46,7 @@
 left out. A burst that the host can handle is read whole within a second."""
 
 PROBE_PER_S = 1.2
-"""The same above the rate that the host handled while its loop was late."""
+"""The same above the rate that the host is known to handle."""
 
 SAFE_SHARE = 0.8
 """Share of the rate of answers while the loop was late up to which the rate of
@@ -107,8 +107,10 @@
         self._answered_per_s = 0.0
         self._left_out = 0
         self._left_out_at = -math.inf
-        # The rate of answers while the loop was late, and when it last was.
+        # The rate of connections until the loop became late, the rate of
+        # answers while it was late, and when it last was.
         self._is_late = False
+        self._on_time_per_s = 0.0
         self._handled_per_s = 0.0
         self._late_at = -math.inf
         self._is_limiting = False
@@ -173,13 +175,20 @@
         self._refill(now)
         elapsed_s = max(TICK_S, now - self._ticked_at)
         self._ticked_at = now
+        was_on_time = self._last_sample_s <= LOW_DELAY_S
         self._last_sample_s = max(0.0, delay_s)
+        if was_on_time and delay_s > MAX_SAMPLE_S:
+            self._offered = self._accepted = self._answered = 0
+            return self._observe_limiting(now)
         sample_s = min(self._last_sample_s, MAX_SAMPLE_S)
         weight = 1 - math.exp(-min(elapsed_s, MAX_SAMPLE_S) / SMOOTHING_S)
         self._delay_s += (sample_s - self._delay_s) * weight
         was_left_out = now - self._left_out_at <= elapsed_s
         self._measure_rates(elapsed_s)
         self._adjust(min(elapsed_s, MAX_SAMPLE_S), was_left_out, now)
+        return self._observe_limiting(now)
+
+    def _observe_limiting(self, now: float) -> bool:
         before = self._is_limiting
         self._is_limiting = now - self._left_out_at < LIMITING_S
         return self._is_limiting != before
@@ -209,6 +218,7 @@
         if self._delay_s > HIGH_DELAY_S and is_late:
             if not self._is_late:
                 self._handled_per_s = 0.0
+                self._on_time_per_s = self._accepted_per_s
             self._is_late, self._late_at = True, now
             self._handled_per_s = max(self._handled_per_s, self._answered_per_s)
             # What was allowed and not used is not what the host can handle.
@@ -230,7 +240,11 @@
         if was_left_out:
             wanted_per_s = math.inf
         if now - self._late_at <= FORGET_S:
-            probed_per_s = self._handled_per_s * SAFE_SHARE
+            probed_per_s = max(
+                self._handled_per_s * SAFE_SHARE,
+                self._on_time_per_s,
+                MIN_HEADROOM_PER_S,
+            )
             if self._rate_per_s >= probed_per_s:
                 self._rate_per_s *= PROBE_PER_S**elapsed_s
                 return
--- a/packages/bulrushgrade/tests/test_intake.py
+++ b/packages/bulrushgrade/tests/test_intake.py
@@ -39,7 +39,7 @@
 class Loop:
     """An event loop that handles what is ready in turns."""
 
-    def __init__(self, *, usual_per_s, flood_per_s, seed=1):
+    def __init__(self, *, usual_per_s, flood_per_s, seed=1, pauses=()):
         self._rng = random.Random(seed)
         self._now = 0.0
         self._events = []
@@ -58,6 +58,8 @@
             )
             self._push(at, self._accept, at)
         self._push(intake.TICK_S, self._tick, intake.TICK_S)
+        for pause_at, pause_s in pauses:
+            self._push(pause_at, self._pause, pause_s)
 
     def run(self):
         while self._events:
@@ -113,6 +115,9 @@
         due = self._now + intake.TICK_S
         self._push(due, self._tick, due)
 
+    def _pause(self, pause_s):
+        self._now += pause_s
+
     def _push(self, at, call, *arguments):
         self._number += 1
         heapq.heappush(self._events, (at, self._number, call, arguments))
@@ -191,3 +196,18 @@
     assert not host.accepts(0, 2.0 + intake.TICK_S)
     host.observe_tick(0.0, 2.0 + 2 * intake.TICK_S)
     assert host.accepts(0, 2.0 + 2 * intake.TICK_S)
+
+
+@pytest.mark.parametrize("usual_per_s", [20, 45, 100])
+@pytest.mark.parametrize("pause_s", [0.3, 2.0])
+def test_paused_host_reads_what_it_can_handle_at_once(usual_per_s, pause_s):
+    """A host left most connections unread for ten seconds after a pause."""
+    ends = [at + pause_s for at in (4.0, 11.0, 18.0)]
+    loop = Loop(
+        usual_per_s=usual_per_s,
+        flood_per_s=usual_per_s,
+        pauses=[(at - pause_s, pause_s) for at in ends],
+    ).run()
+    later = [a for a in loop.arrivals if any(0.5 <= a.at - e < 3 for e in ends)]
+    left_out = sum(arrival.took_s is None for arrival in later)
+    assert left_out <= 0.02 * len(later)
