--- a/packages/bulrushgrade/bulrushgrade/partblame.py
+++ b/packages/bulrushgrade/bulrushgrade/partblame.py
@@ -23,6 +23,7 @@
   answer, tells them apart.
 """
 
+import bisect
 from collections.abc import Iterable
 from collections.abc import Mapping
 import math
@@ -159,7 +160,7 @@
     A crash counts half if an endpoint without the part crashed with it.
     """
     known = list(crashes)
-    return _count(_select_independent(known), known, sites)
+    return _count(_select_independent(known), known, _sort_by_time(sites))
 
 
 def find_blames(evidence: Evidence, sites: Sites) -> tuple[Blame, ...]:
@@ -169,6 +170,7 @@
         for part, crashes in evidence.items()
         if len(crashes) >= MIN_CRASHES
     }
+    times = _sort_by_time(sites)
     explained: set[Incarnation] = set()
     found: list[Blame] = []
     while True:
@@ -176,7 +178,7 @@
         for part, crashes in crashes_by_part.items():
             left = [c for c in crashes if c.endpoint not in explained]
             counted = _select_independent(left)
-            if _is_enough(left, counted, sites):
+            if _is_enough(left, counted, sites, times):
                 candidates[part] = counted
         if not candidates:
             return tuple(found)
@@ -251,30 +253,46 @@
     return found
 
 
+def _sort_by_time(sites: Sites) -> list[tuple[float, Incarnation]]:
+    return sorted(
+        (site.crashed_at, endpoint) for endpoint, site in sites.items()
+    )
+
+
 def _count(
-    counted: list[PartCrash], crashes: list[PartCrash], sites: Sites
+    counted: list[PartCrash],
+    crashes: list[PartCrash],
+    times: list[tuple[float, Incarnation]],
 ) -> float:
-    single = sum(_is_single(crash, crashes, sites) for crash in counted)
+    endpoints = {crash.endpoint for crash in crashes}
+    single = sum(_is_single(crash, endpoints, times) for crash in counted)
     return single + (len(counted) - single) * SAME_FAILURE_WEIGHT
 
 
 def _is_single(
-    crash: PartCrash, crashes: list[PartCrash], sites: Sites
+    crash: PartCrash,
+    endpoints: set[Incarnation],
+    times: list[tuple[float, Incarnation]],
 ) -> bool:
     """Returns whether no endpoint without the part crashed at the same time."""
-    endpoints = {other.endpoint for other in crashes}
-    return not any(
-        abs(site.crashed_at - crash.crashed_at) <= SAME_FAILURE_S
-        and endpoint not in endpoints
-        for endpoint, site in sites.items()
-    )
+    begin = bisect.bisect_left(times, (crash.crashed_at - SAME_FAILURE_S,))
+    for index in range(begin, len(times)):
+        crashed_at, endpoint = times[index]
+        if crashed_at > crash.crashed_at + SAME_FAILURE_S:
+            return True
+        if endpoint not in endpoints:
+            return False
+    return True
 
 
 def _is_enough(
-    crashes: list[PartCrash], counted: list[PartCrash], sites: Sites
+    crashes: list[PartCrash],
+    counted: list[PartCrash],
+    sites: Sites,
+    times: list[tuple[float, Incarnation]],
 ) -> bool:
     """Returns whether crashes are enough to blame their part."""
-    count = _count(counted, crashes, sites)
+    count = _count(counted, crashes, times)
     if count < MIN_CRASHES:
         return False
     requests = frozenset().union(*(crash.requests for crash in counted))
