--- a/packages/bulrushgrade/bulrushgrade/intake.py
+++ b/packages/bulrushgrade/bulrushgrade/connectionlimiter.py
@@ -43,7 +43,7 @@
 
 RISE_PER_S = 6.0
 """Factor by which the rate rises in a second of low delay, if connections were
-left out. A burst that the host can handle is read whole within a second."""
+rejected. A burst that the host can handle is read whole within a second."""
 
 PROBE_PER_S = 1.2
 """The same above the rate that the host is known to handle."""
@@ -78,15 +78,15 @@
 """Time over which the rates of connections are averaged."""
 
 LIMITING_S = 1.0
-"""Time without a connection left out after which the host is not overloaded any
+"""Time without a rejected connection after which the host is not overloaded any
 more."""
 
 
-class Intake:
+class ConnectionLimiter:
     """Limits the rate of new connections to what the host can handle."""
 
     def __init__(self, *, max_connections: int, now: float):
-        """Creates an intake that has accepted nothing.
+        """Creates a limiter that has accepted nothing.
 
         Args:
             max_connections: Maximum number of open connections.
@@ -105,8 +105,8 @@
         self._offered_per_s = 0.0
         self._accepted_per_s = 0.0
         self._answered_per_s = 0.0
-        self._left_out = 0
-        self._left_out_at = -math.inf
+        self._rejected = 0
+        self._rejected_at = -math.inf
         # The rate of connections until the loop became late, the rate of
         # answers while it was late, and when it last was.
         self._is_late = False
@@ -117,7 +117,7 @@
 
     @property
     def is_limiting(self) -> bool:
-        """Whether connections are left out, or were a moment ago."""
+        """Whether connections are rejected, or were a moment ago."""
         return self._is_limiting
 
     @property
@@ -136,9 +136,9 @@
         return self._delay_s
 
     @property
-    def left_out(self) -> int:
+    def rejected(self) -> int:
         """Number of connections that were not accepted."""
-        return self._left_out
+        return self._rejected
 
     def accepts(self, connections: int, now: float) -> bool:
         """Returns whether to read from a new connection, and counts it.
@@ -155,8 +155,8 @@
             and not self._is_stalled(now)
         )
         if not is_accepted:
-            self._left_out += 1
-            self._left_out_at = now
+            self._rejected += 1
+            self._rejected_at = now
             return False
         self._accepted += 1
         self._tokens -= 1.0
@@ -183,14 +183,14 @@
         sample_s = min(self._last_sample_s, MAX_SAMPLE_S)
         weight = 1 - math.exp(-min(elapsed_s, MAX_SAMPLE_S) / SMOOTHING_S)
         self._delay_s += (sample_s - self._delay_s) * weight
-        was_left_out = now - self._left_out_at <= elapsed_s
+        was_rejecting = now - self._rejected_at <= elapsed_s
         self._measure_rates(elapsed_s)
-        self._adjust(min(elapsed_s, MAX_SAMPLE_S), was_left_out, now)
+        self._adjust(min(elapsed_s, MAX_SAMPLE_S), was_rejecting, now)
         return self._observe_limiting(now)
 
     def _observe_limiting(self, now: float) -> bool:
         before = self._is_limiting
-        self._is_limiting = now - self._left_out_at < LIMITING_S
+        self._is_limiting = now - self._rejected_at < LIMITING_S
         return self._is_limiting != before
 
     def _is_stalled(self, now: float) -> bool:
@@ -213,7 +213,9 @@
         self._accepted_per_s += (accepted_per_s - self._accepted_per_s) * weight
         self._answered_per_s += (answered_per_s - self._answered_per_s) * weight
 
-    def _adjust(self, elapsed_s: float, was_left_out: bool, now: float) -> None:
+    def _adjust(
+        self, elapsed_s: float, was_rejecting: bool, now: float
+    ) -> None:
         is_late = self._last_sample_s > LOW_DELAY_S
         if self._delay_s > HIGH_DELAY_S and is_late:
             if not self._is_late:
@@ -237,7 +239,7 @@
             return
         self._is_late = False
         wanted_per_s = max(MIN_HEADROOM_PER_S, HEADROOM * self._accepted_per_s)
-        if was_left_out:
+        if was_rejecting:
             wanted_per_s = math.inf
         if now - self._late_at <= FORGET_S:
             probed_per_s = max(
--- a/packages/bulrushgrade/tests/test_intake.py
+++ b/packages/bulrushgrade/tests/test_connectionlimiter.py
@@ -6,7 +6,7 @@
 import attrs
 import pytest
 
-from bulrushgrade import intake
+from bulrushgrade import connectionlimiter
 
 MAX_CONNECTIONS = 1800
 HANDLED_PER_S = 200.0
@@ -44,7 +44,7 @@
         self._now = 0.0
         self._events = []
         self._number = 0
-        self.intake = intake.Intake(
+        self.limiter = connectionlimiter.ConnectionLimiter(
             max_connections=MAX_CONNECTIONS, now=self._now
         )
         self.arrivals = []
@@ -57,7 +57,9 @@
                 flood_per_s if is_flood else usual_per_s
             )
             self._push(at, self._accept, at)
-        self._push(intake.TICK_S, self._tick, intake.TICK_S)
+        self._push(
+            connectionlimiter.TICK_S, self._tick, connectionlimiter.TICK_S
+        )
         for pause_at, pause_s in pauses:
             self._push(pause_at, self._pause, pause_s)
 
@@ -92,7 +94,7 @@
 
     def _accept(self, at):
         cost_s = 1 / HANDLED_PER_S
-        if not self.intake.accepts(self._open, self._now):
+        if not self.limiter.accepts(self._open, self._now):
             self._now += cost_s * CLOSING_COST
             self.arrivals.append(Arrival(at=at, took_s=None))
             return
@@ -106,13 +108,13 @@
             self._push(ready_at, self._work, at, turn + 1)
             return
         self._open -= 1
-        self.intake.observe_answer()
+        self.limiter.observe_answer()
         self.arrivals.append(Arrival(at=at, took_s=self._now - at))
 
     def _tick(self, due):
-        if self.intake.observe_tick(self._now - due, self._now):
-            self.changes.append((self._now, self.intake.is_limiting))
-        due = self._now + intake.TICK_S
+        if self.limiter.observe_tick(self._now - due, self._now):
+            self.changes.append((self._now, self.limiter.is_limiting))
+        due = self._now + connectionlimiter.TICK_S
         self._push(due, self._tick, due)
 
     def _pause(self, pause_s):
@@ -135,7 +137,7 @@
 
 @pytest.mark.parametrize("flood_per_s", [250, 400, 1000])
 def test_host_in_a_flood_goes_on_serving_what_it_can(flood_per_s):
-    """A host that left out nearly everything would serve the rest in time."""
+    """A host that rejected nearly everything would serve the rest in time."""
     loop = Loop(usual_per_s=20, flood_per_s=flood_per_s).run()
     left = HANDLED_PER_S - flood_per_s * CLOSING_COST
     served = loop.read_per_s(FLOOD_AT_S + 10.0, FLOOD_ENDS_S)
@@ -159,29 +161,29 @@
     loop = Loop(usual_per_s=45, flood_per_s=150).run()
     assert all(a.took_s is not None for a in loop.arrivals if a.at < FLOOD_AT_S)
     steady = [a for a in loop.arrivals if a.at > FLOOD_AT_S + 1.0]
-    left_out = sum(a.took_s is None for a in steady)
-    assert left_out <= 0.01 * len(steady)
+    rejected = sum(a.took_s is None for a in steady)
+    assert rejected <= 0.01 * len(steady)
 
 
-def make_intake(**changes):
+def make_limiter(**changes):
     fields = {"max_connections": 10, "now": 0.0} | changes
-    return intake.Intake(**fields)
+    return connectionlimiter.ConnectionLimiter(**fields)
 
 
 def test_connections_are_bounded():
     """A host ran out of descriptors, and could not reach its endpoints."""
-    host = make_intake()
+    host = make_limiter()
     assert host.accepts(9, 0.0)
     assert not host.accepts(10, 0.0)
-    assert host.left_out == 1
+    assert host.rejected == 1
 
 
 def test_single_long_turn_limits_nothing():
     """A host that decoded a large configuration closed connections."""
-    host, now = make_intake(max_connections=1000), 0.0
+    host, now = make_limiter(max_connections=1000), 0.0
     for tick in range(100):
         delay_s = 0.1 if tick == 50 else 0.0
-        now += intake.TICK_S + delay_s
+        now += connectionlimiter.TICK_S + delay_s
         host.observe_tick(delay_s, now)
         assert host.accepts(0, now)
     assert not host.is_limiting
@@ -189,13 +191,13 @@
 
 def test_connections_that_waited_for_a_paused_host_are_closed_unread():
     """Their callers have given up, or are about to."""
-    host = make_intake()
-    host.observe_tick(0.0, intake.TICK_S)
+    host = make_limiter()
+    host.observe_tick(0.0, connectionlimiter.TICK_S)
     assert not host.accepts(0, 2.0)
-    host.observe_tick(2.0, 2.0 + intake.TICK_S)
-    assert not host.accepts(0, 2.0 + intake.TICK_S)
-    host.observe_tick(0.0, 2.0 + 2 * intake.TICK_S)
-    assert host.accepts(0, 2.0 + 2 * intake.TICK_S)
+    host.observe_tick(2.0, 2.0 + connectionlimiter.TICK_S)
+    assert not host.accepts(0, 2.0 + connectionlimiter.TICK_S)
+    host.observe_tick(0.0, 2.0 + 2 * connectionlimiter.TICK_S)
+    assert host.accepts(0, 2.0 + 2 * connectionlimiter.TICK_S)
 
 
 @pytest.mark.parametrize("usual_per_s", [20, 45, 100])
@@ -209,5 +211,5 @@
         pauses=[(at - pause_s, pause_s) for at in ends],
     ).run()
     later = [a for a in loop.arrivals if any(0.5 <= a.at - e < 3 for e in ends)]
-    left_out = sum(arrival.took_s is None for arrival in later)
-    assert left_out <= 0.02 * len(later)
+    rejected = sum(arrival.took_s is None for arrival in later)
+    assert rejected <= 0.02 * len(later)
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/frontend.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/frontend.py
@@ -16,7 +16,7 @@
 
 from twisted.web import http
 
-from bulrushgrade import intake
+from bulrushgrade import connectionlimiter
 from bulrushgrade import routing
 from bulrushgrade_daemon import decisionlog
 from bulrushgrade_daemon import httpfactory
@@ -248,7 +248,7 @@
         self._port_number = port
         self._timers = timers
         self._log = log
-        self._intake = intake.Intake(
+        self._limiter = connectionlimiter.ConnectionLimiter(
             max_connections=max_connections, now=timers.now
         )
         self._tick: Any = None
@@ -277,12 +277,12 @@
     @property
     def loop_delay_s(self) -> float:
         """The average delay of the event loop."""
-        return self._intake.delay_s
+        return self._limiter.delay_s
 
     @property
     def counts(self) -> dict[str, int]:
         """Number of connections that were closed unread."""
-        return {"closed_unread": self._intake.left_out}
+        return {"closed_unread": self._limiter.rejected}
 
     async def start(self) -> None:
         """Starts to listen."""
@@ -317,9 +317,9 @@
         return {
             "connections": self.connections,
             "stopping": self._stopping,
-            "loop_delay_s": round(self._intake.delay_s, 4),
-            "offered_per_s": round(self._intake.offered_per_s, 1),
-            "accepted_up_to_per_s": round(self._intake.rate_per_s, 1),
+            "loop_delay_s": round(self._limiter.delay_s, 4),
+            "offered_per_s": round(self._limiter.offered_per_s, 1),
+            "accepted_up_to_per_s": round(self._limiter.rate_per_s, 1),
             **self.counts,
         }
 
@@ -330,8 +330,8 @@
         # Twisted measures the idle timeout from the last byte received, so
         # a changed limit takes effect with the next request.
         channel.timeOut = limits.idle_timeout_s
-        request.is_closing = lambda: self._stopping or self._intake.is_limiting
-        request.on_answered = self._intake.observe_answer
+        request.is_closing = lambda: self._stopping or self._limiter.is_limiting
+        request.on_answered = self._limiter.observe_answer
         request.handle = self._receive_request
         return request
 
@@ -340,23 +340,25 @@
         self._handle(request)
 
     def _schedule_tick(self) -> None:
-        self._tick_due = self._timers.now + intake.TICK_S
-        self._tick = self._timers.after(intake.TICK_S, self._measure_delay)
+        self._tick_due = self._timers.now + connectionlimiter.TICK_S
+        self._tick = self._timers.after(
+            connectionlimiter.TICK_S, self._measure_delay
+        )
 
     def _measure_delay(self) -> None:
         """Takes in how late the event loop is."""
         now = self._timers.now
-        if self._intake.observe_tick(now - self._tick_due, now):
-            is_limiting = self._intake.is_limiting
+        if self._limiter.observe_tick(now - self._tick_due, now):
+            is_limiting = self._limiter.is_limiting
             self._log.note(
                 "overload_began" if is_limiting else "overload_ended",
-                loop_delay_s=round(self._intake.delay_s, 4),
-                offered_per_s=round(self._intake.offered_per_s, 1),
-                accepted_up_to_per_s=round(self._intake.rate_per_s, 1),
+                loop_delay_s=round(self._limiter.delay_s, 4),
+                offered_per_s=round(self._limiter.offered_per_s, 1),
+                accepted_up_to_per_s=round(self._limiter.rate_per_s, 1),
                 connections=self.connections,
-                closed_unread=self._intake.left_out,
+                closed_unread=self._limiter.rejected,
             )
         self._schedule_tick()
 
     def _accepts(self, connections: int) -> bool:
-        return self._intake.accepts(connections, self._timers.now)
+        return self._limiter.accepts(connections, self._timers.now)
