Read bursts at hosts on time, and few connections at hosts that others slow

Change: 50 connections at one moment while the loop is on time, 4 while it is late, and 20 a second at least.

--- a/packages/bulrushgrade/bulrushgrade/connectionlimiter.py
+++ b/packages/bulrushgrade/bulrushgrade/connectionlimiter.py
@@ -67,13 +67,21 @@
 """Rate up to which connections are accepted at once, less than any host can
 handle if it is not overloaded."""
 
-MIN_PER_S = 4.0
-"""Minimum rate: only what is accepted shows that the host can take more."""
+MIN_PER_S = 20.0
+"""Minimum rate: only what is accepted shows that the host can take more, and a
+host with less to do is late because of others."""
 
 BURST_S = 0.25
 """Connections that may be accepted at one moment, as the time in which as many
 come at the allowed rate."""
 
+MIN_BURST = 50.0
+"""The same at least, while the loop is on time: callers return together to a
+host that has started or was cut off, and it serves that many soon."""
+
+MIN_LATE_BURST = 4.0
+"""The same while the loop is late."""
+
 RATE_WINDOW_S = 1.0
 """Time over which the rates of connections are averaged."""
 
@@ -96,7 +104,7 @@
         self._delay_s = 0.0
         self._last_sample_s = 0.0
         self._rate_per_s = MIN_HEADROOM_PER_S
-        self._tokens = MIN_HEADROOM_PER_S * BURST_S
+        self._tokens = MIN_BURST
         self._refilled_at = now
         self._ticked_at = now
         self._offered = 0
@@ -198,7 +206,7 @@
         return max(self._last_sample_s, overdue_s) >= STALLED_S
 
     def _refill(self, now: float) -> None:
-        burst = max(1.0, self._rate_per_s * BURST_S)
+        burst = max(MIN_BURST, self._rate_per_s * BURST_S)
         more = max(0.0, now - self._refilled_at) * self._rate_per_s
         self._tokens = min(burst, self._tokens + more)
         self._refilled_at = now
@@ -232,7 +240,7 @@
                 rate_per_s * FALL_PER_S**elapsed_s,
             )
             self._tokens = min(
-                self._tokens, max(1.0, self._rate_per_s * TICK_S)
+                self._tokens, max(MIN_LATE_BURST, self._rate_per_s * TICK_S)
             )
             return
         if self._delay_s > LOW_DELAY_S:
--- a/packages/bulrushgrade/tests/test_connectionlimiter.py
+++ b/packages/bulrushgrade/tests/test_connectionlimiter.py
@@ -213,3 +213,30 @@
     later = [a for a in loop.arrivals if any(0.5 <= a.at - e < 3 for e in ends)]
     rejected = sum(arrival.took_s is None for arrival in later)
     assert rejected <= 0.02 * len(later)
+
+
+def test_burst_at_a_host_that_is_on_time_is_read_whole():
+    """A host that just started closed connections of callers that came back."""
+    host, now = make_limiter(max_connections=1000), 0.0
+    for tick in range(200):
+        now += connectionlimiter.TICK_S
+        host.observe_tick(0.0, now)
+        if tick % 40 == 0:
+            assert all(host.accepts(0, now) for _ in range(40))
+    assert not host.is_limiting
+
+
+def test_few_connections_are_read_while_others_make_the_loop_late():
+    """A host on a busy machine closed connections at 15 a second."""
+    rng, now, rejected, arrivals = random.Random(1), 0.0, 0, 0
+    host = make_limiter(max_connections=1000)
+    for _ in range(600):
+        delay_s = rng.uniform(0.0, 0.07)
+        elapsed_s = connectionlimiter.TICK_S + delay_s
+        now += elapsed_s
+        host.observe_tick(delay_s, now)
+        for _ in range(int(rng.random() < 15 * elapsed_s)):
+            arrivals += 1
+            rejected += not host.accepts(0, now)
+            host.observe_answer()
+    assert rejected <= 0.02 * arrivals
