Test that descriptors bound the connections of callers

The new setting had no test of its own: default, bound that follows from it, and the refusal of fewer descriptors than a host needs for itself. All five tests of the settings pass; no code changes.

--- a/packages/bulrushgrade_daemon/tests/test_gatewaysettings.py
+++ b/packages/bulrushgrade_daemon/tests/test_gatewaysettings.py
@@ -66,3 +66,15 @@
     assert isinstance(parse("no section\n"), Failure)
     missing = gatewaysettings.read_settings("/nonexistent/f.ini")
     assert "f.ini" in missing.failure()[0].file
+
+
+def test_descriptors_bound_the_connections_of_callers():
+    """A host ran out of descriptors, and could not reach its endpoints."""
+    assert parse(TEXT).unwrap().limits.descriptors == 4096
+    section = "[limits]\ndescriptors = 2500\n"
+    limits = parse(TEXT + section).unwrap().limits
+    # Each request may need a connection to an endpoint too.
+    assert limits.max_caller_connections * 2 <= 2500 - 500
+    assert limits.max_caller_connections > 0
+    refused = parse(TEXT + section.replace("2500", "500"))
+    assert isinstance(refused, Failure)
