Test that no request is retried after two crashes of its part

Taken out on a copy, this guard was noticed by no test of the forwarder, the ledger, the sharing or the gateway's processes: each of them tested that the answer to "may it be retried" is right, none that the forwarder asks. The new test passes, and fails with the guard taken out.

--- a/packages/bulrushgrade_daemon/tests/test_forwarder.py
+++ b/packages/bulrushgrade_daemon/tests/test_forwarder.py
@@ -517,6 +517,19 @@
     assert scene.send().answers[-1] == "complete"
 
 
+@pytest.mark.parametrize(("crashes", "attempts"), [(1, 3), (2, 1)])
+def test_request_is_not_retried_after_two_crashes_of_its_part(
+    crashes, attempts
+):
+    """One request crashed engine after engine by its retries."""
+    scene = Scene(LOST, LOST, LOST)
+    scene.watch.is_crash = False
+    scene.prompt = make_prompt("bad")
+    crash_engines(scene, crashes, "bad")
+    scene.send()
+    assert len(scene.sent) == attempts
+
+
 def test_request_that_waits_at_an_engine_is_withdrawn_with_its_part():
     """Queued requests crashed the engines that returned."""
     scene = Scene(defer.Deferred(), route=STREAM)
