Test that requests aren't blamed for crashes that parts explain

Taken out on a copy, this guard was noticed by no test either: that the ledger is told which crashes have another cause was tested, not that it heeds it. The test passes, and fails with the guard taken out.

--- a/packages/bulrushgrade/tests/test_crashledger.py
+++ b/packages/bulrushgrade/tests/test_crashledger.py
@@ -38,6 +38,22 @@
     assert ledger.blamed == {"bad"}
 
 
+def test_requests_are_not_blamed_for_crashes_with_another_cause():
+    """Sound requests ran three times beside prompts that crash engines."""
+    ledger = crashledger.CrashLedger()
+    crash(ledger, "good", "e1", "e2", "e3")
+    assert ledger.blamed == {"good"}
+    ledger.explained = frozenset({("e2", 1)})
+    assert ledger.blamed == set()
+    assert ledger.left_s("good", 0.0) == 0
+    crash(ledger, "good", "e4")
+    assert ledger.blamed == {"good"}
+    ledger.explained = frozenset({("e2", 1), ("e4", 1)})
+    assert ledger.blamed == set()
+    ledger.explained = frozenset()
+    assert ledger.blamed == {"good"}
+
+
 def test_crash_that_several_hosts_report_counts_once():
     """Guards against counting the same two crashes once per reporting host."""
     ledger = crashledger.CrashLedger()
