Cancel two more kinds of tasks at any of their awaits

Connections that are opened for a peer, and writes of records to a store that answers late or not: 400 random cases each, none breaks. Not cancelled at random: requests of callers, followers of topics, orders and reports; these stay open.

--- a/packages/bulrushgrade_daemon/tests/test_task.py
+++ b/packages/bulrushgrade_daemon/tests/test_task.py
@@ -5,20 +5,34 @@
 
 import fakes
 import pytest
+from returns.result import Failure
+from returns.result import Success
 from test_crashcheck import E1
 from test_endpointconnector import PEER
 from test_endpointconnector import Scene as ConnectorScene
 from twisted.internet import defer
 from twisted.internet import error
+from twisted.internet import protocol
 from twisted.internet import task as twisted_task
 from twisted.logger import globalLogPublisher
 
 from bulrushgrade_daemon import crashcheck
 from bulrushgrade_daemon import outbound
+from bulrushgrade_daemon import recordwriter
 from bulrushgrade_daemon import task
+from bulrushgrade_daemon import topicreader
 
 CASES = 400
-KINDS = ("judge", "verify", "check", "connect", "fetch", "nested")
+KINDS = (
+    "judge",
+    "verify",
+    "check",
+    "connect",
+    "open for a peer",
+    "fetch",
+    "write",
+    "nested",
+)
 MAX_STEPS = 12
 
 
@@ -135,6 +149,24 @@
     return run()
 
 
+def make_writer(scene, rng, pending):
+    """Returns a writer of records to a store that answers late."""
+
+    async def write(records):
+        pending.append(defer.Deferred())
+        await pending[-1]
+        if rng.random() < 0.3:
+            return Failure(topicreader.StoreAway(reason="timeout"))
+        return Success(None)
+
+    writer = recordwriter.RecordWriter(
+        name="w", timers=scene.timers, write=write, on_broken=None
+    )
+    for number in range(rng.randint(1, 3)):
+        writer.put(str(number), rng.choice((b"x", None)))
+    return writer
+
+
 def start(kind, rng, pending):
     """Starts a kind of task; returns it and the scene of its connections."""
     scene = ConnectorScene(peers=(PEER, "h3/1", "h4/1"))
@@ -151,6 +183,10 @@
         ).find_crash(E1)
     elif kind == "connect":
         work = connector.connect(E1, prefers_relay=rng.random() < 0.5)
+    elif kind == "open for a peer":
+        work = connector.open_for_peer(E1, protocol.Protocol)
+    elif kind == "write":
+        work = make_writer(scene, rng, pending)._write_waiting()
     elif kind == "fetch":
         work = outbound.fetch(
             scene.reactor,
