--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/httpclient.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/httpclient.py
@@ -64,6 +64,7 @@
 
 
 class _Pool(web_client.HTTPConnectionPool):
+    # There is no public way to choose the class of a pool's connections.
     _factory = _ConnectionFactory
 
 
--- a/packages/bulrushgrade_daemon/tests/test_engine.py
+++ b/packages/bulrushgrade_daemon/tests/test_engine.py
@@ -1,4 +1,4 @@
-"""Tests of streams of model engines, by how they and connections end."""
+"""Tests of streams of model engines, by how they and their connections end."""
 
 from test_plain import CLOSED
 from test_plain import RESET
--- a/packages/bulrushgrade_daemon/tests/test_plain.py
+++ b/packages/bulrushgrade_daemon/tests/test_plain.py
@@ -1,4 +1,4 @@
-"""Tests of answers of plain services, by how they and connections end."""
+"""Tests of answers of plain services, by how they and their connections end."""
 
 from twisted.internet import defer
 from twisted.internet import error
