Let settings name the features that a deployment switches on

Cause: the two new deployments call for decisions that the earlier ones are not to get, and nothing in the settings could say so. Ruled out: a switch by the contents of the configuration alone, as the new and the earlier deployments have the same tables there.

Change: a section [features] with the names of enabled features; unknown names are left out, as for operator tasks. No feature has an effect yet.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayprocess.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayprocess.py
@@ -46,6 +46,7 @@
         settings: gatewaysettings.GatewaySettings,
         build_adapter: BuildAdapter,
         reactor: Any,
+        feature_aliases: gatewaysettings.FeatureAliases | None = None,
     ):
         """Creates the gateway without starting it.
 
@@ -54,9 +55,11 @@
             settings: The current content of the settings file.
             build_adapter: Builds the adapter from settings and reactor.
             reactor: The reactor.
+            feature_aliases: The platform's names for features.
         """
         clock.use_steady_clock(reactor)
         self._path = path
+        self._feature_aliases = feature_aliases
         self._reactor = reactor
         self._exit_code = EXIT_OK
         self._stopping = False
@@ -104,7 +107,7 @@
         self._reactor.stop()
 
     def _reload(self) -> None:
-        read = gatewaysettings.read_settings(self._path)
+        read = gatewaysettings.read_settings(self._path, self._feature_aliases)
         if isinstance(read, Failure):
             texts = [settings_module.format_error(e) for e in read.failure()]
             self._gateway.log.always("settings_refused", errors=texts)
@@ -118,15 +121,22 @@
             self._reactor.callLater(0, self._reactor.crash)
 
 
-def run(*, path: str, build_adapter: BuildAdapter, reactor: Any) -> int:
+def run(
+    *,
+    path: str,
+    build_adapter: BuildAdapter,
+    reactor: Any,
+    feature_aliases: gatewaysettings.FeatureAliases | None = None,
+) -> int:
     """Runs the gateway of a settings file; returns the exit code.
 
     Args:
         path: The settings file.
         build_adapter: Builds the adapter from settings and reactor.
         reactor: The reactor.
+        feature_aliases: The platform's names for features.
     """
-    read = gatewaysettings.read_settings(path)
+    read = gatewaysettings.read_settings(path, feature_aliases)
     if isinstance(read, Failure):
         for error in read.failure():
             print(settings_module.format_error(error), flush=True)
@@ -136,4 +146,5 @@
         settings=read.unwrap(),
         build_adapter=build_adapter,
         reactor=reactor,
+        feature_aliases=feature_aliases,
     ).run()
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaysettings.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaysettings.py
@@ -1,5 +1,6 @@
 """Settings of a gateway, validated before any address is opened."""
 
+from collections.abc import Mapping
 from typing import Any
 
 import attrs
@@ -92,13 +93,13 @@
 ORDER_CAPACITY = "autoscale"
 
 
-def _parse_tasks(text: str) -> frozenset[str]:
+def _parse_names(text: str) -> frozenset[str]:
     return frozenset(name.strip() for name in text.split(",") if name.strip())
 
 
-_TASKS = keys.Kind(
+_NAMES = keys.Kind(
     expected="names separated by commas; those not known are left out",
-    parse=_parse_tasks,
+    parse=_parse_names,
 )
 
 
@@ -114,7 +115,7 @@
     """
 
     address: keys.Address | None = _key(keys.address(1), None)
-    tasks: frozenset[str] = _key(_TASKS, frozenset())
+    tasks: frozenset[str] = _key(_NAMES, frozenset())
     usage_window_s: float = _key(
         keys.number(float, 0.1, 86400, "seconds"), 60.0
     )
@@ -155,6 +156,51 @@
         return (self.descriptors - RESERVED_DESCRIPTORS) // 2
 
 
+ENDPOINT_SPEEDS = "endpoint_speeds"
+DEMAND_CAPACITY = "demand_capacity"
+WORKSPACE_SHARES = "workspace_shares"
+EARLY_RETRIES = "early_retries"
+
+FEATURES = frozenset(
+    {ENDPOINT_SPEEDS, DEMAND_CAPACITY, WORKSPACE_SHARES, EARLY_RETRIES}
+)
+"""The names of all features."""
+
+FeatureAliases = Mapping[str, frozenset[str]]
+"""Features by the names that a platform has for what calls for them."""
+
+
+@attrs.frozen(kw_only=True)
+class Features:
+    """Section ``[features]``: decisions that a deployment switches on.
+
+    Attributes:
+        enabled: The names of the enabled features.
+    """
+
+    enabled: frozenset[str] = _key(_NAMES, frozenset())
+
+    @property
+    def shares_endpoint_speeds(self) -> bool:
+        """Whether hosts share the speeds of engines that they measure."""
+        return ENDPOINT_SPEEDS in self.enabled
+
+    @property
+    def orders_by_demand(self) -> bool:
+        """Whether engines are ordered for the load and not for the price."""
+        return DEMAND_CAPACITY in self.enabled
+
+    @property
+    def shares_among_workspaces(self) -> bool:
+        """Whether workspaces have fair shares of a saturated service."""
+        return WORKSPACE_SHARES in self.enabled
+
+    @property
+    def retries_early(self) -> bool:
+        """Whether attempts at silent endpoints are given up early."""
+        return EARLY_RETRIES in self.enabled
+
+
 @attrs.frozen(kw_only=True)
 class GatewaySettings:
     """The settings of one gateway, with one attribute per section."""
@@ -165,6 +211,7 @@
     bounds: Bounds
     operator: Operator
     limits: Limits
+    features: Features
 
 
 _SECTIONS = {
@@ -174,17 +221,19 @@
     "bounds": Bounds,
     "operator": Operator,
     "limits": Limits,
+    "features": Features,
 }
 
 
 def parse_settings(
-    text: str, *, file: str
+    text: str, *, file: str, aliases: FeatureAliases | None = None
 ) -> Result[GatewaySettings, settings.Errors]:
     """Returns the settings in the text of an INI file.
 
     Args:
         text: The text.
         file: The file name that errors state.
+        aliases: The platform's names for features.
 
     Returns:
         The settings, or all errors in them.
@@ -192,11 +241,24 @@
     parsed = settings.parse_sections(text, file=file, sections=_SECTIONS)
     if isinstance(parsed, Failure):
         return parsed
-    return Success(GatewaySettings(**parsed.unwrap()))
+    sections = parsed.unwrap()
+    found = _resolve_features(sections["features"].enabled, aliases or {})
+    sections["features"] = Features(enabled=found)
+    return Success(GatewaySettings(**sections))
 
 
-def read_settings(path: str) -> Result[GatewaySettings, settings.Errors]:
+def read_settings(
+    path: str, aliases: FeatureAliases | None = None
+) -> Result[GatewaySettings, settings.Errors]:
     """Returns the settings in a file, or all errors in it."""
     return settings.read_text(path).bind(
-        lambda text: parse_settings(text, file=path)
+        lambda text: parse_settings(text, file=path, aliases=aliases)
     )
+
+
+def _resolve_features(
+    names: frozenset[str], aliases: FeatureAliases
+) -> frozenset[str]:
+    """Returns the features that names and their aliases stand for."""
+    called_for = [aliases.get(name, frozenset()) for name in names]
+    return FEATURES.intersection(names.union(*called_for))
--- a/packages/bulrushgrade_daemon/tests/test_gatewaysettings.py
+++ b/packages/bulrushgrade_daemon/tests/test_gatewaysettings.py
@@ -50,6 +50,22 @@
     assert not parse(TEXT + without_address).unwrap().operator.reports_usage
 
 
+def test_features_are_off_unless_the_settings_name_them_or_an_alias():
+    """A deployment that asked for nothing got a decision that is new to it."""
+    assert parse(TEXT).unwrap().features.enabled == frozenset()
+    section = "[features]\nenabled = early_retries, crowded, other\n"
+    features = parse(TEXT + section).unwrap().features
+    assert features.enabled == {gatewaysettings.EARLY_RETRIES}
+    aliases = {"crowded": frozenset({gatewaysettings.WORKSPACE_SHARES})}
+    found = gatewaysettings.parse_settings(
+        TEXT + section, file="f.ini", aliases=aliases
+    )
+    features = found.unwrap().features
+    assert features.shares_among_workspaces and features.retries_early
+    assert not features.orders_by_demand
+    assert not features.shares_endpoint_speeds
+
+
 def test_every_error_is_named_at_once():
     wrong = TEXT.replace("10.0.0.1:7000", "store:7000")
     wrong = wrong.replace("stop_s = 8", "stop_s = soon")
