--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaysettings.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaysettings.py
@@ -160,9 +160,16 @@
 DEMAND_CAPACITY = "demand_capacity"
 WORKSPACE_SHARES = "workspace_shares"
 EARLY_RETRIES = "early_retries"
+STORE_PROBES = "store_probes"
 
 FEATURES = frozenset(
-    {ENDPOINT_SPEEDS, DEMAND_CAPACITY, WORKSPACE_SHARES, EARLY_RETRIES}
+    {
+        ENDPOINT_SPEEDS,
+        DEMAND_CAPACITY,
+        WORKSPACE_SHARES,
+        EARLY_RETRIES,
+        STORE_PROBES,
+    }
 )
 """The names of all features."""
 
@@ -200,6 +207,11 @@
         """Whether attempts at silent endpoints are given up early."""
         return EARLY_RETRIES in self.enabled
 
+    @property
+    def limits_store_probes(self) -> bool:
+        """Whether hosts share the reads of a store that fails."""
+        return STORE_PROBES in self.enabled
+
 
 @attrs.frozen(kw_only=True)
 class GatewaySettings:
