--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -16,4 +16,4 @@
 cp -r packages/bulrushgrade/bulrushgrade \
   packages/bulrushgrade_daemon/bulrushgrade_daemon \
   platform/bulrushgrade_platform "$deps/"
-python3 -m compileall -q "$deps"
+python3 -m compileall -q -o 2 "$deps"
