Order engines for the load of a service, by its demand

In the simulated fleet of the tests (24 engines at first, 4 zones) a load of 6 fully used engines keeps 16 spot engines instead of 48.

--- a/packages/bulrushgrade/bulrushgrade/capacityplan.py
+++ b/packages/bulrushgrade/bulrushgrade/capacityplan.py
@@ -6,7 +6,8 @@
 lost, the others still have as many engines as the service needs. Where zones
 have no spot engines available and too few remain, full-price engines are
 ordered instead. Engines are ordered before those that they replace are
-released.
+released. If the demand is known, only as many engines are ordered as still
+serve it when any one zone is lost.
 """
 
 from collections.abc import Mapping
@@ -14,12 +15,19 @@
 
 import attrs
 
+from bulrushgrade import capacitydemand
+
 REFUSAL_RETRY_S = 2.0
 """Time before a zone that had no engines available is asked again."""
 
 RETRY_S = 1.0
 """Time before an unanswered order is sent again."""
 
+MIN_INITIAL_FRACTION = 0.5
+"""Minimum number of engines, as a fraction of the number that the service had
+initially. Loads don't show everything that engines are needed for, such as
+cached prompts."""
+
 Pool = tuple[str, bool]
 """An availability zone and whether its engines are spot engines."""
 
@@ -73,12 +81,17 @@
         scaling: The operator's limits.
         running: Number of serving engines by zone and kind.
         settle_s: Time until all hosts know what an engine has registered.
+        demand: How many engines the load needs; None to order as many spot
+            engines as the former cost pays for.
+        is_demand_settled: Whether the demand may be lower than the former one.
     """
 
     service: str
     scaling: Scaling
     running: Mapping[Pool, int]
     settle_s: float
+    demand: int | None = None
+    is_demand_settled: bool = False
 
     @property
     def zones(self) -> list[str]:
@@ -109,6 +122,10 @@
         """
         self._holder = holder
         self._needed: int | None = None
+        # Whether this host found out the needed number, not from a record.
+        self._has_learned = False
+        # Spot engines of each zone by the latest order.
+        self._spot_each: int | None = None
         self._ordered: dict[Pool, _Ordered] = {}
         # Pools that refused an order and have not accepted one since.
         self._refusing: set[Pool] = set()
@@ -127,6 +144,8 @@
         self._needed = record.needed
         pool = record.zone, record.is_spot
         self._ordered[pool] = _Ordered(count=record.count, at=now)
+        if record.is_spot:
+            self._spot_each = record.count
 
     def record_acceptance(self, order: CapacityRecord) -> None:
         """Records that a zone accepted an order."""
@@ -144,10 +163,38 @@
         self._ordered.pop((order.zone, order.is_spot), None)
         self._paused_until = now + RETRY_S
 
+    def demand_bounds(
+        self, view: CapacityView, now: float
+    ) -> capacitydemand.DemandBounds | None:
+        """Returns the limits of the demand; None while they are unknown."""
+        if not _can_order(view):
+            return None
+        if self._needed is None and not self._learn_needed(view, now):
+            return None
+        others = len(view.zones) - 1
+        limit = min(self._affordable(view), view.scaling.max_engines)
+        former = self._needed
+        if self._spot_each is not None:
+            former = self._spot_each * others
+        # Each zone has the demand divided by the number of other zones.
+        return capacitydemand.DemandBounds(
+            former=former, most=limit * others, max_decrease=others
+        )
+
+    def spot_engines_per_zone(self, view: CapacityView) -> int:
+        """Returns the target number of spot engines of each zone."""
+        count = self._affordable(view)
+        if view.demand is not None:
+            zones = len(view.zones)
+            reserve = math.ceil(view.demand / (zones - 1))
+            least = math.ceil(self._min_total / zones)
+            count = min(max(reserve, least), count)
+        scaling = view.scaling
+        return min(max(count, scaling.min_engines), scaling.max_engines)
+
     def propose(self, view: CapacityView, now: float) -> CapacityRecord | None:
         """Returns the order to send now, or None."""
-        scaling = view.scaling
-        if not 0.0 < scaling.spot_price < 1.0 or len(view.zones) < 2:
+        if not _can_order(view):
             return None
         if self._needed is None and not self._learn_needed(view, now):
             return None
@@ -160,7 +207,7 @@
             if self._has_shortage(view, pool, count, now):
                 return self._order(view, pool, count)
         for pool, count in targets.items():
-            if self._has_surplus(view, pool, count):
+            if self._has_surplus(view, pool, targets, now):
                 return self._order(view, pool, count)
         return None
 
@@ -172,15 +219,24 @@
         if now - self._total_stable_since < view.settle_s or not view.total:
             return False
         self._needed = view.total
+        self._has_learned = True
         return True
 
+    @property
+    def _min_total(self) -> int:
+        """The minimum number of engines if the demand is known."""
+        return math.ceil(MIN_INITIAL_FRACTION * self._needed)
+
+    def _substituted(self, view: CapacityView) -> int:
+        """Returns up to how many engines full-price ones are ordered."""
+        if view.demand is None:
+            return self._needed
+        return min(max(view.demand, self._min_total), self._needed)
+
     def _targets(self, view: CapacityView) -> dict[Pool, int]:
         """Returns the target number of engines by pool, cheapest zone first."""
         scaling, zones = view.scaling, view.zones
-        each = min(
-            max(self._affordable(view), scaling.min_engines),
-            scaling.max_engines,
-        )
+        each = self.spot_engines_per_zone(view)
         # A zone that refuses more still counts with the engines it runs.
         spot = {
             zone: min(each, view.running.get((zone, True), 0))
@@ -191,7 +247,8 @@
         full = {
             zone: max(0, scaling.min_engines - spot[zone]) for zone in zones
         }
-        missing = self._needed - sum(spot.values()) - sum(full.values())
+        missing = self._substituted(view)
+        missing -= sum(spot.values()) + sum(full.values())
         for zone in zones:
             if missing <= 0:
                 break
@@ -221,21 +278,47 @@
         if self._retry_at.get(pool, 0.0) > now:
             return False
         ordered = self._ordered.get(pool)
-        if ordered is None or ordered.count < count:
+        if ordered is None:
             return True
+        if ordered.count < count:
+            return not self._is_small_change(view, ordered, count, now)
         coming_s = view.scaling.boot_s + view.settle_s
         return now - ordered.at > coming_s
 
-    def _has_surplus(self, view: CapacityView, pool: Pool, count: int) -> bool:
+    def _has_surplus(
+        self,
+        view: CapacityView,
+        pool: Pool,
+        targets: Mapping[Pool, int],
+        now: float,
+    ) -> bool:
         """Returns whether a pool can release engines."""
-        running = view.running.get(pool, 0)
+        running, count = view.running.get(pool, 0), targets[pool]
         if running <= count:
             return False
         ordered = self._ordered.get(pool)
-        if ordered is not None and ordered.count == count:
-            return False
+        if ordered is not None:
+            if ordered.count == count:
+                return False
+            if self._is_small_change(view, ordered, count, now):
+                return False
         left = view.total - (running - count)
-        return left >= self._needed
+        if view.demand is None:
+            return left >= self._needed
+        if not view.is_demand_settled:
+            # Only those are released that the first spot engines replace.
+            is_replaced = self._has_learned and not pool[1]
+            return is_replaced and left >= self._needed
+        served = max(view.demand, self._min_total)
+        return left >= min(served, sum(targets.values()))
+
+    def _is_small_change(
+        self, view: CapacityView, ordered: _Ordered, count: int, now: float
+    ) -> bool:
+        """Returns whether a change of one engine follows another too soon."""
+        if view.demand is None or abs(count - ordered.count) != 1:
+            return False
+        return now - ordered.at < view.scaling.boot_s
 
     def _order(
         self, view: CapacityView, pool: Pool, count: int
@@ -249,3 +332,8 @@
             count=count,
             needed=self._needed,
         )
+
+
+def _can_order(view: CapacityView) -> bool:
+    """Returns whether spot engines are cheaper and zones replace each other."""
+    return 0.0 < view.scaling.spot_price < 1.0 and len(view.zones) > 1
--- a/packages/bulrushgrade/bulrushgrade/peerloads.py
+++ b/packages/bulrushgrade/bulrushgrade/peerloads.py
@@ -218,6 +218,15 @@
         groups = self._groups.fresh(now, self.stale_s).values()
         return [message.shares for message in groups]
 
+    def has_recent(self, now: float) -> bool:
+        """Returns whether the load of any peer is known."""
+        if self._fleet is not None and now - self._fleet.at < self.stale_s:
+            return True
+        return bool(
+            self._members.fresh(now, self.stale_s)
+            or self._groups.fresh(now, self.stale_s)
+        )
+
     def at(self, engine: str, now: float) -> EngineShare:
         """Returns the sum of all peers' loads at an engine."""
         fleet = self._fleet
--- a/packages/bulrushgrade/tests/capacityscene.py
+++ b/packages/bulrushgrade/tests/capacityscene.py
@@ -1,5 +1,8 @@
 """A simulated fleet whose engines are ordered, for tests of capacity plans."""
 
+import attrs
+
+from bulrushgrade import capacitydemand
 from bulrushgrade import capacityplan
 
 SCALING = capacityplan.Scaling(
@@ -79,3 +82,59 @@
             kind = scaling.spot_price if is_spot else 1.0
             total += count * kind * scaling.zone_prices[zone] / mean
         return total
+
+
+def decoders(busy, count, **kwargs):
+    """Returns engines that share a load worth some fully used engines."""
+    engine = capacitydemand.EngineUse(
+        is_prefill=False,
+        streams=0,
+        slots=10,
+        memory_fraction=busy / count if count else 0.0,
+        queued_s=0.0,
+        **kwargs,
+    )
+    return capacitydemand.ServiceUse(engines=(engine,) * count, target_s=1.0)
+
+
+class DemandFleet(Fleet):
+    """A fleet whose engines are ordered for its load.
+
+    Attributes:
+        busy: Returns the load as a number of fully used engines, by time.
+        is_recent: Whether loads are known.
+    """
+
+    def __init__(self, *, busy, **kwargs):
+        super().__init__(**kwargs)
+        self.busy = busy
+        self.is_recent = True
+        self.estimate = capacitydemand.DemandEstimate()
+        self.demands = []
+
+    def use(self):
+        return decoders(
+            self.busy(self.now), self.total, is_recent=self.is_recent
+        )
+
+    def view(self):
+        view = super().view()
+        self.estimate.observe(self.use(), self.now)
+        bounds = self.plan.demand_bounds(view, self.now)
+        if bounds is None:
+            return view
+        demand = self.estimate.update(bounds, self.now)
+        self.demands.append(demand)
+        return attrs.evolve(
+            view,
+            demand=demand,
+            is_demand_settled=self.estimate.is_settled(self.now),
+        )
+
+    def succeed(self):
+        """Replaces the ordering host by one that has read the records."""
+        records = [order for _, order in self.orders]
+        self.plan = capacityplan.CapacityPlan(holder="i")
+        self.estimate = capacitydemand.DemandEstimate()
+        for order in records:
+            self.plan.apply_record(order, self.now)
--- a/packages/bulrushgrade/tests/test_capacityplan.py
+++ b/packages/bulrushgrade/tests/test_capacityplan.py
@@ -1,7 +1,10 @@
 """Tests of the plan of spot and full-price engines."""
 
+import itertools
+
 import attrs
 from capacityscene import SCALING
+from capacityscene import DemandFleet
 from capacityscene import Fleet
 
 from bulrushgrade import capacityplan
@@ -117,3 +120,94 @@
     assert fleet.plan.propose(fleet.view(), fleet.now) is None
     again = fleet.plan.propose(fleet.view(), fleet.now + 1.0)
     assert (again.zone, again.is_spot) == (order.zone, order.is_spot)
+
+
+def settled_fleet(busy, **kwargs):
+    fleet = DemandFleet(busy=busy, **kwargs)
+    fleet.run(90.0)
+    return fleet
+
+
+def test_load_of_a_quarter_keeps_half_of_the_first_engines():
+    """Guards against engines that are paid for by price alone: 48 before."""
+    fleet = settled_fleet(lambda now: 6.0)
+    assert fleet.total == 16
+    assert settled_fleet(lambda now: 0.0).total == 12
+
+
+def test_load_that_swings_within_seconds_causes_no_orders():
+    fleet = settled_fleet(lambda now: 9.0 if now % 3 < 1.5 else 3.0)
+    before = len(fleet.orders)
+    fleet.run(60.0)
+    assert len(fleet.orders) == before
+    assert fleet.total * 0.6 >= 9.0
+
+
+def test_burst_of_two_and_a_half_times_for_five_seconds_gets_its_engines():
+    """Guards against a burst that is followed too late or not at all."""
+    fleet = settled_fleet(lambda now: 15.0 if 90.0 <= now < 95.0 else 6.0)
+    # One order a check, in four zones, and the start of the last engines.
+    fleet.run(0.5 * 4 + SCALING.boot_s + 0.5)
+    assert fleet.total - fleet.spot("a") >= 25
+    # The next burst may come within the window.
+    fleet.run(16.0)
+    assert fleet.total - fleet.spot("a") >= 25
+
+
+def test_zone_whose_spot_engines_go_at_the_peak_leaves_what_the_load_needs():
+    for zone in "abcd":
+        fleet = settled_fleet(lambda now: 9.0)
+        fleet.running[zone, True] = 0
+        assert fleet.total >= 15
+        fleet.refusing = {zone}
+        fleet.run(40.0)
+        assert fleet.total >= 15
+        # Operator's minimum, at the full price.
+        assert fleet.running[zone, False] == 1
+        assert set(fleet.demands[-100:]) == {15}
+
+
+def test_idle_engines_are_released_one_per_zone_after_the_window_only():
+    """Guards against engines that are released in a pause of the load."""
+    fleet = settled_fleet(lambda now: 18.0 if now < 90.0 else 0.0)
+    fleet.run(19.5)
+    assert fleet.total == 40
+    fleet.run(5.0)
+    assert 36 <= fleet.total < 40
+    fleet.run(5.0)
+    assert 32 <= fleet.total < 36
+    fleet.run(60.0)
+    assert fleet.total == 12
+
+
+def test_successor_without_load_releases_nothing_before_a_whole_window():
+    """Guards against a new ordering host that takes unknown load for none."""
+    fleet = settled_fleet(lambda now: 15.0 if now < 90.0 else 0.0)
+    fleet.succeed()
+    before, orders = fleet.total, len(fleet.orders)
+    fleet.run(19.5)
+    assert (fleet.total, len(fleet.orders)) == (before, orders)
+    fleet.run(60.0)
+    assert fleet.total == 12
+
+
+def test_stale_loads_release_nothing_for_as_long_as_they_last():
+    fleet = settled_fleet(lambda now: 15.0 if now < 90.0 else 0.0)
+    before, fleet.is_recent = fleet.total, False
+    fleet.run(60.0)
+    assert fleet.total == before
+
+
+def test_load_that_changes_by_one_engine_waits_for_the_last_order():
+    """Guards against an order for each small change of the load."""
+    fleet = settled_fleet(lambda now: 9.0 + max(0.0, 0.5 * (now - 90.0)))
+    fleet.run(20.0)
+    at = [at for at, order in fleet.orders if order.zone == "b" and at > 90.0]
+    assert len(at) >= 2
+    assert all(b - a >= SCALING.boot_s for a, b in itertools.pairwise(at))
+
+
+def test_demand_keeps_the_bounds_of_the_operator():
+    few = attrs.evolve(SCALING, min_engines=4, max_engines=7)
+    assert settled_fleet(lambda now: 0.0, scaling=few).total == 16
+    assert settled_fleet(lambda now: 40.0, scaling=few).total == 28
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/capacitycontrol.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/capacitycontrol.py
@@ -4,13 +4,17 @@
 """
 
 from collections.abc import Callable
+import math
 from typing import Any
 
+import attrs
 from returns.result import Failure
 
+from bulrushgrade import capacitydemand
 from bulrushgrade import capacityplan
 from bulrushgrade_daemon import decisionlog
 from bulrushgrade_daemon import fencedactions
+from bulrushgrade_daemon import metrics as metrics_module
 from bulrushgrade_daemon import operatorcalls
 from bulrushgrade_daemon import orderrecords
 from bulrushgrade_daemon import ordertopic
@@ -35,6 +39,8 @@
         calls: operatorcalls.OperatorCalls,
         leads: Callable[[], bool],
         views: Callable[[], list[capacityplan.CapacityView]],
+        read_use: Callable[[str], capacitydemand.ServiceUse | None],
+        metrics: metrics_module.Metrics,
         log: decisionlog.DecisionLog,
         on_broken: Callable[[str], None],
     ):
@@ -46,8 +52,13 @@
             actions: Performs actions that only one host at a time may do.
             calls: Calls to the operator's API.
             leads: Returns whether this host is the leader.
-            views: Returns the state of the services that can be scaled.
-            log: Receives a line for each order.
+            views: Returns the state of the services that can be scaled,
+                without their demand.
+            read_use: Returns the load of a service's engines; None to order
+                engines without regard to it.
+            metrics: Gets the demand and the running engines by service.
+            log: Receives a line for each order and each change of the number
+                of engines that is aimed at.
             on_broken: Called with the reason when an invariant is broken.
         """
         self._timers = timers
@@ -56,9 +67,15 @@
         self._calls = calls
         self._leads = leads
         self._views = views
+        self._read_use = read_use
+        self._metrics = metrics
         self._log = log
         self._on_broken = on_broken
         self._plans: dict[str, capacityplan.CapacityPlan] = {}
+        self._estimates: dict[str, capacitydemand.DemandEstimate] = {}
+        # The last views with a demand.
+        self._demands: dict[str, capacityplan.CapacityView] = {}
+        self._spot_targets: dict[str, int] = {}
         self._ordering = False
         self._outcomes: dict[str, int] = {}
         self._tick: Any = None
@@ -82,14 +99,25 @@
         """Ignores all messages."""
 
     def dump(self) -> dict[str, Any]:
-        """Returns the needed engines by service and the outcome counts."""
+        """Returns the needed engines, the demands and the outcome counts."""
         needed = {name: plan.needed for name, plan in self._plans.items()}
-        return {"needed": needed, **self.counts}
+        demands = {
+            view.service: self._describe(view)
+            for view in self._demands.values()
+        }
+        return {"needed": needed, "demands": demands, **self.counts}
 
     def _check(self) -> None:
-        if self._ordering or not self._leads():
+        if not self._leads():
+            # A new leader starts with the demand unknown.
+            self._estimates.clear()
+            self._demands.clear()
             return
-        for view in self._views():
+        # Also while an order is under way, so that no load is missed.
+        views = [self._add_demand(view) for view in self._views()]
+        if self._ordering:
+            return
+        for view in views:
             plan = self._get_plan(view.service)
             if plan.propose(view, self._timers.now) is not None:
                 self._ordering = True
@@ -106,6 +134,76 @@
             self._plans[service] = plan
         return self._plans[service]
 
+    def _add_demand(
+        self, view: capacityplan.CapacityView
+    ) -> capacityplan.CapacityView:
+        """Returns a view with the demand, if engines are ordered for it."""
+        use = self._read_use(view.service)
+        if use is None:
+            return view
+        now, service = self._timers.now, view.service
+        estimate = self._estimates.get(service)
+        if estimate is None:
+            estimate = capacitydemand.DemandEstimate()
+            self._estimates[service] = estimate
+            self._register_gauges(service)
+        estimate.observe(use, now)
+        plan = self._get_plan(service)
+        bounds = plan.demand_bounds(view, now)
+        if bounds is None:
+            return view
+        view = attrs.evolve(
+            view,
+            demand=estimate.update(bounds, now),
+            is_demand_settled=estimate.is_settled(now),
+        )
+        self._demands[service] = view
+        target = plan.spot_engines_per_zone(view)
+        if self._spot_targets.get(service) != target:
+            self._spot_targets[service] = target
+            self._log.note(
+                "capacity_demand", service=service, **self._describe(view)
+            )
+        return view
+
+    def _describe(self, view: capacityplan.CapacityView) -> dict[str, Any]:
+        """Returns a demand and its inputs as fields of a log line."""
+        estimate = self._estimates[view.service]
+        return {
+            "demand": view.demand,
+            "is_settled": view.is_demand_settled,
+            "prefill_utilization": round(estimate.prefill_utilization, 2),
+            "decode_utilization": round(estimate.decode_utilization, 2),
+            "running": view.total,
+            "spot_per_zone": self._spot_targets.get(view.service),
+        }
+
+    def _register_gauges(self, service: str) -> None:
+        def read(
+            value: Callable[[capacityplan.CapacityView], int | None],
+        ) -> Callable[[], float]:
+            # Only the ordering host knows the demand.
+            return lambda: (
+                value(self._demands[service])
+                if service in self._demands
+                else math.nan
+            )
+
+        for name, doc, value in (
+            (
+                "engine_demand",
+                "Engines that the load needs; NaN at hosts that don't order.",
+                lambda view: view.demand,
+            ),
+            (
+                "running_engines",
+                "Running engines; NaN at hosts that don't order.",
+                lambda view: view.total,
+            ),
+        ):
+            labels = {"service": service}
+            self._metrics.gauge(name, doc, labels, read=read(value))
+
     async def _order(
         self, plan: capacityplan.CapacityPlan, service: str
     ) -> None:
@@ -157,7 +255,7 @@
     ) -> capacityplan.CapacityRecord | None:
         for view in self._views():
             if view.service == service:
-                return plan.propose(view, self._timers.now)
+                return plan.propose(self._add_demand(view), self._timers.now)
         return None
 
     def _apply_record(self, numbered: orderrecords.NumberedRecord) -> None:
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
@@ -615,10 +615,14 @@
             timers=self._timers,
             own_name=self._own_name,
             settings=settings.operator,
+            features=settings.features,
             settle_s=settings.bounds.drain_s,
             calls=context.adapter.operator_calls,
             actions=self._actions,
             view=self._view,
+            work=self._work,
+            peer_loads=self._peer_loads,
+            metrics=self._metrics,
             gossip=self._gossip,
             reaches_store=lambda: self._follow_endpoints.reaches_store,
             may_order=self._may_order,
@@ -701,13 +705,9 @@
         )
 
     def _retry_extra(self) -> float:
-        known_hosts = None
-        if self._follow_peers.has_loaded:
-            known_hosts = self._link.host_count
-        return retryshare.divide_extra(
-            self._context.settings().bounds.retry_extra,
-            known_hosts=known_hosts,
-        )
+        hosts = self._link.host_count if self._follow_peers.has_loaded else None
+        extra = self._context.settings().bounds.retry_extra
+        return retryshare.divide_extra(extra, known_hosts=hosts)
 
     def _observe_answer(self, kind: str, took_s: float) -> None:
         self._metrics.histogram(
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/operatortasks.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/operatortasks.py
@@ -3,15 +3,21 @@
 from collections.abc import Callable
 from typing import Any
 
+from bulrushgrade import capacitydemand
 from bulrushgrade import capacityplan
+from bulrushgrade import directory
+from bulrushgrade import peerloads
+from bulrushgrade import routing
 from bulrushgrade import usagewindows
 from bulrushgrade import workspaces
 from bulrushgrade_daemon import capacitycontrol
 from bulrushgrade_daemon import decisionlog
+from bulrushgrade_daemon import enginework
 from bulrushgrade_daemon import fencedactions
 from bulrushgrade_daemon import gatewaymessages
 from bulrushgrade_daemon import gatewaysettings
 from bulrushgrade_daemon import loadgossip
+from bulrushgrade_daemon import metrics as metrics_module
 from bulrushgrade_daemon import operatorcalls
 from bulrushgrade_daemon import peerlink
 from bulrushgrade_daemon import storeview
@@ -27,10 +33,14 @@
         timers: Any,
         own_name: str,
         settings: gatewaysettings.Operator,
+        features: gatewaysettings.Features,
         settle_s: float,
         calls: operatorcalls.OperatorCalls | None,
         actions: fencedactions.FencedActions,
         view: storeview.StoreView,
+        work: enginework.EngineWork,
+        peer_loads: peerloads.PeerLoads,
+        metrics: metrics_module.Metrics,
         gossip: loadgossip.LoadGossip,
         reaches_store: Callable[[], bool],
         may_order: Callable[[], bool],
@@ -44,11 +54,15 @@
             timers: The timer service; its clock runs during pauses.
             own_name: This daemon's incarnation.
             settings: Section ``[operator]`` of the settings.
+            features: Section ``[features]`` of the settings.
             settle_s: Time until an engine's registration is known to all
                 hosts.
             calls: Calls to the operator's API; None to make no calls.
             actions: Performs actions that only one host at a time may do.
             view: The last known content of the store.
+            work: Knows the load of engines.
+            peer_loads: The loads that peers advertise.
+            metrics: Gets the demand for engines.
             gossip: Knows which daemons are present and which one is the
                 leader.
             reaches_store: Returns whether this host can reach the store.
@@ -57,9 +71,14 @@
             log: Receives a line for each report and order.
             on_broken: Called with the reason when an invariant is broken.
         """
+        self._timers = timers
+        self._orders_by_demand = features.orders_by_demand
         self._settle_s = settle_s
         self._gossip = gossip
+        self._link = link
         self._view = view
+        self._work = work
+        self._peer_loads = peer_loads
         self._reaches_store = reaches_store
         self._usage: usagereporting.UsageReporting | None = None
         self._capacity: capacitycontrol.CapacityControl | None = None
@@ -88,6 +107,8 @@
                 calls=calls,
                 leads=self.is_leader,
                 views=self._capacity_views,
+                read_use=self._read_use,
+                metrics=metrics,
                 log=log,
                 on_broken=on_broken,
             )
@@ -156,9 +177,43 @@
 
     def _count_running(self, service: str) -> dict[capacityplan.Pool, int]:
         running: dict[capacityplan.Pool, int] = {}
-        for found in self._view.endpoints.registrations:
-            is_leaving = self._view.endpoints.is_leaving(found)
-            if found.service == service and not is_leaving:
-                pool = found.zone, found.is_spot
-                running[pool] = running.get(pool, 0) + 1
+        for found in self._find_running(service):
+            pool = found.zone, found.is_spot
+            running[pool] = running.get(pool, 0) + 1
         return running
+
+    def _find_running(self, service: str) -> list[directory.Registration]:
+        endpoints = self._view.endpoints
+        return [
+            found
+            for found in endpoints.registrations
+            if found.service == service and not endpoints.is_leaving(found)
+        ]
+
+    def _read_use(self, service: str) -> capacitydemand.ServiceUse | None:
+        """Returns the load of a service's engines if it determines orders."""
+        traits, table = self._work.traits(service), self._view.table
+        if not self._orders_by_demand or traits is None or table is None:
+            return None
+        now, fleet = self._timers.now, self._work.fleet(service)
+        # A host that hears of no peer sees its own requests only. Without any
+        # announced peer these are all.
+        is_recent = not self._link.hosts or self._peer_loads.has_recent(now)
+
+        def read(engine: directory.Registration) -> capacitydemand.EngineUse:
+            load = fleet.estimate_decode_load(engine, traits, now)
+            return capacitydemand.EngineUse(
+                is_prefill=engine.stage is directory.Stage.PREFILL,
+                streams=load.streams,
+                slots=load.slots,
+                memory_fraction=load.tokens / load.memory_tokens,
+                queued_s=fleet.wait_s(
+                    engine, traits, now, routing.LOWEST_URGENCY
+                ),
+                is_recent=is_recent,
+            )
+
+        return capacitydemand.ServiceUse(
+            engines=tuple(map(read, self._find_running(service))),
+            target_s=table.limits(service).max_target_s,
+        )
--- a/packages/bulrushgrade_daemon/tests/orderfleet.py
+++ b/packages/bulrushgrade_daemon/tests/orderfleet.py
@@ -22,6 +22,7 @@
 import simulatedreactor
 from twisted.internet import defer
 
+from bulrushgrade import capacitydemand
 from bulrushgrade import capacityplan
 from bulrushgrade import orderturn
 from bulrushgrade import usagewindows
@@ -30,6 +31,7 @@
 from bulrushgrade_daemon import clock
 from bulrushgrade_daemon import fencedactions
 from bulrushgrade_daemon import gatewaymessages
+from bulrushgrade_daemon import metrics
 from bulrushgrade_daemon import operatorcalls
 from bulrushgrade_daemon import ordertopic
 from bulrushgrade_daemon import outbound
@@ -150,6 +152,8 @@
             calls=calls,
             leads=lambda: self.usage.is_reporter or fleet.all_lead,
             views=lambda: [fleet.engines.view()] if self.may_order else [],
+            read_use=lambda service: fleet.use,
+            metrics=metrics.Metrics(),
             log=self.lines.make(),
             on_broken=fleet.broken.append,
         )
@@ -289,6 +293,8 @@
         self.isolated: set[str] = set()
         # Whether all hosts take themselves for the one that orders engines.
         self.all_lead = False
+        # The load of the engines; None to order them without regard to it.
+        self.use: capacitydemand.ServiceUse | None = None
         # How long a host is paused before and after the check of a call.
         self.connect_pause_s: Callable[[Host], float] = lambda host: 0.0
         self.write_pause_s: Callable[[Host], float] = lambda host: 0.0
