--- a/packages/bulrushgrade/tests/test_capacitydemand.py
+++ b/packages/bulrushgrade/tests/test_capacitydemand.py
@@ -82,9 +82,9 @@
     checks = settle(9.0)
     assert set(checks.run(60.0, steady(0.0, is_recent=False))) == {15}
     assert not checks.estimate.is_settled(checks.now)
-    # The former number is the one that was aimed at when loads became stale.
-    former = attrs.evolve(BOUNDS, former=15)
-    assert set(checks.run(20.0, steady(0.0), former)) == {15}
+    # The demand of 15 was rounded up to 18 engines.
+    former = attrs.evolve(BOUNDS, former=18)
+    assert set(checks.run(20.0, steady(0.0), former)) == {18}
 
 
 def test_new_host_holds_the_former_number_for_a_whole_window_without_load():
@@ -98,6 +98,8 @@
     checks = Checks()
     limited = attrs.evolve(BOUNDS, most=30)
     assert checks.run(30.0, steady(40.0), limited)[-1] == 30
+    limited = attrs.evolve(BOUNDS, most=9)
+    assert checks.run(CHECK_S, steady(0.0), limited) == [9]
 
 
 def test_engine_that_hangs_with_ever_more_streams_counts_at_most_twice():
--- a/packages/bulrushgrade/tests/test_capacityplan.py
+++ b/packages/bulrushgrade/tests/test_capacityplan.py
@@ -132,7 +132,9 @@
     """Guards against engines that are paid for by price alone: 48 before."""
     fleet = settled_fleet(lambda now: 6.0)
     assert fleet.total == 16
-    assert settled_fleet(lambda now: 0.0).total == 12
+    idle = settled_fleet(lambda now: 0.0)
+    assert [idle.spot(zone) for zone in "abcd"] == [3, 3, 3, 3]
+    assert idle.total == 12
 
 
 def test_load_that_swings_within_seconds_causes_no_orders():
@@ -182,7 +184,7 @@
 
 def test_successor_without_load_releases_nothing_before_a_whole_window():
     """Guards against a new ordering host that takes unknown load for none."""
-    fleet = settled_fleet(lambda now: 15.0 if now < 90.0 else 0.0)
+    fleet = settled_fleet(lambda now: 6.0 if now < 90.0 else 0.0)
     fleet.succeed()
     before, orders = fleet.total, len(fleet.orders)
     fleet.run(19.5)
@@ -191,6 +193,32 @@
     assert fleet.total == 12
 
 
+def test_successor_amid_the_first_orders_releases_nothing_for_a_window():
+    """Guards against a release by a host that did not place the orders."""
+    fleet = DemandFleet(busy=lambda now: 0.0)
+    fleet.run(8.0)
+    fleet.succeed()
+    full = [fleet.running[zone, False] for zone in "abcd"]
+    assert sum(full) > 0
+    fleet.run(19.5)
+    assert [fleet.running[zone, False] for zone in "abcd"] == full
+    fleet.run(60.0)
+    assert fleet.total == 12
+
+
+def test_substitutes_of_a_steady_load_stay_until_spot_engines_run():
+    """Guards against a release before the replacements serve."""
+    fleet = settled_fleet(lambda now: 9.0)
+    fleet.refusing = set("abcd")
+    for zone in "abcd":
+        fleet.running[zone, True] = 0
+    fleet.run(40.0)
+    fleet.refusing, fleet.least_total = set(), fleet.total
+    fleet.run(40.0)
+    assert fleet.least_total >= 15
+    assert all(fleet.running[zone, False] == 0 for zone in "abcd")
+
+
 def test_stale_loads_release_nothing_for_as_long_as_they_last():
     fleet = settled_fleet(lambda now: 15.0 if now < 90.0 else 0.0)
     before, fleet.is_recent = fleet.total, False
--- a/packages/bulrushgrade_daemon/tests/orderfleet.py
+++ b/packages/bulrushgrade_daemon/tests/orderfleet.py
@@ -104,6 +104,8 @@
         clock_step_s: By how much its clock is set wrong.
         may_order: Whether it reaches the store.
         usage: Its reports of usage.
+        capacity: Its orders of engines.
+        metrics: Its metrics.
     """
 
     def __init__(self, *, fleet: "OrderFleet", name: str, clock_step_s: float):
@@ -111,6 +113,7 @@
         self.reactor = HostReactor(fleet.reactor)
         self.clock_step_s = clock_step_s
         self.may_order = True
+        self.metrics = metrics.Metrics()
         self._fleet = fleet
         self._heard: dict[str, tuple[float, bool]] = {}
         self.timers = clock.TimerService(
@@ -145,7 +148,7 @@
                 STARTED_S + self.reactor.seconds() + self.clock_step_s
             ),
         )
-        self._capacity = capacitycontrol.CapacityControl(
+        self.capacity = capacitycontrol.CapacityControl(
             timers=self.timers,
             own_name=name,
             actions=self.actions,
@@ -153,12 +156,12 @@
             leads=lambda: self.usage.is_reporter or fleet.all_lead,
             views=lambda: [fleet.engines.view()] if self.may_order else [],
             read_use=lambda service: fleet.use,
-            metrics=metrics.Metrics(),
+            metrics=self.metrics,
             log=self.lines.make(),
             on_broken=fleet.broken.append,
         )
         fakes.run(self.usage.start())
-        fakes.run(self._capacity.start())
+        fakes.run(self.capacity.start())
         self.timers.every(HEARTBEAT_S, self._beat)
 
     @property
