--- a/packages/bulrushgrade_daemon/tests/orderfleet.py
+++ b/packages/bulrushgrade_daemon/tests/orderfleet.py
@@ -22,6 +22,7 @@
 import simulatedreactor
 from twisted.internet import defer
 
+from bulrushgrade import capacitydemand
 from bulrushgrade import capacityplan
 from bulrushgrade import orderturn
 from bulrushgrade import usagewindows
@@ -30,6 +31,7 @@
 from bulrushgrade_daemon import clock
 from bulrushgrade_daemon import fencedactions
 from bulrushgrade_daemon import gatewaymessages
+from bulrushgrade_daemon import metrics
 from bulrushgrade_daemon import operatorcalls
 from bulrushgrade_daemon import ordertopic
 from bulrushgrade_daemon import outbound
@@ -102,6 +104,8 @@
         clock_step_s: By how much its clock is set wrong.
         may_order: Whether it reaches the store.
         usage: Its reports of usage.
+        capacity: Its orders of engines.
+        metrics: Its metrics.
     """
 
     def __init__(self, *, fleet: "OrderFleet", name: str, clock_step_s: float):
@@ -109,6 +113,7 @@
         self.reactor = HostReactor(fleet.reactor)
         self.clock_step_s = clock_step_s
         self.may_order = True
+        self.metrics = metrics.Metrics()
         self._fleet = fleet
         self._heard: dict[str, tuple[float, bool]] = {}
         self.timers = clock.TimerService(
@@ -143,18 +148,20 @@
                 STARTED_S + self.reactor.seconds() + self.clock_step_s
             ),
         )
-        self._capacity = capacitycontrol.CapacityControl(
+        self.capacity = capacitycontrol.CapacityControl(
             timers=self.timers,
             own_name=name,
             actions=self.actions,
             calls=calls,
             leads=lambda: self.usage.is_reporter or fleet.all_lead,
             views=lambda: [fleet.engines.view()] if self.may_order else [],
+            read_use=lambda service: fleet.use,
+            metrics=self.metrics,
             log=self.lines.make(),
             on_broken=fleet.broken.append,
         )
         fakes.run(self.usage.start())
-        fakes.run(self._capacity.start())
+        fakes.run(self.capacity.start())
         self.timers.every(HEARTBEAT_S, self._beat)
 
     @property
@@ -289,6 +296,8 @@
         self.isolated: set[str] = set()
         # Whether all hosts take themselves for the one that orders engines.
         self.all_lead = False
+        # The load of the engines; None to order them without regard to it.
+        self.use: capacitydemand.ServiceUse | None = None
         # How long a host is paused before and after the check of a call.
         self.connect_pause_s: Callable[[Host], float] = lambda host: 0.0
         self.write_pause_s: Callable[[Host], float] = lambda host: 0.0
