Divide a saturated service fairly among workspaces

When a service is saturated, which requests are late depends on their arrival alone, so a workspace that floods it takes the capacity of all others.

--- a/packages/bulrushgrade/bulrushgrade/engineadmission.py
+++ b/packages/bulrushgrade/bulrushgrade/engineadmission.py
@@ -46,6 +46,37 @@
     return max(late_s, wait_s - patience_s * WAIT_FRACTION * size)
 
 
+def is_late(
+    plan: placementplan.Plan, *, route: routing.Route, waited_s: float
+) -> bool:
+    """Returns whether the first event is expected after the route's target.
+
+    Args:
+        plan: The plan for the prompt.
+        route: Its route.
+        waited_s: Time since the request arrived.
+    """
+    return waited_s + plan.first_event_s > route.target_s
+
+
+def planned_urgency(
+    route: routing.Route, *, lowest_urgency: int, yields: bool
+) -> int:
+    """Returns the urgency with which a prompt is planned.
+
+    Prompts that exceed their workspace's share let all others go first.
+    As in `choose_urgency`, this applies only to the least urgent routes.
+
+    Args:
+        route: The prompt's route.
+        lowest_urgency: The lowest urgency of all routes to the service.
+        yields: Whether it exceeds its workspace's share.
+    """
+    if yields and route.urgency >= lowest_urgency:
+        return routing.LOWEST_URGENCY
+    return route.urgency
+
+
 def choose_urgency(
     plan: placementplan.Plan,
     *,
@@ -74,6 +105,6 @@
     """
     if route.urgency < lowest_urgency:
         return route.urgency
-    if waited_s + plan.first_event_s <= route.target_s:
-        return route.urgency
-    return routing.LOWEST_URGENCY
+    if is_late(plan, route=route, waited_s=waited_s):
+        return routing.LOWEST_URGENCY
+    return route.urgency
