Limit workspaces to their shares of saturated services

Each host sees only a part of a workspace's requests, so the use of services is summed over all hosts in the table `uses` of the load messages, and each host derives the shares from the sums. The chooser plans prompts that exceed a share with the lowest urgency; the forwarder refuses them before anything is sent if they would be late. Without the feature or without workspaces nothing changes.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointchooser.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointchooser.py
@@ -65,6 +65,7 @@
         age_s: Callable[[], float | None],
         log: decisionlog.DecisionLog,
         rng: random.Random,
+        yields: Callable[[inflight.InFlight], bool] = lambda request: False,
     ):
         """Creates a chooser without observations.
 
@@ -86,6 +87,7 @@
                 first.
             log: Gets a line for each ejection.
             rng: Breaks ties.
+            yields: Returns whether a request exceeds its workspace's share.
         """
         self._timers = timers
         self._zone = zone
@@ -100,6 +102,7 @@
         self._settle_s = settle_s
         self._is_settled = is_settled
         self._age_s = age_s
+        self._yields = yields
         # When a connection to each incarnation last failed.
         self._lost_at: dict[tuple[str, int], float] = {}
         self._changes = stagechanges.StageChanges()
@@ -119,7 +122,7 @@
             self._plan_input(request, traits)
         )
         request.waits_s = await self._index.query_waits(
-            (e.id for e in engines), request.route.urgency
+            (e.id for e in engines), self._planned_urgency(request)
         )
 
     def choose(
@@ -143,8 +146,10 @@
                 avoid_zones=request.avoid_zones,
                 now=now,
             )
+        urgency = self._planned_urgency(request)
+        plan_input = self._plan_input(request, traits)
         request.plan = self._planner(request.service).plan(
-            self._plan_input(request, traits),
+            attrs.evolve(plan_input, urgency=urgency),
             allow_handover=request.history.arrivals == 0,
         )
         if request.plan is None:
@@ -154,14 +159,23 @@
             # Its caller waits for the next event, not for the first one.
             request.urgency = request.route.urgency
             return request.plan.decode
-        request.urgency = engineadmission.choose_urgency(
+        chosen_urgency = engineadmission.choose_urgency(
             request.plan,
             route=request.route,
             lowest_urgency=limits.lowest_urgency,
             waited_s=now - request.caller.arrived_at,
         )
+        request.urgency = max(urgency, chosen_urgency)
         return request.plan.decode
 
+    def _planned_urgency(self, request: inflight.InFlight) -> int:
+        limits = self._table().limits(request.service)
+        return engineadmission.planned_urgency(
+            request.route,
+            lowest_urgency=limits.lowest_urgency,
+            yields=self._yields(request),
+        )
+
     def explain_no_endpoint(self, request: inflight.InFlight) -> str:
         """Returns why no endpoint was chosen, for logs."""
         traits, prompt = self._work.traits(request.service), request.info.prompt
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
@@ -41,6 +41,7 @@
 from bulrushgrade_daemon import requestlog
 from bulrushgrade_daemon import requestpermits
 from bulrushgrade_daemon import task
+from bulrushgrade_daemon import usesharing
 
 DEADLINE_MARGIN_S = 0.02
 """Reserved before a deadline for sending the answer to the caller."""
@@ -74,6 +75,7 @@
         log: Gets a line for each decision that is out of the ordinary.
         rng: Source of random choices.
         on_broken: Called with the reason if an invariant is violated.
+        uses: Fair shares of workspaces.
     """
 
     timers: Any
@@ -91,6 +93,7 @@
     log: requestlog.RequestLog
     rng: random.Random
     on_broken: Callable[[str], None]
+    uses: usesharing.UseSharing = attrs.field(factory=usesharing.make_disabled)
 
 
 class Forwarder:
@@ -139,6 +142,7 @@
         self._log = dependencies.log
         self._rng = dependencies.rng
         self._on_broken = dependencies.on_broken
+        self._uses = dependencies.uses
         self._make_retry_share = make_retry_share
         self._observe_latency = observe_latency
         self._record_run_start = record_run_start
@@ -151,6 +155,11 @@
         """Number of requests in flight."""
         return len(self._open)
 
+    @property
+    def uses(self) -> usesharing.UseSharing:
+        """Fair shares of workspaces."""
+        return self._uses
+
     @property
     def counts(self) -> dict[str, int]:
         """Number of requests by how they ended, of attempts by outcome."""
@@ -166,8 +175,12 @@
         """Ignores messages."""
 
     def dump(self) -> dict[str, Any]:
-        """Returns the number of open requests and the counts."""
-        return {"open": self.open_requests, "counts": self.counts}
+        """Returns the open requests, the counts and workspaces' shares."""
+        return {
+            "open": self.open_requests,
+            "counts": self.counts,
+            **self._uses.dump(),
+        }
 
     def handle(self, caller: frontend.CallerRequest) -> None:
         """Serves a request that has been read completely."""
@@ -263,6 +276,8 @@
             if endpoint is None:
                 self._permits.note_refusal(request)
                 return Failure(self._chooser.explain_no_endpoint(request))
+            if not self._uses.admit(request):
+                return Failure("over its workspace's share")
             late_s = self._predicted_lateness_s(request)
             if late_s > 0:
                 return Failure(f"would be {late_s:.2f} s late")
@@ -437,6 +452,7 @@
     def _record_first_run(self, request: inflight.InFlight, at: float) -> None:
         if not request.is_counted:
             request.is_counted = True
+            self._uses.observe_served(request)
             self._record_run_start(request.workspace, at)
 
     async def _forward_answer(
@@ -598,6 +614,8 @@
         blame = self._parts.find_blame(request)
         if blame is not None:
             return self._parts.count_refusal(blame)
+        if request.share_retry_s is not None:
+            return request.share_retry_s
         if not self._chooser.has_room(request):
             self._permits.note_refusal(request)
         if request.permit_retry_s is not None:
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaypages.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaypages.py
@@ -50,6 +50,12 @@
             "Requests by how they ended, attempts by what came of them.",
             lambda: services.forwarder.counts,
         ),
+        (
+            "workspace_prompts_total",
+            "Prompts to saturated services by what their workspace's share led"
+            " to.",
+            lambda: services.forwarder.uses.counts,
+        ),
         (
             "caller_connections_total",
             "Connections from callers that were closed unread.",
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
@@ -51,6 +51,7 @@
 from bulrushgrade_daemon import storeepoch
 from bulrushgrade_daemon import storetopics
 from bulrushgrade_daemon import storeview
+from bulrushgrade_daemon import usesharing
 
 ENDPOINT_READS_PER_BOUND = 2.2
 """Number of reads of the endpoints' topic per drain bound. Heartbeats of
@@ -74,13 +75,6 @@
 same time, each host's record would otherwise end a long poll of every other
 host."""
 
-_DEFAULT_LIMITS = routing.CallerLimits(
-    max_header_bytes=16384,
-    max_body_bytes=4 * 1024 * 1024,
-    header_timeout_s=5.0,
-    idle_timeout_s=15.0,
-)
-
 
 @attrs.frozen(kw_only=True)
 class Context:
@@ -379,6 +373,13 @@
             send=lambda peer, message: self._link.send(peer, message),
             log=context.log,
         )
+        self._uses = usesharing.UseSharing(
+            is_enabled=context.settings().features.shares_among_workspaces,
+            now=lambda: self._timers.now,
+            count_hosts=lambda: self._link.host_count,
+            log=context.log,
+            rng=context.rng,
+        )
         self._chooser = endpointchooser.EndpointChooser(
             timers=self._timers,
             zone=context.settings().host.zone,
@@ -393,6 +394,7 @@
             age_s=lambda: self._follow_endpoints.age_s,
             log=context.log,
             rng=context.rng,
+            yields=self._uses.yields,
         )
 
     def _make_connector(self) -> None:
@@ -499,6 +501,7 @@
                 log=log,
                 rng=context.rng,
                 on_broken=context.kernel.fail,
+                uses=self._uses,
             ),
             make_retry_share=self._new_share,
             observe_latency=self._observe_answer,
@@ -509,7 +512,7 @@
             timers=self._timers,
             host=listen.callers.host,
             port=listen.callers.port,
-            limits=self._caller_limits,
+            limits=lambda: self._view.caller_limits,
             max_connections=context.settings().limits.max_caller_connections,
             handle=self._forwarder.handle,
             log=context.log,
@@ -557,6 +560,7 @@
             log=context.log,
         )
         sharing.set_gossip(self._gossip)
+        self._uses.join(self._gossip.sums)
         self._cache_watch = cachewatch.CacheWatch(
             timers=self._timers,
             engines=sharing.followed_engines,
@@ -715,8 +719,3 @@
             "From arrival to the whole answer.",
             {"kind": kind},
         ).observe(took_s)
-
-    def _caller_limits(self) -> routing.CallerLimits:
-        if self._view.table is None:
-            return _DEFAULT_LIMITS
-        return self._view.table.configuration.limits
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/inflight.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/inflight.py
@@ -94,6 +94,12 @@
         is_withdrawn: Whether it was cancelled since its prompt is quarantined.
         trial: The keys of quarantined parts of its prompt that it tries again,
             or None.
+        offered_cost: Its cost when it was first planned, in tokens; None if
+            it isn't counted as its workspace's use.
+        exceeds_share: Whether it exceeds its workspace's share, so that it
+            lets other requests go first; None before that was decided.
+        share_retry_s: After how many seconds its caller should retry, if it is
+            refused since it exceeds its workspace's share; otherwise None.
     """
 
     caller: frontend.CallerRequest
@@ -137,6 +143,9 @@
     cancel: Callable[[], None] | None = None
     is_withdrawn: bool = False
     trial: frozenset[bytes] | None = None
+    offered_cost: float | None = None
+    exceeds_share: bool | None = None
+    share_retry_s: float | None = None
     _fingerprint: str | None = attrs.field(default=None, init=False)
     _part_keys: tuple[bytes, ...] | None = attrs.field(default=None, init=False)
 
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/storeview.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/storeview.py
@@ -29,6 +29,13 @@
 """How long a removed endpoint is remembered, so that delayed duplicates of its
 records are recognized."""
 
+_DEFAULT_LIMITS = routing.CallerLimits(
+    max_header_bytes=16384,
+    max_body_bytes=4 * 1024 * 1024,
+    header_timeout_s=5.0,
+    idle_timeout_s=15.0,
+)
+
 
 class StoreView:
     """Maintains the route table and the endpoints from store records."""
@@ -73,6 +80,13 @@
         """The current routes, or None before the first configuration."""
         return self._table
 
+    @property
+    def caller_limits(self) -> routing.CallerLimits:
+        """The limits on callers, default ones before a configuration."""
+        if self._table is None:
+            return _DEFAULT_LIMITS
+        return self._table.configuration.limits
+
     @property
     def endpoints(self) -> directory_module.Directory:
         """The known endpoints."""
