--- a/packages/bulrushgrade/tests/test_workspaceshares.py
+++ b/packages/bulrushgrade/tests/test_workspaceshares.py
@@ -48,8 +48,7 @@
         self.idle_s, ends = 0.0, self.now + seconds
         while self.now < ends:
             self.now += STEP_S
-            if int(self.now / SHARING_S) > int((self.now - STEP_S) / SHARING_S):
-                self.share()
+            self.exchange()
             arrivals = [
                 workspace
                 for workspace, per_s in self.demand.items()
@@ -65,6 +64,10 @@
     def draw(self, mean):
         return int(mean) + (self.rng.random() < mean % 1)
 
+    def exchange(self):
+        if int(self.now / SHARING_S) > int((self.now - STEP_S) / SHARING_S):
+            self.share()
+
     def share(self):
         """Sends each host's sums, and computes the shares of all."""
         for number, host in enumerate(self.hosts):
@@ -86,20 +89,36 @@
             self.fair = workspaceshares.divide(uses, others=others)
 
     def offer(self, workspace):
-        host = self.rng.randrange(len(self.hosts))
-        yields = self.rng.random() < self.fair.excess_fraction(workspace)
-        queued = len(self.queues[0]) + (len(self.queues[1]) if yields else 0)
-        wait_s = queued * TOKENS / CAPACITY
-        is_late = wait_s > TARGET_S
         self.offered[workspace] += 1
-        self.hosts[host].observe_plan(
-            "s", workspace, cost=TOKENS, is_late=is_late, now=self.now
+        prompt = Prompt(
+            workspace=workspace,
+            host=self.rng.randrange(len(self.hosts)),
+            arrived_at=self.now,
         )
-        if (yields and is_late) or wait_s > PATIENCE_S:
+        yields, is_late, is_refused = self.decide(prompt)
+        if is_refused or self.wait_s(yields) > PATIENCE_S:
             self.refused[workspace] += 1
-            return
-        prompt = Prompt(workspace=workspace, host=host, arrived_at=self.now)
-        self.queues[yields or is_late].append(prompt)
+        else:
+            self.queues[yields or is_late].append(prompt)
+
+    def decide(self, prompt):
+        """Returns whether it yields, is expected late, and is refused."""
+        fraction = self.fair.excess_fraction(prompt.workspace)
+        yields = self.rng.random() < fraction
+        is_late = self.wait_s(yields) > TARGET_S
+        self.hosts[prompt.host].observe_plan(
+            "s", prompt.workspace, cost=TOKENS, is_late=is_late, now=self.now
+        )
+        return yields, is_late, yields and is_late
+
+    def wait_s(self, yields):
+        queued = len(self.queues[0]) + (len(self.queues[1]) if yields else 0)
+        return queued * TOKENS / CAPACITY
+
+    def observe_served(self, prompt):
+        self.hosts[prompt.host].observe_served(
+            "s", prompt.workspace, cost=TOKENS, now=self.now
+        )
 
     def serve(self, until_s):
         """Serves what is queued, until a time within the present step."""
@@ -118,9 +137,7 @@
             self.budget -= TOKENS
             self.served[prompt.workspace] += 1
             self.in_time[prompt.workspace] += waited_s <= TARGET_S + STEP_S
-            self.hosts[prompt.host].observe_served(
-                "s", prompt.workspace, cost=TOKENS, now=self.now
-            )
+            self.observe_served(prompt)
 
 
 SMALL = {f"small{number}": 100.0 for number in range(70)}
