Expect prompts over the share late if others overtake them

Prompts that let others go first were planned by what is queued now, and were admitted as in time although the others overtook them. Their wait now counts tenfold, as their queue advances by a tenth of the capacity.

--- a/packages/bulrushgrade/bulrushgrade/workspaceshares.py
+++ b/packages/bulrushgrade/bulrushgrade/workspaceshares.py
@@ -51,6 +51,10 @@
 make the prompts of all workspaces late. The rest is used by prompts that exceed
 the shares and let the others go first."""
 
+OVERTAKEN_FACTOR = 1 / (1 - GUARANTEED_FRACTION)
+"""Factor on the expected wait of a prompt that lets others go first. While the
+shares are used, its queue advances only by what they leave."""
+
 MIN_USE_PER_S = 5.0
 """Use in tokens per second below which a workspace counts as idle and is
 dropped: half of the resolution of messages, less than one request of 50 tokens
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/usesharing.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/usesharing.py
@@ -206,11 +206,7 @@
         )
         now = self._now()
         has_begun = _has_begun(request)
-        is_late = not has_begun and engineadmission.is_late(
-            plan,
-            route=request.route,
-            waited_s=now - request.caller.arrived_at,
-        )
+        is_late = not has_begun and self._is_late(request, now)
         self._uses.observe_plan(
             request.service,
             _key_of(request),
@@ -230,6 +226,18 @@
                 now=self._now(),
             )
 
+    def _is_late(self, request: inflight.InFlight, now: float) -> bool:
+        """Returns whether a request is expected to be late.
+
+        If it lets others go first, they overtake it while it waits.
+        """
+        plan, waited_s = request.plan, now - request.caller.arrived_at
+        if self.yields(request) and request.urgency > request.route.urgency:
+            waited_s += plan.wait_s * (workspaceshares.OVERTAKEN_FACTOR - 1)
+        return engineadmission.is_late(
+            plan, route=request.route, waited_s=waited_s
+        )
+
     def _has_share(self, request: inflight.InFlight) -> bool:
         is_prompt = request.info.prompt is not None
         return self._is_enabled and is_prompt and request.workspace is not None
