Give up attempts at silent endpoints early

Requests at an endpoint that accepted them and then hangs waited until their deadlines, although a second attempt was allowed and would have been in time. With the feature early_retries, an attempt without a first byte is given up after a limit that follows recent responses, if another endpoint has room, the service isn't saturated and at most half of the retry budget is used for it.

--- a/packages/bulrushgrade/bulrushgrade/retryshare.py
+++ b/packages/bulrushgrade/bulrushgrade/retryshare.py
@@ -30,6 +30,10 @@
 delay varies by half in both directions, so that callers refused together do
 not return together."""
 
+EARLY_FRACTION = 0.5
+"""Largest fraction of the budget for retries of attempts that had not failed.
+The rest remains for those that did."""
+
 MAX_WAIT_FRACTION = 1 / 3
 """Maximum fraction of the caller's deadline that it is asked to wait. A caller
 does not wait longer, and needs the rest for its next try."""
@@ -54,6 +58,7 @@
         self._window_s = window_s
         self._requests: collections.deque[float] = collections.deque()
         self._retries: collections.deque[float] = collections.deque()
+        self._early: collections.deque[float] = collections.deque()
 
     def count_request(self, now: float) -> None:
         """Counts a request of a caller."""
@@ -63,15 +68,28 @@
     def spend(self, now: float) -> bool:
         """Uses one retry and returns True, or returns False if none is left."""
         self._drop_old(now)
-        allowed = self._ratio * len(self._requests) + self._extra()
-        if len(self._retries) + 1 > allowed:
+        if len(self._retries) + 1 > self._allowed():
             return False
         self._retries.append(now)
         return True
 
+    def spend_early(self, now: float) -> bool:
+        """As `spend`, for a retry of an attempt that has not failed."""
+        self._drop_old(now)
+        if len(self._early) + 1 > EARLY_FRACTION * self._allowed():
+            return False
+        if not self.spend(now):
+            return False
+        self._early.append(now)
+        return True
+
+    def _allowed(self) -> float:
+        """Returns the number of retries in the present window."""
+        return self._ratio * len(self._requests) + self._extra()
+
     def _drop_old(self, now: float) -> None:
         oldest = now - self._window_s
-        for times in (self._requests, self._retries):
+        for times in (self._requests, self._retries, self._early):
             while times and times[0] < oldest:
                 times.popleft()
 
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/forwarder.py
@@ -28,6 +28,7 @@
 from bulrushgrade_daemon import answerforwarding
 from bulrushgrade_daemon import crashwatch
 from bulrushgrade_daemon import dialect as dialect_module
+from bulrushgrade_daemon import earlyretries
 from bulrushgrade_daemon import endpointcalls
 from bulrushgrade_daemon import endpointchooser
 from bulrushgrade_daemon import enginework
@@ -108,6 +109,7 @@
         observe_latency: Callable[[str, float], None] = lambda route, took_s: (
             None
         ),
+        retries_early: Callable[[], bool] = lambda: False,
     ):
         """Creates the service.
 
@@ -118,6 +120,8 @@
                 when an endpoint began to run it.
             observe_latency: Called with the kind of a route and the seconds
                 that an answer took.
+            retries_early: Returns whether attempts at silent endpoints are
+                given up.
         """
         self._timers = dependencies.timers
         self._dialect = dependencies.dialect
@@ -145,6 +149,23 @@
         self._retry_shares: dict[str, retryshare.RetryShare] = {}
         self._open: set[inflight.InFlight] = set()
         self._counts: dict[str, int] = {}
+        self._early_retries = earlyretries.EarlyRetries(
+            timers=dependencies.timers,
+            chooser=dependencies.chooser,
+            permits=dependencies.permits,
+            policy=earlyretries.Policy(
+                is_on=retries_early,
+                may_run_again=self._may_run_again,
+                find_share=self._retry_share,
+                open_requests=lambda: self._open,
+            ),
+            log=dependencies.log,
+        )
+
+    @property
+    def early_retries(self) -> earlyretries.EarlyRetries:
+        """Gives up attempts at silent endpoints."""
+        return self._early_retries
 
     @property
     def open_requests(self) -> int:
@@ -167,7 +188,11 @@
 
     def dump(self) -> dict[str, Any]:
         """Returns the number of open requests and the counts."""
-        return {"open": self.open_requests, "counts": self.counts}
+        return {
+            "open": self.open_requests,
+            "counts": self.counts,
+            "early_retries": self._early_retries.dump(),
+        }
 
     def handle(self, caller: frontend.CallerRequest) -> None:
         """Serves a request that has been read completely."""
@@ -260,6 +285,7 @@
         """
         while True:
             endpoint = self._chooser.choose(request)
+            self._early_retries.observe_plan(request, endpoint)
             if endpoint is None:
                 self._permits.note_refusal(request)
                 return Failure(self._chooser.explain_no_endpoint(request))
@@ -304,16 +330,32 @@
         request.written_at = request.answer_began_at = None
         request.is_prefilling = False
         try:
-            return await self._prefill_and_run(request)
+            ended = await self._early_retries.run(
+                request, self._prefill_and_run(request)
+            )
+            if ended is not None and ended.is_retry_paid:
+                self._observe_silence(request, ended)
+            return ended
         except defer.CancelledError:
-            # An endpoint whose host vanished closes no connection: its
-            # callers disconnect or reach their deadlines.
-            if request.silence_s(self._timers.now) >= MIN_SILENCE_S:
-                self._crashes.observe_broken_answer(request)
+            self._check_silent_endpoint(request)
             raise
         finally:
             request.sent_at = None
 
+    def _check_silent_endpoint(self, request: inflight.InFlight) -> None:
+        # An endpoint whose host vanished closes no connection: its callers
+        # disconnect or reach their deadlines.
+        if request.silence_s(self._timers.now) >= MIN_SILENCE_S:
+            self._crashes.observe_broken_answer(request)
+
+    def _observe_silence(
+        self, request: inflight.InFlight, ended: inflight.AttemptEnd
+    ) -> None:
+        """Takes in that an attempt was given up, which may have run."""
+        self._check_silent_endpoint(request)
+        if request.plan is None and _may_have_run(ended):
+            self._record_first_run(request, request.written_at)
+
     async def _prefill_and_run(
         self, request: inflight.InFlight
     ) -> inflight.AttemptEnd | None:
@@ -334,6 +376,7 @@
             return prefilled
         self._count("prefilled")
         request.prefilled_at = self._timers.now
+        self._early_retries.observe_prefilled(request)
         try:
             return await self._run_prefilled(request, prefilled)
         finally:
@@ -381,11 +424,6 @@
         )
         stream = self._work.begin_stream(request, endpoint)
 
-        def observe_events(count: int) -> None:
-            self._record_first_run(request, self._timers.now)
-            stream.events(count)
-            request.pace.observe_events(self._timers.now)
-
         try:
             sent = await self._calls.run(request, endpoint, prefilled)
             if request.plan is None and _may_have_run(sent):
@@ -401,7 +439,9 @@
             request.answer_began_at = self._timers.now
             latency_s = request.answer_began_at - began
             failed = await self._forward_answer(
-                request, lambda: end_work(True), observe_events
+                request,
+                lambda: end_work(True),
+                lambda count: self._observe_events(request, stream, count),
             )
             if failed is None:
                 self._chooser.observe_success(endpoint, latency_s)
@@ -419,6 +459,17 @@
             stream.ended()
             end_work(False)
 
+    def _observe_events(
+        self,
+        request: inflight.InFlight,
+        stream: enginework.StreamObserver,
+        count: int,
+    ) -> None:
+        self._record_first_run(request, self._timers.now)
+        stream.events(count)
+        self._early_retries.observe_event(request)
+        request.pace.observe_events(self._timers.now)
+
     def _observe_written_answer(
         self, request: inflight.InFlight, status: int
     ) -> None:
@@ -446,6 +497,7 @@
         on_events: Callable[[int], None],
     ) -> inflight.AttemptEnd | None:
         status = request.endpoint_answer.status
+        self._early_retries.observe_head(request)
         if answerforwarding.is_failure(status):
             return await answerforwarding.read_failure(request, self._dialect)
         is_stream = request.route.kind is routing.RequestKind.STREAM
@@ -472,11 +524,12 @@
         """Records a failed attempt; returns whether to start another one."""
         endpoint = request.endpoint
         self._record_failed_attempt(request, endpoint, ended)
+        self._early_retries.observe_end(request, ended)
         if ended.connection_lost:
             self._crashes.observe_broken_answer(request)
             await self._crashes.wait_for_check(endpoint)
             request.avoid_zones = self._ledger.zones(request.fingerprint)
-        again = self._may_retry(request)
+        again = self._may_retry(request, ended)
         self._log.log_attempt(request, endpoint, ended, again=again)
         return again
 
@@ -492,21 +545,28 @@
             request.prefers_relay = True
         self._chooser.observe_failed_attempt(request, endpoint, ended)
 
-    def _may_retry(self, request: inflight.InFlight) -> bool:
-        now = self._timers.now
-        if request.left_s(now) < MIN_ATTEMPT_S:
+    def _may_retry(
+        self, request: inflight.InFlight, ended: inflight.AttemptEnd
+    ) -> bool:
+        if not self._may_run_again(request, request.history):
+            return False
+        if ended.is_retry_paid or request.history.last in attempts.NOT_SENT:
+            return True
+        return self._retry_share(request.service).spend(self._timers.now)
+
+    def _may_run_again(
+        self, request: inflight.InFlight, history: attempts.AttemptHistory
+    ) -> bool:
+        """Returns whether a history allows another attempt, if paid for."""
+        if request.left_s(self._timers.now) < MIN_ATTEMPT_S:
             return False
         if self._quarantined_s(request) > 0:
             return False
         if not self._parts.may_retry(request):
             return False
-        if not attempts.may_retry(request.route, request.history):
-            return False
-        if request.history.begun and not self._may_go_on(request):
+        if not attempts.may_retry(request.route, history):
             return False
-        if request.history.last in attempts.NOT_SENT:
-            return True
-        return self._retry_share(request.service).spend(now)
+        return not history.begun or self._may_go_on(request)
 
     def _may_go_on(self, request: inflight.InFlight) -> bool:
         """Returns whether another run may go on with a begun answer.
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaypages.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaypages.py
@@ -50,6 +50,11 @@
             "Requests by how they ended, attempts by what came of them.",
             lambda: services.forwarder.counts,
         ),
+        (
+            "early_retries_total",
+            "Attempts at silent endpoints: given up, or why they went on.",
+            lambda: services.forwarder.early_retries.counts,
+        ),
         (
             "caller_connections_total",
             "Connections from callers that were closed unread.",
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
@@ -501,6 +501,7 @@
                 on_broken=context.kernel.fail,
             ),
             make_retry_share=self._new_share,
+            retries_early=lambda: context.settings().features.retries_early,
             observe_latency=self._observe_answer,
             record_run_start=lambda w, at: self._tasks.record_run_start(w, at),
         )
@@ -654,10 +655,9 @@
 
     def _find_version(self) -> int:
         """Returns the version of the configuration in force."""
-        table = self._view.table
-        if table is None:
+        if self._view.table is None:
             return configurationversions.NONE
-        return table.configuration.version
+        return self._view.table.configuration.version
 
     def _states_versions(self) -> bool:
         """Returns whether peers may have a newer version than the store.
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/inflight.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/inflight.py
@@ -326,6 +326,7 @@
             it was open.
         peer: The peer that was to relay that connection, or None.
         is_last_path: Whether there is no other path to this endpoint.
+        is_retry_paid: Whether the retry budget is charged for another attempt.
     """
 
     outcome: attempts.Outcome
@@ -335,3 +336,4 @@
     path: endpointlinks.Path | None = None
     peer: str | None = None
     is_last_path: bool = False
+    is_retry_paid: bool = False
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/requestlog.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/requestlog.py
@@ -167,6 +167,34 @@
             again=again,
         )
 
+    def log_early_retry(
+        self,
+        request: inflight.InFlight,
+        *,
+        waited_s: float,
+        limit_s: float,
+        expected_s: float,
+    ) -> None:
+        """Logs that an attempt is given up because its endpoint is silent.
+
+        Args:
+            request: The request.
+            waited_s: Time since it was written to the endpoint.
+            limit_s: How long the endpoint might be silent.
+            expected_s: Expected time to the first byte of the response.
+        """
+        self._log.note(
+            "early_retry",
+            request=request.info.request_id,
+            route=request.route.name,
+            service=request.service,
+            endpoint=request.endpoint.id,
+            waited_s=round(waited_s, 3),
+            limit_s=round(limit_s, 3),
+            expected_s=round(expected_s, 3),
+            is_prefill=request.is_prefilling,
+        )
+
     def log_relayed(
         self, request: inflight.InFlight, endpoint: directory.Registration
     ) -> None:
