Test second attempts at silent endpoints, and describe them

A tenth of the endpoints hanging on half of their requests made callers wait until their deadlines. The emulated fleets get endpoints that hang on a fraction of requests for this.

--- a/packages/bulrushgrade/tests/test_retryshare.py
+++ b/packages/bulrushgrade/tests/test_retryshare.py
@@ -25,6 +25,24 @@
     assert not share.spend(0.0)
 
 
+def test_early_retries_leave_half_of_the_budget_to_failed_attempts():
+    """Silent endpoints use up the retries of requests whose attempts failed."""
+    share = make(extra=4.0)
+    assert [share.spend_early(0.0) for _ in range(4)] == [True, True] + [
+        False
+    ] * 2
+    assert [share.spend(0.0) for _ in range(3)] == [True, True, False]
+    assert not share.spend_early(9.9)
+    assert share.spend_early(10.1)
+
+
+def test_failed_attempts_may_use_the_whole_budget():
+    """The half for early retries would be added to the budget."""
+    share = make(extra=4.0)
+    assert all(share.spend(0.0) for _ in range(4))
+    assert not share.spend_early(0.0)
+
+
 def test_window_slides():
     share = make(extra=1.0)
     assert share.spend(0.0)
--- a/packages/bulrushgrade_daemon/tests/enginescene.py
+++ b/packages/bulrushgrade_daemon/tests/enginescene.py
@@ -212,7 +212,10 @@
             )
         await host.timers.sleep(limitfleet.HOP_S)
         engine = fleet.endpoints[registration.id]
+        request.written_at = sent_at
+        request.is_prefilling = stage is PREFILL
         engine.arrivals.append((fleet.now, host.name))
+        await fleet.hang(host, engine)
         has_refused = engine.refuses(fleet.now, stage)
         if has_refused:
             engine.refusals.append((fleet.now, host.name))
--- a/packages/bulrushgrade_daemon/tests/limitfleet.py
+++ b/packages/bulrushgrade_daemon/tests/limitfleet.py
@@ -55,6 +55,9 @@
 HOP_S = 0.001
 """Time that a datagram or a request is under way."""
 
+HANG_S = 1e6
+"""Longer than any test, so that nothing is answered."""
+
 DEADLINE_S = 3.0
 TARGET_S = 0.4
 WORK_S = 0.05
@@ -99,6 +102,8 @@
         refuses_until: Until when it refuses all requests.
         backoff_s: The time without requests that its refusals ask for, or None.
         is_leaving: Whether it says so in its answers.
+        hanging: The fraction of its requests that it never answers.
+        abandoned: Requests whose connection was closed before the answer.
         arrivals: Times and hosts of all requests.
         refusals: Times and hosts of the requests that it refused.
         told_leaving: When each host first got an answer that says so.
@@ -115,6 +120,8 @@
     refuses_until: float = 0.0
     backoff_s: float | None = None
     is_leaving: bool = False
+    hanging: float = 0.0
+    abandoned: int = 0
     arrivals: list[tuple[float, str]] = attrs.field(factory=list)
     refusals: list[tuple[float, str]] = attrs.field(factory=list)
     told_leaving: dict[str, float] = attrs.field(factory=dict)
@@ -284,7 +291,9 @@
             )
         host.signals.count_sent(registration, "first")
         await host.timers.sleep(HOP_S)
+        request.written_at = sent_at
         endpoint.arrivals.append((fleet.now, host.name))
+        await fleet.hang(host, endpoint)
         born_ms = endpoint.born_ms
         ends_at = endpoint.begin(fleet.now)
         has_refused = ends_at is None
@@ -519,6 +528,7 @@
                 ratio=0.2, extra=lambda: 1.0, window_s=10.0
             ),
             record_run_start=lambda workspace, at: None,
+            retries_early=lambda: self.fleet.retries_early,
         )
 
     def make_calls(self) -> Any:
@@ -565,6 +575,7 @@
     """Hosts, endpoints and callers on simulated time."""
 
     host_class = Host
+    retries_early = False
 
     def __init__(
         self,
@@ -660,6 +671,16 @@
         self.reactor.run_until(self.now + seconds)
         assert not self.broken, self.broken
 
+    async def hang(self, host: Host, endpoint: Endpoint) -> None:
+        """Returns at once, or never if an endpoint hangs on a request."""
+        if not endpoint.hanging or self.rng.random() >= endpoint.hanging:
+            return
+        try:
+            await host.timers.sleep(HANG_S)
+        except defer.CancelledError:
+            endpoint.abandoned += 1
+            raise
+
     # What callers do.
 
     def press(self) -> None:
--- a/packages/bulrushgrade_daemon/tests/test_forwarder.py
+++ b/packages/bulrushgrade_daemon/tests/test_forwarder.py
@@ -153,7 +153,7 @@
 class Scene:
     """A forwarder whose attempts end as the test specifies."""
 
-    def __init__(self, *ends, route=SAFE):
+    def __init__(self, *ends, route=SAFE, retries_early=False):
         self.clock, timers, self.broken = fakes.make_timers()
         self.prompt = None
         self.ledger = crashledger.CrashLedger()
@@ -227,6 +227,7 @@
                 ratio=1.0, extra=lambda: 10, window_s=10.0
             ),
             record_run_start=lambda workspace, at: None,
+            retries_early=lambda: retries_early,
         )
 
     @property
