--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaypages.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaypages.py
@@ -56,6 +56,11 @@
             " to.",
             lambda: services.forwarder.uses.counts,
         ),
+        (
+            "early_retries_total",
+            "Attempts at silent endpoints: given up, or why they went on.",
+            lambda: services.forwarder.early_retries.counts,
+        ),
         (
             "caller_connections_total",
             "Connections from callers that were closed unread.",
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
@@ -511,6 +511,7 @@
                 uses=self._uses,
             ),
             make_retry_share=self._new_share,
+            retries_early=lambda: context.settings().features.retries_early,
             observe_latency=self._metrics.observe_answer,
             record_run_start=lambda w, at: self._tasks.record_run_start(w, at),
         )
@@ -667,10 +668,9 @@
 
     def _find_version(self) -> int:
         """Returns the version of the configuration in force."""
-        table = self._view.table
-        if table is None:
+        if self._view.table is None:
             return configurationversions.NONE
-        return table.configuration.version
+        return self._view.table.configuration.version
 
     def _states_versions(self) -> bool:
         """Returns whether peers may have a newer version than the store.
