Bound the answers that a gateway reads in bytes and lines

Twisted's parser bounds only single lines. An attempt that ends so is lost but doesn't count as a connection that broke off, since the endpoint hasn't crashed. Each case is counted on the metrics page and logged as answer_over_limit.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/answerforwarding.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/answerforwarding.py
@@ -4,9 +4,12 @@
 
 from twisted.web import http
 
+from bulrushgrade import answerlimits
 from bulrushgrade import attempts
+from bulrushgrade import eventstream
 from bulrushgrade_daemon import dialect as dialect_module
 from bulrushgrade_daemon import inflight
+from bulrushgrade_daemon import outbound
 
 MAX_BUFFERED_BYTES = 262_144
 """Answers up to this size are buffered until complete, so that a truncated one
@@ -36,13 +39,11 @@
     """Reads an error answer, which is forwarded if no retry succeeds."""
     answer = request.endpoint_answer
     parts: list[bytes] = []
-    end = await answer.read(parts.append)
+    end = await outbound.read_up_to(
+        answer, parts.append, max_bytes=answerlimits.MAX_FETCHED_BODY_BYTES
+    )
     if not end.whole:
-        return inflight.AttemptEnd(
-            outcome=attempts.Outcome.LOST,
-            reason=end.reason,
-            connection_lost=True,
-        )
+        return _make_lost(end)
     failure = inflight.EndpointFailure(
         status=answer.status,
         fields=dialect.write_answer_fields(answer.headers),
@@ -85,13 +86,11 @@
             _begin_answer(request, dialect)
             caller.write(b"".join(buffered))
 
-    end = await answer.read(receive)
+    end = await outbound.read_up_to(
+        answer, receive, max_bytes=answerlimits.MAX_FORWARDED_BYTES
+    )
     if not end.whole:
-        return inflight.AttemptEnd(
-            outcome=attempts.Outcome.LOST,
-            reason=end.reason,
-            connection_lost=True,
-        )
+        return _make_lost(end)
     if caller.is_disconnected:
         return None
     if request.history.begun:
@@ -133,25 +132,23 @@
 
     def receive(data: bytes) -> None:
         on_arrival()
-        known_events = splitter.events
+        known_events, was_over = splitter.events, splitter.overflowed
         whole = splitter.feed(data)
         if splitter.events > known_events:
             on_events(splitter.events - known_events)
-        if splitter.overflowed:
-            answer.abort()
+        if splitter.overflowed and not was_over:
+            answer.abort_over_limit(answerlimits.Limit.EVENT_BYTES)
         if whole and not caller.is_disconnected:
             if not request.history.begun:
                 on_begin()
                 _begin_answer(request, dialect)
             caller.write(whole)
 
-    end = await answer.read(receive)
+    end = await outbound.read_up_to(
+        answer, receive, max_bytes=answerlimits.MAX_FORWARDED_BYTES
+    )
     if not end.whole or splitter.partial:
-        return inflight.AttemptEnd(
-            outcome=attempts.Outcome.BROKEN_STREAM,
-            reason=end.reason or "ended within an event",
-            connection_lost=True,
-        )
+        return _make_broken_stream(end, splitter)
     if caller.is_disconnected:
         return None
     if not request.history.begun:
@@ -161,6 +158,27 @@
     return None
 
 
+def _make_lost(end: outbound.BodyEnd) -> inflight.AttemptEnd:
+    return inflight.AttemptEnd(
+        outcome=attempts.Outcome.LOST,
+        reason=end.reason,
+        connection_lost=end.is_connection_lost,
+    )
+
+
+def _make_broken_stream(
+    end: outbound.BodyEnd, splitter: eventstream.EventSplitter
+) -> inflight.AttemptEnd:
+    reason = end.reason or "ended within an event"
+    if splitter.overflowed:
+        reason = answerlimits.describe(answerlimits.Limit.EVENT_BYTES)
+    return inflight.AttemptEnd(
+        outcome=attempts.Outcome.BROKEN_STREAM,
+        reason=reason,
+        connection_lost=end.limit is None and not splitter.overflowed,
+    )
+
+
 def _begin_answer(
     request: inflight.InFlight, dialect: dialect_module.Dialect
 ) -> None:
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointcalls.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointcalls.py
@@ -9,6 +9,7 @@
 from returns.result import Success
 from twisted.web import http
 
+from bulrushgrade import answerlimits
 from bulrushgrade import attempts
 from bulrushgrade import directory as directory_module
 from bulrushgrade import endpointlimits
@@ -99,7 +100,11 @@
             return _as_prefill_end(sent)
         parts: list[bytes] = []
         try:
-            end = await sent.read(parts.append)
+            end = await outbound.read_up_to(
+                sent,
+                parts.append,
+                max_bytes=answerlimits.MAX_FETCHED_BODY_BYTES,
+            )
         finally:
             sent.abort()
         found = None
@@ -109,7 +114,7 @@
             return inflight.AttemptEnd(
                 outcome=attempts.Outcome.UNREAD,
                 reason=f"prefill: status {sent.status} {end.reason}",
-                connection_lost=not end.whole,
+                connection_lost=end.is_connection_lost,
             )
         return dialect_module.PrefilledBy(
             address=f"{engine.host}:{engine.port}", handle=found.handle
@@ -149,7 +154,7 @@
             lambda: self.open_client(engine, may_be_leaving=True),
             make_request,
             timeout_s=FREE_TIMEOUT_S,
-            max_bytes=outbound.MAX_FETCHED_BODY_BYTES,
+            max_bytes=answerlimits.MAX_FETCHED_BODY_BYTES,
         )
         if isinstance(freed, Success):
             answer = freed.unwrap()
@@ -246,7 +251,7 @@
             return inflight.AttemptEnd(
                 outcome=outcome,
                 reason=withheld or failed.reason,
-                connection_lost=failed.written,
+                connection_lost=failed.written and failed.limit is None,
                 path=connected.path,
                 peer=connected.peer,
             )
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gateway.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gateway.py
@@ -12,6 +12,7 @@
 
 from bulrushgrade import kernel as kernel_module
 from bulrushgrade_daemon import adapter as adapter_module
+from bulrushgrade_daemon import answerwatch
 from bulrushgrade_daemon import decisionlog
 from bulrushgrade_daemon import gatewaypages
 from bulrushgrade_daemon import gatewayservices
@@ -159,6 +160,7 @@
 
     def _add_pages(self, reactor: Any) -> None:
         services, listen = self._services, self._settings.listen
+        answerwatch.set_log(self._log.note)
         gatewaypages.register_metrics(services, self._log)
         for name, address, find in (
             (
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaypages.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaypages.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from bulrushgrade import kernel as kernel_module
+from bulrushgrade_daemon import answerwatch
 from bulrushgrade_daemon import decisionlog
 from bulrushgrade_daemon import gatewayservices
 from bulrushgrade_daemon import metrics
@@ -60,6 +61,11 @@
             "Connections that failed or were relayed, probes, lost links.",
             lambda: services.connector.counts,
         ),
+        (
+            "answers_over_limit_total",
+            "Answers of endpoints, engines and the store over a bound.",
+            answerwatch.counts,
+        ),
         (
             "relay_requests_total",
             "Connections that peers asked for, by the reply.",
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/outbound.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/outbound.py
@@ -18,18 +18,19 @@
 from twisted.internet import defer
 from twisted.internet import error as internet_error
 from twisted.internet import protocol
+from twisted.python import failure
 from twisted.web import _newclient
 from twisted.web import http
 from twisted.web import http_headers
 from twisted.web import iweb
 from zope.interface import implementer
 
+from bulrushgrade import answerlimits
 from bulrushgrade import directory
+from bulrushgrade_daemon import answerbounds
+from bulrushgrade_daemon import answerwatch
 from bulrushgrade_daemon import connections
 
-MAX_FETCHED_BODY_BYTES = 65_536
-"""Maximum size of an answer that is read but not forwarded."""
-
 
 @attrs.frozen(kw_only=True)
 class CallFailed:
@@ -38,10 +39,12 @@
     Attributes:
         written: Whether any byte of it may have been written.
         reason: Text for logs.
+        limit: The bound that the answer exceeds, or None.
     """
 
     written: bool
     reason: str
+    limit: answerlimits.Limit | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -52,10 +55,21 @@
         whole: Whether it is complete: either by its framing, or, without
             framing, because the connection was closed cleanly.
         reason: Text for logs if it is incomplete.
+        limit: The bound that it exceeds, or None.
     """
 
     whole: bool
     reason: str = ""
+    limit: answerlimits.Limit | None = None
+
+    @property
+    def is_connection_lost(self) -> bool:
+        """Whether its connection ended before it did.
+
+        This host closes the connection of an answer that exceeds a bound,
+        which says nothing of a crash.
+        """
+        return not self.whole and self.limit is None
 
 
 class NotPassedOnError(Exception):
@@ -65,11 +79,24 @@
 class Client(_newclient.HTTP11ClientProtocol):
     """The connection of one request.
 
-    Keeps why the connection was lost, for bodies without framing.
+    Keeps why the connection was lost, for bodies without framing, and aborts
+    it if the response exceeds a bound.
     """
 
     lost_reason: Any = None
 
+    def request(self, request: Any) -> defer.Deferred:
+        """Sends a request; fires with the response."""
+        answered = _newclient.HTTP11ClientProtocol.request(self, request)
+        if self._parser is not None:
+            answerbounds.limit_parser(self._parser, self.abort_over_limit)
+        return answered
+
+    def abort_over_limit(self, limit: answerlimits.Limit) -> None:
+        """Aborts the connection, as its response exceeds a bound."""
+        answerwatch.observe(limit, self.transport)
+        self.transport.abortConnection()
+
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         """Keeps the reason."""
         self.lost_reason = reason
@@ -148,9 +175,15 @@
         ended, self._ended = self._ended, None
         if ended is None:
             return
-        whole = is_body_whole(self._client, reason)
+        if is_body_whole(self._client, reason):
+            ended.callback(BodyEnd(whole=True))
+            return
         ended.callback(
-            BodyEnd(whole=whole, reason="" if whole else _describe_end(reason))
+            BodyEnd(
+                whole=False,
+                reason=_describe_end(reason),
+                limit=answerbounds.find_limit(reason),
+            )
         )
 
 
@@ -191,6 +224,43 @@
         """Aborts the connection, which makes the endpoint cancel its work."""
         self._client.transport.abortConnection()
 
+    def abort_over_limit(self, limit: answerlimits.Limit) -> None:
+        """Aborts the connection, as the answer exceeds a bound."""
+        self._client.abort_over_limit(limit)
+
+
+async def read_up_to(
+    answer: Answer, on_data: Callable[[bytes], None], *, max_bytes: int
+) -> BodyEnd:
+    """Reads a body and aborts it if it exceeds a size.
+
+    Args:
+        answer: The answer.
+        on_data: Called with each chunk of the body up to the size.
+        max_bytes: The size.
+    """
+    meter = answerlimits.SizeMeter(
+        max_bytes=max_bytes, limit=answerlimits.Limit.BODY_BYTES
+    )
+
+    def receive(data: bytes) -> None:
+        if meter.exceeded is not None:
+            return
+        limit = meter.observe(len(data))
+        if limit is None:
+            on_data(data)
+        else:
+            answer.abort_over_limit(limit)
+
+    end = await answer.read(receive)
+    if meter.exceeded is None:
+        return end
+    return BodyEnd(
+        whole=False,
+        reason=answerlimits.describe(meter.exceeded),
+        limit=meter.exceeded,
+    )
+
 
 @attrs.frozen(kw_only=True)
 class OutboundRequest:
@@ -284,7 +354,9 @@
             raise defer.CancelledError() from None
         return Failure(
             CallFailed(
-                written=client.is_passed_on, reason=_describe_error(error)
+                written=client.is_passed_on,
+                reason=_describe_error(error),
+                limit=answerbounds.find_limit(failure.Failure(error)),
             )
         )
     return Success(Answer(client=client, response=response))
@@ -388,20 +460,11 @@
     answer: Answer, max_bytes: int
 ) -> Result[Fetched, CallFailed]:
     parts: list[bytes] = []
-    size = 0
-
-    def receive(data: bytes) -> None:
-        nonlocal size
-        size += len(data)
-        if size > max_bytes:
-            answer.abort()
-            return
-        parts.append(data)
-
-    end = await answer.read(receive)
-    if not end.whole or size > max_bytes:
-        reason = end.reason or "the answer is too large"
-        return Failure(CallFailed(written=True, reason=reason))
+    end = await read_up_to(answer, parts.append, max_bytes=max_bytes)
+    if not end.whole:
+        return Failure(
+            CallFailed(written=True, reason=end.reason, limit=end.limit)
+        )
     return Success(
         Fetched(
             status=answer.status, headers=answer.headers, body=b"".join(parts)
@@ -419,6 +482,9 @@
 def _describe_error(error: BaseException) -> str:
     inner = getattr(error, "reasons", None)
     if inner:
+        limit = answerbounds.find_limit(inner[0])
+        if limit is not None:
+            return answerlimits.describe(limit)
         return f"{type(error).__name__}: {_describe_failure(inner[0])}"
     return type(error).__name__
 
@@ -429,10 +495,13 @@
     return _describe_failure(reason)
 
 
-def _describe_failure(failure: Any) -> str:
-    if failure is None:
+def _describe_failure(found: Any) -> str:
+    if found is None:
         return "unknown"
-    inner = getattr(failure.value, "reasons", None)
+    limit = answerbounds.find_limit(found)
+    if limit is not None:
+        return answerlimits.describe(limit)
+    inner = getattr(found.value, "reasons", None)
     if inner:
         return _describe_failure(inner[0])
-    return failure.type.__name__
+    return found.type.__name__
--- a/packages/bulrushgrade_daemon/tests/test_outbound.py
+++ b/packages/bulrushgrade_daemon/tests/test_outbound.py
@@ -17,8 +17,12 @@
     def __init__(self, factory):
         self._factory = factory
 
+    def build(self):
+        """Returns the protocol of the connection."""
+        return self._factory.buildProtocol(None)
+
     def open(self, transport):
-        self._factory.buildProtocol(None).makeConnection(transport)
+        self.build().makeConnection(transport)
 
     def fail(self, reason):
         self._factory.clientConnectionFailed(self, failure.Failure(reason))
