Bound the answers that a daemon reads, also after a time-out

Bodies of prefills, load reports, refusals, orders, host lists and log pages were collected with treq.content, without a bound: all of 4 MiB offered by the tests arrived, and the connection of a call that had timed out was read on until the other end closed it. They are now read up to a size, and cancelling aborts the connection.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/answerwatch.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/answerwatch.py
@@ -8,10 +8,23 @@
 from collections.abc import Callable
 from typing import Any
 
+from absl import logging
+
 from bulrushgrade import answerlimits
 
+LOG_PERIOD_S = 1.0
+"""Shortest time between two lines where no log is set. An endpoint may exceed
+a bound with each request."""
+
+
+def _note_to_standard_log(event: str, **fields: Any) -> None:
+    logging.log_every_n_seconds(
+        logging.WARNING, "%s %s", LOG_PERIOD_S, event, fields
+    )
+
+
 _counts: collections.Counter[str] = collections.Counter()
-_notes: list[Callable[..., None]] = []
+_notes: list[Callable[..., None]] = [_note_to_standard_log]
 
 
 def set_log(note: Callable[..., None]) -> None:
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/engine.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/engine.py
@@ -11,12 +11,13 @@
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
-import treq
 from twisted.internet import defer
 from twisted.internet import protocol
 from twisted.python import failure as twisted_failure
 from twisted.web import client as web_client
 
+from bulrushgrade import answerlimits
+from bulrushgrade_daemon import answerwatch
 from bulrushgrade_daemon import httpclient
 
 ATTEMPT_HEADER = "X-Attempt-Id"
@@ -215,6 +216,12 @@
         self._on_event = on_event
         self._buffer = b""
         self._outcome: StreamOutcome | None = None
+        self._remainder = answerlimits.SizeMeter(
+            max_bytes=answerlimits.MAX_REMAINDER_BYTES,
+            limit=answerlimits.Limit.REMAINDER_BYTES,
+        )
+        self._closing: Any = None
+        self._is_closed = False
         self.done: defer.Deferred = defer.Deferred()
 
     @property
@@ -241,9 +248,18 @@
             self.transport.loseConnection()
         self.done.callback(outcome)
 
+    def close_after(self, reactor: Any, delay_s: float) -> None:
+        """Closes the connection after a time unless the answer ends before.
+
+        An engine may send an end marker and then no end of its answer.
+        """
+        if not self._is_closed:
+            self._closing = reactor.callLater(delay_s, self._close)
+
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Parses the events in bytes from the engine."""
         if self._outcome is not None:
+            self._count_remainder(data)
             return
         events = (self._buffer + data).split(EVENT_END)
         self._buffer = events.pop()
@@ -252,6 +268,8 @@
             if self._outcome is not None:
                 return
         if len(self._buffer) > MAX_EVENT_BYTES:
+            self._buffer = b""
+            answerwatch.observe(answerlimits.Limit.EVENT_BYTES, self.transport)
             self.end(Lost(reason="event too large"))
 
     def connectionLost(  # noqa: N802
@@ -260,8 +278,22 @@
         """Ends the stream as lost unless its end marker has arrived."""
         # An engine that crashes or truncates its answer closes the connection
         # like one that has finished; only the end marker distinguishes them.
+        self._is_closed = True
+        if self._closing is not None and self._closing.active():
+            self._closing.cancel()
         self.end(Lost(reason="stream ended without its end marker"))
 
+    def _count_remainder(self, data: bytes) -> None:
+        if self._remainder.exceeded is not None:
+            return
+        limit = self._remainder.observe(len(data))
+        if limit is not None:
+            answerwatch.observe(limit, self.transport)
+            self._close()
+
+    def _close(self) -> None:
+        self.transport.loseConnection()
+
     def _handle_event(self, event: bytes) -> None:
         if not event.startswith(DATA_PREFIX):
             return
@@ -328,6 +360,7 @@
         response.deliverBody(stream)
         if stream.outcome is None:
             await _wait_for(stream.done)
+        stream.close_after(self._reactor, CONTROL_TIMEOUT_S)
         return stream.outcome
 
     async def prefill(
@@ -349,16 +382,19 @@
         """
         self._cancelled += 1
         url = f"http://{address}/v1/attempts/{attempt_id}"
-        call = self._control.http.delete(url)
-        call.addCallback(treq.content)
+        call = defer.Deferred.fromCoroutine(
+            httpclient.fetch(self._control, "DELETE", url)
+        )
         call.addTimeout(CONTROL_TIMEOUT_S, self._reactor)
         call.addErrback(lambda _: None)
 
     async def read_load(self, address: str) -> Result[EngineLoad, Lost]:
         """Requests an engine's report of its load and state."""
         try:
-            call = self._control.http.get(f"http://{address}/load")
-            raw = await _read_content(call, self._reactor)
+            call = defer.Deferred.fromCoroutine(
+                httpclient.fetch(self._control, "GET", f"http://{address}/load")
+            )
+            _, raw = await call.addTimeout(CONTROL_TIMEOUT_S, self._reactor)
             return Success(msgspec.json.decode(raw, type=EngineLoad))
         except Exception as error:
             return Failure(Lost(reason=type(error).__name__))
@@ -381,16 +417,21 @@
             response = await self._send(call)
             if response.code != 200:
                 return Failure(await self._read_refusal(response))
-            answer = msgspec.json.decode(await treq.content(response))
+            raw = await httpclient.read_body(
+                response, max_bytes=answerlimits.MAX_FETCHED_BODY_BYTES
+            )
+            answer = msgspec.json.decode(raw)
             return Success(str(answer["kv_handle"]))
         except Exception as error:
             return Failure(_outcome_from_error(error))
 
     async def _read_refusal(self, response: Any) -> StreamOutcome:
         try:
-            body = treq.content(response).addTimeout(
-                CONTROL_TIMEOUT_S, self._reactor
-            )
+            body = defer.Deferred.fromCoroutine(
+                httpclient.read_body(
+                    response, max_bytes=answerlimits.MAX_FETCHED_BODY_BYTES
+                )
+            ).addTimeout(CONTROL_TIMEOUT_S, self._reactor)
             message = (await body)[:500].decode(errors="replace")
         except Exception as error:
             message = type(error).__name__
@@ -422,11 +463,6 @@
     await waiter
 
 
-async def _read_content(call: defer.Deferred, reactor: Any) -> bytes:
-    answer = call.addCallback(treq.content)
-    return await answer.addTimeout(CONTROL_TIMEOUT_S, reactor)
-
-
 def _parse_seconds(text: str) -> float | None:
     try:
         return max(0.0, float(text))
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/host.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/host.py
@@ -12,6 +12,7 @@
 from bulrushgrade import serviceindex
 from bulrushgrade import work
 from bulrushgrade_daemon import admin
+from bulrushgrade_daemon import answerwatch
 from bulrushgrade_daemon import authority
 from bulrushgrade_daemon import callers
 from bulrushgrade_daemon import claims
@@ -224,6 +225,11 @@
             metrics_service.register_counts(
                 f"{name}_total", doc, lambda owner=service: owner.counts
             )
+        metrics_service.register_counts(
+            "answers_over_limit_total",
+            "Answers of endpoints, engines and the log over a bound.",
+            answerwatch.counts,
+        )
         callers_service = self._kernel.find("callers")
         metrics_service.gauge(
             "open_requests",
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/hostlist.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/hostlist.py
@@ -5,7 +5,6 @@
 
 from returns.result import Failure
 from returns.result import Success
-import treq
 from twisted.internet import defer
 
 from bulrushgrade import membership
@@ -13,6 +12,10 @@
 
 TIMEOUT_S = 2.0
 
+MAX_LIST_BYTES = 8 * 1024 * 1024
+"""Maximum size of the list: 40,000 hosts of 200 bytes, twenty times what is
+planned for."""
+
 
 class HostListReader:
     """Polls the host list and reports new versions."""
@@ -84,8 +87,12 @@
         read.addErrback(self._record_failure)
 
     async def _read(self) -> None:
-        call = self._client.http.get(self._url).addCallback(treq.content)
-        raw = await call.addTimeout(TIMEOUT_S, self._reactor)
+        call = defer.Deferred.fromCoroutine(
+            httpclient.fetch(
+                self._client, "GET", self._url, max_bytes=MAX_LIST_BYTES
+            )
+        )
+        _, raw = await call.addTimeout(TIMEOUT_S, self._reactor)
         self._reading = False
         parsed = membership.parse_host_list(raw)
         if isinstance(parsed, Failure):
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/httpclient.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/httpclient.py
@@ -15,11 +15,14 @@
 from twisted.internet import endpoints
 from twisted.internet import error as internet_error
 from twisted.internet import interfaces
+from twisted.internet import protocol
+from twisted.python import failure as twisted_failure
 from twisted.web import client as web_client
 from twisted.web import http_headers
 from twisted.web import iweb
 from zope.interface import implementer
 
+from bulrushgrade import answerlimits
 from bulrushgrade_daemon import outbound
 
 # Engines and plain services are in the same availability zone or a nearby one:
@@ -43,6 +46,10 @@
     """No connection was opened, so no byte of the request was written."""
 
 
+class BodyError(Exception):
+    """A body was not read completely."""
+
+
 class _Connection(outbound.Client):
     """A pooled connection that its responses refer to."""
 
@@ -216,14 +223,86 @@
     )
 
 
-def is_body_whole(response: Any, reason: Any) -> bool:
-    """Returns whether the body of a response has arrived completely.
+class _BodyReader(protocol.Protocol):
+    """Collects a body up to its maximum size."""
+
+    def __init__(self, *, connection: _Connection, max_bytes: int):
+        self._connection = connection
+        self._parts: list[bytes] = []
+        self._meter = answerlimits.SizeMeter(
+            max_bytes=max_bytes, limit=answerlimits.Limit.BODY_BYTES
+        )
+        # treq.content has no such cancellation: it collects the body of a call
+        # that timed out until the other end closes the connection.
+        self.done: defer.Deferred = defer.Deferred(
+            lambda _: connection.transport.abortConnection()
+        )
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        if self._meter.exceeded is not None:
+            return
+        limit = self._meter.observe(len(data))
+        if limit is None:
+            self._parts.append(data)
+            return
+        self._parts.clear()
+        self._fail("answer too large")
+        self._connection.abort_over_limit(limit)
+
+    def connectionLost(  # noqa: N802
+        self, reason: twisted_failure.Failure = protocol.connectionDone
+    ) -> None:
+        if not outbound.is_body_whole(self._connection, reason):
+            self._fail("answer was truncated")
+        elif not self.done.called:
+            self.done.callback(b"".join(self._parts))
+
+    def _fail(self, reason: str) -> None:
+        if not self.done.called:
+            self.done.errback(BodyError(reason))
+
+
+async def read_body(response: Any, *, max_bytes: int) -> bytes:
+    """Returns the body of a response; cancelling aborts its connection.
+
+    Args:
+        response: A response of `send`.
+        max_bytes: Maximum size of the body.
+
+    Raises:
+        BodyError: The body is larger, or it broke off.
+    """
+    reader = _BodyReader(connection=response.connection, max_bytes=max_bytes)
+    response.deliverBody(reader)
+    return await reader.done
+
+
+async def fetch(
+    client: Client,
+    method: str,
+    url: str,
+    *,
+    headers: Iterable[tuple[str, str]] = (),
+    body: bytes = b"",
+    max_bytes: int = answerlimits.MAX_FETCHED_BODY_BYTES,
+) -> tuple[int, bytes]:
+    """Returns the status and the body of a response.
+
+    Cancelling aborts the connection.
 
     Args:
-        response: The response of a connection that `send` used.
-        reason: Why Twisted ended the body.
+        client: See `send`.
+        method: See `send`.
+        url: See `send`.
+        headers: See `send`.
+        body: See `send`.
+        max_bytes: Maximum size of the response's body.
+
+    Raises:
+        BodyError: The response's body is larger, or it broke off.
     """
-    return outbound.is_body_whole(response.connection, reason)
+    response = await send(client, method, url, headers=headers, body=body)
+    return response.code, await read_body(response, max_bytes=max_bytes)
 
 
 def was_not_sent(error: BaseException) -> bool:
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/logclient.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/logclient.py
@@ -1,6 +1,7 @@
 """A client of the platform's log service and readers that follow streams."""
 
 from collections.abc import Callable
+from collections.abc import Coroutine
 from collections.abc import Sequence
 import random
 from typing import Any
@@ -11,7 +12,6 @@
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
-import treq
 from twisted.internet import defer
 
 from bulrushgrade import record
@@ -168,7 +168,10 @@
         )
         try:
             status, raw = await self._wait_for_response(
-                self._reads.http.get(url), wait_s + READ_GRACE_S
+                httpclient.fetch(
+                    self._reads, "GET", url, max_bytes=MAX_ANSWER_BYTES
+                ),
+                wait_s + READ_GRACE_S,
             )
         except Exception as error:
             self._record_result(False, "read_failed")
@@ -197,19 +200,20 @@
 
     async def _post(self, stream: str, body: bytes) -> tuple[int, bytes]:
         url = f"{self._base}/{stream}/records"
-        headers = {"Content-Type": "application/json"}
-        call = self._appends.http.post(url, data=body, headers=headers)
+        call = httpclient.fetch(
+            self._appends,
+            "POST",
+            url,
+            headers=[("Content-Type", "application/json")],
+            body=body,
+            max_bytes=MAX_ANSWER_BYTES,
+        )
         return await self._wait_for_response(call, APPEND_TIMEOUT_S)
 
     async def _wait_for_response(
-        self, call: defer.Deferred, timeout_s: float
+        self, call: Coroutine[Any, Any, tuple[int, bytes]], timeout_s: float
     ) -> tuple[int, bytes]:
-        async def read_response() -> tuple[int, bytes]:
-            response = await call
-            raw = await treq.content(response)
-            return response.code, raw
-
-        answer = defer.Deferred.fromCoroutine(read_response())
+        answer = defer.Deferred.fromCoroutine(call)
         return await answer.addTimeout(timeout_s, self._reactor)
 
     def _parse_offsets(
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/orders.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/orders.py
@@ -5,7 +5,6 @@
 
 import attrs
 import msgspec
-import treq
 from twisted.internet import defer
 
 from bulrushgrade import engineorder
@@ -79,8 +78,9 @@
         """
         self._counts["drains"] += 1
         client = httpclient.open_client(self._reactor, persistent=False)
-        call = client.http.post(f"http://{address}/drain")
-        call.addCallback(treq.content)
+        call = defer.Deferred.fromCoroutine(
+            httpclient.fetch(client, "POST", f"http://{address}/drain")
+        )
         call.addTimeout(ORDER_TIMEOUT_S, self._reactor)
         call.addErrback(lambda _: None)
 
@@ -96,15 +96,15 @@
             "wanted": attrs.asdict(order.wanted),
         }
 
-        async def exchange() -> tuple[int, bytes]:
-            response = await client.http.post(
+        answer = defer.Deferred.fromCoroutine(
+            httpclient.fetch(
+                client,
+                "POST",
                 f"http://{order.engine}/orders",
-                data=msgspec.json.encode(body),
-                headers={"Content-Type": "application/json"},
+                headers=[("Content-Type", "application/json")],
+                body=msgspec.json.encode(body),
             )
-            return response.code, await treq.content(response)
-
-        answer = defer.Deferred.fromCoroutine(exchange())
+        )
         try:
             status, raw = await answer.addTimeout(
                 ORDER_TIMEOUT_S, self._reactor
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/plain.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/plain.py
@@ -5,8 +5,6 @@
 
 import attrs
 from twisted.internet import defer
-from twisted.internet import protocol
-from twisted.python import failure as twisted_failure
 
 from bulrushgrade import eventstream
 from bulrushgrade_daemon import engine
@@ -66,39 +64,6 @@
     body: bytes
 
 
-class _Body(protocol.Protocol):
-    """Buffers a body up to its limit and checks that it is complete."""
-
-    def __init__(self, *, response: Any):
-        self._response = response
-        self._parts: list[bytes] = []
-        self._size = 0
-        self.done: defer.Deferred = defer.Deferred()
-
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        self._size += len(data)
-        if self._size > MAX_ANSWER_BYTES:
-            self._finish(engine.Lost(reason="answer too large"))
-            self.transport.loseConnection()
-            return
-        self._parts.append(data)
-
-    def connectionLost(  # noqa: N802
-        self, reason: twisted_failure.Failure = protocol.connectionDone
-    ) -> None:
-        body = b"".join(self._parts)
-        if not httpclient.is_body_whole(self._response, reason):
-            self._finish(engine.Lost(reason="answer was truncated"))
-        elif _is_event_stream(self._response) and _ends_within_event(body):
-            self._finish(engine.Lost(reason="stream ended within an event"))
-        else:
-            self._finish(body)
-
-    def _finish(self, outcome: Any) -> None:
-        if not self.done.called:
-            self.done.callback(outcome)
-
-
 class PlainClient:
     """Sends requests to plain services."""
 
@@ -171,11 +136,14 @@
             ),
             body=call.body,
         )
-        body = _Body(response=response)
-        response.deliverBody(body)
-        outcome = await body.done
-        if isinstance(outcome, engine.Lost):
-            return outcome
+        try:
+            body = await httpclient.read_body(
+                response, max_bytes=MAX_ANSWER_BYTES
+            )
+        except httpclient.BodyError as error:
+            return engine.Lost(reason=str(error))
+        if _is_event_stream(response) and _ends_within_event(body):
+            return engine.Lost(reason="stream ended within an event")
         # Guards against a late answer to an earlier request on the same
         # connection being taken as the answer to this one. It is detected if
         # the service names the attempt that it answers.
@@ -190,7 +158,7 @@
         return PlainAnswer(
             status=response.code,
             headers=_read_answer_headers(response),
-            body=outcome,
+            body=body,
         )
 
 
--- a/packages/bulrushgrade_daemon/tests/badanswers.py
+++ b/packages/bulrushgrade_daemon/tests/badanswers.py
@@ -44,7 +44,7 @@
 """Bodies without end."""
 
 ERRORS = {
-    name: (ERROR + head[len(OK) :], repeated)
+    f"error, {name}": (ERROR + head[len(OK) :], repeated)
     for name, (head, repeated) in BODIES.items()
 }
 """The same with an error status."""
