--- a/packages/bulrushgrade/bulrushgrade/enginefleet.py
+++ b/packages/bulrushgrade/bulrushgrade/enginefleet.py
@@ -66,11 +66,18 @@
         return load
 
     def shares(self, now: float) -> dict[str, peerloads.EngineShare]:
-        """Returns this daemon's load by engine id."""
+        """Returns this daemon's load by engine id.
+
+        Requests at a former start of an engine end late if it closes no
+        connection; they are no load of its present start.
+        """
+        born_ms: dict[str, int] = {}
+        for id, born in self._loads:
+            born_ms[id] = max(born, born_ms.get(id, born))
         return {
-            incarnation[0]: load.share(now)
-            for incarnation, load in self._loads.items()
-            if not load.is_idle
+            id: load.share(now)
+            for (id, born), load in self._loads.items()
+            if born == born_ms[id] and not load.is_idle
         }
 
     def has_peer_streams(
--- a/packages/bulrushgrade/tests/test_engineload.py
+++ b/packages/bulrushgrade/tests/test_engineload.py
@@ -1,10 +1,14 @@
 """Tests of the load estimate of an engine."""
 
+from test_directory import make as make_engine
+
 from bulrushgrade import directory
 from bulrushgrade import enginecache
+from bulrushgrade import enginefleet
 from bulrushgrade import engineload
 from bulrushgrade import prefilltimes
 from bulrushgrade import prompt as prompt_module
+from bulrushgrade import routing
 
 PREFILL, DECODE = directory.Stage.PREFILL, directory.Stage.DECODE
 
@@ -259,3 +263,31 @@
 def test_decoder_prefills_at_half_speed():
     load = make_load()
     assert speed(load, DECODE) == 0.5 * speed(load)
+
+
+def test_restarted_engine_has_nothing_of_its_former_start():
+    """Guards against requests that hang at an engine that has restarted.
+
+    They were advertised as the load of its new start.
+    """
+    traits = routing.EngineTraits(
+        slots=12,
+        memory_tokens=100_000,
+        token_bytes=1,
+        link_bytes_per_s=1e9,
+        kv_handle_ttl_s=1.0,
+        stage_change_s=1.0,
+    )
+    fleet = enginefleet.EngineFleet()
+    former, restarted = make_engine(born_ms=1), make_engine(born_ms=2)
+    load, prompt = fleet.load(former, traits), make_prompt()
+    run_prefill(load, prompt)
+    load.begin(make_prefill(expected_s=9.0))
+    assert list(fleet.shares(0.2)) == ["e1"]
+    fresh = fleet.load(restarted, traits)
+    assert fresh.is_idle
+    assert fresh.cache.cached_tokens(prompt) == 0
+    assert fleet.wait_s(restarted, traits, 0.2, 0) == 0
+    assert fleet.shares(0.2) == {}
+    fresh.begin(make_prefill(expected_s=1.0))
+    assert fleet.shares(0.2) == {"e1": fresh.share(0.2)}
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/cachesharing.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/cachesharing.py
@@ -53,7 +53,14 @@
         *,
         reset: bool,
     ) -> None:
-        """Applies changes that this daemon observed and advertises them."""
+        """Applies changes that this daemon observed and advertises them.
+
+        A read may end after its engine has restarted under its id, without the
+        cache that was read.
+        """
+        known = self._endpoints.find(engine.id)
+        if known is not None and known.incarnation != engine.incarnation:
+            return
         advertised = [c for c in changes if self._is_relevant(engine, c)]
         self._gossip.advertise_changes(engine.id, tuple(advertised))
         # The cache may have dropped parts of this daemon's own prompts that
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/frontend.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/frontend.py
@@ -21,6 +21,11 @@
 from bulrushgrade_daemon import decisionlog
 from bulrushgrade_daemon import httpfactory
 
+CLOSE_TIMEOUT_S = 15.0
+"""Time that a caller has to read what is written for it once its connection is
+to be closed. An answer that was buffered whole, 256 KiB, takes 8 s at
+256 kbit/s."""
+
 
 class CallerRequest(http.Request):
     """A caller's HTTP request, with the methods that answer it."""
@@ -184,6 +189,18 @@
         self.transport.setTcpNoDelay(True)
         self.factory.channels.add(self)
 
+    def loseConnection(self) -> None:  # noqa: N802
+        """Closes the connection, at the latest after `CLOSE_TIMEOUT_S`.
+
+        A caller that reads nothing would otherwise keep what is written for
+        it, and the connection, until it closes.
+        """
+        if self._abortingCall is None:
+            self._abortingCall = self.callLater(
+                CLOSE_TIMEOUT_S, self.forceAbortClient
+            )
+        super().loseConnection()
+
     def connectionLost(self, reason: Any) -> None:  # noqa: N802
         self.factory.channels.discard(self)
         super().connectionLost(reason)
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/storeview.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/storeview.py
@@ -161,7 +161,9 @@
         Returns:
             The number of changes.
         """
-        decoded = [self._decode_registration(r) for r in records if r.value]
+        decoded = [
+            self._decode_registration(r) for r in records if r.value is not None
+        ]
         found = [r for r in decoded if r is not None]
         changes = self._endpoints.replace(
             found,
--- a/packages/bulrushgrade_daemon/tests/test_cachesharing.py
+++ b/packages/bulrushgrade_daemon/tests/test_cachesharing.py
@@ -37,9 +37,10 @@
         return set(engines)
 
 
-def make():
+def make(*later):
     endpoints = directory.Directory(leaving_use_s=1.0)
-    endpoints.put(ENGINE, now=0.0)
+    for engine in (ENGINE, *later):
+        endpoints.put(engine, now=0.0)
     work, gossip = EngineWork(), Gossip()
     sharing = cachesharing.CacheSharing(endpoints=endpoints, work=work)
     sharing.set_gossip(gossip)
@@ -86,3 +87,13 @@
     assert sharing.followed_engines() == []
     observe(sharing, "a", 0)
     assert gossip.advertised == [("a", 9_000)]
+
+
+def test_changes_of_a_former_start_are_not_applied():
+    """Guards against a cache that an engine lost when it restarted.
+
+    A read of its former start may end after the record of the new one.
+    """
+    sharing, work, gossip = make(attrs.evolve(ENGINE, born_ms=2))
+    observe(sharing, "a", 9_000)
+    assert (work.applied, gossip.advertised) == ([], [])
