--- a/packages/bulrushgrade_daemon/tests/test_answerbounds.py
+++ b/packages/bulrushgrade_daemon/tests/test_answerbounds.py
@@ -20,6 +20,8 @@
 from bulrushgrade_daemon import dialect
 from bulrushgrade_daemon import inflight
 from bulrushgrade_daemon import outbound
+from bulrushgrade_daemon import relayclient
+from bulrushgrade_daemon import relayframes
 
 FIELDS = [(b"host", b"e1")]
 REQUEST = outbound.OutboundRequest(method=b"GET", uri=b"/", headers=FIELDS)
@@ -133,6 +135,29 @@
     assert found[0].failure().written
 
 
+@pytest.mark.parametrize("name", badanswers.HEADS)
+def test_head_that_a_peer_relays_is_bounded(name):
+    """Guards against endpoints that are bounded on the direct path only."""
+    client = outbound.Client()
+    relayed = relayclient.RelayedConnection(
+        inner=client, wanted=relayframes.Open(peer="h", endpoint="e", born_ms=1)
+    )
+    flood = badanswers.Flood(relayed)
+    opened = relayframes.Reply(status=relayframes.Status.OPENED)
+    flood.send(relayframes.encode_reply(opened))
+    found = []
+    fakes.run(outbound.send_on(client, REQUEST)).addBoth(found.append)
+    head, repeated = badanswers.HEADS[name]
+    block = repeated * (badanswers.READ_BYTES // len(repeated))
+    flood.send(
+        relayframes.make_frame(relayframes.FrameKind.DATA, head + block),
+        relayframes.make_frame(relayframes.FrameKind.DATA, block),
+    )
+    assert flood.is_closed
+    assert 0 < flood.sent_bytes <= MAX_SENT_BYTES
+    assert found[0].failure().limit is not None
+
+
 @pytest.mark.parametrize("name", badanswers.BODIES)
 def test_body_of_a_call_says_why_it_was_not_read(name):
     """Guards against a log that only says that a connection was lost."""
