Use engine speeds that all hosts measure while engines differ by much

With the feature `endpoint_speeds` hosts share decayed sums of the logarithms of measured / expected, of prefills and pauses, in the table `speeds` of the shared sums. The line, which follows fast engines, is corrected once when the factors begin to apply. Without the feature the same classes are used as before.

--- a/packages/bulrushgrade/bulrushgrade/enginefleet.py
+++ b/packages/bulrushgrade/bulrushgrade/enginefleet.py
@@ -6,9 +6,11 @@
 """
 
 from collections.abc import Iterable
+import math
 
 from bulrushgrade import directory
 from bulrushgrade import engineload
+from bulrushgrade import enginespeeds
 from bulrushgrade import pausemodel
 from bulrushgrade import peerloads
 from bulrushgrade import placementplan
@@ -16,6 +18,7 @@
 from bulrushgrade import prefilldelay
 from bulrushgrade import prefilltimes
 from bulrushgrade import routing
+from bulrushgrade import speedsamples
 from bulrushgrade import stageplan
 
 SAMPLE_WEIGHT = 0.05
@@ -30,12 +33,20 @@
 class EngineFleet:
     """Load estimates for the engines of one service."""
 
-    def __init__(self, *, peers: peerloads.PeerLoads | None = None):
+    def __init__(
+        self,
+        *,
+        peers: peerloads.PeerLoads | None = None,
+        speeds: enginespeeds.EngineSpeeds | None = None,
+    ):
         """Initializes the estimates without any observation.
 
         Args:
             peers: The loads of other daemons.
+            speeds: Speeds of engines as measured by all daemons; None if each
+                daemon uses its own measurements.
         """
+        self._speeds = speeds
         self._peers = peers or peerloads.PeerLoads()
         self._mean_tokens = 0.0
         self._mean_events = INITIAL_EVENTS
@@ -59,9 +70,7 @@
         """Returns the load estimate of an engine."""
         load = self._loads.get(engine.incarnation)
         if load is None:
-            load = engineload.EngineLoad(
-                memory_tokens=traits.memory_tokens, times=self._times
-            )
+            load = self._make_load(engine.incarnation, traits)
             self._loads[engine.incarnation] = load
         return load
 
@@ -199,9 +208,35 @@
         tokens = load.streams.tokens + peers.tokens
         self._pauses.observe(tokens, pause_s, load.pause_factor)
 
+    def correct_times(self, service: str) -> None:
+        """Corrects the prefill times once the speeds of all daemons apply.
+
+        Args:
+            service: The service's name.
+        """
+        if self._speeds is None:
+            return
+        own, fleet = self._speeds.own, self._speeds.fleet
+        found = fleet.find_offset(service, own)
+        if found is not None:
+            offset, engines = found
+            self._times.scale(math.exp(offset))
+            own.shift(speedsamples.Kind.PREFILL, engines, offset)
+
     def forget(self, live: Iterable[tuple[str, int]]) -> None:
         """Drops the estimates of engines that are gone and idle."""
         kept = set(live)
         for incarnation, load in list(self._loads.items()):
             if incarnation not in kept and load.is_idle:
                 del self._loads[incarnation]
+
+    def _make_load(
+        self, incarnation: tuple[str, int], traits: routing.EngineTraits
+    ) -> engineload.EngineLoad:
+        speeds = self._speeds
+        return engineload.EngineLoad(
+            memory_tokens=traits.memory_tokens,
+            times=self._times,
+            prefill_factor=speeds and speeds.new_prefill_factor(incarnation),
+            pause_factor=speeds and speeds.new_pause_factor(incarnation),
+        )
--- a/packages/bulrushgrade/bulrushgrade/engineload.py
+++ b/packages/bulrushgrade/bulrushgrade/engineload.py
@@ -92,19 +92,24 @@
         *,
         memory_tokens: int,
         times: prefilltimes.PrefillTimes | None = None,
+        prefill_factor: linearfit.Factor | None = None,
+        pause_factor: linearfit.Factor | None = None,
     ):
         """Initializes the estimate without any observation.
 
         Args:
             memory_tokens: Capacity of the engine's memory in tokens.
             times: Prefill times of all engines of its service.
+            prefill_factor: Ratio of its prefill times to those of an average
+                engine; None for one that this daemon learns alone.
+            pause_factor: The same ratio of its pauses.
         """
         self._cache = enginecache.EngineCache(memory_tokens=memory_tokens)
         self._times = times or prefilltimes.PrefillTimes()
-        self._prefill_factor = prefilltimes.new_factor()
+        self._prefill_factor = prefill_factor or prefilltimes.new_factor()
         self._queue = prefillqueue.PrefillQueue()
         self._streams = streamload.StreamLoad()
-        self._pause_factor = pausemodel.new_factor()
+        self._pause_factor = pause_factor or pausemodel.new_factor()
         self._prefills: dict[PendingPrefill, None] = {}
         self._delay_s = 0.0
         self._delay_at = 0.0
--- a/packages/bulrushgrade/bulrushgrade/linearfit.py
+++ b/packages/bulrushgrade/bulrushgrade/linearfit.py
@@ -76,6 +76,11 @@
         self._xx = retention * self._xx + weight * x * x
         self._xy = retention * self._xy + weight * x * y
 
+    def scale(self, factor: float) -> None:
+        """Multiplies all predicted values by a factor."""
+        self._y *= factor
+        self._xy *= factor
+
     def _slope(self) -> float:
         mean_x = self._x / self._weight
         variance = self._xx / self._weight - mean_x**2
--- a/packages/bulrushgrade/bulrushgrade/peersums.py
+++ b/packages/bulrushgrade/bulrushgrade/peersums.py
@@ -40,10 +40,11 @@
         for key, vector in entries.items():
             self._by_key.setdefault(key, {})[name] = (now, vector)
 
-    def fresh(self, key: str, oldest_at: float) -> Iterable[Vector]:
-        for at, vector in self._by_key.get(key, {}).values():
-            if at > oldest_at:
-                yield vector
+    def fresh(self, key: str, oldest_at: float) -> list[Vector]:
+        entries = self._by_key.get(key)
+        if entries is None:
+            return []
+        return [vector for at, vector in entries.values() if at > oldest_at]
 
     def keys(self, oldest_at: float) -> set[str]:
         return {
@@ -136,8 +137,8 @@
         fleet = self._fleet.get(key)
         if fleet is not None and fleet[0] > oldest_at:
             return fleet[1]
-        group = self._add(own, self._members.fresh(key, oldest_at))
-        return self._add(group, self._groups.fresh(key, oldest_at))
+        members = self._members.fresh(key, oldest_at)
+        return self._add(own, members + self._groups.fresh(key, oldest_at))
 
     def group_keys(self, now: float) -> set[str]:
         """Returns the keys of which a member of the group has a vector."""
@@ -190,7 +191,4 @@
         }
 
     def _add(self, own: Vector | None, others: Iterable[Vector]) -> Vector:
-        total = own or self._zero
-        for vector in others:
-            total = tuple(a + b for a, b in zip(total, vector, strict=True))
-        return total
+        return tuple(map(sum, zip(own or self._zero, *others, strict=True)))
--- a/packages/bulrushgrade/bulrushgrade/prefilltimes.py
+++ b/packages/bulrushgrade/bulrushgrade/prefilltimes.py
@@ -131,6 +131,10 @@
             sample_count=sample_count,
         )
 
+    def scale(self, factor: float) -> None:
+        """Multiplies the prefill time of an average engine by a factor."""
+        self._fit.scale(factor)
+
     def latency_s(self, mode: PrefillMode) -> float:
         """Returns the estimated latency of a mode."""
         return self._latency_s[mode]
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/enginework.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/enginework.py
@@ -11,11 +11,13 @@
 from bulrushgrade import enginecache
 from bulrushgrade import enginefleet
 from bulrushgrade import engineload
+from bulrushgrade import enginespeeds
 from bulrushgrade import peerloads
 from bulrushgrade import prefilltimes
 from bulrushgrade import prefixindex
 from bulrushgrade import prompt as prompt_module
 from bulrushgrade import routing
+from bulrushgrade import speedsamples
 from bulrushgrade import streamload
 from bulrushgrade_daemon import inflight
 from bulrushgrade_daemon import placementindex
@@ -54,6 +56,7 @@
         endpoints: directory_module.Directory,
         peers: peerloads.PeerLoads,
         index: placementindex.PlacementIndex,
+        speeds: enginespeeds.EngineSpeeds | None = None,
     ):
         """Creates the state without work.
 
@@ -63,14 +66,22 @@
             endpoints: The known endpoints.
             peers: Work of other daemons at engines.
             index: Gets reports of long prefills.
+            speeds: Speeds of engines as measured by all daemons; None if each
+                daemon uses its own measurements.
         """
         self._timers = timers
         self._table = table
         self._endpoints = endpoints
         self._peers = peers
         self._index = index
+        self._speeds = speeds
         self._fleets: dict[str, enginefleet.EngineFleet] = {}
 
+    @property
+    def speeds(self) -> enginespeeds.EngineSpeeds | None:
+        """Speeds of engines as measured by all daemons, if shared."""
+        return self._speeds
+
     @property
     def fleets(self) -> Mapping[str, enginefleet.EngineFleet]:
         """The state of engines, by service."""
@@ -80,7 +91,9 @@
         """Returns the state of a service's engines."""
         fleet = self._fleets.get(service)
         if fleet is None:
-            fleet = enginefleet.EngineFleet(peers=self._peers)
+            fleet = enginefleet.EngineFleet(
+                peers=self._peers, speeds=self._speeds
+            )
             self._fleets[service] = fleet
         return fleet
 
@@ -103,6 +116,25 @@
         for fleet in self._fleets.values():
             fleet.forget(kept)
 
+    def update_speeds(
+        self,
+    ) -> list[enginespeeds.SpreadChange | enginespeeds.SpeedChange]:
+        """Updates the shared speeds; returns what has changed by much."""
+        speeds, now = self._speeds, self._timers.now
+        if speeds is None:
+            return []
+        engines: dict[str, list[speedsamples.Incarnation]] = {}
+        for engine in self._endpoints.registrations:
+            if engine.stage is not None:
+                engines.setdefault(engine.service, []).append(
+                    engine.incarnation
+                )
+        speeds.own.decay(now)
+        changes = speeds.fleet.update(engines, speeds.own.vectors(), now)
+        for service, fleet in self._fleets.items():
+            fleet.correct_times(service)
+        return changes
+
     def is_streaming(self, engine: directory_module.Registration) -> bool:
         """Returns whether this daemon recently received events of an engine."""
         traits = self.traits(engine.service)
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaypages.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaypages.py
@@ -155,6 +155,11 @@
             "Streams whose software version was told to peers, found or not.",
             lambda: services.origins.counts,
         ),
+        (
+            "engine_speeds_total",
+            "Changes of engines' shared speeds, and to uneven or even ones.",
+            lambda: services.speeds.counts,
+        ),
         (
             "endpoint_reads_total",
             "Reads of the endpoints' topic.",
@@ -197,6 +202,16 @@
         "Prompt parts, or combinations, that are not sent to endpoints.",
         read=lambda: services.crash_services.parts.quarantined,
     )
+    services.metrics.gauge(
+        "engines_of_known_speed",
+        "Engines whose speed is known from the samples of all hosts.",
+        read=lambda: services.speeds.known_engines,
+    )
+    services.metrics.gauge(
+        "services_of_uneven_speed",
+        "Services whose engines differ so much that shared speeds apply.",
+        read=lambda: services.speeds.uneven_services,
+    )
     services.metrics.gauge(
         "event_loop_delay_seconds",
         "Average delay of the event loop.",
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
@@ -12,7 +12,6 @@
 from bulrushgrade import relaychoice
 from bulrushgrade import retryshare
 from bulrushgrade import routing
-from bulrushgrade import stageplan
 from bulrushgrade_daemon import adapter as adapter_module
 from bulrushgrade_daemon import cachesharing
 from bulrushgrade_daemon import cachewatch
@@ -47,6 +46,7 @@
 from bulrushgrade_daemon import requestadmission
 from bulrushgrade_daemon import requestlog
 from bulrushgrade_daemon import signalexchange
+from bulrushgrade_daemon import speedsharing
 from bulrushgrade_daemon import stagecontrol
 from bulrushgrade_daemon import storeepoch
 from bulrushgrade_daemon import storetopics
@@ -160,6 +160,7 @@
             self._connector,
             self._link,
             self._gossip,
+            self._speeds,
             self._index,
             self._origins,
             self._limits,
@@ -274,6 +275,11 @@
         """Takes in what endpoints state of themselves."""
         return self._signals
 
+    @property
+    def speeds(self) -> speedsharing.SpeedSharing:
+        """Shares the speeds of engines with peers."""
+        return self._speeds
+
     @property
     def permits(self) -> permitservice.PermitService:
         """Permits for endpoints that state a limit."""
@@ -364,6 +370,7 @@
             endpoints=self._view.endpoints,
             peers=self._peer_loads,
             index=self._index,
+            speeds=speedsharing.make_speeds(context.settings().features),
         )
         self._origins = originsharing.OriginSharing(
             timers=self._timers,
@@ -501,7 +508,7 @@
                 on_broken=context.kernel.fail,
             ),
             make_retry_share=self._new_share,
-            observe_latency=self._observe_answer,
+            observe_latency=self._metrics.observe_answer,
             record_run_start=lambda w, at: self._tasks.record_run_start(w, at),
         )
         self._frontend = frontend.Frontend(
@@ -557,6 +564,12 @@
             log=context.log,
         )
         sharing.set_gossip(self._gossip)
+        self._speeds = speedsharing.SpeedSharing(
+            timers=self._timers,
+            work=self._work,
+            sums=self._gossip.sums,
+            log=context.log,
+        )
         self._cache_watch = cachewatch.CacheWatch(
             timers=self._timers,
             engines=sharing.followed_engines,
@@ -604,7 +617,10 @@
             guard=self._signals.guard,
             leads=lambda: self._tasks.is_leader(),
             views=self._chooser.engine_views,
-            announce=self._announce_role_change,
+            announce=messagedispatch.make_role_announcer(
+                handle=lambda message: self._dispatch(message),
+                broadcast=self._link.broadcast,
+            ),
             log=context.log,
             on_broken=context.kernel.fail,
         )
@@ -641,17 +657,6 @@
             otherwise=self._index.receive,
         )
 
-    def _announce_role_change(
-        self, change: stageplan.StageChange, change_s: float
-    ) -> None:
-        notice = gatewaymessages.RoleChangeNotice(
-            engine=change.engine.id,
-            stage=change.stage,
-            change_ms=round(change_s * 1000),
-        )
-        self._dispatch(notice)
-        self._link.broadcast(notice)
-
     def _find_version(self) -> int:
         """Returns the version of the configuration in force."""
         table = self._view.table
@@ -709,13 +714,6 @@
             known_hosts=known_hosts,
         )
 
-    def _observe_answer(self, kind: str, took_s: float) -> None:
-        self._metrics.histogram(
-            "whole_answer_seconds",
-            "From arrival to the whole answer.",
-            {"kind": kind},
-        ).observe(took_s)
-
     def _caller_limits(self) -> routing.CallerLimits:
         if self._view.table is None:
             return _DEFAULT_LIMITS
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/messagedispatch.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/messagedispatch.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from bulrushgrade import directory
+from bulrushgrade import stageplan
 from bulrushgrade_daemon import gatewaymessages
 from bulrushgrade_daemon import peerlink
 
@@ -78,3 +79,25 @@
         timers.after(peerlink.REPEAT_BROADCAST_S, lambda: send(peer, notice))
 
     return tell
+
+
+def make_role_announcer(
+    *, handle: Handler, broadcast: Handler
+) -> Callable[[stageplan.StageChange, float], None]:
+    """Returns a function that announces an ordered change of a role.
+
+    Args:
+        handle: Handles a message at this host.
+        broadcast: Sends a message to all peers.
+    """
+
+    def announce(change: stageplan.StageChange, change_s: float) -> None:
+        notice = gatewaymessages.RoleChangeNotice(
+            engine=change.engine.id,
+            stage=change.stage,
+            change_ms=round(change_s * 1000),
+        )
+        handle(notice)
+        broadcast(notice)
+
+    return announce
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/metrics.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/metrics.py
@@ -179,6 +179,19 @@
         _check_suffix(name, ("_seconds",))
         return self._find(name, doc, labels, aioprometheus.Histogram, Histogram)
 
+    def observe_answer(self, kind: str, took_s: float) -> None:
+        """Records the time from a request's arrival to the whole answer.
+
+        Args:
+            kind: The kind of the request's route.
+            took_s: The time.
+        """
+        self.histogram(
+            "whole_answer_seconds",
+            "From arrival to the whole answer.",
+            {"kind": kind},
+        ).observe(took_s)
+
     def register_counts(
         self, name: str, doc: str, read: Callable[[], Mapping[str, int]]
     ) -> None:
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/sumexchange.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/sumexchange.py
@@ -15,6 +15,11 @@
 from bulrushgrade import peersums
 from bulrushgrade_daemon import gatewaymessages
 
+ROUND_S, MAX_ROUNDS = 0.5, 10
+"""Messages of large fleets are seconds apart. A message carries the limit of
+entries for each half second since the last one, at most ten times as many, so
+that the time in which all entries are sent doesn't grow with the interval."""
+
 UNITS = 100
 """Values are sent in hundredths: small integers take one to three bytes, a
 float nine."""
@@ -47,7 +52,8 @@
             name: The table's name in messages.
             table: Receives the vectors of peers.
             read_own: Returns this host's vectors; gets the time in seconds.
-            max_entries: Maximum number of entries in a message.
+            max_entries: Maximum number of entries in a message, or in those of
+                half a second if they are further apart.
             interval_s: Minimum time between two messages with the same key.
         """
         self._tables[name] = _SharedTable(
@@ -186,6 +192,7 @@
         self._interval_s = interval_s
         self._waiting: collections.deque[str] = collections.deque()
         self._began_at = -math.inf
+        self._called_at: float | None = None
 
     def next(
         self, find_keys: Callable[[], Iterable[str]], now: float
@@ -193,7 +200,10 @@
         if not self._waiting and now - self._began_at >= self._interval_s:
             self._waiting.extend(find_keys())
             self._began_at = now
-        count = min(self._max_entries, len(self._waiting))
+        elapsed_s = 0.0 if self._called_at is None else now - self._called_at
+        self._called_at = now
+        rounds = min(max(1, round(elapsed_s / ROUND_S)), MAX_ROUNDS)
+        count = min(rounds * self._max_entries, len(self._waiting))
         return [self._waiting.popleft() for _ in range(count)]
 
 
--- a/packages/bulrushgrade_daemon/tests/test_sumexchange.py
+++ b/packages/bulrushgrade_daemon/tests/test_sumexchange.py
@@ -75,7 +75,15 @@
     assert totals(tables.values(), "all", timers.now) == [(9, 2.25)] * 9
 
 
-def test_messages_carry_some_keys_in_turn():
+@pytest.mark.parametrize(
+    ("period_s", "sizes"),
+    [
+        (0.125, [16, 16, 13, 0, 0, 0, 0, 0, 16, 16, 13, 0]),
+        # As many per second if messages are further apart.
+        (1.5, [16, 29, 45, 45]),
+    ],
+)
+def test_messages_carry_some_keys_in_turn(period_s, sizes):
     """Guards against messages that grow with the number of engines."""
     reactor, timers, _ = fakes.make_timers()
     exchange = sumexchange.SumExchange(timers=timers)
@@ -88,11 +96,10 @@
         interval_s=1.0,
     )
     rounds = []
-    for _ in range(12):
+    for _ in sizes:
         exchange.begin_round()
         rounds.append(exchange.make_group().get("t", []))
-        reactor.advance(0.125)
-    sizes = [16, 16, 13, 0, 0, 0, 0, 0, 16, 16, 13, 0]
+        reactor.advance(period_s)
     assert [len(entries) for entries in rounds] == sizes
     sent = [entry for entries in rounds[:3] for entry in entries]
     assert dict(sent) == {f"k{n}": [100 * n, 0] for n in range(45)}
