--- a/packages/bulrushgrade/bulrushgrade/enginespeeds.py
+++ b/packages/bulrushgrade/bulrushgrade/enginespeeds.py
@@ -21,15 +21,15 @@
 from bulrushgrade import prefilltimes
 from bulrushgrade import speedsamples
 
-MIN_SAMPLES, KEPT_SAMPLES = 4.0, 1.0
+MIN_SAMPLES, KEPT_SAMPLES = 8.0, 1.0
 """Weight of samples from which an engine has a factor, as single ones vary, and
 below which it has none any more. An engine that is avoided because it is slow
 isn't measured; if its factor ended early, all hosts would soon try it again."""
 
-MIN_SPREAD, KEPT_SPREAD = 1.5, 1.3
+MIN_SPREAD, KEPT_SPREAD = 1.8, 1.5
 """Ratio of the 90th to the 10th percentile of engines' factors at which the
-shared factors begin to apply, and below which they cease to. Smaller
-differences are within the noise of measurements beside other work."""
+shared factors begin to apply, and below which they cease to. Engines of the
+same speed appeared to spread by 1.5 beside other work and failing endpoints."""
 
 MIN_SPREAD_SAMPLES = 16.0
 """Weight of samples from which an engine counts in that ratio. If the logarithm
