Name workspaces in messages only near saturation, describe the shares

Every host named up to 16 workspaces of each service all the time, although the sums by workspace are needed only for a saturated service.

--- a/packages/bulrushgrade/bulrushgrade/workspaceshares.py
+++ b/packages/bulrushgrade/bulrushgrade/workspaceshares.py
@@ -37,6 +37,11 @@
 saturated. Below it, a few unlucky placements make prompts late although there
 is capacity."""
 
+NAMING_FRACTION = SATURATED_FRACTION / 2
+"""Fraction of late prompts from which on hosts name workspaces in messages. The
+sums are then known when the service is saturated, and nearly nothing is sent
+while it isn't."""
+
 MIN_PROMPTS_PER_S = 5.0
 """Prompts per second from which on the fraction of late ones is evidence of
 saturation. With fewer, a single late prompt exceeds the fraction."""
@@ -121,6 +126,15 @@
 """Use by workspace."""
 
 
+def needs_names(*uses: Use) -> bool:
+    """Returns whether hosts should name workspaces in their messages.
+
+    Args:
+        *uses: The use of all workspaces at this host, and at all hosts.
+    """
+    return any(use.late_fraction > NAMING_FRACTION for use in uses)
+
+
 def request_cost(*, prefill_tokens: int, output_tokens: int) -> float:
     """Returns the cost of a request, in tokens to prefill.
 
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/usesharing.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/usesharing.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 import functools
 import hashlib
+import math
 import random
 from typing import Any
 
@@ -70,14 +71,6 @@
     return base64.urlsafe_b64encode(digest).decode()[:length]
 
 
-@attrs.frozen(kw_only=True)
-class _Shares:
-    """Shares of a service and when they were computed."""
-
-    shares: workspaceshares.FairShares
-    computed_at: float
-
-
 @attrs.define(kw_only=True)
 class _Limited:
     """A workspace that is above its share.
@@ -119,8 +112,8 @@
         self._rng = rng
         self._uses = workspaceshares.WorkspaceUse()
         self._table = peersums.SumTable(ttl_s=TTL_S, width=4)
-        self._shares: dict[str, _Shares] = {}
-        # By service and key.
+        # By service, with the time of computation.
+        self._shares: dict[str, tuple[float, workspaceshares.FairShares]] = {}
         self._limited: dict[tuple[str, str], _Limited] = {}
         self._counts: collections.Counter[str] = collections.Counter()
 
@@ -133,7 +126,6 @@
         """Returns the shares by service; nothing unless enabled."""
         if not self._is_enabled:
             return {}
-        now = self._now()
         found = {name: self._find_shares(name) for name in self._uses.services}
         services = {
             name: {
@@ -141,10 +133,6 @@
                 "offered": {
                     key: round(use.offered) for key, use in shares.uses.items()
                 },
-                "own": {
-                    key: round(use.offered)
-                    for key, use in self._uses.read(name, now).items()
-                },
             }
             for name, shares in found.items()
         }
@@ -166,8 +154,12 @@
         found = {}
         for service in self._uses.services:
             own = self._uses.read(service, now)
-            totals = {key: self._read_total(key, now) for key in own}
-            named, others = workspaceshares.name_largest(own, totals)
+            totals = self._read_totals(service, now)
+            own_sum = sum(own.values(), workspaceshares.NO_USE)
+            whole = sum(totals.values(), workspaceshares.NO_USE)
+            named, others = {}, own_sum
+            if workspaceshares.needs_names(own_sum, whole):
+                named, others = workspaceshares.name_largest(own, totals)
             for key, use in named.items():
                 found[key] = _encode(use)
             if not others.is_idle:
@@ -262,11 +254,11 @@
     def _find_shares(self, service: str) -> workspaceshares.FairShares:
         """Returns the shares of a service, at most `REFRESH_S` old."""
         now = self._now()
-        known = self._shares.get(service)
-        if known is not None and now - known.computed_at < REFRESH_S:
-            return known.shares
+        computed_at, shares = self._shares.get(service, (-math.inf, None))
+        if now - computed_at < REFRESH_S:
+            return shares
         shares = self._compute_shares(service, now)
-        self._shares[service] = _Shares(shares=shares, computed_at=now)
+        self._shares[service] = now, shares
         self._end_limits(service, shares, now)
         return shares
 
@@ -274,17 +266,10 @@
         self, service: str, now: float
     ) -> workspaceshares.FairShares:
         own = self._uses.read(service, now)
-        others_key = make_key(service, None)
-        keys = {
-            key for key in self._table.keys(now) if key.startswith(others_key)
-        }
-        if not keys:
+        uses = self._read_totals(service, now, own)
+        if not uses:
             return self._divide_own(own)
-        uses = {
-            key: self._read_total(key, now, own.get(key))
-            for key in keys.union(own) - {others_key}
-        }
-        others = self._read_total(others_key, now)
+        others = uses.pop(make_key(service, None), workspaceshares.NO_USE)
         own_sum = sum(own.values(), workspaceshares.NO_USE)
         whole = sum(uses.values(), others)
         if not any(map(workspaceshares.is_saturated, (own_sum, whole))):
@@ -305,11 +290,26 @@
             return workspaceshares.FairShares(uses=uses)
         return workspaceshares.divide(uses, others=workspaceshares.NO_USE)
 
-    def _read_total(
-        self, key: str, now: float, own: workspaceshares.Use | None = None
-    ) -> workspaceshares.Use:
-        vector = None if own is None else _encode(own)
-        return _decode(self._table.total(key, vector, now))
+    def _read_totals(
+        self, service: str, now: float, own: workspaceshares.Uses | None = None
+    ) -> dict[str, workspaceshares.Use]:
+        """Returns the sums of all hosts by key, of keys that peers have.
+
+        Sums of this host alone can't be compared with those of all hosts.
+
+        Args:
+            service: The service.
+            now: The present time in seconds.
+            own: This host's use, to be included where the peers' isn't summed
+                with it yet.
+        """
+        prefix, found = make_key(service, None), {}
+        for key in self._table.keys(now):
+            if key.startswith(prefix):
+                use = (own or {}).get(key)
+                vector = None if use is None else _encode(use)
+                found[key] = _decode(self._table.total(key, vector, now))
+        return found
 
     def _observe_above(
         self,
@@ -357,7 +357,6 @@
             offered_per_s=round(use.offered),
             served_per_s=round(use.served),
             level_per_s=round(shares.level) if shares.is_limited else None,
-            workspaces=len(shares.uses),
         )
 
 
--- a/packages/bulrushgrade_daemon/tests/test_usesharing.py
+++ b/packages/bulrushgrade_daemon/tests/test_usesharing.py
@@ -136,7 +136,8 @@
 def test_messages_stay_small_with_many_workspaces():
     """Guards against messages that grow with the number of workspaces.
 
-    600 bytes per second and host are a tenth of what a host may send.
+    A flood may cost 600 bytes per second and peer, and without saturation a
+    host names no workspace.
     """
     sent = []
     for is_enabled in (False, True):
@@ -145,6 +146,11 @@
         sent.append(sum(fleet.net.sent_bytes.values()))
     exchanges = 9 * 8
     assert 0 < (sent[1] - sent[0]) / 4.0 / exchanges <= 600
+    _, timers, _ = fakes.make_timers()
+    sharing = make_sharing(timers)
+    for name in SMALL:
+        assert sharing.admit(make_request(name))
+    assert list(sharing.read_own(0.0)) == [usesharing.make_key("s", None)]
 
 
 class Saturated:
@@ -229,12 +235,15 @@
 def test_incorrect_sum_refuses_no_prompt_that_is_in_time():
     """Guards against an outage by a host that advertises nonsense."""
     host = Saturated()
-    key = usesharing.make_key("s", "small")
-    entries = {key: (1e15, 1e-3, 1e9, 1.0), "x" * 12: (-5.0, -5.0, -1.0, 0.0)}
+    entries = {
+        usesharing.make_key("s", "small"): (1e15, 1e-3, 1e9, 1.0),
+        usesharing.make_key("s", "large"): (1.0, 1.0, 0.0, 0.0),
+        usesharing.make_key("s", "other"): (-5.0, -5.0, -1.0, 0.0),
+    }
     host.sharing._table.update_fleet(entries, host.timers.now)
     assert host.refuses("small", wait_s=0.5) == 0
     request = host.send("small", wait_s=2.0)
-    assert request.share_retry_s <= 2.0
+    assert 0 < request.share_retry_s <= 2.0
     host.reactor.advance(usesharing.TTL_S + 1.0)
     assert host.refuses("small", wait_s=2.0) == 0
 
