--- a/packages/bulrushgrade/bulrushgrade/workspaceshares.py
+++ b/packages/bulrushgrade/bulrushgrade/workspaceshares.py
@@ -43,6 +43,11 @@
 worth more to their callers than a refusal, and the fraction is within the lag of
 what is served behind what is offered."""
 
+NAMING_FRACTION = SATURATED_FRACTION / 2
+"""Fraction of late prompts from which on hosts name workspaces in messages. The
+sums are then known when the service is saturated, and nearly nothing is sent
+while it isn't."""
+
 MIN_PROMPTS_PER_S = 5.0
 """Prompts per second from which on the fraction of late ones is evidence of
 saturation. With fewer, a single late prompt exceeds the fraction."""
@@ -127,6 +132,15 @@
 """Use by workspace."""
 
 
+def needs_names(*uses: Use) -> bool:
+    """Returns whether hosts should name workspaces in their messages.
+
+    Args:
+        *uses: The use of all workspaces at this host, and at all hosts.
+    """
+    return any(use.late_fraction > NAMING_FRACTION for use in uses)
+
+
 def request_cost(*, prefill_tokens: int, output_tokens: int) -> float:
     """Returns the cost of a request, in tokens to prefill.
 
