Shorten the tests of bounds on answers

The tests of a daemon's clients shared most of their lines, and one that sends a long stream in chunks of one byte took 40 s of the run under tracemalloc.

--- a/packages/bulrushgrade_daemon/tests/badanswers.py
+++ b/packages/bulrushgrade_daemon/tests/badanswers.py
@@ -6,12 +6,18 @@
 from twisted.internet import error
 from twisted.python import failure
 
+from bulrushgrade import answerlimits
+
 FLOOD_BYTES = 4 * 1024 * 1024
 """What an endpoint sends in a test unless its connection is closed."""
 
 READ_BYTES = 16_384
 """Size of the reads in which it arrives."""
 
+MAX_SENT_BYTES = 2 * answerlimits.MAX_HEAD_BYTES + 2 * READ_BYTES
+MAX_KEPT_BYTES = 400_000
+"""Above the bounds, as each header takes memory beside its text."""
+
 OK = b"HTTP/1.1 200 OK\r\n"
 ERROR = b"HTTP/1.1 500 Internal Server Error\r\n"
 CHUNKED = b"Transfer-Encoding: chunked\r\n"
@@ -84,6 +90,17 @@
         if self.is_closed:
             self.end(error.ConnectionLost())
 
+    def send_endlessly(self, head, repeated):
+        """Sends a head and a body, or a head, without end."""
+        self.send(head)
+        self.send(b"", repeated)
+
+    def check_is_bounded(self):
+        """Checks that the connection was closed before much was read."""
+        assert self.is_closed
+        assert 0 < self.sent_bytes <= MAX_SENT_BYTES
+        assert self.kept_bytes <= MAX_KEPT_BYTES
+
     def end(self, reason):
         """Ends the connection."""
         self._connection.connectionLost(failure.Failure(reason))
