--- a/packages/bulrushgrade/bulrushgrade/workspaceshares.py
+++ b/packages/bulrushgrade/bulrushgrade/workspaceshares.py
@@ -37,12 +37,6 @@
 saturated. Below it, a few unlucky placements make prompts late although there
 is capacity."""
 
-MIN_SHORTAGE_FRACTION = 0.2
-"""Fraction of the offered use that isn't served from which on a saturated
-service is divided. With less, late prompts still get whole answers, which are
-worth more to their callers than a refusal, and the fraction is within the lag of
-what is served behind what is offered."""
-
 NAMING_FRACTION = SATURATED_FRACTION / 2
 """Fraction of late prompts from which on hosts name workspaces in messages. The
 sums are then known when the service is saturated, and nearly nothing is sent
@@ -332,9 +326,8 @@
 def divide(uses: Uses, *, others: Use) -> FairShares:
     """Returns the fair shares of a saturated service.
 
-    There is no level while nearly all that is offered is served. There is none
-    for a single workspace, nor while nothing is served: it would be 0, and all
-    that is late would be refused.
+    There is no level for a single workspace, nor while nothing is served: it
+    would be 0, and all that is late would be refused.
 
     Args:
         uses: The known use of all hosts by workspace.
@@ -344,9 +337,6 @@
     capacity = sum(use.served for use in uses.values()) + others.served
     if len(offered) + (others.offered > 0) < 2 or capacity <= 0:
         return FairShares(uses=uses)
-    demand = sum(offered) + others.offered
-    if capacity > (1.0 - MIN_SHORTAGE_FRACTION) * demand:
-        return FairShares(uses=uses)
     level = find_level(offered, others=others.offered, capacity=capacity)
     return FairShares(uses=uses, level=level)
 
