--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/follower.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/follower.py
@@ -29,6 +29,7 @@
 from bulrushgrade_daemon import storeepoch
 from bulrushgrade_daemon import task
 from bulrushgrade_daemon import topicjournal
+from bulrushgrade_daemon import topicprobes
 from bulrushgrade_daemon import topicreader
 
 RETRY_S = 0.25
@@ -68,6 +69,7 @@
         on_records: Callable[[tuple[topicreader.KeyedRecord, ...]], None],
         log: decisionlog.DecisionLog,
         on_broken: Callable[[str], None],
+        probes: topicprobes.TopicProbes | None = None,
     ):
         """Makes the service.
 
@@ -86,6 +88,7 @@
             on_records: Called with new records in order.
             log: Logs when the store is lost or regained.
             on_broken: Called with the reason if an invariant is broken.
+            probes: Limits reads of a store that fails, if they are limited.
         """
         self.name = name
         self._timers = timers
@@ -98,13 +101,16 @@
         self._on_records = on_records
         self._log = log
         self._on_broken = on_broken
+        self._probes = probes or topicprobes.TopicProbes(
+            topic=name, shared=shared, host=None
+        )
         self._position: topicreader.Position | None = None
         # Where to go on at another host, in an epoch not read as a whole yet.
         self._joined: topicreader.Position | None = None
         # Set whenever the position is not valid.
         self._reload = reloadschedule.ReloadSchedule(
             name=name,
-            max_age_s=wait_s + pause_s,
+            max_age_s=self._probes.limit_spread(wait_s + pause_s),
             timers=timers,
             rng=rng,
             log=log,
@@ -121,6 +127,8 @@
         self._stopping = False
         shared.on_notice = self._handle_notice
         shared.on_queried = self._wake
+        shared.on_offer = self._handle_offer
+        self._probes.subscribe(self._wake)
         epoch.subscribe(self._handle_epoch)
 
     @property
@@ -152,6 +160,7 @@
             "reads": self._reads,
             "reloads": self._reloads,
             **self._shared.counts,
+            **self._probes.counts,
         }
 
     async def start(self) -> None:
@@ -179,6 +188,7 @@
             "age_s": self.age_s,
             "source": self._shared.source,
             **self.counts,
+            **self._probes.dump(),
         }
 
     async def _run(self) -> None:
@@ -198,11 +208,11 @@
     async def _update(self) -> float:
         """Reads new records; returns the seconds until the next read."""
         if self._reload.due_in_s == 0.0:
-            if await self._read_all():
+            if self._probe_delay_s() <= 0 and await self._read_all():
                 return self._pause_s
             if await self._join_relay():
-                return self._remaining_validity_s()
-            return RETRY_S
+                return self._limit_to_probe(self._remaining_validity_s())
+            return self._limit_to_probe(RETRY_S)
         next_s = RETRY_S if self._reload.is_set else await self._follow()
         due_s = self._reload.due_in_s
         return next_s if due_s is None else max(MIN_INTERVAL_S, due_s)
@@ -214,21 +224,37 @@
         is_lost = self._lost_at is not None
         if is_lost or self._shared.reads_store:
             wait_s = (
-                0.0 if is_lost else self._wait_s * self._shared.interval_factor
+                0.0
+                if is_lost or self._probes.is_failing
+                else self._wait_s * self._shared.interval_factor
             )
-            if await self._read_after(wait_s):
+            if self._probe_delay_s() <= 0 and await self._read_after(wait_s):
                 return self._time_to_next_read_s(self._pause_s)
-            return (
+            return self._limit_to_probe(
                 self._remaining_validity_s()
                 if await self._read_relayed()
                 else RETRY_S
             )
         if await self._read_relayed():
             return self._remaining_validity_s()
+        if self._reload.is_set:
+            return RETRY_S
         # Without waiting: others may relay the next records.
-        if not self._reload.is_set and await self._read_after(0.0):
+        if self._probe_delay_s() <= 0 and await self._read_after(0.0):
             return self._time_to_next_read_s(self._wait_s + self._pause_s)
-        return RETRY_S
+        return self._limit_to_probe(RETRY_S)
+
+    def _probe_delay_s(self) -> float:
+        """Returns the seconds until the store may be read; 0 for now."""
+        return self._probes.delay_s(
+            has_loaded=self.has_loaded, is_whole=self._reload.is_set
+        )
+
+    def _limit_to_probe(self, seconds: float) -> float:
+        """Returns the time to sleep, at most until a read is due again."""
+        if not self._probes.is_limiting:
+            return seconds
+        return min(seconds, max(MIN_INTERVAL_S, self._probe_delay_s()))
 
     def _time_to_next_read_s(self, pause_s: float) -> float:
         pause_s *= self._shared.interval_factor
@@ -263,6 +289,11 @@
         ):
             self._wake()
 
+    def _handle_offer(self) -> None:
+        """Uses that another host has read the store again."""
+        self._probes.hear_return()
+        self._wake()
+
     def _handle_epoch(self, epoch: int) -> None:
         """Schedules a whole read, as the store has returned from a copy."""
         if self._position is None or self._position.epoch == epoch:
@@ -277,7 +308,9 @@
         self._reload.set(
             self._position,
             epoch=self._epoch.value,
-            is_spread=not self._shared.reads_store,
+            is_spread=not (
+                self._shared.reads_store or self._probes.reads_first
+            ),
         )
 
     async def _read_relayed(self) -> bool:
@@ -294,6 +327,7 @@
                 return False
             if not relayed.has_more:
                 self._as_of = max(self._as_of, relayed.as_of)
+                self._probes.hear_fresh()
             self._update_regained_at(relayed.regained_at)
             self._apply(relayed.records, max(position.offset, relayed.end))
             if not relayed.has_more:
@@ -332,7 +366,7 @@
         listing = read.unwrap()
         if not self._is_newest(listing.epoch):
             return False
-        self._record_success(began_at)
+        is_return = self._record_success(began_at)
         before = self._position
         self._position = topicreader.Position(
             epoch=listing.epoch, offset=listing.end
@@ -342,6 +376,8 @@
         self._shared.restart(
             listing, as_of=began_at, regained_at=self._regained_at
         )
+        if is_return:
+            self._shared.offer()
         changes = self._on_all(listing.records)
         if before is not None:
             self._reloads += 1
@@ -363,6 +399,7 @@
             self._reader.read_after(position.offset, wait_s)
         )
         if read is None:
+            self._probes.cancel()
             return False
         if isinstance(read, Failure):
             return self._record_failure(read.failure())
@@ -377,8 +414,10 @@
         waited_in_full = self._timers.now - began_at >= wait_s
         is_empty = not batch.records and batch.end == position.offset
         as_of = began_at + wait_s if is_empty and waited_in_full else began_at
-        self._record_success(as_of)
+        is_return = self._record_success(as_of)
         self._apply(batch.records, batch.end)
+        if is_return:
+            self._shared.offer()
         return True
 
     def _is_newest(self, epoch: int) -> bool:
@@ -390,6 +429,7 @@
         if epoch > self._epoch.value:
             self._epoch.observe(epoch)
         if epoch == self._epoch.value:
+            self._probes.succeed()
             return True
         reason = f"epoch {epoch}, known {self._epoch.value}"
         return self._record_failure(topicreader.StoreAway(reason=reason))
@@ -405,6 +445,7 @@
 
     def _begin_read(self) -> float:
         self._reads += 1
+        self._probes.begin()
         return self._timers.now
 
     def _record_failure(
@@ -414,6 +455,7 @@
             if self._is_newest(failure.epoch):
                 self._schedule_reload()
             return False
+        self._probes.fail()
         if self._lost_at is None:
             self._lost_at = self._timers.now
             self._log.note(
@@ -425,7 +467,12 @@
             )
         return False
 
-    def _record_success(self, as_of: float) -> None:
+    def _record_success(self, as_of: float) -> bool:
+        """Returns whether the records were too old for other hosts before."""
+        is_old = self._shared.is_too_old(self.age_s)
+        is_return = is_old and (
+            self._lost_at is not None or self._shared.is_source_stale
+        )
         self._as_of = as_of
         if self._lost_at is not None:
             self._log.note(
@@ -436,6 +483,7 @@
             )
             self._lost_at = None
             self._regained_at = self._timers.now
+        return is_return
 
     def _update_regained_at(self, at: float | None) -> None:
         """Applies the time at which the relaying host regained the store."""
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaypages.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaypages.py
@@ -82,12 +82,12 @@
         ),
         (
             "crash_reads_total",
-            "Reads of the topic of crashes.",
+            "Reads of the topic of crashes, probes of a store that fails.",
             lambda: services.crash_services.follower.counts,
         ),
         (
             "peer_reads_total",
-            "Reads of the topic of hosts' addresses.",
+            "Reads of the topic of hosts' addresses, probes.",
             lambda: services.follow_peers.counts,
         ),
         (
@@ -107,7 +107,7 @@
         ),
         (
             "configuration_reads_total",
-            "Reads of the configuration's topic.",
+            "Reads of the configuration's topic, probes.",
             lambda: services.follow_configuration.counts,
         ),
         (
@@ -157,7 +157,7 @@
         ),
         (
             "endpoint_reads_total",
-            "Reads of the endpoints' topic.",
+            "Reads of the endpoints' topic, probes sent and left to others.",
             lambda: services.follow_endpoints.counts,
         ),
     ):
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
@@ -118,9 +118,9 @@
             context: What they depend on.
         """
         self._context = context
-        self._own_name = (
-            f"{context.settings().host.name}/{context.rng.getrandbits(32):08x}"
-        )
+        settings = context.settings()
+        instance = f"{context.rng.getrandbits(32):08x}"
+        self._own_name = f"{settings.host.name}/{instance}"
         self._metrics = metrics.Metrics()
         self._timers = clock.TimerService(
             reactor=context.reactor, on_broken=context.kernel.fail
@@ -139,6 +139,7 @@
             rng=context.rng,
             log=context.log,
             on_broken=context.kernel.fail,
+            probe_contact_s=storetopics.find_probe_contact_s(settings),
         )
         self._make_limits()
         self._make_view()
@@ -427,14 +428,13 @@
         )
 
     def _make_crash_services(self) -> None:
-        context = self._context
+        context, bounds = self._context, self._context.settings().bounds
         self._crash_services = crashservices.CrashServices(
             timers=self._timers,
             own_name=self._own_name,
             topic=context.adapter.crash_topic,
             topics=self._topics,
-            wait_s=context.settings().bounds.contact_s
-            / WAITING_READS_PER_BOUND,
+            wait_s=bounds.contact_s / WAITING_READS_PER_BOUND,
             gossip=lambda: self._gossip,
             log=context.log,
             on_broken=context.kernel.fail,
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/sharedtopic.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/sharedtopic.py
@@ -14,7 +14,8 @@
   age is counted from the moment of the query.
 
 In each case the host reads the store at once. After some failures in a row it
-queries the next host for a while.
+queries the next host for a while. If reads of a failing store are limited, see
+`topicprobes`, it queries the hosts that probe the store instead.
 
 Records are exchanged with the store's epoch in which they were read, and are
 used only where that is the epoch of the position that they follow. A newer
@@ -26,11 +27,11 @@
 import math
 from typing import Any
 
-import attrs
-
+from bulrushgrade import storeprobes
 from bulrushgrade_daemon import decisionlog
 from bulrushgrade_daemon import gatewaymessages
 from bulrushgrade_daemon import peerqueries
+from bulrushgrade_daemon import relayedrecords
 from bulrushgrade_daemon import storeepoch
 from bulrushgrade_daemon import topicjournal
 from bulrushgrade_daemon import topicreader
@@ -62,29 +63,14 @@
 MAX_REPLY_BYTES = 1200
 """Limit for the records of a reply, so that its datagram is not fragmented."""
 
+OFFER_NUMBER = 0
+"""Number of a reply to no query, by which a host that regained the store offers
+its records. Queries are counted from 1, so other builds ignore it."""
+
 REPEAT_NOTICE_S = 0.1
 """Delay after which a notice is sent again, as datagrams get lost."""
 
 
-@attrs.frozen(kw_only=True)
-class RelayedRecords:
-    """Records that another host relayed.
-
-    Attributes:
-        records: The records in order.
-        end: Offset after these records.
-        as_of: When the store had no other records than these, in seconds.
-        regained_at: When that host regained the store, or None.
-        has_more: Whether to query again at once.
-    """
-
-    records: tuple[topicreader.KeyedRecord, ...]
-    end: int
-    as_of: float
-    regained_at: float | None
-    has_more: bool
-
-
 class SharedTopic:
     """Exchanges the records of one topic with the hosts of the zone."""
 
@@ -102,6 +88,8 @@
         timers: Any,
         log: decisionlog.DecisionLog,
         keeps_records: bool = True,
+        find_probers: Callable[[], list[str]] | None = None,
+        hold_s: float = 0.0,
     ):
         """Makes an instance without records.
 
@@ -121,6 +109,10 @@
             timers: The timer service.
             log: Logs when the source of records changes.
             keeps_records: Whether records may be retained for relaying.
+            find_probers: Returns the hosts of this zone that probe a failing
+                store, if reads of it are limited.
+            hold_s: Time in seconds for which such a host is queried instead of
+                a source that can't read the store.
         """
         self._topic = topic
         self._own_name = own_name
@@ -147,6 +139,10 @@
         self._relayed_batches = 0
         self._other_epochs = 0
         self._source: str | None = None
+        self._find_probers = find_probers
+        self._turns = storeprobes.SourceTurns(hold_s=hold_s)
+        self._is_source_stale = self._is_source_silent = False
+        self.on_offer: Callable[[], None] = lambda: None
         self.on_notice: Callable[[topicreader.Position], None] = (
             lambda position: None
         )
@@ -155,10 +151,28 @@
     @property
     def reads_store(self) -> bool:
         """Whether this host has to read the store itself."""
-        if self._is_serving or self._must_read():
-            return True
+        return self._is_serving or self._must_read() or self.ranks_first
+
+    @property
+    def must_read(self) -> bool:
+        """Whether this host has to know whether the store is reachable."""
+        return self._must_read()
+
+    @property
+    def ranks_first(self) -> bool:
+        """Whether this host is the first that the zone queries."""
         return self._rank_hosts(self._topic)[0] == self._own_name
 
+    @property
+    def is_source_stale(self) -> bool:
+        """Whether the source replies, but with records that are too old."""
+        return self._is_source_stale
+
+    @property
+    def is_source_silent(self) -> bool:
+        """Whether the usual source didn't reply to the last query."""
+        return self._is_source_silent
+
     @property
     def interval_factor(self) -> float:
         """Factor on the pause between two reads of the store."""
@@ -185,6 +199,10 @@
         age_s = self._timers.now - self._queried_at
         return age_s < SERVING_PERIODS * self._max_age_s
 
+    def is_too_old(self, age_s: float | None) -> bool:
+        """Returns whether records of an age are not accepted from a host."""
+        return age_s is not None and age_s > MAX_AGE_FRACTION * self._max_age_s
+
     def restart(
         self,
         listing: topicreader.Listing,
@@ -227,7 +245,7 @@
 
     async def query(
         self, position: topicreader.Position
-    ) -> RelayedRecords | None:
+    ) -> relayedrecords.RelayedRecords | None:
         """Queries the source for the records from a position on.
 
         Returns None if there is no other host, or if it did not reply with
@@ -247,9 +265,10 @@
         )
         replies = await self._queries.query({source: query})
         if not replies:
-            self._record_failure(source)
+            self._record_silence(source)
             return None
         reply = replies[0]
+        self._is_source_stale = self._is_source_silent = False
         self._observe_epoch(reply.epoch)
         if reply.epoch > position.epoch:
             self._other_epochs += 1
@@ -257,9 +276,11 @@
         is_stated = reply.epoch != storeepoch.UNSTATED
         is_usable = is_stated or position.epoch == storeepoch.UNSTATED
         if not is_usable or not self._is_fresh(reply, queried_at):
-            self._record_failure(source)
+            self._record_stale_reply(source)
             return None
         self._failures.pop(source, None)
+        if self._find_probers is not None:
+            self._turns.keep(source, self._pick_usual_source())
         if reply.epoch < position.epoch:
             self._other_epochs += 1
             return None
@@ -268,7 +289,7 @@
             return None
         self._relayed_batches += 1
         self._set_source(source)
-        return _decode_reply(reply, queried_at)
+        return relayedrecords.decode_reply(reply, queried_at)
 
     def handle_query(self, query: gatewaymessages.RecordQuery) -> None:
         """Replies with this host's records, if it has any."""
@@ -283,7 +304,7 @@
         extract = self._extract(query)
         regained_ms = None
         if self._regained_at is not None:
-            regained_ms = _to_ms(now - self._regained_at)
+            regained_ms = relayedrecords.to_ms(now - self._regained_at)
         reply = gatewaymessages.RecordReply(
             peer=self._own_name,
             number=query.number,
@@ -291,16 +312,41 @@
             records=[(r.offset, r.key, r.value) for r in extract.records],
             end=extract.end,
             has_more=extract.has_more,
-            age_ms=_to_ms(now - self._as_of),
+            age_ms=relayedrecords.to_ms(now - self._as_of),
             regained_ms=regained_ms,
             epoch=self._journal_epoch,
         )
         self._send(query.peer, reply)
 
     def handle_reply(self, reply: gatewaymessages.RecordReply) -> None:
-        """Handles another host's reply."""
+        """Handles another host's reply or offer."""
+        if reply.number == OFFER_NUMBER:
+            self._handle_offer(reply)
+            return
         self._queries.handle_reply(reply)
 
+    def offer(self) -> None:
+        """Tells the zone that this host has read the store again."""
+        if self._find_probers is None:
+            return
+
+        def send() -> None:
+            now = self._timers.now
+            message = gatewaymessages.RecordReply(
+                peer=self._own_name,
+                number=OFFER_NUMBER,
+                topic=self._topic,
+                records=[],
+                end=0,
+                has_more=True,
+                age_ms=relayedrecords.to_ms(now - self._as_of),
+                epoch=self._journal_epoch,
+            )
+            self._send_to_zone(message)
+
+        send()
+        self._timers.after(REPEAT_NOTICE_S, send)
+
     def handle_notice(self, notice: gatewaymessages.RecordNotice) -> None:
         """Handles another host's notice of new records."""
         self._observe_epoch(notice.epoch)
@@ -308,6 +354,18 @@
             topicreader.Position(epoch=notice.epoch, offset=notice.end)
         )
 
+    def _handle_offer(self, offer: gatewaymessages.RecordReply) -> None:
+        """Prefers a host that regained the store if the source has not."""
+        if self._find_probers is None or offer.peer == self._own_name:
+            return
+        self._observe_epoch(offer.epoch)
+        now = self._timers.now
+        if offer.epoch != self._epoch.value or not self._is_fresh(offer, now):
+            return
+        if self._is_source_stale or self._is_source_silent:
+            self._turns.prefer(offer.peer, now)
+        self.on_offer()
+
     def _extract(
         self, query: gatewaymessages.RecordQuery
     ) -> topicjournal.JournalSlice:
@@ -335,15 +393,43 @@
         self, reply: gatewaymessages.RecordReply, queried_at: float
     ) -> bool:
         age_s = self._timers.now - queried_at + reply.age_ms / 1000
-        return age_s <= MAX_AGE_FRACTION * self._max_age_s
+        return not self.is_too_old(age_s)
 
     def _pick_source(self) -> str | None:
-        now = self._timers.now
-        for name in self._rank_hosts(self._topic):
-            is_avoided = self._avoided.get(name, 0.0) > now
-            if name != self._own_name and not is_avoided:
-                return name
-        return None
+        usual = self._pick_usual_source()
+        if self._find_probers is None:
+            return usual
+        probers = [n for n in self._find_probers() if self._may_query(n)]
+        return self._turns.pick(usual, probers, self._timers.now)
+
+    def _pick_usual_source(self) -> str | None:
+        ranked = self._rank_hosts(self._topic)
+        if self._find_probers is not None and self.ranks_first:
+            # The zone learns from the probers when this host can't read.
+            ranked = [*self._find_probers(), *ranked]
+        return next((n for n in ranked if self._may_query(n)), None)
+
+    def _may_query(self, name: str) -> bool:
+        is_avoided = self._avoided.get(name, 0.0) > self._timers.now
+        return name != self._own_name and not is_avoided
+
+    def _record_silence(self, source: str) -> None:
+        if self._find_probers is not None:
+            if source == self._pick_usual_source():
+                self._is_source_silent, self._is_source_stale = True, False
+            else:
+                self._turns.drop(source)
+                self._turns.skip(self._timers.now)
+        self._record_failure(source)
+
+    def _record_stale_reply(self, source: str) -> None:
+        if self._find_probers is None:
+            self._record_failure(source)
+            return
+        # The source is alive, so another one would not be better.
+        self._is_source_stale = True
+        self._set_source(None)
+        self._turns.skip(self._timers.now)
 
     def _record_failure(self, source: str) -> None:
         self._set_source(None)
@@ -377,32 +463,10 @@
             topic=self._topic, end=end, epoch=self._journal_epoch
         )
 
-        def send() -> None:
-            for name in self._rank_hosts(self._topic):
-                if name != self._own_name:
-                    self._send(name, notice)
-
-        send()
-        self._timers.after(REPEAT_NOTICE_S, send)
+        self._send_to_zone(notice)
+        self._timers.after(REPEAT_NOTICE_S, lambda: self._send_to_zone(notice))
 
-
-def _decode_reply(
-    reply: gatewaymessages.RecordReply, queried_at: float
-) -> RelayedRecords:
-    regained_at = None
-    if reply.regained_ms is not None:
-        regained_at = queried_at - reply.regained_ms / 1000
-    return RelayedRecords(
-        records=tuple(
-            topicreader.KeyedRecord(key=key, value=value, offset=offset)
-            for offset, key, value in reply.records
-        ),
-        end=reply.end,
-        as_of=queried_at - reply.age_ms / 1000,
-        regained_at=regained_at,
-        has_more=reply.has_more,
-    )
-
-
-def _to_ms(seconds: float) -> int:
-    return math.ceil(seconds * 1000)
+    def _send_to_zone(self, message: gatewaymessages.Message) -> None:
+        for name in self._rank_hosts(self._topic):
+            if name != self._own_name:
+                self._send(name, message)
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/storetopics.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/storetopics.py
@@ -7,9 +7,11 @@
 from bulrushgrade_daemon import decisionlog
 from bulrushgrade_daemon import follower
 from bulrushgrade_daemon import gatewaymessages
+from bulrushgrade_daemon import gatewaysettings
 from bulrushgrade_daemon import sharedtopic
 from bulrushgrade_daemon import storeepoch
 from bulrushgrade_daemon import topicjournal
+from bulrushgrade_daemon import topicprobes
 from bulrushgrade_daemon import topicreader
 
 
@@ -27,6 +29,7 @@
         rng: random.Random,
         log: decisionlog.DecisionLog,
         on_broken: Callable[[str], None],
+        probe_contact_s: float | None = None,
     ):
         """Makes an instance without topics.
 
@@ -41,6 +44,9 @@
             rng: Random number generator.
             log: Logs when a source of records is lost or regained.
             on_broken: Called with the reason if an invariant is broken.
+            probe_contact_s: Time in seconds after the store's return until all
+                hosts have current records, or None if reads of a store that
+                fails are not limited.
         """
         self._own_name = own_name
         self._rank_hosts = rank_hosts
@@ -51,6 +57,16 @@
         self._log = log
         self._on_broken = on_broken
         self._shared: dict[str, sharedtopic.SharedTopic] = {}
+        self._probes: topicprobes.HostProbes | None = None
+        if probe_contact_s is not None:
+            self._probes = topicprobes.HostProbes(
+                contact_s=probe_contact_s,
+                own_name=own_name,
+                rank_hosts=rank_hosts,
+                timers=timers,
+                rng=rng,
+                log=log,
+            )
 
     def follow(
         self,
@@ -81,6 +97,7 @@
                 to know whether it is reachable.
             keeps_records: Whether records may be retained for relaying.
         """
+        host = self._probes
         shared = self._shared[name] = sharedtopic.SharedTopic(
             topic=name,
             own_name=self._own_name,
@@ -93,6 +110,8 @@
             epoch=self._epoch,
             timers=self._timers,
             log=self._log,
+            find_probers=None if host is None else lambda: host.probers,
+            hold_s=0.0 if host is None else host.contact_s,
         )
         return follower.Follower(
             name=name,
@@ -107,6 +126,9 @@
             on_records=on_records,
             log=self._log,
             on_broken=self._on_broken,
+            probes=topicprobes.TopicProbes(
+                topic=name, shared=shared, host=host
+            ),
         )
 
     def receive(
@@ -128,6 +150,18 @@
                 shared.handle_notice(message)
 
 
+def find_probe_contact_s(
+    settings: gatewaysettings.GatewaySettings,
+) -> float | None:
+    """Returns the bound by which reads of a failing store are limited.
+
+    Returns None if they are not limited.
+    """
+    if not settings.features.limits_store_probes:
+        return None
+    return settings.bounds.contact_s
+
+
 def _extract_value(record: topicreader.KeyedRecord) -> topicjournal.RecordState:
     """Returns the state of a record of a topic without heartbeats."""
     return topicjournal.RecordState(content=record.value)
