--- a/packages/bulrushgrade/bulrushgrade/storeprobes.py
+++ b/packages/bulrushgrade/bulrushgrade/storeprobes.py
@@ -156,11 +156,17 @@
             return max(0.0, delay_s + self._same_topic_s(now, delay_s))
         return delay_s
 
-    def begin(self, topic: str, now: float) -> bool:
-        """Notes that a read begins; returns whether it is a probe."""
+    def begin(self, topic: str, *, is_stale: bool, now: float) -> bool:
+        """Notes that a read begins; returns whether it is a probe.
+
+        Args:
+            topic: The topic's name.
+            is_stale: Whether another host relays records that are too old.
+            now: The current time in seconds.
+        """
         self._running[topic] = now
         self._released.discard(topic)
-        if not self.is_failing:
+        if not self.is_failing and not is_stale:
             return False
         self._probe = self._last_topic = topic
         return True
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/topicprobes.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/topicprobes.py
@@ -17,6 +17,11 @@
 is half of what the pauses between probes leave of half the bound."""
 
 
+MIN_LOGGED_S = 0.2
+"""Time after which it is logged that probes are left to others. Single replies
+that are too old are usual while the store answers."""
+
+
 class HostProbes:
     """The schedule of one host, and the followers that it wakes."""
 
@@ -49,6 +54,7 @@
         self._timers = timers
         self._log = log
         self._left_at: float | None = None
+        self._is_logged = False
         self._wakeups: dict[str, Callable[[], None]] = {}
 
     @property
@@ -88,21 +94,23 @@
 
     def log_change(self) -> None:
         """Logs it if this host begins or ends to leave probes to others."""
-        if self.schedule.leaves_probing == (self._left_at is not None):
+        if not self.schedule.leaves_probing:
+            if self._is_logged:
+                after_s = round(self.now - self._left_at, 3)
+                self._log.note("store_probes_resumed", after_s=after_s)
+            self._left_at, self._is_logged = None, False
             return
         if self._left_at is None:
             self._left_at = self.now
-            self._log.note(
-                "store_probes_left",
-                probers=self.probers,
-                zone_hosts=self.zone_hosts,
-                failures=self.schedule.failures,
-            )
+        if self._is_logged or self.now - self._left_at < MIN_LOGGED_S:
             return
+        self._is_logged = True
         self._log.note(
-            "store_probes_resumed", after_s=round(self.now - self._left_at, 3)
+            "store_probes_left",
+            probers=self.probers,
+            zone_hosts=self.zone_hosts,
+            failures=self.schedule.failures,
         )
-        self._left_at = None
 
 
 class TopicProbes:
@@ -194,9 +202,11 @@
         """Notes that a read of the store begins."""
         if self._host is None:
             return
-        is_probe = self._host.schedule.begin(self._topic, self._host.now)
-        if is_probe or self._shared.is_source_stale:
-            self._sent += 1
+        self._sent += self._host.schedule.begin(
+            self._topic,
+            is_stale=self._shared.is_source_stale,
+            now=self._host.now,
+        )
 
     def cancel(self) -> None:
         """Notes that a read was abandoned."""
