--- a/packages/bulrushgrade/bulrushgrade/storeprobes.py
+++ b/packages/bulrushgrade/bulrushgrade/storeprobes.py
@@ -187,8 +187,9 @@
         """
         began_at = self._running.get(topic, now)
         self.cancel(topic)
-        # Reads that were under way together fail for the same reason.
-        if self.is_failing and began_at < self._ended_at:
+        # Reads that were under way together fail for the same reason, and one
+        # from before the store's return says nothing about the time after it.
+        if began_at < (self._ended_at if self.is_failing else self._heard_at):
             return
         self._failures += 1
         self._began_at, self._ended_at = began_at, now
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/follower.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/follower.py
@@ -254,7 +254,11 @@
         """Returns the time to sleep, at most until a read is due again."""
         if not self._probes.is_limiting:
             return seconds
-        return min(seconds, max(MIN_INTERVAL_S, self._probe_delay_s()))
+        return min(
+            seconds,
+            self._probes.query_interval_s,
+            max(MIN_INTERVAL_S, self._probe_delay_s()),
+        )
 
     def _time_to_next_read_s(self, pause_s: float) -> float:
         pause_s *= self._shared.interval_factor
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/sharedtopic.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/sharedtopic.py
@@ -67,6 +67,15 @@
 """Number of a reply to no query, by which a host that regained the store offers
 its records. Queries are counted from 1, so other builds ignore it."""
 
+OFFER_INTERVAL_FRACTION = 1 / 4
+"""Fraction of the time for which another host is queried instead of the source,
+within which further offers of a topic are neither sent nor used."""
+
+PROBER_QUERY_FRACTION = 1 / 4
+"""Fraction of that time after which the first host of the zone, if it can't
+read the store, queries another prober. The zone relies on its records, and the
+views of a topic may be valid for long."""
+
 REPEAT_NOTICE_S = 0.1
 """Delay after which a notice is sent again, as datagrams get lost."""
 
@@ -140,7 +149,10 @@
         self._other_epochs = 0
         self._source: str | None = None
         self._find_probers = find_probers
+        self._hold_s = hold_s
         self._turns = storeprobes.SourceTurns(hold_s=hold_s)
+        # Epoch and time of the last offer that was sent or used.
+        self._last_offer = storeepoch.UNSTATED, -math.inf
         self._is_source_stale = self._is_source_silent = False
         self.on_offer: Callable[[], None] = lambda: None
         self.on_notice: Callable[[topicreader.Position], None] = (
@@ -163,6 +175,11 @@
         """Whether this host is the first that the zone queries."""
         return self._rank_hosts(self._topic)[0] == self._own_name
 
+    @property
+    def prober_query_s(self) -> float:
+        """Seconds after which the first host queries another prober."""
+        return PROBER_QUERY_FRACTION * self._hold_s
+
     @property
     def is_source_stale(self) -> bool:
         """Whether the source replies, but with records that are too old."""
@@ -251,7 +268,8 @@
         Returns None if there is no other host, or if it did not reply with
         records of the same epoch that are fresh and complete enough.
         """
-        source = self._pick_source()
+        usual = self._pick_usual_source()
+        source = self._pick_source(usual)
         if source is None:
             self._set_source(None)
             return None
@@ -265,7 +283,7 @@
         )
         replies = await self._queries.query({source: query})
         if not replies:
-            self._record_silence(source)
+            self._record_silence(source, usual)
             return None
         reply = replies[0]
         self._is_source_stale = self._is_source_silent = False
@@ -280,7 +298,7 @@
             return None
         self._failures.pop(source, None)
         if self._find_probers is not None:
-            self._turns.keep(source, self._pick_usual_source())
+            self._turns.keep(source, usual)
         if reply.epoch < position.epoch:
             self._other_epochs += 1
             return None
@@ -327,7 +345,9 @@
 
     def offer(self) -> None:
         """Tells the zone that this host has read the store again."""
-        if self._find_probers is None:
+        if self._find_probers is None or not self._may_offer(
+            self._journal_epoch
+        ):
             return
 
         def send() -> None:
@@ -362,10 +382,27 @@
         now = self._timers.now
         if offer.epoch != self._epoch.value or not self._is_fresh(offer, now):
             return
+        if not self._may_offer(offer.epoch):
+            return
         if self._is_source_stale or self._is_source_silent:
             self._turns.prefer(offer.peer, now)
         self.on_offer()
 
+    def _may_offer(self, epoch: int) -> bool:
+        """Returns whether this is the first offer for a while.
+
+        Otherwise each host that reads after a return would become a source of
+        some others, and read often for them.
+        """
+        now, (before, at) = self._timers.now, self._last_offer
+        if (
+            epoch == before
+            and now - at < OFFER_INTERVAL_FRACTION * self._hold_s
+        ):
+            return False
+        self._last_offer = epoch, now
+        return True
+
     def _extract(
         self, query: gatewaymessages.RecordQuery
     ) -> topicjournal.JournalSlice:
@@ -395,8 +432,7 @@
         age_s = self._timers.now - queried_at + reply.age_ms / 1000
         return not self.is_too_old(age_s)
 
-    def _pick_source(self) -> str | None:
-        usual = self._pick_usual_source()
+    def _pick_source(self, usual: str | None) -> str | None:
         if self._find_probers is None:
             return usual
         probers = [n for n in self._find_probers() if self._may_query(n)]
@@ -405,17 +441,20 @@
     def _pick_usual_source(self) -> str | None:
         ranked = self._rank_hosts(self._topic)
         if self._find_probers is not None and self.ranks_first:
-            # The zone learns from the probers when this host can't read.
-            ranked = [*self._find_probers(), *ranked]
+            # The zone learns from the probers when this host can't read. Each
+            # is queried in turn, so that each reads the topic.
+            probers = self._find_probers()
+            turn = int(self._timers.now / self.prober_query_s) % len(probers)
+            ranked = [*probers[turn:], *probers[:turn], *ranked]
         return next((n for n in ranked if self._may_query(n)), None)
 
     def _may_query(self, name: str) -> bool:
         is_avoided = self._avoided.get(name, 0.0) > self._timers.now
         return name != self._own_name and not is_avoided
 
-    def _record_silence(self, source: str) -> None:
+    def _record_silence(self, source: str, usual: str | None) -> None:
         if self._find_probers is not None:
-            if source == self._pick_usual_source():
+            if source == usual:
                 self._is_source_silent, self._is_source_stale = True, False
             else:
                 self._turns.drop(source)
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/topicprobes.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/topicprobes.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Callable
+import math
 import random
 from typing import Any
 
@@ -151,6 +152,13 @@
         """Whether this host reads before the others after a return."""
         return self._host is not None and self._host.is_prober
 
+    @property
+    def query_interval_s(self) -> float:
+        """Greatest time between two queries while the store can't be read."""
+        if self._host is None or not self._shared.ranks_first:
+            return math.inf
+        return self._shared.prober_query_s
+
     @property
     def counts(self) -> dict[str, int]:
         """Counts of probes sent and left to others, if reads are limited."""
--- a/packages/bulrushgrade_daemon/tests/probescene.py
+++ b/packages/bulrushgrade_daemon/tests/probescene.py
@@ -9,6 +9,7 @@
 from returns.result import Success
 from twisted.internet import defer
 
+from bulrushgrade import storeprobes
 from bulrushgrade_daemon import storeepoch
 from bulrushgrade_daemon import storetopics
 from bulrushgrade_daemon import topicreader
@@ -152,26 +153,47 @@
         self.reactor, self.timers, self.broken = fakes.make_timers()
         self.store = Store(self.timers)
         self.gone, self.lost = set(), set()
+        self.contact_s = contact_s
+        self.ranks = {}
         self.hosts = {}
         for zone, n in itertools.product(range(zones), range(count)):
-            name = f"z{zone}h{n}"
-            self.hosts[name] = Host(name, self, contact_s)
+            self.hosts[f"z{zone}h{n}"] = None
         self.store.append(b"first")
         for name in self.hosts:
             self.start(name)
         self.run(20.0)
 
     def start(self, name):
+        """Starts a host that has loaded nothing."""
+        self.ranks.clear()
+        self.hosts[name] = Host(name, self, self.contact_s)
         for made in self.hosts[name].followers.values():
             fakes.run(made.start())
 
     def kill(self, name):
         """Ends a host, which counts as present until it is in `gone`."""
         self.lost.add(name)
+        self.ranks.clear()
         for made in self.hosts.pop(name).followers.values():
             defer.Deferred.fromCoroutine(made.stop())
 
+    def forget(self, name):
+        """Ends the time for which a killed host counts as present."""
+        self.gone.add(name)
+        self.ranks.clear()
+
     def rank(self, zone, key):
+        if (zone, key) not in self.ranks:
+            self.ranks[zone, key] = self._rank(zone, key)
+        return list(self.ranks[zone, key])
+
+    def find_probers(self):
+        """Returns the hosts of all zones that probe often."""
+        zones = sorted({name[:2] for name in self.hosts})
+        key, count = storeprobes.PROBE_KEY, storeprobes.PROBERS
+        return [n for zone in zones for n in self.rank(zone, key)[:count]]
+
+    def _rank(self, zone, key):
         names = (n for n in self.hosts.keys() | self.lost if n[:2] == zone)
         return sorted(
             (n for n in names if n not in self.gone),
@@ -179,7 +201,7 @@
         )
 
     def carry(self, sender, peer, message):
-        if not {sender, peer} & self.lost and peer in self.hosts:
+        if sender not in self.lost and peer not in self.lost:
             self.hosts[peer].topics.receive(message)
         return True
 
