--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/sharedtopic.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/sharedtopic.py
@@ -187,7 +187,7 @@
 
     @property
     def is_source_silent(self) -> bool:
-        """Whether the usual source didn't reply to the last query."""
+        """Whether the usual source didn't reply to the last queries."""
         return self._is_source_silent
 
     @property
@@ -458,11 +458,11 @@
 
     def _record_silence(self, source: str, usual: str | None) -> None:
         if self._find_probers is not None:
-            if source == usual:
-                self._is_source_silent, self._is_source_stale = True, False
-            else:
+            if source != usual:
                 self._turns.drop(source)
                 self._turns.skip(self._timers.now)
+            elif self._failures.get(source, 0) + 1 >= MAX_FAILURES:
+                self._is_source_silent, self._is_source_stale = True, False
         self._record_failure(source)
 
     def _record_stale_reply(self, source: str) -> None:
@@ -470,6 +470,7 @@
             self._record_failure(source)
             return
         # The source is alive, so another one would not be better.
+        self._failures.pop(source, None)
         self._is_source_stale = True
         self._set_source(None)
         self._turns.skip(self._timers.now)
