--- a/packages/bulrushgrade/bulrushgrade/storeprobes.py
+++ b/packages/bulrushgrade/bulrushgrade/storeprobes.py
@@ -42,7 +42,7 @@
 the time in which a zone notices that only its probers are refused."""
 
 MIN_OTHER_FRACTION = 1 / 2
-"""Least average pause of such a host, as a fraction of the contact bound."""
+"""Least pause of such a host, as a fraction of the contact bound."""
 
 RETURN_SPREAD_S = 0.2
 """Time over which a host spreads the reads of its topics once the store is
@@ -195,8 +195,10 @@
         self._began_at, self._ended_at = began_at, now
         self._last_topic = topic
         self._jitter = self._rng.uniform(*JITTER)
-        period_s = self._other_period_s(hosts)
-        self._other_due_at = now + period_s * self._rng.uniform(*JITTER)
+        self._other_due_at = now + max(
+            MIN_OTHER_FRACTION * self._contact_s,
+            self._other_period_s(hosts) * self._rng.uniform(*JITTER),
+        )
 
     def succeed(self, topic: str, now: float) -> bool:
         """Notes that a read succeeded; returns whether the store had failed."""
--- a/packages/bulrushgrade/tests/test_storeprobes.py
+++ b/packages/bulrushgrade/tests/test_storeprobes.py
@@ -138,7 +138,7 @@
     assert not probes.schedule.is_failing
 
 
-def test_turns_go_over_the_probers_while_the_source_is_stale():
+def test_turns_go_over_probers_and_an_offer_while_the_source_is_stale():
     turns = storeprobes.SourceTurns(hold_s=3.0)
     picked = []
     for _ in range(4):
@@ -149,12 +149,8 @@
     turns.keep("c", "a")
     assert turns.pick("a", ["b", "c"], 1.0) == "c"
     assert turns.pick("a", ["b", "c"], 3.0) == "a"
-
-
-def test_host_that_offers_records_is_queried_next_unless_it_is_silent():
-    turns = storeprobes.SourceTurns(hold_s=3.0)
-    turns.prefer("d", 0.0)
-    assert turns.pick("a", ["b"], 0.0) == "d"
+    turns.prefer("d", 3.0)
+    assert turns.pick("a", ["b"], 3.0) == "d"
     turns.drop("d")
-    assert turns.pick("a", ["b"], 0.0) == "b"
-    assert turns.pick(None, [], 0.0) is None
+    assert turns.pick("a", ["b"], 3.0) == "b"
+    assert turns.pick(None, [], 3.0) is None
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/follower.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/follower.py
@@ -303,6 +303,7 @@
         if self._position is None or self._position.epoch == epoch:
             return
         self._regained_at = self._timers.now
+        self._probes.hear_return()
         self._schedule_reload()
         self._wake()
         # The new epoch may be that of the poll's own answer.
