--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/sharedtopic.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/sharedtopic.py
@@ -14,7 +14,8 @@
   age is counted from the moment of the query.
 
 In each case the host reads the store at once. After some failures in a row it
-queries the next host for a while.
+queries the next host for a while. If reads of a failing store are limited, see
+`topicprobes`, it queries the hosts that probe the store instead.
 
 Records are exchanged with the store's epoch in which they were read, and are
 used only where that is the epoch of the position that they follow. A newer
@@ -26,11 +27,11 @@
 import math
 from typing import Any
 
-import attrs
-
 from bulrushgrade_daemon import decisionlog
 from bulrushgrade_daemon import gatewaymessages
 from bulrushgrade_daemon import peerqueries
+from bulrushgrade_daemon import recordsources
+from bulrushgrade_daemon import relayedrecords
 from bulrushgrade_daemon import storeepoch
 from bulrushgrade_daemon import topicjournal
 from bulrushgrade_daemon import topicreader
@@ -51,40 +52,17 @@
 """Periods of its own reads for which a host stays a source after a query. They
 are longer than the interval between two queries, one of which may be lost."""
 
-MAX_FAILURES = 2
-"""Consecutive failed queries of a host after which another one is queried. A
-single failure is often just a lost datagram."""
-
-AVOID_S = 5.0
-"""How long the other host is queried instead: until a host that is gone no
-longer counts among the hosts of the zone."""
-
 MAX_REPLY_BYTES = 1200
 """Limit for the records of a reply, so that its datagram is not fragmented."""
 
+OFFER_NUMBER = 0
+"""Number of a reply to no query, by which a host that regained the store offers
+its records. Queries are counted from 1, so other builds ignore it."""
+
 REPEAT_NOTICE_S = 0.1
 """Delay after which a notice is sent again, as datagrams get lost."""
 
 
-@attrs.frozen(kw_only=True)
-class RelayedRecords:
-    """Records that another host relayed.
-
-    Attributes:
-        records: The records in order.
-        end: Offset after these records.
-        as_of: When the store had no other records than these, in seconds.
-        regained_at: When that host regained the store, or None.
-        has_more: Whether to query again at once.
-    """
-
-    records: tuple[topicreader.KeyedRecord, ...]
-    end: int
-    as_of: float
-    regained_at: float | None
-    has_more: bool
-
-
 class SharedTopic:
     """Exchanges the records of one topic with the hosts of the zone."""
 
@@ -102,6 +80,7 @@
         timers: Any,
         log: decisionlog.DecisionLog,
         keeps_records: bool = True,
+        probers: recordsources.Probers | None = None,
     ):
         """Makes an instance without records.
 
@@ -121,6 +100,8 @@
             timers: The timer service.
             log: Logs when the source of records changes.
             keeps_records: Whether records may be retained for relaying.
+            probers: The hosts of this zone that probe a failing store, if
+                reads of it are limited.
         """
         self._topic = topic
         self._own_name = own_name
@@ -130,7 +111,15 @@
         self._send = send
         self._epoch = epoch
         self._timers = timers
-        self._log = log
+        self._limits_reads = probers is not None
+        self.sources = recordsources.RecordSources(
+            topic=topic,
+            own_name=own_name,
+            rank_hosts=rank_hosts,
+            probers=probers,
+            timers=timers,
+            log=log,
+        )
         self._queries = peerqueries.PeerQueries(
             timers=timers, send=send, timeout_s=REPLY_TIMEOUT_S
         )
@@ -142,11 +131,9 @@
         self._as_of: float | None = None
         self._regained_at: float | None = None
         self._queried_at = -math.inf
-        self._avoided: dict[str, float] = {}
-        self._failures: dict[str, int] = {}
         self._relayed_batches = 0
         self._other_epochs = 0
-        self._source: str | None = None
+        self.on_offer: Callable[[], None] = lambda: None
         self.on_notice: Callable[[topicreader.Position], None] = (
             lambda position: None
         )
@@ -155,9 +142,12 @@
     @property
     def reads_store(self) -> bool:
         """Whether this host has to read the store itself."""
-        if self._is_serving or self._must_read():
-            return True
-        return self._rank_hosts(self._topic)[0] == self._own_name
+        return self._is_serving or self._must_read() or self.sources.ranks_first
+
+    @property
+    def must_read(self) -> bool:
+        """Whether this host has to know whether the store is reachable."""
+        return self._must_read()
 
     @property
     def interval_factor(self) -> float:
@@ -167,7 +157,7 @@
     @property
     def source(self) -> str | None:
         """The daemon that records come from, or None for the store."""
-        return self._source
+        return self.sources.current
 
     @property
     def counts(self) -> dict[str, int]:
@@ -185,6 +175,10 @@
         age_s = self._timers.now - self._queried_at
         return age_s < SERVING_PERIODS * self._max_age_s
 
+    def is_too_old(self, age_s: float | None) -> bool:
+        """Returns whether records of an age are not accepted from a host."""
+        return age_s is not None and age_s > MAX_AGE_FRACTION * self._max_age_s
+
     def restart(
         self,
         listing: topicreader.Listing,
@@ -227,15 +221,14 @@
 
     async def query(
         self, position: topicreader.Position
-    ) -> RelayedRecords | None:
+    ) -> relayedrecords.RelayedRecords | None:
         """Queries the source for the records from a position on.
 
         Returns None if there is no other host, or if it did not reply with
         records of the same epoch that are fresh and complete enough.
         """
-        source = self._pick_source()
+        source = self.sources.pick()
         if source is None:
-            self._set_source(None)
             return None
         queried_at = self._timers.now
         query = functools.partial(
@@ -247,9 +240,10 @@
         )
         replies = await self._queries.query({source: query})
         if not replies:
-            self._record_failure(source)
+            self.sources.note_silence(source)
             return None
         reply = replies[0]
+        self.sources.note_reply()
         self._observe_epoch(reply.epoch)
         if reply.epoch > position.epoch:
             self._other_epochs += 1
@@ -257,9 +251,9 @@
         is_stated = reply.epoch != storeepoch.UNSTATED
         is_usable = is_stated or position.epoch == storeepoch.UNSTATED
         if not is_usable or not self._is_fresh(reply, queried_at):
-            self._record_failure(source)
+            self.sources.note_stale(source)
             return None
-        self._failures.pop(source, None)
+        self.sources.note_fresh(source)
         if reply.epoch < position.epoch:
             self._other_epochs += 1
             return None
@@ -267,8 +261,8 @@
         if reply.has_more and reply.end <= position.offset:
             return None
         self._relayed_batches += 1
-        self._set_source(source)
-        return _decode_reply(reply, queried_at)
+        self.sources.use(source)
+        return relayedrecords.decode_reply(reply, queried_at)
 
     def handle_query(self, query: gatewaymessages.RecordQuery) -> None:
         """Replies with this host's records, if it has any."""
@@ -283,7 +277,7 @@
         extract = self._extract(query)
         regained_ms = None
         if self._regained_at is not None:
-            regained_ms = _to_ms(now - self._regained_at)
+            regained_ms = relayedrecords.to_ms(now - self._regained_at)
         reply = gatewaymessages.RecordReply(
             peer=self._own_name,
             number=query.number,
@@ -291,16 +285,43 @@
             records=[(r.offset, r.key, r.value) for r in extract.records],
             end=extract.end,
             has_more=extract.has_more,
-            age_ms=_to_ms(now - self._as_of),
+            age_ms=relayedrecords.to_ms(now - self._as_of),
             regained_ms=regained_ms,
             epoch=self._journal_epoch,
         )
         self._send(query.peer, reply)
 
     def handle_reply(self, reply: gatewaymessages.RecordReply) -> None:
-        """Handles another host's reply."""
+        """Handles another host's reply or offer."""
+        if reply.number == OFFER_NUMBER:
+            self._handle_offer(reply)
+            return
         self._queries.handle_reply(reply)
 
+    def offer(self) -> None:
+        """Tells the zone that this host has read the store again."""
+        if not self._limits_reads or not self.sources.is_first_offer(
+            self._journal_epoch
+        ):
+            return
+
+        def send() -> None:
+            now = self._timers.now
+            message = gatewaymessages.RecordReply(
+                peer=self._own_name,
+                number=OFFER_NUMBER,
+                topic=self._topic,
+                records=[],
+                end=0,
+                has_more=True,
+                age_ms=relayedrecords.to_ms(now - self._as_of),
+                epoch=self._journal_epoch,
+            )
+            self._send_to_zone(message)
+
+        send()
+        self._timers.after(REPEAT_NOTICE_S, send)
+
     def handle_notice(self, notice: gatewaymessages.RecordNotice) -> None:
         """Handles another host's notice of new records."""
         self._observe_epoch(notice.epoch)
@@ -308,6 +329,19 @@
             topicreader.Position(epoch=notice.epoch, offset=notice.end)
         )
 
+    def _handle_offer(self, offer: gatewaymessages.RecordReply) -> None:
+        """Prefers a host that regained the store if the source has not."""
+        if not self._limits_reads or offer.peer == self._own_name:
+            return
+        self._observe_epoch(offer.epoch)
+        now = self._timers.now
+        if offer.epoch != self._epoch.value or not self._is_fresh(offer, now):
+            return
+        if not self.sources.is_first_offer(offer.epoch):
+            return
+        self.sources.prefer(offer.peer)
+        self.on_offer()
+
     def _extract(
         self, query: gatewaymessages.RecordQuery
     ) -> topicjournal.JournalSlice:
@@ -335,74 +369,17 @@
         self, reply: gatewaymessages.RecordReply, queried_at: float
     ) -> bool:
         age_s = self._timers.now - queried_at + reply.age_ms / 1000
-        return age_s <= MAX_AGE_FRACTION * self._max_age_s
-
-    def _pick_source(self) -> str | None:
-        now = self._timers.now
-        for name in self._rank_hosts(self._topic):
-            is_avoided = self._avoided.get(name, 0.0) > now
-            if name != self._own_name and not is_avoided:
-                return name
-        return None
-
-    def _record_failure(self, source: str) -> None:
-        self._set_source(None)
-        failures = self._failures[source] = self._failures.get(source, 0) + 1
-        if failures < MAX_FAILURES:
-            return
-        now = self._timers.now
-        self._avoided = {n: t for n, t in self._avoided.items() if t > now}
-        self._avoided[source] = now + AVOID_S
-        self._log.note(
-            "record_source_avoided",
-            topic=self._topic,
-            peer=source,
-            failures=failures,
-            avoid_s=AVOID_S,
-        )
-
-    def _set_source(self, source: str | None) -> None:
-        if source == self._source:
-            return
-        self._log.note(
-            "record_source_changed",
-            topic=self._topic,
-            source=source or "store",
-            before=self._source or "store",
-        )
-        self._source = source
+        return not self.is_too_old(age_s)
 
     def _send_notice(self, end: int) -> None:
         notice = gatewaymessages.RecordNotice(
             topic=self._topic, end=end, epoch=self._journal_epoch
         )
 
-        def send() -> None:
-            for name in self._rank_hosts(self._topic):
-                if name != self._own_name:
-                    self._send(name, notice)
-
-        send()
-        self._timers.after(REPEAT_NOTICE_S, send)
+        self._send_to_zone(notice)
+        self._timers.after(REPEAT_NOTICE_S, lambda: self._send_to_zone(notice))
 
-
-def _decode_reply(
-    reply: gatewaymessages.RecordReply, queried_at: float
-) -> RelayedRecords:
-    regained_at = None
-    if reply.regained_ms is not None:
-        regained_at = queried_at - reply.regained_ms / 1000
-    return RelayedRecords(
-        records=tuple(
-            topicreader.KeyedRecord(key=key, value=value, offset=offset)
-            for offset, key, value in reply.records
-        ),
-        end=reply.end,
-        as_of=queried_at - reply.age_ms / 1000,
-        regained_at=regained_at,
-        has_more=reply.has_more,
-    )
-
-
-def _to_ms(seconds: float) -> int:
-    return math.ceil(seconds * 1000)
+    def _send_to_zone(self, message: gatewaymessages.Message) -> None:
+        for name in self._rank_hosts(self._topic):
+            if name != self._own_name:
+                self._send(name, message)
