Observe the load of engines at all hosts, also in store outages

Only the ordering host observed the load, and only while it reached the store. Each change of that host and each outage of more than 2 s began a new window of 20 s, in which no engine is released.

All hosts now keep the window, those that don't order once per second. A sample counts until the next one, so that this doesn't shorten a peak.

--- a/packages/bulrushgrade/bulrushgrade/capacitydemand.py
+++ b/packages/bulrushgrade/bulrushgrade/capacitydemand.py
@@ -139,9 +139,16 @@
         total = (self._prefill + self._decode) / TARGET_UTILIZATION
         engines = math.ceil(total - _ROUNDING)
         self._samples.append(_Sample(at=now, engines=engines))
-        while now - self._samples[0].at > DEMAND_WINDOW_S:
+        # A load may have lasted until the next observation.
+        while now - self._samples[0].at > DEMAND_WINDOW_S and (
+            now - self._samples[1].at > DEMAND_WINDOW_S
+        ):
             self._samples.popleft()
 
+    def reset_demand(self) -> None:
+        """Makes the next update begin with the former number of engines."""
+        self._engines = None
+
     def update(self, bounds: DemandBounds, now: float) -> int:
         """Returns the number of engines that the service needs now.
 
--- a/packages/bulrushgrade/bulrushgrade/enginefleet.py
+++ b/packages/bulrushgrade/bulrushgrade/enginefleet.py
@@ -148,6 +148,28 @@
             events=self._mean_events,
         )
 
+    def count_streams(
+        self,
+        engine: directory.Registration,
+        traits: routing.EngineTraits,
+        now: float,
+    ) -> tuple[int, int]:
+        """Returns the number of streams at an engine and their tokens.
+
+        It takes less CPU time than `estimate_decode_load`.
+
+        Args:
+            engine: The engine.
+            traits: The common properties of the engines.
+            now: The present time in seconds.
+        """
+        load = self.load(engine, traits)
+        peers = self._peers.at(engine.id, now)
+        return (
+            load.streams.running + peers.streams,
+            load.streams.tokens + peers.tokens,
+        )
+
     def wait_s(
         self,
         engine: directory.Registration,
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/capacitycontrol.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/capacitycontrol.py
@@ -23,6 +23,11 @@
 CHECK_PERIOD_S = 0.5
 """Time between two checks of the number of running engines."""
 
+STANDBY_CHECKS = 2
+"""Checks per observation of the load at hosts that don't order engines. They
+need it only when they succeed the ordering host, and it takes CPU time for each
+engine."""
+
 
 class CapacityControl:
     """Compares running engines with the needed ones and orders changes."""
@@ -77,6 +82,7 @@
         self._demands: dict[str, capacityplan.CapacityView] = {}
         self._spot_targets: dict[str, int] = {}
         self._ordering = False
+        self._checks = 0
         self._outcomes: dict[str, int] = {}
         self._tick: Any = None
         actions.listen(ordertopic.TopicListener(on_record=self._apply_record))
@@ -108,13 +114,14 @@
         return {"needed": needed, "demands": demands, **self.counts}
 
     def _check(self) -> None:
+        self._checks += 1
         if not self._leads():
-            # A new leader starts with the demand unknown.
-            self._estimates.clear()
-            self._demands.clear()
+            self._stand_by()
             return
         # Also while an order is under way, so that no load is missed.
         views = [self._add_demand(view) for view in self._views()]
+        if not views:
+            self._observe_known()
         if self._ordering:
             return
         for view in views:
@@ -128,26 +135,52 @@
                 )
                 return
 
+    def _stand_by(self) -> None:
+        """Observes the load so that a new leader knows that of a window."""
+        self._demands.clear()
+        for estimate in self._estimates.values():
+            # Another host orders, so that the former number is in the records.
+            estimate.reset_demand()
+        if self._checks % STANDBY_CHECKS == 0:
+            for view in self._views():
+                if view.service not in self._estimates:
+                    self._observe(view.service)
+            self._observe_known()
+
+    def _observe_known(self) -> None:
+        """Observes services also while the store can't be reached."""
+        for service, estimate in self._estimates.items():
+            use = self._read_use(service)
+            if use is not None:
+                estimate.observe(use, self._timers.now)
+
     def _get_plan(self, service: str) -> capacityplan.CapacityPlan:
         if service not in self._plans:
             plan = capacityplan.CapacityPlan(holder=self._own_name)
             self._plans[service] = plan
         return self._plans[service]
 
-    def _add_demand(
-        self, view: capacityplan.CapacityView
-    ) -> capacityplan.CapacityView:
-        """Returns a view with the demand, if engines are ordered for it."""
-        use = self._read_use(view.service)
+    def _observe(self, service: str) -> capacitydemand.DemandEstimate | None:
+        """Takes in the load of a service if engines are ordered for it."""
+        use = self._read_use(service)
         if use is None:
-            return view
-        now, service = self._timers.now, view.service
+            return None
         estimate = self._estimates.get(service)
         if estimate is None:
             estimate = capacitydemand.DemandEstimate()
             self._estimates[service] = estimate
             self._register_gauges(service)
-        estimate.observe(use, now)
+        estimate.observe(use, self._timers.now)
+        return estimate
+
+    def _add_demand(
+        self, view: capacityplan.CapacityView
+    ) -> capacityplan.CapacityView:
+        """Returns a view with the demand, if engines are ordered for it."""
+        estimate = self._observe(view.service)
+        if estimate is None:
+            return view
+        now, service = self._timers.now, view.service
         plan = self._get_plan(service)
         bounds = plan.demand_bounds(view, now)
         if bounds is None:
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/operatortasks.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/operatortasks.py
@@ -201,15 +201,25 @@
         is_recent = not self._link.hosts or self._peer_loads.has_recent(now)
 
         def read(engine: directory.Registration) -> capacitydemand.EngineUse:
-            load = fleet.estimate_decode_load(engine, traits, now)
-            return capacitydemand.EngineUse(
-                is_prefill=engine.stage is directory.Stage.PREFILL,
-                streams=load.streams,
-                slots=load.slots,
-                memory_fraction=load.tokens / load.memory_tokens,
-                queued_s=fleet.wait_s(
+            if engine.stage is directory.Stage.PREFILL:
+                queued_s = fleet.wait_s(
                     engine, traits, now, routing.LOWEST_URGENCY
-                ),
+                )
+                return capacitydemand.EngineUse(
+                    is_prefill=True,
+                    streams=0,
+                    slots=traits.slots,
+                    memory_fraction=0.0,
+                    queued_s=queued_s,
+                    is_recent=is_recent,
+                )
+            streams, tokens = fleet.count_streams(engine, traits, now)
+            return capacitydemand.EngineUse(
+                is_prefill=False,
+                streams=streams,
+                slots=traits.slots,
+                memory_fraction=tokens / traits.memory_tokens,
+                queued_s=0.0,
                 is_recent=is_recent,
             )
 
--- a/packages/bulrushgrade_daemon/tests/test_capacitycontrol.py
+++ b/packages/bulrushgrade_daemon/tests/test_capacitycontrol.py
@@ -85,6 +85,7 @@
 
     def __init__(self, *names):
         self.reactor, self.timers, _ = fakes.make_timers()
+        self.leads = self.reaches_store = True
         self.peers = peerloads.PeerLoads()
         self.lines = fakes.EventRecorder()
         engine = directory.Registration(
@@ -136,8 +137,8 @@
             ),
             peer_loads=self.peers,
             metrics=metrics.Metrics(),
-            gossip=types.SimpleNamespace(is_leader=lambda: True),
-            reaches_store=lambda: True,
+            gossip=types.SimpleNamespace(is_leader=lambda: self.leads),
+            reaches_store=lambda: self.reaches_store,
             may_order=lambda: True,
             link=types.SimpleNamespace(hosts=["h2/1"]),
             log=self.lines.make(),
@@ -175,6 +176,41 @@
     assert (demand["demand"], demand["is_settled"]) == (2, False)
 
 
+def test_new_ordering_host_knows_the_load_of_the_window_before():
+    """Guards against changes of the host that never let demand fall."""
+    scene = Scene(gatewaysettings.DEMAND_CAPACITY)
+    scene.leads = False
+    scene.run(30.0, streams=TRAITS.slots)
+    assert scene.capacity.dump()["demands"] == {}
+    scene.leads = True
+    scene.run(1.0, streams=TRAITS.slots)
+    assert scene.capacity.dump()["demands"]["s"]["is_settled"]
+
+
+def test_load_is_observed_while_the_store_is_unreachable():
+    """Guards against a window that restarts with each outage of the store."""
+    scene = Scene(gatewaysettings.DEMAND_CAPACITY)
+    scene.run(30.0, streams=TRAITS.slots)
+    scene.reaches_store = False
+    scene.run(5.0, streams=TRAITS.slots)
+    scene.reaches_store = True
+    scene.run(1.0, streams=TRAITS.slots)
+    assert scene.capacity.dump()["demands"]["s"]["is_settled"]
+
+
+def test_engines_are_released_although_ordering_hosts_are_killed_in_turn():
+    """Guards against successors that each hold the engines for a window."""
+    fleet = orderfleet.OrderFleet(*HOSTS, seed=1)
+    fleet.use = use(3.0)
+    fleet.run(14.0)
+    assert {call.content.count for call in spot_orders(fleet)} == {6}
+    for _ in range(2):
+        fleet.kill(fleet.reporter)
+        fleet.run(15.0)
+    assert spot_orders(fleet)[-1].content.count < 6
+    assert fleet.operator.find_faults() == {}
+
+
 def test_load_changes_nothing_without_the_feature():
     scene = Scene()
     scene.run(30.0, streams=TRAITS.slots)
