Log engine streams over a bound, and keep their reason

A stream with an event or a remainder over its bound was to be logged with the address of its engine, but the transport of a body has no getPeer. The error ended the stream through Twisted's handler instead: no log line was written, and the reason was a missing end marker. The stream now keeps the connection of its response, which knows the address. The new test fails before in both cases.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/engine.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/engine.py
@@ -220,6 +220,7 @@
             max_bytes=answerlimits.MAX_REMAINDER_BYTES,
             limit=answerlimits.Limit.REMAINDER_BYTES,
         )
+        self._connection: Any = None
         self._closing: Any = None
         self._is_closed = False
         self.done: defer.Deferred = defer.Deferred()
@@ -248,6 +249,12 @@
             self.transport.loseConnection()
         self.done.callback(outcome)
 
+    def read(self, response: Any) -> None:
+        """Reads the body of a response of `httpclient.send`."""
+        # The transport of a body doesn't know its peer.
+        self._connection = response.connection
+        response.deliverBody(self)
+
     def close_after(self, reactor: Any, delay_s: float) -> None:
         """Closes the connection after a time unless the answer ends before.
 
@@ -269,7 +276,7 @@
                 return
         if len(self._buffer) > MAX_EVENT_BYTES:
             self._buffer = b""
-            answerwatch.observe(answerlimits.Limit.EVENT_BYTES, self.transport)
+            self._observe_limit(answerlimits.Limit.EVENT_BYTES)
             self.end(Lost(reason="event too large"))
 
     def connectionLost(  # noqa: N802
@@ -288,9 +295,13 @@
             return
         limit = self._remainder.observe(len(data))
         if limit is not None:
-            answerwatch.observe(limit, self.transport)
+            self._observe_limit(limit)
             self._close()
 
+    def _observe_limit(self, limit: answerlimits.Limit) -> None:
+        if self._connection is not None:
+            answerwatch.observe(limit, self._connection.transport)
+
     def _close(self) -> None:
         self.transport.loseConnection()
 
@@ -357,7 +368,7 @@
         if response.code != 200:
             stream.end(await self._read_refusal(response))
             return stream.outcome
-        response.deliverBody(stream)
+        stream.read(response)
         if stream.outcome is None:
             await _wait_for(stream.done)
         stream.close_after(self._reactor, CONTROL_TIMEOUT_S)
--- a/packages/bulrushgrade_daemon/tests/test_clientbounds.py
+++ b/packages/bulrushgrade_daemon/tests/test_clientbounds.py
@@ -15,6 +15,7 @@
 
 from bulrushgrade import engineorder
 from bulrushgrade import orderlog
+from bulrushgrade_daemon import answerwatch
 from bulrushgrade_daemon import engine
 from bulrushgrade_daemon import hostlist
 from bulrushgrade_daemon import logclient
@@ -162,3 +163,25 @@
     assert exchange.found == [engine.Ended()]
     exchange.reactor.advance(engine.CONTROL_TIMEOUT_S + 0.1)
     assert exchange.flood.is_closed is is_closed
+
+
+@pytest.mark.parametrize("sent", [b"", DONE])
+def test_stream_over_a_bound_is_logged_with_its_engine(sent):
+    """Guards against a body's transport, which doesn't name its peer.
+
+    The error that it caused hid why the stream had ended.
+    """
+    lines = []
+    notes = list(answerwatch._notes)
+    answerwatch.set_log(lambda event, **fields: lines.append(fields))
+    try:
+        exchange = Exchange("stream")
+        exchange.flood.send(STREAM + sent)
+        exchange.flood.send(b"", b"x")
+    finally:
+        answerwatch._notes[:] = notes
+    limit = "remainder_bytes" if sent else "event_bytes"
+    assert [line["limit"] for line in lines] == [limit]
+    found = engine.Ended() if sent else engine.Lost(reason="event too large")
+    assert exchange.found == [found]
+    assert exchange.flood.is_closed
