Leave no timer behind when a caller's connection has ended

Closing a connection starts a timer that aborts it after 15 s. The idle timeout then replaced that timer without cancelling it, and closing a connection that was already lost started one that nothing cancels, so that the channel stayed in memory for up to 15 s more. Closing now ends the idle timeout and does nothing to a lost connection; both cases of the new test failed before.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/frontend.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/frontend.py
@@ -195,7 +195,9 @@
         A caller that reads nothing would otherwise keep what is written for
         it, and the connection, until it closes.
         """
-        if self._abortingCall is None:
+        if self._abortingCall is None and self in self.factory.channels:
+            # The idle timeout would begin a second call.
+            self.setTimeout(None)
             self._abortingCall = self.callLater(
                 CLOSE_TIMEOUT_S, self.forceAbortClient
             )
--- a/packages/bulrushgrade_daemon/tests/test_slowreaders.py
+++ b/packages/bulrushgrade_daemon/tests/test_slowreaders.py
@@ -7,13 +7,18 @@
 import contextlib
 import socket
 import threading
+import types
 from unittest import mock
 
 import badanswers
 import fakes
 import pytest
 import test_answerbounds
+from twisted.internet import error
 from twisted.internet import selectreactor
+from twisted.internet import task
+from twisted.internet import testing
+from twisted.python import failure
 
 from bulrushgrade import routing
 from bulrushgrade_daemon import frontend
@@ -181,3 +186,30 @@
     assert scene.front.connections == 1
     scene.run_for(0.5)
     assert scene.front.connections == 0
+
+
+@pytest.mark.parametrize("is_lost", [False, True])
+def test_no_timer_stays_after_a_connection_has_ended(is_lost):
+    """Guards against timers that keep closed connections in memory.
+
+    The idle timeout began a second one, and a connection that was already
+    lost another one.
+    """
+    clock = task.Clock()
+    channel = frontend._Channel()
+    channel.callLater, channel.timeOut = clock.callLater, 3.0
+    channel.factory = types.SimpleNamespace(channels=set())
+    transport = testing.StringTransport()
+    transport.setTcpNoDelay = lambda enabled: None
+    channel.makeConnection(transport)
+    reason = failure.Failure(error.ConnectionDone())
+    if is_lost:
+        channel.connectionLost(reason)
+        channel.loseConnection()
+    else:
+        channel.loseConnection()
+        clock.advance(3.0)
+        clock.advance(frontend.CLOSE_TIMEOUT_S)
+        assert transport.disconnected
+        channel.connectionLost(reason)
+    assert clock.getDelayedCalls() == []
