Allow chunk sizes that are padded to a fixed width

The bound on framing was 8 bytes for each byte of content. An answer in chunks of one byte with sizes of 8 digits has 12, and was cut off after 20 of 50 KB in a trial. The bound is now 20 bytes, enough for sizes of 16 digits; a chunk extension without end is still stopped, as the existing tests show.

--- a/packages/bulrushgrade/bulrushgrade/answerlimits.py
+++ b/packages/bulrushgrade/bulrushgrade/answerlimits.py
@@ -26,9 +26,10 @@
 FREE_FRAMING_BYTES = 65_536
 """Bytes of chunk sizes and trailers that any answer may have."""
 
-MAX_FRAMING_PER_CONTENT_BYTE = 8
+MAX_FRAMING_PER_CONTENT_BYTE = 20
 """Further bytes of chunk sizes for each byte of content. A chunk of one byte
-has five bytes of framing, so that only chunk extensions exceed this."""
+has 5 bytes of framing, and 20 where sizes are padded to 16 digits, so that only
+chunk extensions exceed this."""
 
 MAX_REMAINDER_BYTES = 4_096
 """Maximum number of bytes after the end marker of an event stream. Usually
--- a/packages/bulrushgrade/tests/test_answerlimits.py
+++ b/packages/bulrushgrade/tests/test_answerlimits.py
@@ -29,6 +29,15 @@
         assert meter.observe_received(6) is None
 
 
+def test_chunk_sizes_of_a_fixed_width_have_no_bound():
+    """Servers that pad sizes had answers in small chunks cut off."""
+    meter = answerlimits.FramingMeter()
+    for _ in range(100_000):
+        meter.observe_content(1)
+        chunk = b"%016x\r\nx\r\n" % 1
+        assert meter.observe_received(len(chunk)) is None
+
+
 def test_chunk_sizes_without_content_are_bounded():
     """Guards against chunk extensions that are sent without end."""
     meter = answerlimits.FramingMeter()
