Send keys that are gone once more, with zeros

A host that no longer named a workspace included it in its sum of the others, while peers kept its last vector for 3 s, and other aggregators for 3 s more, so that it counted twice.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/sumexchange.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/sumexchange.py
@@ -148,6 +148,7 @@
     ):
         self.table = table
         self._read_own = read_own
+        self._zero = (0.0,) * table.width
         self._own: peersums.Entries | None = None
         self._own_turns = _Rotation(max_entries, interval_s)
         self._group_turns = _Rotation(max_entries, interval_s)
@@ -159,7 +160,7 @@
     def next_own(self, now: float) -> peersums.Entries:
         keys = self._own_turns.next(lambda: self._find_own(now), now)
         own = self._find_own(now) if keys else {}
-        return {key: own[key] for key in keys if key in own}
+        return {key: own.get(key, self._zero) for key in keys}
 
     def next_group(self, now: float) -> peersums.Entries:
         keys = self._group_turns.next(
@@ -185,12 +186,17 @@
 
 
 class _Rotation:
-    """Selects keys in turn; each at most once per interval."""
+    """Selects keys in turn; each at most once per interval.
+
+    A key that is gone is selected once more. Peers would otherwise count its
+    last vector until it expires, also where another key includes it now.
+    """
 
     def __init__(self, max_entries: int, interval_s: float):
         self._max_entries = max_entries
         self._interval_s = interval_s
         self._waiting: collections.deque[str] = collections.deque()
+        self._present: set[str] = set()
         self._began_at = -math.inf
         self._called_at: float | None = None
 
@@ -198,7 +204,9 @@
         self, find_keys: Callable[[], Iterable[str]], now: float
     ) -> list[str]:
         if not self._waiting and now - self._began_at >= self._interval_s:
-            self._waiting.extend(find_keys())
+            present = set(find_keys())
+            self._waiting.extend(sorted(present | self._present))
+            self._present = present
             self._began_at = now
         elapsed_s = 0.0 if self._called_at is None else now - self._called_at
         self._called_at = now
--- a/packages/bulrushgrade_daemon/tests/test_sumexchange.py
+++ b/packages/bulrushgrade_daemon/tests/test_sumexchange.py
@@ -159,3 +159,37 @@
     )
     exchange.merge(message)
     assert table.total("k", None, timers.now) == (1.5, -0.25)
+
+
+def test_a_key_that_is_gone_is_sent_once_with_zeros():
+    """Guards against vectors that count twice under two keys.
+
+    A workspace that a host names no longer is part of its sum of the others.
+    """
+    reactor, timers, _ = fakes.make_timers()
+    exchange = sumexchange.SumExchange(timers=timers)
+    vectors = {"named": (2.0, 1.0), "others": (3.0, 1.0)}
+    exchange.add(
+        "t",
+        table=peersums.SumTable(ttl_s=10.0, width=2),
+        read_own=lambda now: dict(vectors),
+        max_entries=16,
+        interval_s=1.0,
+    )
+    table = peersums.SumTable(ttl_s=10.0, width=2)
+    sizes = []
+    for _ in range(3):
+        exchange.begin_round()
+        entries = exchange.make_own().get("t", [])
+        sizes.append(len(entries))
+        table.update_member(
+            "m/1",
+            {key: tuple(v / 100 for v in values) for key, values in entries},
+            timers.now,
+        )
+        vectors.pop("named", None)
+        vectors["others"] = (5.0, 2.0)
+        reactor.advance(1.0)
+    assert sizes == [2, 2, 1]
+    assert table.total("named", None, timers.now) == (0.0, 0.0)
+    assert table.total("others", None, timers.now) == (5.0, 2.0)
