Name only the largest workspaces in messages of aggregators

In a flood, an aggregator sent the sums of all 71 workspaces to each of its members. It now sends the 16 largest of each service and one sum for the others, and 32 and one sum to other aggregators, so that a workspace that is large in all groups but first in none is still named.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/sumexchange.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/sumexchange.py
@@ -25,6 +25,13 @@
 float nine."""
 
 
+Condense = Callable[
+    [peersums.Entries, peersums.Entries, bool], peersums.Entries
+]
+"""Returns the entries to send of the sums of a group or the fleet. Gets these
+sums, those of all hosts, and whether the message is for the fleet."""
+
+
 class SumExchange:
     """Selects the sums to send, and takes in those of peers."""
 
@@ -45,6 +52,7 @@
         read_own: Callable[[float], peersums.Entries],
         max_entries: int,
         interval_s: float,
+        condense: Condense | None = None,
     ) -> None:
         """Adds a table. Tables of other names are neither sent nor read.
 
@@ -55,12 +63,15 @@
             max_entries: Maximum number of entries in a message, or in those of
                 half a second if they are further apart.
             interval_s: Minimum time between two messages with the same key.
+            condense: Reduces the sums of a group or the fleet to fewer
+                entries; None if all are sent.
         """
         self._tables[name] = _SharedTable(
             table=table,
             read_own=read_own,
             max_entries=max_entries,
             interval_s=interval_s,
+            condense=condense,
         )
 
     def dump(self) -> dict[str, Any]:
@@ -145,9 +156,11 @@
         read_own: Callable[[float], peersums.Entries],
         max_entries: int,
         interval_s: float,
+        condense: Condense | None,
     ):
         self.table = table
         self._read_own = read_own
+        self._condense = condense
         self._zero = (0.0,) * table.width
         self._own: peersums.Entries | None = None
         self._own_turns = _Rotation(max_entries, interval_s)
@@ -163,20 +176,46 @@
         return {key: own.get(key, self._zero) for key in keys}
 
     def next_group(self, now: float) -> peersums.Entries:
-        keys = self._group_turns.next(
-            lambda: self._find_own(now).keys() | self.table.group_keys(now), now
-        )
-        own = self._find_own(now) if keys else {}
-        return {
-            key: self.table.group_sum(key, own.get(key), now) for key in keys
-        }
+        return self._next_sums(self._group_turns, now, is_fleet=False)
 
     def next_fleet(self, now: float) -> peersums.Entries:
-        keys = self._fleet_turns.next(
-            lambda: self._find_own(now).keys() | self.table.keys(now), now
-        )
+        return self._next_sums(self._fleet_turns, now, is_fleet=True)
+
+    def _next_sums(
+        self, turns: "_Rotation", now: float, *, is_fleet: bool
+    ) -> peersums.Entries:
+        if self._condense is None:
+            keys = turns.next(lambda: self._find_keys(now, is_fleet), now)
+            return self._sum(keys, now, is_fleet)
+        found: peersums.Entries | None = None
+
+        def find_condensed() -> peersums.Entries:
+            nonlocal found
+            if found is None:
+                found = self._find_condensed(now, is_fleet)
+            return found
+
+        keys = turns.next(find_condensed, now)
+        return {key: find_condensed().get(key, self._zero) for key in keys}
+
+    def _find_condensed(self, now: float, is_fleet: bool) -> peersums.Entries:
+        totals = self._sum(self._find_keys(now, True), now, True)
+        sums = totals
+        if not is_fleet:
+            sums = self._sum(self._find_keys(now, False), now, False)
+        return self._condense(sums, totals, is_fleet)
+
+    def _find_keys(self, now: float, is_fleet: bool) -> set[str]:
+        table = self.table
+        of_peers = table.keys(now) if is_fleet else table.group_keys(now)
+        return self._find_own(now).keys() | of_peers
+
+    def _sum(
+        self, keys: Iterable[str], now: float, is_fleet: bool
+    ) -> peersums.Entries:
+        add = self.table.total if is_fleet else self.table.group_sum
         own = self._find_own(now) if keys else {}
-        return {key: self.table.total(key, own.get(key), now) for key in keys}
+        return {key: add(key, own.get(key), now) for key in keys}
 
     def _find_own(self, now: float) -> peersums.Entries:
         """Returns this host's vectors, read at most once per round."""
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/usesharing.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/usesharing.py
@@ -5,11 +5,8 @@
 loads. `bulrushgrade.workspaceshares` derives the shares from them.
 """
 
-import base64
 import collections
 from collections.abc import Callable
-import functools
-import hashlib
 import math
 import random
 from typing import Any
@@ -22,14 +19,11 @@
 from bulrushgrade_daemon import decisionlog
 from bulrushgrade_daemon import inflight
 from bulrushgrade_daemon import sumexchange
+from bulrushgrade_daemon import usemessages
 
 TABLE = "uses"
 """Name of the table in the messages of hosts."""
 
-UNIT_TOKENS = 1000.0
-"""Tokens per unit of use in messages, which carry hundredths: 10 tokens per
-second. The sums of a fleet then take at most three bytes."""
-
 INTERVAL_S = 1.0
 """Time between two messages with the same workspace: a third of the time after
 which its use counts as gone, so that one message may get lost."""
@@ -39,37 +33,13 @@
 little of the present demand."""
 
 MAX_ENTRIES = workspaceshares.MAX_NAMED + 1
-"""Entries per message: the named workspaces of one service and the others. Sums
-of groups and of the fleet have more, which follow in the next rounds."""
+"""Entries per message: the named workspaces of one service and the others. The
+others follow in the next rounds."""
 
 REFRESH_S = 0.2
 """Time for which computed shares are used. Sums arrive every second, and one
 computation for each of several requests would only take processor time."""
 
-_SERVICE_TAG, _WORKSPACE_TAG = 4, 8
-"""Characters of a key that identify the service and the workspace, of six bits
-each. A few services and thousands of workspaces practically never collide, and
-a collision only joins the shares of two workspaces."""
-
-
-@functools.lru_cache(maxsize=4096)
-def make_key(service: str, workspace: str | None) -> str:
-    """Returns the key of a workspace's use in messages.
-
-    Args:
-        service: The service's name.
-        workspace: The workspace's name, None for all that have no own entry.
-    """
-    service_tag = _make_tag(service, _SERVICE_TAG)
-    if workspace is None:
-        return service_tag
-    return service_tag + _make_tag(workspace, _WORKSPACE_TAG)
-
-
-def _make_tag(name: str, length: int) -> str:
-    digest = hashlib.blake2b(name.encode(), digest_size=length).digest()
-    return base64.urlsafe_b64encode(digest).decode()[:length]
-
 
 @attrs.define(kw_only=True)
 class _Limited:
@@ -147,6 +117,7 @@
                 read_own=self.read_own,
                 max_entries=MAX_ENTRIES,
                 interval_s=INTERVAL_S,
+                condense=usemessages.condense,
             )
 
     def read_own(self, now: float) -> dict[str, peersums.Vector]:
@@ -161,9 +132,11 @@
             if workspaceshares.needs_names(own_sum, whole):
                 named, others = workspaceshares.name_largest(own, totals)
             for key, use in named.items():
-                found[key] = _encode(use)
+                found[key] = usemessages.encode(use)
             if not others.is_idle:
-                found[make_key(service, None)] = _encode(others)
+                found[usemessages.make_key(service, None)] = usemessages.encode(
+                    others
+                )
         return found
 
     def yields(self, request: inflight.InFlight) -> bool:
@@ -269,7 +242,9 @@
         uses = self._read_totals(service, now, own)
         if not uses:
             return self._divide_own(own)
-        others = uses.pop(make_key(service, None), workspaceshares.NO_USE)
+        others = uses.pop(
+            usemessages.make_key(service, None), workspaceshares.NO_USE
+        )
         own_sum = sum(own.values(), workspaceshares.NO_USE)
         whole = sum(uses.values(), others)
         if not any(map(workspaceshares.is_saturated, (own_sum, whole))):
@@ -303,12 +278,14 @@
             own: This host's use, to be included where the peers' isn't summed
                 with it yet.
         """
-        prefix, found = make_key(service, None), {}
+        prefix, found = usemessages.make_key(service, None), {}
         for key in self._table.keys(now):
             if key.startswith(prefix):
                 use = (own or {}).get(key)
-                vector = None if use is None else _encode(use)
-                found[key] = _decode(self._table.total(key, vector, now))
+                vector = None if use is None else usemessages.encode(use)
+                found[key] = usemessages.decode(
+                    self._table.total(key, vector, now)
+                )
         return found
 
     def _observe_above(
@@ -377,23 +354,4 @@
 
 
 def _key_of(request: inflight.InFlight) -> str:
-    return make_key(request.service, request.workspace.name)
-
-
-def _encode(use: workspaceshares.Use) -> peersums.Vector:
-    return (
-        use.offered / UNIT_TOKENS,
-        use.served / UNIT_TOKENS,
-        use.late,
-        use.prompts,
-    )
-
-
-def _decode(vector: peersums.Vector) -> workspaceshares.Use:
-    offered, served, late, prompts = vector
-    return workspaceshares.Use(
-        offered=max(0.0, offered * UNIT_TOKENS),
-        served=max(0.0, served * UNIT_TOKENS),
-        late=max(0.0, late),
-        prompts=max(0.0, prompts),
-    )
+    return usemessages.make_key(request.service, request.workspace.name)
--- a/packages/bulrushgrade_daemon/tests/test_usesharing.py
+++ b/packages/bulrushgrade_daemon/tests/test_usesharing.py
@@ -19,6 +19,7 @@
 from bulrushgrade import workspaces
 from bulrushgrade_daemon import dialect
 from bulrushgrade_daemon import inflight
+from bulrushgrade_daemon import usemessages
 from bulrushgrade_daemon import usesharing
 
 TOKENS, TARGET_S = test_workspaceshares.TOKENS, test_workspaceshares.TARGET_S
@@ -150,7 +151,7 @@
     sharing = make_sharing(timers)
     for name in SMALL:
         assert sharing.admit(make_request(name))
-    assert list(sharing.read_own(0.0)) == [usesharing.make_key("s", None)]
+    assert list(sharing.read_own(0.0)) == [usemessages.make_key("s", None)]
 
 
 class Saturated:
@@ -236,9 +237,9 @@
     """Guards against an outage by a host that advertises nonsense."""
     host = Saturated()
     entries = {
-        usesharing.make_key("s", "small"): (1e15, 1e-3, 1e9, 1.0),
-        usesharing.make_key("s", "large"): (1.0, 1.0, 0.0, 0.0),
-        usesharing.make_key("s", "other"): (-5.0, -5.0, -1.0, 0.0),
+        usemessages.make_key("s", "small"): (1e15, 1e-3, 1e9, 1.0),
+        usemessages.make_key("s", "large"): (1.0, 1.0, 0.0, 0.0),
+        usemessages.make_key("s", "other"): (-5.0, -5.0, -1.0, 0.0),
     }
     host.sharing._table.update_fleet(entries, host.timers.now)
     assert host.refuses("small", wait_s=0.5) == 0
