Bound the values of sums in messages

Three members that each advertise 2**63 hundredths made the sum of their group too large for an integer in msgpack, so that serializing raised an OverflowError and the aggregator's exchange ended. Values are now limited to 2**53 in either direction when they are sent. The test fails before with that error; incorrect sums still can only lead to worse decisions.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/sumexchange.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/sumexchange.py
@@ -25,6 +25,11 @@
 float nine."""
 
 
+MAX_SENT = 2**53
+"""Maximum absolute value in a message, in hundredths. Sums of incorrect values
+would exceed the 64 bits of an integer in msgpack, and no message could be
+sent."""
+
 Condense = Callable[
     [peersums.Entries, peersums.Entries, bool], peersums.Entries
 ]
@@ -256,11 +261,15 @@
 
 def _encode(entries: peersums.Entries) -> list[gatewaymessages.SumEntry]:
     return [
-        (key, [round(value * UNITS) for value in vector])
+        (key, [_encode_value(value) for value in vector])
         for key, vector in entries.items()
     ]
 
 
+def _encode_value(value: float) -> int:
+    return min(max(round(value * UNITS), -MAX_SENT), MAX_SENT)
+
+
 def _decode(
     entries: Iterable[gatewaymessages.SumEntry],
 ) -> dict[str, peersums.Vector]:
--- a/packages/bulrushgrade_daemon/tests/test_sumexchange.py
+++ b/packages/bulrushgrade_daemon/tests/test_sumexchange.py
@@ -193,3 +193,33 @@
     assert sizes == [2, 2, 1]
     assert table.total("named", None, timers.now) == (0.0, 0.0)
     assert table.total("others", None, timers.now) == (5.0, 2.0)
+
+
+def test_incorrect_sums_can_be_sent_on():
+    """Guards against an exchange that ends since a sum has over 64 bits."""
+    reactor, timers, _ = fakes.make_timers()
+    exchange = sumexchange.SumExchange(timers=timers)
+    exchange.add(
+        "t",
+        table=peersums.SumTable(ttl_s=10.0, width=2),
+        read_own=lambda now: {},
+        max_entries=16,
+        interval_s=1.0,
+    )
+    for number in range(3):
+        message = gatewaymessages.Load(
+            peer=f"m{number}/1",
+            number=1,
+            engines={},
+            sums={"t": [("k", [2**63, -(2**63)])]},
+        )
+        exchange.merge(
+            gatewaymessages.parse(gatewaymessages.serialize(message))
+        )
+    exchange.begin_round()
+    message = gatewaymessages.GroupLoad(
+        peer="g/1", number=1, engines={}, sums=exchange.make_group()
+    )
+    sent = gatewaymessages.parse(gatewaymessages.serialize(message))
+    ((key, (high, low)),) = sent.sums["t"]
+    assert key == "k" and high > 2**50 and low < -(2**50)
