Condense sums once per turn of messages

If the largest workspaces changed while an aggregator's turn of messages was under way, a workspace could be named and also included in the sum of the others, or in neither. The condensed sums are now made when a turn begins, about once per second, which also takes less processor time than once per message. The test fails before with 200 instead of 100 hundredths in the sum of the others.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/sumexchange.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/sumexchange.py
@@ -168,6 +168,9 @@
         self._condense = condense
         self._zero = (0.0,) * table.width
         self._own: peersums.Entries | None = None
+        # What is sent in the present turn, by whether it goes to members. If
+        # it changed within a turn, a key could count twice or not at all.
+        self._condensed: dict[bool, peersums.Entries] = {}
         self._own_turns = _Rotation(max_entries, interval_s)
         self._group_turns = _Rotation(max_entries, interval_s)
         self._fleet_turns = _Rotation(max_entries, interval_s)
@@ -192,16 +195,15 @@
         if self._condense is None:
             keys = turns.next(lambda: self._find_keys(now, is_fleet), now)
             return self._sum(keys, now, is_fleet)
-        found: peersums.Entries | None = None
 
         def find_condensed() -> peersums.Entries:
-            nonlocal found
-            if found is None:
-                found = self._find_condensed(now, is_fleet)
+            found = self._find_condensed(now, is_fleet)
+            self._condensed[is_fleet] = found
             return found
 
         keys = turns.next(find_condensed, now)
-        return {key: find_condensed().get(key, self._zero) for key in keys}
+        condensed = self._condensed.get(is_fleet, {})
+        return {key: condensed.get(key, self._zero) for key in keys}
 
     def _find_condensed(self, now: float, is_fleet: bool) -> peersums.Entries:
         totals = self._sum(self._find_keys(now, True), now, True)
--- a/packages/bulrushgrade_daemon/tests/test_sumexchange.py
+++ b/packages/bulrushgrade_daemon/tests/test_sumexchange.py
@@ -223,3 +223,35 @@
     sent = gatewaymessages.parse(gatewaymessages.serialize(message))
     ((key, (high, low)),) = sent.sums["t"]
     assert key == "k" and high > 2**50 and low < -(2**50)
+
+
+def test_condensed_sums_are_those_of_one_time():
+    """Guards against keys that count twice or not at all within a turn.
+
+    The sum of the others includes other keys when the largest ones change.
+    """
+    reactor, timers, _ = fakes.make_timers()
+    exchange = sumexchange.SumExchange(timers=timers)
+    table = peersums.SumTable(ttl_s=10.0, width=1)
+
+    def condense(sums, totals, is_fleet):
+        largest = max(totals, key=lambda key: totals[key])
+        others = sum(sums[key][0] for key in sums if key != largest)
+        return {largest: sums[largest], "others": (others,)}
+
+    exchange.add(
+        "t",
+        table=table,
+        read_own=lambda now: {},
+        max_entries=1,
+        interval_s=1.0,
+        condense=condense,
+    )
+    table.update_member("m/1", {"a": (2.0,), "b": (1.0,)}, timers.now)
+    sent = {}
+    for _ in range(2):
+        exchange.begin_round()
+        sent |= dict(exchange.make_fleet()["t"])
+        table.update_member("m/1", {"b": (3.0,)}, timers.now)
+        reactor.advance(0.1)
+    assert sent == {"a": [200], "others": [100]}
