Limit workspaces that only one aggregator sees

A host computed shares of the keys that peers have, and left out those that only it knows. That is right beside sums from an aggregator. But an aggregator, or any host of a small fleet, gets none, so a flood that came to it alone was never limited there, and its own use was missing in the sums. It now adds its own keys unless it gets the fleet's sums.

--- a/packages/bulrushgrade/bulrushgrade/peersums.py
+++ b/packages/bulrushgrade/bulrushgrade/peersums.py
@@ -151,6 +151,11 @@
         members = self._members.keys(oldest_at)
         return fleet | members | self._groups.keys(oldest_at)
 
+    def has_fleet(self, now: float) -> bool:
+        """Returns whether sums of all hosts came from an aggregator."""
+        oldest_at = now - self._ttl_s
+        return any(at > oldest_at for at, _ in self._fleet.values())
+
     def clear_fleet(self) -> None:
         """Drops the sums of all hosts, when this host begins to make them."""
         self._fleet.clear()
--- a/packages/bulrushgrade/tests/test_peersums.py
+++ b/packages/bulrushgrade/tests/test_peersums.py
@@ -21,7 +21,9 @@
     assert table.total("k", (0.5, 0.0), 1.0) == (7.0, 3.0)
     assert table.total("unknown", (0.5, 0.0), 1.0) == (0.5, 0.0)
     assert table.keys(1.0) == {"k", "other"}
+    assert table.has_fleet(1.0) and not table.has_fleet(11.0)
     table.clear_fleet()
+    assert not table.has_fleet(1.0)
     assert table.total("k", None, 1.0) == (5.0, 2.5)
 
 
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/usesharing.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/usesharing.py
@@ -268,9 +268,10 @@
     def _read_totals(
         self, service: str, now: float, own: workspaceshares.Uses | None = None
     ) -> dict[str, workspaceshares.Use]:
-        """Returns the sums of all hosts by key, of keys that peers have.
+        """Returns the sums of all hosts by key.
 
-        Sums of this host alone can't be compared with those of all hosts.
+        Where an aggregator sends them, keys that only this host has are left
+        out: its part can't be compared with the sums of all hosts.
 
         Args:
             service: The service.
@@ -279,13 +280,15 @@
                 with it yet.
         """
         prefix, found = usemessages.make_key(service, None), {}
-        for key in self._table.keys(now):
-            if key.startswith(prefix):
-                use = (own or {}).get(key)
-                vector = None if use is None else usemessages.encode(use)
-                found[key] = usemessages.decode(
-                    self._table.total(key, vector, now)
-                )
+        keys = {key for key in self._table.keys(now) if key.startswith(prefix)}
+        if own is not None and keys and not self._table.has_fleet(now):
+            # This host makes the sums of all hosts itself.
+            keys |= own.keys()
+        for key in keys:
+            use = (own or {}).get(key)
+            vector = None if use is None else usemessages.encode(use)
+            total = self._table.total(key, vector, now)
+            found[key] = usemessages.decode(total)
         return found
 
     def _observe_above(
--- a/packages/bulrushgrade_daemon/tests/test_usesharing.py
+++ b/packages/bulrushgrade_daemon/tests/test_usesharing.py
@@ -249,6 +249,18 @@
     assert host.refuses("small", wait_s=2.0) == 0
 
 
+def test_workspace_of_a_single_host_is_limited():
+    """Guards against a flood that comes to one aggregator alone.
+
+    Its peers don't know the workspace, and the host gets no sums of all.
+    """
+    host = Saturated()
+    entries = {usemessages.make_key("s", None): (0.1, 0.1, 0.0, 10.0)}
+    host.sharing._table.update_group("g/1", entries, host.timers.now)
+    assert host.refuses("small", wait_s=2.0) == 0
+    assert host.refuses("large", wait_s=2.0) >= 80
+
+
 def test_limits_are_logged_when_they_begin_and_end():
     """Guards against a line for each refused request."""
     host = Saturated()
