--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/sumexchange.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/sumexchange.py
@@ -25,6 +25,18 @@
 float nine."""
 
 
+MAX_SENT = 2**53
+"""Maximum absolute value in a message, in hundredths. Sums of incorrect values
+would exceed the 64 bits of an integer in msgpack, and no message could be
+sent."""
+
+Condense = Callable[
+    [peersums.Entries, peersums.Entries, bool], peersums.Entries
+]
+"""Returns the entries to send of the sums of a group or the fleet. Gets these
+sums, those of all hosts, and whether the message is for the fleet."""
+
+
 class SumExchange:
     """Selects the sums to send, and takes in those of peers."""
 
@@ -45,6 +57,7 @@
         read_own: Callable[[float], peersums.Entries],
         max_entries: int,
         interval_s: float,
+        condense: Condense | None = None,
     ) -> None:
         """Adds a table. Tables of other names are neither sent nor read.
 
@@ -55,12 +68,15 @@
             max_entries: Maximum number of entries in a message, or in those of
                 half a second if they are further apart.
             interval_s: Minimum time between two messages with the same key.
+            condense: Reduces the sums of a group or the fleet to fewer
+                entries; None if all are sent.
         """
         self._tables[name] = _SharedTable(
             table=table,
             read_own=read_own,
             max_entries=max_entries,
             interval_s=interval_s,
+            condense=condense,
         )
 
     def dump(self) -> dict[str, Any]:
@@ -145,10 +161,16 @@
         read_own: Callable[[float], peersums.Entries],
         max_entries: int,
         interval_s: float,
+        condense: Condense | None,
     ):
         self.table = table
         self._read_own = read_own
+        self._condense = condense
+        self._zero = (0.0,) * table.width
         self._own: peersums.Entries | None = None
+        # What is sent in the present turn, by whether it goes to members. If
+        # it changed within a turn, a key could count twice or not at all.
+        self._condensed: dict[bool, peersums.Entries] = {}
         self._own_turns = _Rotation(max_entries, interval_s)
         self._group_turns = _Rotation(max_entries, interval_s)
         self._fleet_turns = _Rotation(max_entries, interval_s)
@@ -159,23 +181,48 @@
     def next_own(self, now: float) -> peersums.Entries:
         keys = self._own_turns.next(lambda: self._find_own(now), now)
         own = self._find_own(now) if keys else {}
-        return {key: own[key] for key in keys if key in own}
+        return {key: own.get(key, self._zero) for key in keys}
 
     def next_group(self, now: float) -> peersums.Entries:
-        keys = self._group_turns.next(
-            lambda: self._find_own(now).keys() | self.table.group_keys(now), now
-        )
-        own = self._find_own(now) if keys else {}
-        return {
-            key: self.table.group_sum(key, own.get(key), now) for key in keys
-        }
+        return self._next_sums(self._group_turns, now, is_fleet=False)
 
     def next_fleet(self, now: float) -> peersums.Entries:
-        keys = self._fleet_turns.next(
-            lambda: self._find_own(now).keys() | self.table.keys(now), now
-        )
+        return self._next_sums(self._fleet_turns, now, is_fleet=True)
+
+    def _next_sums(
+        self, turns: "_Rotation", now: float, *, is_fleet: bool
+    ) -> peersums.Entries:
+        if self._condense is None:
+            keys = turns.next(lambda: self._find_keys(now, is_fleet), now)
+            return self._sum(keys, now, is_fleet)
+
+        def find_condensed() -> peersums.Entries:
+            found = self._find_condensed(now, is_fleet)
+            self._condensed[is_fleet] = found
+            return found
+
+        keys = turns.next(find_condensed, now)
+        condensed = self._condensed.get(is_fleet, {})
+        return {key: condensed.get(key, self._zero) for key in keys}
+
+    def _find_condensed(self, now: float, is_fleet: bool) -> peersums.Entries:
+        totals = self._sum(self._find_keys(now, True), now, True)
+        sums = totals
+        if not is_fleet:
+            sums = self._sum(self._find_keys(now, False), now, False)
+        return self._condense(sums, totals, is_fleet)
+
+    def _find_keys(self, now: float, is_fleet: bool) -> set[str]:
+        table = self.table
+        of_peers = table.keys(now) if is_fleet else table.group_keys(now)
+        return self._find_own(now).keys() | of_peers
+
+    def _sum(
+        self, keys: Iterable[str], now: float, is_fleet: bool
+    ) -> peersums.Entries:
+        add = self.table.total if is_fleet else self.table.group_sum
         own = self._find_own(now) if keys else {}
-        return {key: self.table.total(key, own.get(key), now) for key in keys}
+        return {key: add(key, own.get(key), now) for key in keys}
 
     def _find_own(self, now: float) -> peersums.Entries:
         """Returns this host's vectors, read at most once per round."""
@@ -185,12 +232,17 @@
 
 
 class _Rotation:
-    """Selects keys in turn; each at most once per interval."""
+    """Selects keys in turn; each at most once per interval.
+
+    A key that is gone is selected once more. Peers would otherwise count its
+    last vector until it expires, also where another key includes it now.
+    """
 
     def __init__(self, max_entries: int, interval_s: float):
         self._max_entries = max_entries
         self._interval_s = interval_s
         self._waiting: collections.deque[str] = collections.deque()
+        self._present: set[str] = set()
         self._began_at = -math.inf
         self._called_at: float | None = None
 
@@ -198,7 +250,9 @@
         self, find_keys: Callable[[], Iterable[str]], now: float
     ) -> list[str]:
         if not self._waiting and now - self._began_at >= self._interval_s:
-            self._waiting.extend(find_keys())
+            present = set(find_keys())
+            self._waiting.extend(sorted(present | self._present))
+            self._present = present
             self._began_at = now
         elapsed_s = 0.0 if self._called_at is None else now - self._called_at
         self._called_at = now
@@ -209,11 +263,15 @@
 
 def _encode(entries: peersums.Entries) -> list[gatewaymessages.SumEntry]:
     return [
-        (key, [round(value * UNITS) for value in vector])
+        (key, [_encode_value(value) for value in vector])
         for key, vector in entries.items()
     ]
 
 
+def _encode_value(value: float) -> int:
+    return min(max(round(value * UNITS), -MAX_SENT), MAX_SENT)
+
+
 def _decode(
     entries: Iterable[gatewaymessages.SumEntry],
 ) -> dict[str, peersums.Vector]:
--- a/packages/bulrushgrade_daemon/tests/test_sumexchange.py
+++ b/packages/bulrushgrade_daemon/tests/test_sumexchange.py
@@ -159,3 +159,99 @@
     )
     exchange.merge(message)
     assert table.total("k", None, timers.now) == (1.5, -0.25)
+
+
+def test_a_key_that_is_gone_is_sent_once_with_zeros():
+    """Guards against vectors that count twice under two keys.
+
+    A workspace that a host names no longer is part of its sum of the others.
+    """
+    reactor, timers, _ = fakes.make_timers()
+    exchange = sumexchange.SumExchange(timers=timers)
+    vectors = {"named": (2.0, 1.0), "others": (3.0, 1.0)}
+    exchange.add(
+        "t",
+        table=peersums.SumTable(ttl_s=10.0, width=2),
+        read_own=lambda now: dict(vectors),
+        max_entries=16,
+        interval_s=1.0,
+    )
+    table = peersums.SumTable(ttl_s=10.0, width=2)
+    sizes = []
+    for _ in range(3):
+        exchange.begin_round()
+        entries = exchange.make_own().get("t", [])
+        sizes.append(len(entries))
+        table.update_member(
+            "m/1",
+            {key: tuple(v / 100 for v in values) for key, values in entries},
+            timers.now,
+        )
+        vectors.pop("named", None)
+        vectors["others"] = (5.0, 2.0)
+        reactor.advance(1.0)
+    assert sizes == [2, 2, 1]
+    assert table.total("named", None, timers.now) == (0.0, 0.0)
+    assert table.total("others", None, timers.now) == (5.0, 2.0)
+
+
+def test_incorrect_sums_can_be_sent_on():
+    """Guards against an exchange that ends since a sum has over 64 bits."""
+    reactor, timers, _ = fakes.make_timers()
+    exchange = sumexchange.SumExchange(timers=timers)
+    exchange.add(
+        "t",
+        table=peersums.SumTable(ttl_s=10.0, width=2),
+        read_own=lambda now: {},
+        max_entries=16,
+        interval_s=1.0,
+    )
+    for number in range(3):
+        message = gatewaymessages.Load(
+            peer=f"m{number}/1",
+            number=1,
+            engines={},
+            sums={"t": [("k", [2**63, -(2**63)])]},
+        )
+        exchange.merge(
+            gatewaymessages.parse(gatewaymessages.serialize(message))
+        )
+    exchange.begin_round()
+    message = gatewaymessages.GroupLoad(
+        peer="g/1", number=1, engines={}, sums=exchange.make_group()
+    )
+    sent = gatewaymessages.parse(gatewaymessages.serialize(message))
+    ((key, (high, low)),) = sent.sums["t"]
+    assert key == "k" and high > 2**50 and low < -(2**50)
+
+
+def test_condensed_sums_are_those_of_one_time():
+    """Guards against keys that count twice or not at all within a turn.
+
+    The sum of the others includes other keys when the largest ones change.
+    """
+    reactor, timers, _ = fakes.make_timers()
+    exchange = sumexchange.SumExchange(timers=timers)
+    table = peersums.SumTable(ttl_s=10.0, width=1)
+
+    def condense(sums, totals, is_fleet):
+        largest = max(totals, key=lambda key: totals[key])
+        others = sum(sums[key][0] for key in sums if key != largest)
+        return {largest: sums[largest], "others": (others,)}
+
+    exchange.add(
+        "t",
+        table=table,
+        read_own=lambda now: {},
+        max_entries=1,
+        interval_s=1.0,
+        condense=condense,
+    )
+    table.update_member("m/1", {"a": (2.0,), "b": (1.0,)}, timers.now)
+    sent = {}
+    for _ in range(2):
+        exchange.begin_round()
+        sent |= dict(exchange.make_fleet()["t"])
+        table.update_member("m/1", {"b": (3.0,)}, timers.now)
+        reactor.advance(0.1)
+    assert sent == {"a": [200], "others": [100]}
