--- a/packages/bulrushgrade_daemon/tests/processes.py
+++ b/packages/bulrushgrade_daemon/tests/processes.py
@@ -52,6 +52,11 @@
         """The address that a stand-in listens on, as ``IP:PORT``."""
         return self.ready["address"]
 
+    @property
+    def pid(self) -> int:
+        """The process id."""
+        return self._popen.pid
+
     @property
     def exit_code(self) -> int | None:
         """The exit code, negative for a signal; None while it runs."""
