Let late prompts within a workspace's share keep their urgency

Their late prompts got the lowest urgency, as the excess of the large workspace does, and then waited among it until they were refused.

Change: while a service is divided, a prompt within its workspace's share keeps the urgency of its route. The new test failed before, with the lowest urgency.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointchooser.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointchooser.py
@@ -66,6 +66,9 @@
         log: decisionlog.DecisionLog,
         rng: random.Random,
         yields: Callable[[inflight.InFlight], bool] = lambda request: False,
+        is_guaranteed: Callable[[inflight.InFlight], bool] = lambda request: (
+            False
+        ),
     ):
         """Creates a chooser without observations.
 
@@ -88,6 +91,8 @@
             log: Gets a line for each ejection.
             rng: Breaks ties.
             yields: Returns whether a request exceeds its workspace's share.
+            is_guaranteed: Returns whether a request is within its workspace's
+                share of a service that is divided.
         """
         self._timers = timers
         self._zone = zone
@@ -103,6 +108,7 @@
         self._is_settled = is_settled
         self._age_s = age_s
         self._yields = yields
+        self._is_guaranteed = is_guaranteed
         # When a connection to each incarnation last failed.
         self._lost_at: dict[tuple[str, int], float] = {}
         self._changes = stagechanges.StageChanges()
@@ -165,7 +171,9 @@
             lowest_urgency=limits.lowest_urgency,
             waited_s=now - request.caller.arrived_at,
         )
-        request.urgency = max(urgency, chosen_urgency)
+        request.urgency = urgency
+        if not self._is_guaranteed(request):
+            request.urgency = max(urgency, chosen_urgency)
         return request.plan.decode
 
     def _planned_urgency(self, request: inflight.InFlight) -> int:
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
@@ -403,6 +403,7 @@
             log=context.log,
             rng=context.rng,
             yields=self._uses.yields,
+            is_guaranteed=self._uses.is_guaranteed,
         )
 
     def _make_connector(self) -> None:
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/usesharing.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/usesharing.py
@@ -153,6 +153,16 @@
             request.exceeds_share = self._rng.random() < fraction
         return request.exceeds_share
 
+    def is_guaranteed(self, request: inflight.InFlight) -> bool:
+        """Returns whether a request is within its share of a divided service.
+
+        Such a prompt keeps its urgency also if it will be late. Otherwise it
+        would wait among the excess of the workspaces that made it late.
+        """
+        if not self._has_share(request) or self.yields(request):
+            return False
+        return self._find_shares(request.service).is_limited
+
     def admit(self, request: inflight.InFlight) -> bool:
         """Returns whether a request that has just been planned may go on.
 
--- a/packages/bulrushgrade_daemon/tests/test_usesharing.py
+++ b/packages/bulrushgrade_daemon/tests/test_usesharing.py
@@ -317,3 +317,22 @@
     urgent = test_endpointchooser.make_request()
     scene.chooser.choose(urgent)
     assert urgent.urgency == test_endpointchooser.QUERIES.urgency
+
+
+def test_late_prompts_within_the_share_keep_their_urgency():
+    """Late prompts of small workspaces waited among a flood's excess."""
+    host = Saturated()
+    assert host.sharing.is_guaranteed(host.send("small", wait_s=2.0))
+    excess = [host.send("large", wait_s=2.0) for _ in range(20)]
+    assert not all(map(host.sharing.is_guaranteed, excess))
+    scene = test_endpointchooser.Scene()
+    scene.chooser._is_guaranteed = lambda request: True
+    request = test_endpointchooser.make_request(
+        tokens=30_000, route=test_endpointchooser.DRAFTS
+    )
+    scene.choose(request)
+    assert request.plan.first_event_s > request.route.target_s
+    assert request.urgency == request.route.urgency
+    scene.chooser._is_guaranteed = lambda request: False
+    scene.choose(request)
+    assert request.urgency == routing.LOWEST_URGENCY
