Validate registrations in the directory instead of the adapter

The bounds on start times, sequences and slots are a decision, which the adapter isn't to make. Ruled out: a higher bound.

--- a/packages/bulrushgrade/bulrushgrade/directory.py
+++ b/packages/bulrushgrade/bulrushgrade/directory.py
@@ -15,8 +15,19 @@
 import enum
 
 import attrs
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
 
 from bulrushgrade import endpointdrains
+from bulrushgrade import errors
+
+MAX_INTEGER = 2**53 - 1
+"""Largest start time and sequence: what JSON numbers hold exactly. Hosts send
+them to each other as integers of 64 bits, and encoding a larger one fails."""
+
+MAX_SLOTS = 1_000_000
+"""Largest number of requests that an endpoint may serve at a time."""
 
 LEAVING_USE_FRACTION = 0.5
 """Fraction of the time until an endpoint's announced end in which it may still
@@ -85,6 +96,27 @@
         return (self.born_ms, self.sequence)
 
 
+def validate_registration(
+    found: Registration,
+) -> Result[Registration, errors.BadRecord]:
+    """Returns a registration if it identifies a usable endpoint.
+
+    Checks what the types of its fields leave open. A route without a service
+    has the empty name, so an endpoint of that name would get its requests.
+    """
+    if not (found.id and found.service):
+        reason = "the id or service is empty"
+    elif not 0 <= found.born_ms <= MAX_INTEGER:
+        reason = "the start time is out of range"
+    elif not 0 <= found.sequence <= MAX_INTEGER:
+        reason = "the sequence is out of range"
+    elif not 1 <= found.slots <= MAX_SLOTS:
+        reason = "the number of slots is out of range"
+    else:
+        return Success(found)
+    return Failure(errors.BadRecord(reason=reason))
+
+
 @attrs.frozen(kw_only=True)
 class Change:
     """A change of an endpoint caused by a record.
