Have hosts read records that no other host relays

A host that the store refused or that was cut off from it left its probes to others while its source replied with a fresh age. A reply that states records which it doesn't contain now makes the host probe at the pace of a prober until it has read the topic.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/sharedtopic.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/sharedtopic.py
@@ -131,6 +131,7 @@
         self._as_of: float | None = None
         self._regained_at: float | None = None
         self._queried_at = -math.inf
+        self._lacks_records = False
         self._relayed_batches = 0
         self._other_epochs = 0
         self.on_offer: Callable[[], None] = lambda: None
@@ -149,6 +150,11 @@
         """Whether this host has to know whether the store is reachable."""
         return self._must_read()
 
+    @property
+    def lacks_records(self) -> bool:
+        """Whether the store has records that no other host relays."""
+        return self._lacks_records
+
     @property
     def interval_factor(self) -> float:
         """Factor on the pause between two reads of the store."""
@@ -195,6 +201,7 @@
         """
         self._as_of = as_of
         self._regained_at = regained_at
+        self._lacks_records = False
         self._journal.restart(listing)
         self._journal_epoch = listing.epoch
 
@@ -216,6 +223,7 @@
         """
         self._as_of = as_of
         self._regained_at = regained_at
+        self._lacks_records = False
         if self._journal.extend(records, end) and self._is_serving:
             self._send_notice(end)
 
@@ -259,6 +267,7 @@
             return None
         # The next record is not retained there, or does not fit a datagram.
         if reply.has_more and reply.end <= position.offset:
+            self._lacks_records = True
             return None
         self._relayed_batches += 1
         self.sources.use(source)
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/topicprobes.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/topicprobes.py
@@ -257,6 +257,8 @@
         is_first_failure = self._host.schedule.failures <= 1
         if (
             self._shared.must_read
+            # What isn't relayed reaches this host only by a read of its own.
+            or self._shared.lacks_records
             or self._shared.sources.is_silent
             or self._host.is_prober
             or (self._shared.sources.ranks_first and is_first_failure)
