Add plans that limit the traffic of long prompts between zones

With the feature zone_locality the cost grows with the prompt's tokens, also where the decoder is picked. Without it plans are as before.

--- a/packages/bulrushgrade/bulrushgrade/engineplan.py
+++ b/packages/bulrushgrade/bulrushgrade/engineplan.py
@@ -48,6 +48,13 @@
 request's latency target. It causes traffic between zones and a few milliseconds
 of latency, so it only decides between otherwise equal plans."""
 
+OTHER_ZONE_TOKEN_PENALTY = 2e-5
+"""Additional cost of an engine in another zone for each token of the prompt, as
+a fraction of the latency target, where traffic between zones is avoided. The
+body is sent to each engine of a plan, so the traffic grows with its length. The
+cost is a third of a late answer for a prompt of 17,000 tokens (about 70 kB),
+and less than that of a different decoder for one of 400."""
+
 OTHER_DECODER_PENALTY = 0.03
 """Cost of not using the first decoder in a prompt's order, as a fraction of the
 latency target. What is handed over stays in that decoder's memory and evicts
@@ -74,15 +81,24 @@
 class EnginePlanner:
     """Plans requests for the engines of one service."""
 
-    def __init__(self, *, zone: str, fleet: enginefleet.EngineFleet):
+    def __init__(
+        self,
+        *,
+        zone: str,
+        fleet: enginefleet.EngineFleet,
+        avoids_other_zones: bool = False,
+    ):
         """Initializes the planner.
 
         Args:
             zone: The availability zone of this daemon.
             fleet: The load estimates of the engines.
+            avoids_other_zones: Whether the traffic of a prompt's body to other
+                zones counts as a cost.
         """
         self._zone = zone
         self._fleet = fleet
+        self._avoids_other_zones = avoids_other_zones
 
     @property
     def fleet(self) -> enginefleet.EngineFleet:
@@ -216,10 +232,17 @@
             + target_s * plan.late_answers
             + PREFILL_WEIGHT * plan.prefill_s
             + TRANSFER_WEIGHT * plan.transfer_s
-            + OTHER_ZONE_PENALTY * target_s * other_zone_engines
+            + self._other_zone_cost_s(request) * other_zone_engines
             + duplicate_prefill_s
         )
 
+    def _other_zone_cost_s(self, request: placementplan.PlanRequest) -> float:
+        """Returns the cost of one engine in another zone, in seconds."""
+        penalty = OTHER_ZONE_PENALTY
+        if self._avoids_other_zones:
+            penalty += OTHER_ZONE_TOKEN_PENALTY * request.prompt.prompt_tokens
+        return penalty * request.latency_targets.target_s
+
     def _prefillers(
         self,
         request: placementplan.PlanRequest,
@@ -254,6 +277,9 @@
     ) -> directory.Registration:
         """Returns the decoder of least cost by queue, pauses and memory."""
         target_s = request.latency_targets.target_s
+        other_zone_cost_s = 0.0
+        if self._avoids_other_zones:
+            other_zone_cost_s = self._other_zone_cost_s(request)
 
         def cost_s(index: int) -> float:
             engine = ranked[index]
@@ -274,6 +300,7 @@
                 + decode_load.joined_pause_s
                 + target_s * late
                 + (OTHER_DECODER_PENALTY * target_s if index else 0.0)
+                + (other_zone_cost_s if engine.zone != self._zone else 0.0)
             )
 
         return ranked[min(range(len(ranked)), key=cost_s)]
--- a/packages/bulrushgrade/tests/planscene.py
+++ b/packages/bulrushgrade/tests/planscene.py
@@ -39,9 +39,9 @@
     return enginerank.rank_by_role(prompt, engines, TRAITS).preferred
 
 
-def make_planner(peers=None):
+def make_planner(peers=None, **options):
     fleet = enginefleet.EngineFleet(peers=peers)
-    return engineplan.EnginePlanner(zone="z1", fleet=fleet)
+    return engineplan.EnginePlanner(zone="z1", fleet=fleet, **options)
 
 
 def make_input(prompt, engines=ENGINES, **changes):
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointchooser.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/endpointchooser.py
@@ -69,6 +69,7 @@
         is_guaranteed: Callable[[inflight.InFlight], bool] = lambda request: (
             False
         ),
+        avoids_other_zones: bool = False,
     ):
         """Creates a chooser without observations.
 
@@ -93,9 +94,12 @@
             yields: Returns whether a request exceeds its workspace's share.
             is_guaranteed: Returns whether a request is within its workspace's
                 share of a service that is divided.
+            avoids_other_zones: Whether prompts are planned for little traffic
+                between zones.
         """
         self._timers = timers
         self._zone = zone
+        self._avoids_other_zones = avoids_other_zones
         self._table = table
         self._endpoints = endpoints
         self._log = log
@@ -669,4 +673,8 @@
 
     def _planner(self, service: str) -> engineplan.EnginePlanner:
         fleet = self._work.fleet(service)
-        return engineplan.EnginePlanner(zone=self._zone, fleet=fleet)
+        return engineplan.EnginePlanner(
+            zone=self._zone,
+            fleet=fleet,
+            avoids_other_zones=self._avoids_other_zones,
+        )
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
@@ -404,6 +404,7 @@
             rng=context.rng,
             yields=self._uses.yields,
             is_guaranteed=self._uses.is_guaranteed,
+            avoids_other_zones=context.settings().features.limits_zone_traffic,
         )
 
     def _make_connector(self) -> None:
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaysettings.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaysettings.py
@@ -161,6 +161,7 @@
 WORKSPACE_SHARES = "workspace_shares"
 EARLY_RETRIES = "early_retries"
 STORE_PROBES = "store_probes"
+ZONE_LOCALITY = "zone_locality"
 
 FEATURES = frozenset(
     {
@@ -169,6 +170,7 @@
         WORKSPACE_SHARES,
         EARLY_RETRIES,
         STORE_PROBES,
+        ZONE_LOCALITY,
     }
 )
 """The names of all features."""
@@ -212,6 +214,11 @@
         """Whether hosts share the reads of a store that fails."""
         return STORE_PROBES in self.enabled
 
+    @property
+    def limits_zone_traffic(self) -> bool:
+        """Whether prompts are planned for little traffic between zones."""
+        return ZONE_LOCALITY in self.enabled
+
 
 @attrs.frozen(kw_only=True)
 class GatewaySettings:
