Bound the probes of hosts that lack records, also after a new epoch

A source doesn't relay what it found by a whole read. A host that the store refused while it returned in a new epoch took part in the relay of that epoch, left its own whole read to others and got it after 10 s at the pace of the others (test_store_returns_in_a_new_epoch_and_later_to_some_hosts, 28 hosts, 1.5 s allowed).

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/sharedtopic.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/sharedtopic.py
@@ -265,6 +265,9 @@
         if reply.epoch < position.epoch:
             self._other_epochs += 1
             return None
+        if position.offset == topicjournal.FROM_RESTART:
+            # A host doesn't relay what it has found by a whole read.
+            self._lacks_records = True
         # The next record is not retained there, or does not fit a datagram.
         if reply.has_more and reply.end <= position.offset:
             self._lacks_records = True
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/topicprobes.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/topicprobes.py
@@ -255,10 +255,14 @@
             return storeprobes.Pace.FIRST
         # One failed read may be a lost packet, so a source repeats it.
         is_first_failure = self._host.schedule.failures <= 1
+        # What isn't relayed reaches this host only by a read of its own. If the
+        # source can't read either, the return is noticed by the probers.
+        lacks_records = (
+            self._shared.lacks_records and not self._shared.sources.is_stale
+        )
         if (
             self._shared.must_read
-            # What isn't relayed reaches this host only by a read of its own.
-            or self._shared.lacks_records
+            or lacks_records
             or self._shared.sources.is_silent
             or self._host.is_prober
             or (self._shared.sources.ranks_first and is_first_failure)
--- a/packages/bulrushgrade_daemon/tests/test_storeprobes_fleet.py
+++ b/packages/bulrushgrade_daemon/tests/test_storeprobes_fleet.py
@@ -214,6 +214,33 @@
     assert len(sent) <= len(refused) * 6.0 / least_s
 
 
+@pytest.mark.parametrize("kind", ["refused", "silent"])
+def test_store_returns_in_a_new_epoch_and_later_to_some_hosts(kind):
+    """Guards against a host that leaves its whole read to others.
+
+    What another host finds by a whole read it doesn't relay.
+    """
+    fleet = probescene.Fleet(zones=1, count=28)
+    fleet.fail(3.0, **{kind: find_others(fleet)[:3]})
+    fleet.store.go_back()
+    fleet.store.append(b"after")
+    fleet.run(4.0)
+    fleet.restore()
+    assert fleet.seconds_until_current() <= HALF_CONTACT_S
+
+
+@pytest.mark.parametrize("kind", ["refused", "silent"])
+def test_store_fails_for_all_when_hosts_begin_to_read_a_record(kind):
+    """Guards against hosts that all probe often as all lack the record."""
+    fleet = probescene.Fleet()
+    fleet.store.append(b"before")
+    fleet.run(2 * probescene.STEP_S)
+    calls = fleet.fail(OUTAGE_S, **{kind: set(fleet.hosts)})
+    assert calls < count_calls_without_limit(kind) / 10
+    fleet.restore()
+    assert fleet.seconds_until_current() <= HALF_CONTACT_S
+
+
 def test_host_alone_in_its_zone_probes_a_silent_store_for_itself():
     fleet = probescene.Fleet(zones=3, count=1)
     calls = fail_for_all(fleet, "silent")
