Wake all topics of a host that left its probes to others

A host whose sources were stale leaves its probes to others without a failed read of its own. When it then read the store again, its schedule didn't count that as the end of a failure, so that its other topics weren't woken.

--- a/packages/bulrushgrade/bulrushgrade/storeprobes.py
+++ b/packages/bulrushgrade/bulrushgrade/storeprobes.py
@@ -201,10 +201,12 @@
         )
 
     def succeed(self, topic: str, now: float) -> bool:
-        """Notes that a read succeeded; returns whether the store had failed."""
+        """Notes that a read succeeded; returns whether the store had failed.
+
+        It had failed, too, if this host left the probes to others.
+        """
         self.cancel(topic)
-        self._left.discard(topic)
-        if not self.is_failing:
+        if not self.is_failing and not self._left:
             return False
         self._end_failure(now)
         return True
--- a/packages/bulrushgrade_daemon/tests/test_storeprobes_fleet.py
+++ b/packages/bulrushgrade_daemon/tests/test_storeprobes_fleet.py
@@ -241,6 +241,21 @@
     assert fleet.seconds_until_current() <= HALF_CONTACT_S
 
 
+@pytest.mark.parametrize("index", [0, 2])
+def test_host_is_cut_off_from_its_zone_just_before_the_return(index):
+    """Guards against a host that reads one topic and leaves the others.
+
+    It had left its probes to other hosts and so had no failed read itself.
+    """
+    fleet = probescene.Fleet(zones=1, count=28)
+    fleet.fail(4.0, refused=set(fleet.hosts))
+    fleet.lost.add(find_others(fleet)[index])
+    fleet.run(0.05)
+    fleet.store.append(b"during")
+    fleet.restore()
+    assert fleet.seconds_until_current() <= HALF_CONTACT_S
+
+
 def test_host_alone_in_its_zone_probes_a_silent_store_for_itself():
     fleet = probescene.Fleet(zones=3, count=1)
     calls = fail_for_all(fleet, "silent")
