Query another source once the host that relayed records is gone

A follower with relayed records sleeps until they are too old, 16 s for the addresses of peers, and relies on notices of its source meanwhile. Where the source is killed and starts again at another address, its peers did not learn the address, so that it got no drain, limit or load from them.

Followers now check every 0.5 s whether the source is still present, and query the next host at once if not. A source that does not reply is queried twice before the next one, without a read of the store while the records are valid.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/follower.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/follower.py
@@ -40,6 +40,16 @@
 """Least interval between updates. Without it a host whose source also has
 records of the greatest allowed age would query in a busy loop."""
 
+SOURCE_CHECK_S = 0.5
+"""Interval of checks whether the host that notices of new records come from is
+still present. Views of the addresses of peers are valid for 16 s. Without the
+checks, the peers of a killed source did not learn its new address until then
+and sent it nothing: no drain, no limit and no load."""
+
+MAX_SEEKS = 3
+"""Queries for another source before the store is read. A source that does not
+reply is queried twice, then the next one."""
+
 MAX_BATCHES = 16
 """Limit of consecutive batches from another host. A host that is further behind
 reads the store."""
@@ -119,6 +129,8 @@
         self._as_of: float | None = None
         self._lost_at: float | None = None
         self._regained_at: float | None = None
+        # Queries for another source before the store is read.
+        self._seeks_left = 0
         self._reads = 0
         self._reloads = 0
         self._running: Any = None
@@ -236,13 +248,21 @@
                 else RETRY_S
             )
         if await self._read_relayed():
+            self._seeks_left = 0
             return self._remaining_validity_s()
         if self._reload.is_set:
             return RETRY_S
+        if self._seeks_left and self._remaining_validity_s() > MIN_INTERVAL_S:
+            self._seeks_left -= 1
         # Without waiting: others may relay the next records.
-        if self._probe_delay_s() <= 0 and await self._read_after(0.0):
-            return self._time_to_next_read_s(self._wait_s + self._pause_s)
-        return self._limit_to_probe(RETRY_S)
+        elif self._probe_delay_s() <= 0 and await self._read_after(0.0):
+            self._seeks_left = MAX_SEEKS
+        else:
+            return self._limit_to_probe(RETRY_S)
+        next_s = self._time_to_next_read_s(self._wait_s + self._pause_s)
+        if not self._shared.is_unanswered:
+            self._seeks_left = 0
+        return MIN_INTERVAL_S if self._seeks_left else next_s
 
     def _probe_delay_s(self) -> float:
         """Returns the seconds until the store may be read; 0 for now."""
@@ -273,13 +293,20 @@
         if seconds <= 0:
             return
         self._wakeup = defer.Deferred()
-        subscription = self._timers.after(seconds, self._wake)
+        due = self._timers.after(seconds, self._wake)
+        checks = self._timers.every(SOURCE_CHECK_S, self._check_source)
         try:
             await self._wakeup
         finally:
-            subscription.cancel()
+            due.cancel()
+            checks.cancel()
             self._wakeup = None
 
+    def _check_source(self) -> None:
+        if self._shared.sources.drop_gone():
+            self._seeks_left = MAX_SEEKS
+            self._wake()
+
     def _wake(self) -> None:
         if self._wakeup is not None and not self._wakeup.called:
             self._wakeup.callback(None)
@@ -291,6 +318,7 @@
             and noticed.epoch == known.epoch
             and noticed.offset > known.offset
         ):
+            self._seeks_left = 0
             self._wake()
 
     def _handle_offer(self) -> None:
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/recordsources.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/recordsources.py
@@ -116,6 +116,14 @@
             return math.inf
         return PROBER_QUERY_FRACTION * self._probers.hold_s
 
+    def drop_gone(self) -> bool:
+        """Forgets the usual source if it is gone; returns whether it did."""
+        usual = self._usual
+        if usual is None or usual in self._rank_hosts(self._topic):
+            return False
+        self._usual = None
+        return True
+
     def pick(self) -> str | None:
         """Returns the host to query, or None if there is none."""
         self._usual = self._pick_usual()
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/sharedtopic.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/sharedtopic.py
@@ -13,6 +13,9 @@
 - a query times out before a reply that is delayed on its way arrives, and the
   age is counted from the moment of the query.
 
+A view may be valid for long, within which the source sends a notice of new
+records. One that is gone sends none, so the next host is queried then.
+
 In each case the host reads the store at once. After some failures in a row it
 queries the next host for a while. If reads of a failing store are limited, see
 `topicprobes`, it queries the hosts that probe the store instead.
@@ -132,6 +135,7 @@
         self._regained_at: float | None = None
         self._queried_at = -math.inf
         self._lacks_records = False
+        self._is_unanswered = False
         self._relayed_batches = 0
         self._other_epochs = 0
         self.on_offer: Callable[[], None] = lambda: None
@@ -155,6 +159,11 @@
         """Whether the store has records that no other host relays."""
         return self._lacks_records
 
+    @property
+    def is_unanswered(self) -> bool:
+        """Whether the last query got no reply."""
+        return self._is_unanswered
+
     @property
     def interval_factor(self) -> float:
         """Factor on the pause between two reads of the store."""
@@ -235,6 +244,7 @@
         Returns None if there is no other host, or if it did not reply with
         records of the same epoch that are fresh and complete enough.
         """
+        self._is_unanswered = False
         source = self.sources.pick()
         if source is None:
             return None
@@ -247,6 +257,7 @@
             epoch=position.epoch,
         )
         replies = await self._queries.query({source: query})
+        self._is_unanswered = not replies
         if not replies:
             self.sources.note_silence(source)
             return None
--- a/packages/bulrushgrade_daemon/tests/test_sharedtopic.py
+++ b/packages/bulrushgrade_daemon/tests/test_sharedtopic.py
@@ -49,7 +49,10 @@
 
         async def read_after(offset, wait_s):
             self.reads += 1
+            until = timers.now + wait_s
             await timers.sleep(READ_S)
+            while not self.records[offset:] and timers.now < until:
+                await timers.sleep(STEP_S)
             if name in self.silent:
                 await timers.sleep(3600.0)
             if name in self.cut:
@@ -80,7 +83,7 @@
         self.shared = sharedtopic.SharedTopic(
             topic="t",
             own_name=name,
-            max_age_s=VIEW_S,
+            max_age_s=zone.wait_s + VIEW_S,
             extract_state=lambda record: topicjournal.RecordState(
                 content=record.value
             ),
@@ -97,7 +100,7 @@
             rng=random.Random(name),
             epoch=self.epoch,
             reader=zone.store.reader(name, zone.timers),
-            wait_s=0.0,
+            wait_s=zone.wait_s,
             pause_s=VIEW_S,
             shared=self.shared,
             on_all=lambda records: None,
@@ -127,7 +130,8 @@
 class Zone:
     """The hosts of a zone, their store and their network."""
 
-    def __init__(self, count=5):
+    def __init__(self, count=5, wait_s=0.0):
+        self.wait_s = wait_s
         self.reactor, self.timers, _ = fakes.make_timers()
         self.store = Store()
         self.ranked = [f"h{n}" for n in range(1, count + 1)]
@@ -202,6 +206,28 @@
     assert zone.known_after("e", without={"h1"}) <= KNOWN_WITHIN_S
 
 
+@pytest.mark.parametrize("restarts", (False, True))
+def test_the_source_of_a_view_that_is_valid_for_long_is_gone(restarts):
+    """Guards against hosts that wait for notices from a source that is gone.
+
+    The addresses of peers are valid for 16 s. A killed host that had relayed
+    them and starts again with another address got no messages of its peers
+    until then, and knew neither drains nor limits.
+    """
+    zone = Zone(count=4, wait_s=15.0)
+    zone.run(35.0)
+    assert zone.hosts["h2"].shared.source == "h1"
+    fakes.run(zone.hosts["h1"].follower.stop())
+    zone.lost |= {"h1", "h1b"}
+    # After its restart it ranks first again, and can't be reached yet.
+    zone.ranked = (["h1b"] if restarts else []) + ["h2", "h3", "h4"]
+    before = zone.store.reads
+    zone.run(follower.SOURCE_CHECK_S + 0.5)
+    # Only hosts that others query read the store for them.
+    assert zone.store.reads - before <= 2
+    assert zone.known_after("h1", without={"h1"}) <= READ_S + 2 * STEP_S
+
+
 def test_the_source_is_cut_off_from_its_zone():
     """The source still reads the store, and so can all other hosts."""
     zone = Zone()
