Tell a host at a new address at once what endpoints state

A host that has just started was told of drains and limits in the next of every 20 rounds of messages, up to 2 s after it had heard from a peer, which lets it serve callers. Within that time it could send to an endpoint whose drain its peers knew.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadgossip.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadgossip.py
@@ -162,6 +162,7 @@
         # Size of the last sum of the fleet that was sent.
         self._message_bytes = 0
         self._round = 0
+        self._address_changes = 0
         self._tick: Any = None
 
     @property
@@ -267,6 +268,11 @@
     def _exchange(self) -> None:
         now = self._timers.now
         self._round += 1
+        if self._address_changes != self._link.address_changes:
+            # A host that has just started serves callers once it has heard
+            # from a peer. It then has to know what endpoints state.
+            self._address_changes = self._link.address_changes
+            self._signals.repeat_all()
         self._signals.begin_round()
         self._parts.begin_round()
         self._sums.begin_round()
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/newsschedule.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/newsschedule.py
@@ -1,7 +1,8 @@
 """Selects the news that each round of messages among hosts carries.
 
 Datagrams get lost, and hosts start or are cut off for a time. So a change
-travels in several rounds, and all that is known now and then.
+travels in several rounds, and all that is known now and then, and whenever the
+sender asks for it.
 """
 
 from collections.abc import Callable
@@ -52,6 +53,11 @@
             rounds, self._rounds_left.get(subject, 0)
         )
 
+    def add_all(self) -> None:
+        """Sends all that is known in the next rounds."""
+        for subject in self._find_all():
+            self.add(subject)
+
     def next(self) -> list[_Subject]:
         """Returns the subjects of the next round."""
         self._round += 1
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/peerlink.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/peerlink.py
@@ -118,6 +118,7 @@
         self._log = log
         self._on_broken = on_broken
         self._peers: dict[str, _Peer] = {}
+        self._address_changes = 0
         self._sent = 0
         self._unreadable = 0
         self._announced_again = 0
@@ -138,6 +139,11 @@
         """The number of announced hosts, this one included."""
         return len(self._peers) + 1
 
+    @property
+    def address_changes(self) -> int:
+        """How often the address of another host became known or changed."""
+        return self._address_changes
+
     @property
     def counts(self) -> dict[str, int]:
         """Datagrams sent, invalid datagrams and records, announcements."""
@@ -241,6 +247,7 @@
         if self._peers.get(record.key) == found:
             return False
         self._peers[record.key] = found
+        self._address_changes += 1
         self._log.note(
             "peer_known",
             peer=record.key,
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/signalexchange.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/signalexchange.py
@@ -3,8 +3,8 @@
 A host with few requests for an endpoint would otherwise learn of its limit, or
 that it is leaving, long after the others; the store may be unavailable. What
 is known travels in the messages that carry loads: a change in several of them
-at once, as some get lost, and all of it now and then, for hosts that have just
-started or were cut off.
+at once, as some get lost, and all of it now and then, for hosts that were cut
+off, and when the address of a host becomes known that has just started.
 """
 
 from bulrushgrade_daemon import endpointsignals
@@ -41,6 +41,11 @@
         limits.subscribe(self._limit_schedule.add)
         signals.subscribe(self._drain_schedule.add)
 
+    def repeat_all(self) -> None:
+        """Sends all that is known in the next rounds."""
+        self._limit_schedule.add_all()
+        self._drain_schedule.add_all()
+
     def begin_round(self) -> None:
         """Selects what the messages of the next round carry."""
         self._limit_batch = [
--- a/packages/bulrushgrade_daemon/tests/test_loadgossip.py
+++ b/packages/bulrushgrade_daemon/tests/test_loadgossip.py
@@ -205,3 +205,25 @@
     reactor.pump([0.1] * 5)
     for host in (one, two, three):
         assert len(host.gossip.fleet.in_contact()) == 3
+
+
+def test_a_host_at_a_new_address_is_told_what_endpoints_state():
+    """Guards against hosts that start and send to endpoints that leave.
+
+    A host that starts serves callers once it has heard from a peer, which told
+    it of drains and limits up to 20 rounds later.
+    """
+    reactor, _, _, (one, two, new) = make()
+    gone = topicreader.KeyedRecord(key="h3", value=None)
+    for host in (one, two):
+        host.link.apply_records((gone,))
+    one.signals.merge_drain(("e1", 0, 0), peer="h2/1")
+    one.limits.merge(("e2", 0), (3.5, 0, False), peer="h2/1")
+    reactor.pump([0.1] * 12)
+    assert not new.signals.drains.ids
+    value = b'{"address": "127.0.0.1:3", "zone": "z0"}'
+    started = topicreader.KeyedRecord(key="h3", value=value)
+    one.link.apply_records((started,))
+    reactor.pump([0.1])
+    assert new.signals.drains.ids == {"e1"}
+    assert [endpoint for endpoint, _ in new.limits.items()] == [("e2", 0)]
