Count only the hosts that ask an owner in its part of a limit

Two hosts that don't hear each other but both hear a third one each took themselves for the owner of an endpoint's permits and each counted the third one as theirs. 10 s later, when the silent host counted as departed, both granted the whole limit.

Messages with group loads now have a digest of the daemons that their sender hears. An owner derives from it and the missing hosts whom the sender takes for the owner, and counts only hosts that ask it. Messages of earlier versions have no digest; their senders count as before.

--- a/packages/bulrushgrade/bulrushgrade/fleetmembers.py
+++ b/packages/bulrushgrade/bulrushgrade/fleetmembers.py
@@ -8,6 +8,20 @@
 """Time for which a daemon that fell silent is reported as missing."""
 
 
+@attrs.frozen(kw_only=True)
+class PeerView:
+    """Which daemons another one hears.
+
+    Attributes:
+        missing: The hosts that it no longer hears.
+        digest: A digest of the names of those that it hears and of its own;
+            None if it states none.
+    """
+
+    missing: frozenset[str]
+    digest: int | None
+
+
 @attrs.frozen(kw_only=True)
 class _MemberList:
     """One part of the list that another daemon sends."""
@@ -44,32 +58,36 @@
         self._unable: set[str] = set()
         self._cut: set[str] = set()
         self._excluded: dict[str, float] = {}
-        # Hosts that were heard and fell silent, and since when.
-        self._silent_since: dict[str, float] = {}
-        # Daemons that report that they don't hear this one.
-        self._unheard_by: set[str] = set()
+        # Hosts that were heard and fell silent: since when, and the daemon.
+        self._silent: dict[str, tuple[float, str]] = {}
+        self._views: dict[str, PeerView] = {}
 
     def observe_message(self, name: str, now: float) -> None:
         """Records that a message of a daemon arrived."""
         self._heard[name] = now
         self._excluded.pop(name, None)
-        self._silent_since.pop(host_of(name), None)
+        self._silent.pop(host_of(name), None)
 
-    def observe_missing(self, name: str, missing: Iterable[str]) -> None:
-        """Records which hosts a daemon reports as missing."""
-        if host_of(self._own_name) in missing:
-            self._unheard_by.add(name)
-        else:
-            self._unheard_by.discard(name)
+    def observe_view(self, name: str, view: PeerView) -> None:
+        """Records which hosts a daemon hears by its own report."""
+        self._views[name] = view
+
+    def view_of(self, name: str) -> PeerView | None:
+        """Returns what a daemon reported last; None if it reported nothing."""
+        return self._views.get(name)
 
     def missing(self) -> list[str]:
         """Returns the hosts that fell silent and that no other one hears."""
-        present = {host_of(name) for name in self.present()}
-        return sorted(self._silent_since.keys() - present)
+        return sorted(map(host_of, self.silent()))
 
-    def unheard_by(self) -> set[str]:
-        """Returns the daemons that report that they don't hear this one."""
-        return set(self._unheard_by)
+    def silent(self) -> list[str]:
+        """Returns the daemons of the hosts that are missing, as last heard."""
+        present = {host_of(name) for name in self.present()}
+        return [
+            name
+            for host, (_, name) in self._silent.items()
+            if host not in present
+        ]
 
     def observe_ability(self, name: str, is_able: bool) -> None:
         """Records whether a daemon that sent a message could give orders."""
@@ -170,7 +188,7 @@
         self._heard.pop(name, None)
         self._unable.discard(name)
         self._cut.discard(name)
-        self._unheard_by.discard(name)
+        self._views.pop(name, None)
 
     def forget(
         self, now: float, *, silent_s: float, list_silent_s: float
@@ -185,10 +203,10 @@
         for name, at in list(self._heard.items()):
             if now - at >= silent_s:
                 self.drop(name)
-                self._silent_since[host_of(name)] = now
-        self._silent_since = {
-            host: since
-            for host, since in self._silent_since.items()
+                self._silent[host_of(name)] = now, name
+        self._silent = {
+            host: (since, name)
+            for host, (since, name) in self._silent.items()
             if now - since < MISSING_TTL_S
         }
         self._lists = {
--- a/packages/bulrushgrade/bulrushgrade/hostshare.py
+++ b/packages/bulrushgrade/bulrushgrade/hostshare.py
@@ -41,15 +41,26 @@
         for host in self._present:
             self._seen_at[host] = now
 
-    def fraction(self, now: float) -> float:
-        """Returns the part of each limit that this side may grant, up to 1."""
-        present = len(self._present)
-        if not present:
+    def fraction(
+        self, now: float, voters: Iterable[str] | None = None
+    ) -> float:
+        """Returns the part of a limit that this side may grant, up to 1.
+
+        Args:
+            now: The current time.
+            voters: The hosts that agree on who grants; None for all that are
+                present. The others may get permits elsewhere.
+        """
+        granted_to = self._present
+        if voters is not None:
+            granted_to = granted_to.intersection(voters)
+        count = len(granted_to)
+        if not count:
             return 0.0
         expected = self._count_since(now - FORGET_S)
-        if 2 * present > expected:
-            return present / self._count_since(now - DEPARTURE_S)
-        return present / expected
+        if 2 * count > expected:
+            return count / self._count_since(now - DEPARTURE_S)
+        return count / expected
 
     def _count_since(self, at: float) -> int:
         recent = {
--- a/packages/bulrushgrade/tests/test_hostshare.py
+++ b/packages/bulrushgrade/tests/test_hostshare.py
@@ -62,6 +62,19 @@
     assert share.fraction(60.0) == pytest.approx(1 / 9)
 
 
+def test_hosts_that_ask_another_owner_do_not_count():
+    """Guards against two owners that count the hosts that hear both."""
+    total = 0.0
+    for present, voters in ((HOSTS[1:], HOSTS[1:]), (HOSTS[:8], HOSTS[:1])):
+        share = hostshare.HostShare()
+        share.update(HOSTS, HOSTS, 0.0)
+        share.update(present, HOSTS, 1.0)
+        total += share.fraction(1.0, voters)
+        # A voter that has come since the last update doesn't count yet.
+        assert share.fraction(1.0, [*voters, "new"]) < 0.9
+    assert total == pytest.approx(1.0)
+
+
 def test_removed_hosts_are_forgotten():
     share = hostshare.HostShare()
     removed = [f"r{n}" for n in range(20)]
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/fleetview.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/fleetview.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 
+import xxhash
+
 from bulrushgrade import fleetmembers
 from bulrushgrade import rendezvous
 
@@ -42,6 +44,7 @@
         self._zone_of = zone_of
         self._members = fleetmembers.FleetMembers(own_name=own_name)
         self._present = [own_name]
+        self._digest = _digest(self._present)
         self._owners: dict[str, list[str]] = {}
 
     @property
@@ -65,14 +68,53 @@
         Where messages get lost in one direction only, a host hears peers that
         take it for gone.
         """
-        unheard_by = self._members.unheard_by()
-        return [name for name in self._present if name not in unheard_by]
+        return [name for name in self._present if self._is_heard_by(name)]
+
+    def find_voters(self, key: str) -> list[str]:
+        """Returns the daemons that take this one for the first owner of a key.
+
+        Two hosts that don't hear each other may both hear a third one, and
+        both take themselves for the owner. Each daemon has one first owner, so
+        no daemon is a voter of both. One whose view is unknown isn't counted;
+        one that reports no view, such as an aggregator's member, is taken to
+        have the same view as this daemon.
+        """
+        if self.find_owners(key)[0] != self._own_name:
+            return []
+        return [name for name in self._present if self._votes(name, key)]
+
+    @property
+    def digest(self) -> int:
+        """A digest of the names of the present daemons."""
+        return self._digest
+
+    def _is_heard_by(self, name: str) -> bool:
+        view = self._members.view_of(name)
+        return view is None or self._own_host not in view.missing
+
+    def _votes(self, name: str, key: str) -> bool:
+        """Returns whether a daemon takes this one for the owner of a key."""
+        if not self._is_heard_by(name):
+            return False
+        view = self._members.view_of(name)
+        if view is None or view.digest in (None, self._digest):
+            return True
+        # It may hear daemons that this one has lost, and the reverse.
+        heard = [
+            known
+            for known in (*self._present, *self._members.silent())
+            if fleetmembers.host_of(known) not in view.missing
+        ]
+        if view.digest != _digest(heard):
+            return False
+        return rendezvous.pick(key, heard, 1) == [self._own_name]
 
     def refresh(self) -> None:
         """Recomputes the present daemons from `members`."""
         present = [self._own_name, *self._members.present()]
         if present != self._present:
             self._present = present
+            self._digest = _digest(present)
             self._owners.clear()
 
     def linked_peers(self) -> list[str]:
@@ -163,3 +205,8 @@
 
     def _in_zone(self, hosts: list[str], zone: str | None) -> list[str]:
         return [host for host in hosts if self._zone_of(host) == zone]
+
+
+def _digest(names: Iterable[str]) -> int:
+    """Returns a number that is the same for the same names in any order."""
+    return xxhash.xxh32_intdigest("\n".join(sorted(names)).encode())
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaymessages.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaymessages.py
@@ -129,6 +129,8 @@
         is_cut: Whether the sender seems to be cut off from all endpoints.
         parts: Prompt parts at crashes; None without news.
         sums: Some of the sums of the group's vectors.
+        digest: A digest of the names of the daemons that the sender hears and
+            of its own, see `FleetView.digest`; None from earlier versions.
     """
 
     peer: str
@@ -144,6 +146,7 @@
     is_cut: bool = False
     parts: PartNews | None = None
     sums: SumNews = {}
+    digest: int | None = None
 
 
 class FleetLoad(msgspec.Struct, array_like=True, tag="fleet_load"):
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
@@ -306,10 +306,8 @@
             own_name=self._own_name,
             limits=self._limits,
             signals=self._signals,
-            contacts=permitgranter.Contacts(
-                find_owners=lambda key: self._gossip.fleet.find_owners(key),
-                present=lambda: self._gossip.fleet.present,
-                in_contact=lambda: self._gossip.fleet.in_contact(),
+            contacts=permitgranter.Contacts.of_fleet(
+                lambda: self._gossip.fleet,
                 announced=lambda: self._link.hosts,
                 knows_peers=lambda: self._follow_peers.has_loaded,
             ),
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadgossip.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadgossip.py
@@ -354,7 +354,10 @@
     def _send_sums(self, own: peerloads.Shares, now: float) -> None:
         group = self._loads.group_sum(own, now)
         message = self._messages.make_group_load(
-            self._round, group, self._members.missing()
+            self._round,
+            group,
+            missing=self._members.missing(),
+            digest=self._fleet.digest,
         )
         self._link.send_datagram(
             self._group_hosts(), gatewaymessages.serialize(message)
@@ -424,7 +427,10 @@
                 [self._aggregator_choice.chosen],
                 gatewaymessages.serialize(message),
             )
-        self._members.observe_missing(name, message.missing)
+        view = fleetmembers.PeerView(
+            missing=frozenset(message.missing), digest=message.digest
+        )
+        self._members.observe_view(name, view)
         self._members.observe_cut(name, message.is_cut)
         self._aggregators.observe(name, now)
         shares = loadcodec.decode_shares(message.engines)
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadmessages.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadmessages.py
@@ -72,7 +72,12 @@
         )
 
     def make_group_load(
-        self, number: int, group: peerloads.Shares, missing: list[str]
+        self,
+        number: int,
+        group: peerloads.Shares,
+        *,
+        missing: list[str],
+        digest: int,
     ) -> gatewaymessages.GroupLoad:
         """Returns a group's load, for the aggregators of other groups.
 
@@ -80,6 +85,7 @@
             number: The message's number.
             group: The load.
             missing: Hosts that fell silent.
+            digest: A digest of the names of the present daemons.
         """
         return gatewaymessages.GroupLoad(
             peer=self._own_name,
@@ -94,6 +100,7 @@
             is_cut=self._is_cut(),
             parts=self._next_parts(),
             sums=self._sums.make_group(),
+            digest=digest,
         )
 
     def make_fleet_load(
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/permitgranter.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/permitgranter.py
@@ -18,6 +18,7 @@
 from bulrushgrade import permits as permits_module
 from bulrushgrade_daemon import claimqueues
 from bulrushgrade_daemon import decisionlog
+from bulrushgrade_daemon import fleetview
 from bulrushgrade_daemon import ratelimits
 
 NOT_OWNER_PAUSE_S = 0.1
@@ -59,6 +60,8 @@
             its permits.
         present: Returns the daemons that are present, this one included.
         in_contact: Returns those of them that hear this one.
+        find_voters: Returns those of them that take this one for the owner of
+            an endpoint's permits; this one among them if it does so itself.
         announced: Returns the other hosts that have announced themselves.
         knows_peers: Returns whether these have been read since the start.
     """
@@ -66,9 +69,28 @@
     find_owners: Callable[[str], list[str]]
     present: Callable[[], list[str]]
     in_contact: Callable[[], list[str]]
+    find_voters: Callable[[str], list[str]]
     announced: Callable[[], list[str]]
     knows_peers: Callable[[], bool]
 
+    @classmethod
+    def of_fleet(
+        cls, find_fleet: Callable[[], fleetview.FleetView], **others: Any
+    ) -> "Contacts":
+        """Returns contacts that a view of the fleet tells.
+
+        Args:
+            find_fleet: Returns the view.
+            others: `announced` and `knows_peers`.
+        """
+        return cls(
+            find_owners=lambda id: find_fleet().find_owners(id),
+            present=lambda: find_fleet().present,
+            in_contact=lambda: find_fleet().in_contact(),
+            find_voters=lambda id: find_fleet().find_voters(id),
+            **others,
+        )
+
 
 class PermitGranter:
     """The claims for the endpoints that this host owns."""
@@ -103,6 +125,9 @@
         self._seen: list[str] = []
         self._view_changed_at = timers.now
         self._owners: dict[endpointlimits.Incarnation, _Owner] = {}
+        # The hosts that take this one for an endpoint's owner. Finding them
+        # takes too long for each claim, so they are kept until the next check.
+        self._voters: dict[str, frozenset[str]] = {}
 
         def observe_grant() -> None:
             counts["granted"] += 1
@@ -184,6 +209,7 @@
             self._contacts.announced(),
             now,
         )
+        self._voters.clear()
         limited = set(self._limits.limited())
         for endpoint in limited:
             self._owner(endpoint)
@@ -195,7 +221,17 @@
     def _rate_per_s(self, endpoint: endpointlimits.Incarnation) -> float:
         """Returns the rate that this side grants."""
         per_s = max(self._limits.limit_of(endpoint) or 0.0, MIN_RATE_PER_S)
-        return per_s * self._share.fraction(self._timers.now)
+        return per_s * self._fraction(endpoint)
+
+    def _fraction(self, endpoint: endpointlimits.Incarnation) -> float:
+        """Returns the part of an endpoint's limit that this host grants."""
+        id = endpoint[0]
+        voters = self._voters.get(id)
+        if voters is None:
+            names = self._contacts.find_voters(id)
+            voters = frozenset(map(fleetmembers.host_of, names))
+            self._voters[id] = voters
+        return self._share.fraction(self._timers.now, voters)
 
     def _owner(self, endpoint: endpointlimits.Incarnation) -> _Owner:
         """Returns an endpoint's owner, and notes if it has changed."""
@@ -220,7 +256,7 @@
             before=None if known is None else known.name,
             grants_in_s=round(max(0.0, grants_from - now), 3),
             present=len(self._contacts.present()),
-            fraction=round(self._share.fraction(now), 3),
+            fraction=round(self._fraction(endpoint), 3),
         )
         return owner
 
--- a/packages/bulrushgrade_daemon/tests/limitfleet.py
+++ b/packages/bulrushgrade_daemon/tests/limitfleet.py
@@ -470,10 +470,8 @@
             own_name=own_name,
             limits=self.limits,
             signals=self.signals,
-            contacts=permitgranter.Contacts(
-                find_owners=self.gossip.fleet.find_owners,
-                present=lambda: self.gossip.fleet.present,
-                in_contact=lambda: self.gossip.fleet.in_contact(),
+            contacts=permitgranter.Contacts.of_fleet(
+                lambda: self.gossip.fleet,
                 announced=lambda: self.link.hosts,
                 knows_peers=lambda: True,
             ),
--- a/packages/bulrushgrade_daemon/tests/test_gatewaymessages.py
+++ b/packages/bulrushgrade_daemon/tests/test_gatewaymessages.py
@@ -96,6 +96,16 @@
     assert message.sums == sums
 
 
+def test_sums_of_groups_of_older_and_newer_hosts_are_read():
+    """Guards against hosts that lose each other while they are upgraded."""
+    older = ["group_load", "h1/1", 7, {}, {}, True, False, [], ["h2"], [], 5]
+    older += [False, None, {}]
+    message = gatewaymessages.parse(msgspec.msgpack.encode(older))
+    assert (message.missing, message.digest) == (["h2"], None)
+    newer = [*older, 77, "unknown"]
+    assert gatewaymessages.parse(msgspec.msgpack.encode(newer)).digest == 77
+
+
 def test_records_of_older_hosts_state_no_epoch():
     """Guards against hosts that lose each other while they are upgraded."""
     older = ["record_query", "h1/1", 7, "endpoints", 4]
--- a/packages/bulrushgrade_daemon/tests/test_permitservice.py
+++ b/packages/bulrushgrade_daemon/tests/test_permitservice.py
@@ -46,6 +46,7 @@
                 find_owners=lambda id: [self.owner],
                 present=lambda: [OWN, PEER],
                 in_contact=lambda: [OWN, PEER],
+                find_voters=lambda id: [OWN, PEER],
                 announced=lambda: ["h2"],
                 knows_peers=lambda: self.knows_peers,
             ),
