--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadgossip.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/loadgossip.py
@@ -475,4 +475,5 @@
             self._members.observe_ability(name, may_order)
         if name not in self._fleet.present:
             self._fleet.refresh()
+            self._signals.tell_all()
         return True
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/newsschedule.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/newsschedule.py
@@ -52,6 +52,11 @@
             rounds, self._rounds_left.get(subject, 0)
         )
 
+    def add_all(self) -> None:
+        """Sends all that is known in the next rounds."""
+        for subject in self._find_all():
+            self.add(subject)
+
     def next(self) -> list[_Subject]:
         """Returns the subjects of the next round."""
         self._round += 1
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/signalexchange.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/signalexchange.py
@@ -3,8 +3,8 @@
 A host with few requests for an endpoint would otherwise learn of its limit, or
 that it is leaving, long after the others; the store may be unavailable. What
 is known travels in the messages that carry loads: a change in several of them
-at once, as some get lost, and all of it now and then, for hosts that have just
-started or were cut off.
+at once, as some get lost, and all of it now and then, and whenever a host
+appears that has just started or was cut off.
 """
 
 from bulrushgrade_daemon import endpointsignals
@@ -41,6 +41,14 @@
         limits.subscribe(self._limit_schedule.add)
         signals.subscribe(self._drain_schedule.add)
 
+    def tell_all(self) -> None:
+        """Sends all that is known in the next rounds, for a host that appears.
+
+        It sends requests as if there were no limits until it knows of them.
+        """
+        self._limit_schedule.add_all()
+        self._drain_schedule.add_all()
+
     def begin_round(self) -> None:
         """Selects what the messages of the next round carry."""
         self._limit_batch = [
--- a/packages/bulrushgrade_daemon/tests/test_limitfaults.py
+++ b/packages/bulrushgrade_daemon/tests/test_limitfaults.py
@@ -21,6 +21,9 @@
 hears of a limit sends all callers that came meanwhile to the endpoint at once,
 as it must not delay them."""
 
+MAX_IGNORANT_S = 0.5
+"""Time from a host's start until it knows the limits that others know."""
+
 
 def both_ways(pairs):
     return [link for a, b in pairs for link in ((a, b), (b, a))]
@@ -148,3 +151,15 @@
     # Shorter than the time after which the others grant the whole limit.
     fleet.run(4.0)
     assert use_of(fleet, since, LIMIT_PER_S) <= 1.1
+
+
+def test_started_host_soon_knows_a_limit_that_no_answer_has_told_it():
+    """Guards against hosts that wait for the periodic news of all limits."""
+    fleet = make(hosts=3)
+    for endpoint in fleet.endpoints.values():
+        endpoint.work_s = 2.0
+    for _ in range(5):
+        fleet.start(1)
+        fleet.run(MAX_IGNORANT_S)
+        assert fleet.hosts[1].limits.limited() == [("e0", 0)]
+        fleet.run(0.3)
