--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/signalexchange.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/signalexchange.py
@@ -3,8 +3,8 @@
 A host with few requests for an endpoint would otherwise learn of its limit, or
 that it is leaving, long after the others; the store may be unavailable. What
 is known travels in the messages that carry loads: a change in several of them
-at once, as some get lost, and all of it now and then, for hosts that were cut
-off, and when the address of a host becomes known that has just started.
+at once, as some get lost, and all of it now and then, and whenever a host
+appears that has just started or was cut off, or its new address becomes known.
 """
 
 from bulrushgrade_daemon import endpointsignals
@@ -42,7 +42,10 @@
         signals.subscribe(self._drain_schedule.add)
 
     def repeat_all(self) -> None:
-        """Sends all that is known in the next rounds."""
+        """Sends all that is known in the next rounds, for a host that appears.
+
+        It sends requests as if there were no limits until it knows of them.
+        """
         self._limit_schedule.add_all()
         self._drain_schedule.add_all()
 
