Keep the waits of overtaken prompts out of estimates for urgent ones

In a flood the excess of the large workspace waits at the lowest urgency, often for more than 2 s, while others overtake it. A host took the oldest of these prompts, and how late others of them were answered, for the wait of any new prompt at that engine, and their excess for the delay of all prefills. So prompts of small workspaces were planned with waits of 1.3 to 2.2 s where 0.04 to 0.22 s were queued, and refused as late.

Where workspaces have shares, prompts of the lowest urgency count in these three estimates only for plans of the same urgency. Without the feature estimates are as before.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/enginework.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/enginework.py
@@ -57,6 +57,7 @@
         peers: peerloads.PeerLoads,
         index: placementindex.PlacementIndex,
         speeds: enginespeeds.EngineSpeeds | None = None,
+        has_shares: bool = False,
     ):
         """Creates the state without work.
 
@@ -68,6 +69,8 @@
             index: Gets reports of long prefills.
             speeds: Speeds of engines as measured by all daemons; None if each
                 daemon uses its own measurements.
+            has_shares: Whether workspaces have fair shares. A workspace's
+                excess then waits at the lowest urgency for long.
         """
         self._timers = timers
         self._table = table
@@ -75,6 +78,7 @@
         self._peers = peers
         self._index = index
         self._speeds = speeds
+        self._has_shares = has_shares
         self._fleets: dict[str, enginefleet.EngineFleet] = {}
 
     @property
@@ -264,7 +268,11 @@
         load = fleet.load(engine, traits)
         prompt = request.info.prompt
         prefill = _make_pending_prefill(
-            request, self._timers.now, prefills=prefills
+            request,
+            self._timers.now,
+            prefills=prefills,
+            yields=self._has_shares
+            and request.urgency == routing.LOWEST_URGENCY,
         )
         report_end = self._report_begin(engine, prefill, prompt, traits)
         load.begin(prefill)
@@ -275,7 +283,12 @@
             if began:
                 load.answered(prefill, engine.stage, now)
                 if prefill.tokens >= traits.long_tokens:
-                    fleet.observe_prefill(plan, now - prefill.sent_at, now)
+                    fleet.observe_prefill(
+                        plan,
+                        now - prefill.sent_at,
+                        now,
+                        yields=prefill.yields,
+                    )
             else:
                 load.dropped(prefill, now)
 
@@ -299,7 +312,7 @@
 
 
 def _make_pending_prefill(
-    request: inflight.InFlight, now: float, *, prefills: bool
+    request: inflight.InFlight, now: float, *, prefills: bool, yields: bool
 ) -> engineload.PendingPrefill:
     plan, prompt = request.plan, request.info.prompt
     urgency = request.urgency
@@ -311,6 +324,7 @@
             latency_s=plan.handover_s,
             urgency=urgency,
             mode=prefilltimes.PrefillMode.TAKEN_OVER,
+            yields=yields,
         )
     is_disaggregated = plan.prefill is not None
     return engineload.PendingPrefill(
@@ -326,4 +340,5 @@
         if is_disaggregated
         else prefilltimes.PrefillMode.IN_PLACE,
         parts=prompt.shared_parts,
+        yields=yields,
     )
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewayservices.py
@@ -364,6 +364,7 @@
             peers=self._peer_loads,
             index=self._index,
             speeds=speedsharing.make_speeds(context.settings().features),
+            has_shares=context.settings().features.shares_among_workspaces,
         )
         self._origins = originsharing.OriginSharing(
             timers=self._timers,
