Keep the waits of overtaken prompts out of estimates for urgent ones

Cause: in a flood the excess of the large workspace waits at the lowest urgency, often for more than 2 s, while others overtake it. A host took the oldest of these prompts, and how late others of them were answered, for the wait of any new prompt at that engine, and their excess for the delay of all prefills. So prompts of small workspaces were planned with waits of 1.3 to 2.2 s where 0.04 to 0.22 s were queued, and refused as late.

Change: prompts of the lowest urgency count in these three estimates only for plans of the same urgency. With other urgencies nothing changes.

--- a/packages/bulrushgrade/bulrushgrade/enginefleet.py
+++ b/packages/bulrushgrade/bulrushgrade/enginefleet.py
@@ -51,6 +51,7 @@
         self._mean_tokens = 0.0
         self._mean_events = INITIAL_EVENTS
         self._delay = prefilldelay.PrefillDelay()
+        self._yielding_delay = prefilldelay.PrefillDelay()
         self._times = prefilltimes.PrefillTimes()
         self._pauses = pausemodel.PauseModel()
         self._loads: dict[tuple[str, int], engineload.EngineLoad] = {}
@@ -60,9 +61,20 @@
         """Prefill times of an engine of average speed."""
         return self._times
 
-    def delay_s(self, now: float) -> float:
-        """Returns the mean excess of recent prefill times over the expected."""
-        return self._delay.at(now)
+    def delay_s(self, now: float, urgency: int) -> float:
+        """Returns the mean excess of recent prefill times over the expected.
+
+        Prompts of the lowest urgency are overtaken after they were planned, so
+        that their excess says nothing of the others.
+
+        Args:
+            now: The present time in seconds.
+            urgency: The urgency of the prompt that is planned.
+        """
+        delay_s = self._delay.at(now)
+        if urgency == routing.LOWEST_URGENCY:
+            delay_s = max(delay_s, self._yielding_delay.at(now))
+        return delay_s
 
     def load(
         self, engine: directory.Registration, traits: routing.EngineTraits
@@ -191,7 +203,7 @@
         """
         load = self.load(engine, traits)
         if reported_wait_s is not None:
-            return load.wait_behind_s(now, reported_wait_s)
+            return load.wait_behind_s(now, reported_wait_s, urgency=urgency)
         peers = self._peers.at(engine.id, now)
         return load.wait_s(now, urgency=urgency, peers_s=peers.wait_s(urgency))
 
@@ -212,7 +224,12 @@
         self._mean_events += SAMPLE_WEIGHT * (events - self._mean_events)
 
     def observe_prefill(
-        self, plan: placementplan.Plan, took_s: float, now: float
+        self,
+        plan: placementplan.Plan,
+        took_s: float,
+        now: float,
+        *,
+        yields: bool = False,
     ) -> None:
         """Updates the mean excess of prefill times over the expected ones.
 
@@ -220,9 +237,11 @@
             plan: The plan of a prompt whose prefill has ended.
             took_s: Time from sending the prompt to the response.
             now: The present time in seconds.
+            yields: Whether it let more urgent prompts go first.
         """
         expected_total_s = plan.wait_s + plan.busy_s + plan.latency_s
-        self._delay.observe(expected_total_s, took_s, now)
+        delay = self._yielding_delay if yields else self._delay
+        delay.observe(expected_total_s, took_s, now)
 
     def observe_pause(
         self,
--- a/packages/bulrushgrade/bulrushgrade/engineload.py
+++ b/packages/bulrushgrade/bulrushgrade/engineload.py
@@ -5,6 +5,9 @@
 excess of recent response times over the expected ones, and the time by which
 the oldest unanswered request is overdue. The last one grows without any
 message, so that an unresponsive engine is avoided before a request times out.
+
+Requests of the lowest urgency let all others go first, for any time, so that
+their waits tell nothing of the wait of more urgent ones.
 """
 
 import math
@@ -19,6 +22,7 @@
 from bulrushgrade import prefillqueue
 from bulrushgrade import prefilltimes
 from bulrushgrade import prompt as prompt_module
+from bulrushgrade import routing
 from bulrushgrade import streamload
 
 DECODE_SPEED = 0.5
@@ -67,6 +71,11 @@
         """Expected time from sending the request to the response."""
         return self.wait_s + self.expected_s + self.latency_s
 
+    @property
+    def yields(self) -> bool:
+        """Whether it lets all more urgent requests go first."""
+        return self.urgency == routing.LOWEST_URGENCY
+
     @property
     def queue_entry(self) -> prefillqueue.Entry:
         """Its entry in the engine's queue until it is prefilled."""
@@ -84,6 +93,25 @@
         return self.wait_s <= prefilltimes.UNCONTENDED_WAIT_FRACTION * alone_s
 
 
+class _Delay:
+    """Excess of recent response times over the expected ones."""
+
+    def __init__(self):
+        self._seconds = 0.0
+        self._observed_at = 0.0
+
+    def at(self, now: float) -> float:
+        """Returns the excess in seconds."""
+        age_s = now - self._observed_at
+        return self._seconds * math.exp(-age_s / DELAY_DECAY_S)
+
+    def observe(self, delay_s: float, now: float) -> None:
+        """Updates the excess with that of one response."""
+        decayed_s = self.at(now)
+        self._seconds = decayed_s + DELAY_WEIGHT * (delay_s - decayed_s)
+        self._observed_at = now
+
+
 class EngineLoad:
     """Load estimate for one incarnation of an engine."""
 
@@ -111,8 +139,8 @@
         self._streams = streamload.StreamLoad()
         self._pause_factor = pause_factor or pausemodel.new_factor()
         self._prefills: dict[PendingPrefill, None] = {}
-        self._delay_s = 0.0
-        self._delay_at = 0.0
+        self._delay = _Delay()
+        self._yielding_delay = _Delay()
 
     @property
     def cache(self) -> enginecache.EngineCache:
@@ -160,14 +188,17 @@
         usual_s = self._times.prefill_s(tokens, cached_tokens)
         return self._prefill_factor.value * usual_s / _prefill_speed(stage)
 
-    def wait_behind_s(self, now: float, queued_s: float) -> float:
+    def wait_behind_s(
+        self, now: float, queued_s: float, *, urgency: int
+    ) -> float:
         """Returns the wait for new work behind a queue of known length.
 
         Args:
             now: The present time in seconds.
             queued_s: Seconds of prefill queued at the engine by all daemons.
+            urgency: Urgency of the new work.
         """
-        return max(queued_s, self._overdue_s(now))
+        return max(queued_s, self._overdue_s(now, urgency))
 
     def wait_s(
         self, now: float, *, urgency: int, peers_s: float = 0.0
@@ -180,11 +211,11 @@
             peers_s: Seconds of prefill of at least that urgency that other
                 daemons have queued.
         """
-        unexplained_s = self._delay_s * math.exp(
-            -(now - self._delay_at) / DELAY_DECAY_S
-        )
+        unexplained_s = self._delay.at(now)
+        if urgency == routing.LOWEST_URGENCY:
+            unexplained_s = max(unexplained_s, self._yielding_delay.at(now))
         queued_s = self._queue.wait_s(now, urgency=urgency) + peers_s
-        return max(queued_s + unexplained_s, self._overdue_s(now))
+        return max(queued_s + unexplained_s, self._overdue_s(now, urgency))
 
     def begin(self, prefill: PendingPrefill) -> None:
         """Records a request that was sent to the engine."""
@@ -202,7 +233,8 @@
         self._queue.remove(prefill, now)
         self._cache.keep(prefill.parts)
         took_s = now - prefill.sent_at
-        self._observe_delay(max(0.0, took_s - prefill.expected_total_s), now)
+        delay = self._yielding_delay if prefill.yields else self._delay
+        delay.observe(max(0.0, took_s - prefill.expected_total_s), now)
         # Unknown work of other daemons makes a prefill longer, never shorter.
         # So a prefill that was faster than expected is a valid sample even if
         # it had to wait.
@@ -216,18 +248,12 @@
             self._queue.remove(prefill, now)
             self._cache.cancel(prefill.parts)
 
-    def _overdue_s(self, now: float) -> float:
-        if not self._prefills:
-            return 0.0
-        oldest = next(iter(self._prefills))
-        return now - oldest.sent_at - oldest.expected_total_s
-
-    def _observe_delay(self, delay_s: float, now: float) -> None:
-        decayed_s = self._delay_s * math.exp(
-            -(now - self._delay_at) / DELAY_DECAY_S
-        )
-        self._delay_s = decayed_s + DELAY_WEIGHT * (delay_s - decayed_s)
-        self._delay_at = now
+    def _overdue_s(self, now: float, urgency: int) -> float:
+        counts_yielding = urgency == routing.LOWEST_URGENCY
+        for oldest in self._prefills:
+            if counts_yielding or not oldest.yields:
+                return now - oldest.sent_at - oldest.expected_total_s
+        return 0.0
 
     def _learn(
         self,
--- a/packages/bulrushgrade/bulrushgrade/engineplan.py
+++ b/packages/bulrushgrade/bulrushgrade/engineplan.py
@@ -367,7 +367,7 @@
             transfer_s += _transfer_s(
                 prompt.prompt_tokens, prefill, decode, traits
             )
-        delay_s = self._fleet.delay_s(request.now)
+        delay_s = self._fleet.delay_s(request.now, request.urgency)
         decode_load = self._fleet.estimate_decode_load(
             decode, traits, request.now, new_tokens=request.peak_tokens
         )
--- a/packages/bulrushgrade/tests/test_engineload.py
+++ b/packages/bulrushgrade/tests/test_engineload.py
@@ -29,11 +29,12 @@
     return engineload.EngineLoad(memory_tokens=memory_tokens)
 
 
-def make_prefill(expected_s=0.1, sent_at=0.0, tokens=0, prompt=None):
+def make_prefill(expected_s=0.1, sent_at=0.0, tokens=0, prompt=None, urgency=0):
     return engineload.PendingPrefill(
         expected_s=expected_s,
         sent_at=sent_at,
         tokens=tokens,
+        urgency=urgency,
         parts=prompt.shared_parts if prompt else (),
     )
 
@@ -113,6 +114,29 @@
     assert load.wait_s(2.1, urgency=0) == 2.0
 
 
+def test_prompts_that_yield_delay_no_urgent_one():
+    """Guards against refusals because of the waits of prompts that yield.
+
+    While a workspace floods a service, its excess prompts wait for seconds at
+    engines that serve urgent prompts at once. Prompts of small workspaces were
+    refused as late there.
+    """
+    load, lowest = make_load(), routing.LOWEST_URGENCY
+    sent = [make_prefill(urgency=lowest) for _ in range(2)]
+    for prefill in sent:
+        load.begin(prefill)
+    assert load.wait_s(2.1, urgency=0) == 0.0
+    assert load.wait_behind_s(2.1, 0.3, urgency=0) == 0.3
+    assert load.wait_s(2.1, urgency=lowest) == 2.0
+    load.answered(sent[0], DECODE, 2.1)
+    # The second one is in progress and isn't preempted.
+    assert load.wait_s(2.1, urgency=0) <= 0.1 + 1e-9
+    assert load.wait_s(2.1, urgency=lowest) >= 1.0
+    # One that doesn't yield still shows that the engine is behind.
+    load.begin(make_prefill(sent_at=2.1))
+    assert load.wait_s(4.2, urgency=0) == 2.0
+
+
 def test_dropped_prefill_changes_no_estimate():
     load = make_load()
     sent = make_prefill()
--- a/packages/bulrushgrade/tests/test_engineplan_load.py
+++ b/packages/bulrushgrade/tests/test_engineplan_load.py
@@ -14,6 +14,7 @@
 from bulrushgrade import engineadmission
 from bulrushgrade import enginecache
 from bulrushgrade import engineload
+from bulrushgrade import routing
 
 
 def test_large_prompts_are_not_refused_more_often():
@@ -150,6 +151,35 @@
     assert engineadmission.lateness_s(calm, left_s=5.0, patience_s=3.2) <= 0
 
 
+def test_prompts_that_yield_make_no_urgent_one_late():
+    """Guards against refusals of small workspaces while one floods a service.
+
+    At each engine a prompt of its excess has been overtaken for seconds, and
+    others took that long. Urgent prompts wait for none of them.
+    """
+    planner, prompt = make_planner(), make_prompt("s1")
+    for engine in ENGINES:
+        overtaken = engineload.PendingPrefill(
+            expected_s=0.1,
+            sent_at=0.0,
+            tokens=1_000,
+            urgency=routing.LOWEST_URGENCY,
+        )
+        planner.fleet.load(engine, TRAITS).begin(overtaken)
+    before = make_plan(prompt, planner=planner)
+    for number in range(20):
+        planner.fleet.observe_prefill(before, 3.0, 0.1 * number, yields=True)
+    urgent, yielding = (
+        make_plan(prompt, planner=planner, now=3.0, urgency=urgency)
+        for urgency in (0, routing.LOWEST_URGENCY)
+    )
+    assert engineadmission.lateness_s(urgent, left_s=5.0, patience_s=3.2) <= 0
+    assert urgent.wait_s <= 0.1
+    assert urgent.delay_s == 0.0
+    assert engineadmission.lateness_s(yielding, left_s=5.0, patience_s=3.2) > 0
+    assert yielding.delay_s > 0.0
+
+
 def test_without_engines_there_are_no_candidates():
     # A host that has just started knows the routes but no endpoints yet. The
     # first long prompt terminated the process and with it every other request.
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/enginework.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/enginework.py
@@ -275,7 +275,12 @@
             if began:
                 load.answered(prefill, engine.stage, now)
                 if prefill.tokens >= traits.long_tokens:
-                    fleet.observe_prefill(plan, now - prefill.sent_at, now)
+                    fleet.observe_prefill(
+                        plan,
+                        now - prefill.sent_at,
+                        now,
+                        yields=prefill.yields,
+                    )
             else:
                 load.dropped(prefill, now)
 
