Replace a source of records that is gone before they are too old

Cause: hosts get the records of a topic from one host of their zone and query it again only when these would be too old, for the hosts' addresses after up to 16 s. If that host was killed, no host of the zone read the topic until then. So its next start heard no peer: it refused all requests for 4 s ("no configuration yet", HEARING_S) and had no loads and no uses of workspaces.

Change: a follower that sleeps checks once a second whether its source is still present, and otherwise reads at once. Nothing is read more often while the source is present.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/follower.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/follower.py
@@ -40,6 +40,11 @@
 """Least interval between updates. Without it a host whose source also has
 records of the greatest allowed age would query in a busy loop."""
 
+SOURCE_CHECK_S = 1.0
+"""Interval between checks whether the host that relays records is gone. Records
+that are valid for longer than that would otherwise be renewed by no host of the
+zone until the next query."""
+
 MAX_BATCHES = 16
 """Limit of consecutive batches from another host. A host that is further behind
 reads the store."""
@@ -124,6 +129,8 @@
         self._running: Any = None
         self._poll = abandonableread.AbandonableRead()
         self._wakeup: defer.Deferred | None = None
+        # Checks the source of records while this follower sleeps.
+        self._check: Any = None
         self._stopping = False
         shared.on_notice = self._handle_notice
         shared.on_queried = self._wake
@@ -270,16 +277,28 @@
         return max(MIN_INTERVAL_S, self._as_of + max_age_s - self._timers.now)
 
     async def _sleep(self, seconds: float) -> None:
+        """Sleeps until woken, or until the source of records is gone."""
         if seconds <= 0:
             return
         self._wakeup = defer.Deferred()
         subscription = self._timers.after(seconds, self._wake)
+        self._schedule_check()
         try:
             await self._wakeup
         finally:
             subscription.cancel()
+            self._check.cancel()
             self._wakeup = None
 
+    def _schedule_check(self) -> None:
+        self._check = self._timers.after(SOURCE_CHECK_S, self._check_source)
+
+    def _check_source(self) -> None:
+        if self._shared.sources.drop_gone():
+            self._wake()
+        else:
+            self._schedule_check()
+
     def _wake(self) -> None:
         if self._wakeup is not None and not self._wakeup.called:
             self._wakeup.callback(None)
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/recordsources.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/recordsources.py
@@ -170,6 +170,14 @@
         )
         self._current = source
 
+    def drop_gone(self) -> bool:
+        """Drops the source if it is no longer present; returns whether."""
+        current = self._current
+        if current is None or current in self._rank_hosts(self._topic):
+            return False
+        self.use(None)
+        return True
+
     def prefer(self, name: str) -> None:
         """Queries a host next that offers records, if the source has none."""
         if self._is_stale or self._is_silent:
--- a/packages/bulrushgrade_daemon/tests/test_sharedtopic.py
+++ b/packages/bulrushgrade_daemon/tests/test_sharedtopic.py
@@ -80,7 +80,7 @@
         self.shared = sharedtopic.SharedTopic(
             topic="t",
             own_name=name,
-            max_age_s=VIEW_S,
+            max_age_s=zone.view_s,
             extract_state=lambda record: topicjournal.RecordState(
                 content=record.value
             ),
@@ -98,7 +98,7 @@
             epoch=self.epoch,
             reader=zone.store.reader(name, zone.timers),
             wait_s=0.0,
-            pause_s=VIEW_S,
+            pause_s=zone.view_s,
             shared=self.shared,
             on_all=lambda records: None,
             on_records=self.take,
@@ -127,7 +127,8 @@
 class Zone:
     """The hosts of a zone, their store and their network."""
 
-    def __init__(self, count=5):
+    def __init__(self, count=5, view_s=VIEW_S):
+        self.view_s = view_s
         self.reactor, self.timers, _ = fakes.make_timers()
         self.store = Store()
         self.ranked = [f"h{n}" for n in range(1, count + 1)]
@@ -202,6 +203,23 @@
     assert zone.known_after("e", without={"h1"}) <= KNOWN_WITHIN_S
 
 
+def test_a_source_that_is_gone_is_replaced_before_its_records_are_too_old():
+    """Guards against views that are valid for long and that nobody renews.
+
+    A host was killed from which the others got the hosts' addresses. None of
+    them read the address of its next start for up to 13 s. It heard no peer,
+    so it refused requests for 4 s and knew no loads until then.
+    """
+    zone = Zone(view_s=16.0)
+    zone.run(35.0)
+    zone.lost.add("h1")
+    zone.ranked.remove("h1")
+    known_s = zone.known_after("e", without={"h1"})
+    assert known_s <= (
+        follower.SOURCE_CHECK_S + sharedtopic.REPLY_TIMEOUT_S + 3 * STEP_S
+    )
+
+
 def test_the_source_is_cut_off_from_its_zone():
     """The source still reads the store, and so can all other hosts."""
     zone = Zone()
