Name what the contacts of a fleet view take

The class method took any keywords, so that a missing one showed only at the call of the constructor. The two are named now; 27 tests of permits and limits pass.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/permitgranter.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/permitgranter.py
@@ -75,20 +75,26 @@
 
     @classmethod
     def of_fleet(
-        cls, find_fleet: Callable[[], fleetview.FleetView], **others: Any
+        cls,
+        find_fleet: Callable[[], fleetview.FleetView],
+        *,
+        announced: Callable[[], list[str]],
+        knows_peers: Callable[[], bool],
     ) -> "Contacts":
-        """Returns contacts that a view of the fleet tells.
+        """Returns the contacts that a view of the fleet tells.
 
         Args:
             find_fleet: Returns the view.
-            others: `announced` and `knows_peers`.
+            announced: See the attribute.
+            knows_peers: See the attribute.
         """
         return cls(
             find_owners=lambda id: find_fleet().find_owners(id),
             present=lambda: find_fleet().present,
             in_contact=lambda: find_fleet().in_contact(),
             find_voters=lambda id: find_fleet().find_voters(id),
-            **others,
+            announced=announced,
+            knows_peers=knows_peers,
         )
 
 
