--- /dev/null
+++ b/review/common/review_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the review: a model runner, and what the scripts share."""
