--- a/review/common/review_standins/runner.py
+++ b/review/common/review_standins/runner.py
@@ -150,6 +150,7 @@
         headers: dict[str, str],
         body: bytes,
     ) -> None:
+        self._note("arrived", headers, uri)
         wants_prefill = headers.get("x-serving-stage") == "prefill"
         if wants_prefill and self._stage != "prefill":
             _write(writer, 421, headers={"X-Not-Executed": "1"})
