--- a/review/1/case.py
+++ b/review/1/case.py
@@ -3,13 +3,11 @@
 import pathlib
 import time
 
+from review_standins import ends as ends_module
 from review_standins import scene as scene_module
 
 KEY = "ağ-yedek-1"
 WATCH_S = 60.0
-RESTART_S = 0.5
-ENDS = 3
-MACHINES = 2
 
 
 def play(scene: scene_module.Scene) -> bool:
@@ -37,44 +35,13 @@
         }
         scene.put("keyed.servers", KEY, entry)
         scene.record("entry of another writer", key=KEY, entry=entry)
-    ends = _watch(scene, gateways)
+    ends = ends_module.Ends(scene, gateways)
+    ends.watch(WATCH_S)
     _send_to_all(scene, gateways)
     for entry in scene.read_ledger("ran"):
         scene.record("ran", runner=entry["runner"], id=entry["request"])
-    scene.record("ends by themselves", **ends)
-    return not _is_broken(ends)
-
-
-def _is_broken(ends: dict[str, int]) -> bool:
-    return sum(count >= ENDS for count in ends.values()) >= MACHINES
-
-
-def _watch(scene: scene_module.Scene, gateways: list) -> dict[str, int]:
-    """Starts ended gateways again; returns how often each has ended."""
-    ends = {gateway.name: 0 for gateway in gateways}
-    due_at: dict[str, float] = {}
-    until = time.monotonic() + WATCH_S
-    while time.monotonic() < until and not _is_broken(ends):
-        for place, gateway in enumerate(gateways):
-            if gateway.exit_code is None:
-                continue
-            if gateway.name not in due_at:
-                ends[gateway.name] += 1
-                due_at[gateway.name] = time.monotonic() + RESTART_S
-                _record_end(scene, gateway)
-            elif time.monotonic() >= due_at[gateway.name]:
-                del due_at[gateway.name]
-                gateways[place] = scene.start_again(gateway)
-        time.sleep(0.05)
-    return ends
-
-
-def _record_end(
-    scene: scene_module.Scene, gateway: scene_module.Gateway
-) -> None:
-    scene.record("end", gateway=gateway.name, code=gateway.exit_code)
-    for line in scene.read_log(gateway, "broken_invariant")[-1:]:
-        scene.record("log", gateway=gateway.name, line=line[-300:])
+    ends.record()
+    return not ends.breaks_rule
 
 
 def _send_to_all(scene: scene_module.Scene, gateways: list) -> None:
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -2,8 +2,8 @@
 
 import pathlib
 import threading
-import time
 
+from review_standins import ends as ends_module
 from review_standins import scene as scene_module
 
 LONG = {
@@ -17,10 +17,7 @@
 SHARE_OF_ANSWERS = 0.02
 CLIENTS = 20
 PERIOD_S = 0.3
-RESTART_S = 0.5
-ENDS = 3
 SHARED_PARTS = 114
-MACHINES = 2
 
 
 class Clients:
@@ -88,25 +85,21 @@
     scene.wait_until_ready(*gateways)
     clients = Clients(scene, gateways)
     clients.start()
-    ends = {gateway.name: 0 for gateway in gateways}
+    ends = ends_module.Ends(scene, gateways)
     for window in range(WINDOWS):
         if scene_module.TROUBLE:
             _spoil(scene, spoiler, SHARE_OF_ANSWERS, window)
-        _watch(scene, gateways, ends, WINDOW_S)
+        ends.watch(WINDOW_S)
         if scene_module.TROUBLE:
             _spoil(scene, spoiler, 0.0, window)
-        _watch(scene, gateways, ends, PAUSE_S)
-        if _is_broken(ends):
+        ends.watch(PAUSE_S)
+        if ends.breaks_rule:
             break
     clients.stop()
     for entry in scene.read_ledger():
         scene.record("runner got", entry=entry)
-    scene.record("ends by themselves", **ends)
-    return not _is_broken(ends)
-
-
-def _is_broken(ends: dict[str, int]) -> bool:
-    return sum(count >= ENDS for count in ends.values()) >= MACHINES
+    ends.record()
+    return not ends.breaks_rule
 
 
 def _spoil(
@@ -120,23 +113,5 @@
     scene.record("wrong bytes", window=n, share=share)
 
 
-def _watch(
-    scene: scene_module.Scene, gateways: list, ends: dict, for_s: float
-) -> None:
-    """Starts ended gateways again and counts how often each has ended."""
-    until = time.monotonic() + for_s
-    while time.monotonic() < until:
-        for place, gateway in enumerate(gateways):
-            if gateway.exit_code is None:
-                continue
-            ends[gateway.name] += 1
-            scene.record("end", gateway=gateway.name, code=gateway.exit_code)
-            for line in scene.read_log(gateway, "broken_invariant")[-1:]:
-                scene.record("log", gateway=gateway.name, line=line[-300:])
-            time.sleep(RESTART_S)
-            gateways[place] = scene.start_again(gateway)
-        time.sleep(0.05)
-
-
 if __name__ == "__main__":
     scene_module.run(play, str(pathlib.Path(__file__).parent))
