Name the record in each case of the review

Cause: only the shared module named record.txt, so a reader of a case could not see that it writes one. Clients of case 2 were no daemon threads: a run that was ended early would have waited for them and left its processes.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -6,6 +6,7 @@
 from review_standins import ends as ends_module
 from review_standins import scene as scene_module
 
+RECORD = pathlib.Path(__file__).parent / "record.txt"
 KEY = "ağ-yedek-1"
 WATCH_S = 80.0
 
@@ -66,4 +67,4 @@
 
 
 if __name__ == "__main__":
-    scene_module.run(play, str(pathlib.Path(__file__).parent))
+    scene_module.run(play, RECORD)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -6,6 +6,7 @@
 from review_standins import ends as ends_module
 from review_standins import scene as scene_module
 
+RECORD = pathlib.Path(__file__).parent / "record.txt"
 LONG = {
     "X-Model-Name": "m",
     "X-Token-Counts": "17020,9",
@@ -28,7 +29,7 @@
         self._gateways = gateways
         self._is_over = threading.Event()
         self._threads = [
-            threading.Thread(target=self._send_on, args=(number,))
+            threading.Thread(target=self._send_on, args=(number,), daemon=True)
             for number in range(CLIENTS)
         ]
 
@@ -114,4 +115,4 @@
 
 
 if __name__ == "__main__":
-    scene_module.run(play, str(pathlib.Path(__file__).parent))
+    scene_module.run(play, RECORD)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -6,6 +6,7 @@
 from review_standins import ends as ends_module
 from review_standins import scene as scene_module
 
+RECORD = pathlib.Path(__file__).parent / "record.txt"
 KEY = "i-9c41d07b"
 # Of the form of a link-local address, as tools print it; a loopback one here.
 ADDRESS = "[::1%eth7]:8146"
@@ -61,4 +62,4 @@
 
 
 if __name__ == "__main__":
-    scene_module.run(play, str(pathlib.Path(__file__).parent))
+    scene_module.run(play, RECORD)
--- a/review/common/review_standins/scene.py
+++ b/review/common/review_standins/scene.py
@@ -165,9 +165,8 @@
 class Scene:
     """The processes of one case, and its record."""
 
-    def __init__(self, folder: pathlib.Path):
-        self.folder = folder
-        self.record_file = folder / "record.txt"
+    def __init__(self, record_file: pathlib.Path):
+        self.record_file = record_file
         self.record_file.write_text("", encoding="utf-8")
         self.began_at = time.time()
         self._processes: list[Process] = []
@@ -412,13 +411,19 @@
         time.sleep(0.05)
 
 
-def run(case: Callable[[Scene], bool], folder: str) -> None:
-    """Runs a case, which returns whether the rule held; exits."""
+def run(case: Callable[[Scene], bool], record_file: pathlib.Path) -> None:
+    """Runs a case, which returns whether the rule held; exits.
+
+    Args:
+        case: The case.
+        record_file: The file that gets what was sent, answered and run.
+    """
     # An exit, unlike the default action, ends the processes that were started.
-    for number in (signal.SIGTERM, signal.SIGALRM):
+    ending = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGALRM)
+    for number in ending:
         signal.signal(number, lambda *_: sys.exit(2))
     signal.alarm(LIMIT_S)
-    scene = Scene(pathlib.Path(folder))
+    scene = Scene(record_file)
     try:
         holds = case(scene)
     except Exception:
