Connect to no address that names an interface of another host

Cause: the entry counted as an endpoint, as ipaddress takes an IPv6 address with an interface. reactor.connectTCP looks the interface up at once and raises gaierror, which left the task that reads the engine's cache and counts as a broken invariant.

Why this works: an address in an entry has no interface, nor is it the unspecified one, which is this host's own. open_connection returns what connectTCP raises as a value, as well as a failed look-up, which is no ConnectError: an address of the settings may name an interface that is missing. Errors other than OSError still end the process.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/connections.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/connections.py
@@ -113,12 +113,21 @@
         connector.disconnect()
 
     opened: defer.Deferred = defer.Deferred(cancel)
-    connector = reactor.connectTCP(
-        host, port, _Factory(build=build, opened=opened), timeout=timeout_s
-    )
+    try:
+        connector = reactor.connectTCP(
+            host, port, _Factory(build=build, opened=opened), timeout=timeout_s
+        )
+    except OSError as error:
+        # The interface that an IPv6 address names is looked up at once.
+        return Failure(
+            ConnectFailed(reason=type(error).__name__, is_refused=False)
+        )
     try:
         return Success(await opened)
-    except internet_error.ConnectError as error:
+    except (
+        internet_error.ConnectError,
+        internet_error.DNSLookupError,
+    ) as error:
         # Twisted raises the same error types for a timeout and for a
         # cancelled connection attempt.
         if cancelled:
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/keys.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/keys.py
@@ -49,7 +49,9 @@
     parse: Callable[[str], Any]
 
 
-def parse_address(text: str, *, min_port: int = 1) -> Address:
+def parse_address(
+    text: str, *, min_port: int = 1, may_have_scope: bool = False
+) -> Address:
     """Returns the address in a text such as ``10.0.0.7:8080``.
 
     Host names are rejected: a lookup would make a daemon's start depend on
@@ -58,6 +60,8 @@
     Args:
         text: IP:PORT, with an IPv6 address in brackets.
         min_port: The smallest allowed port.
+        may_have_scope: Whether an IPv6 address may name an interface. Only the
+            host that has the interface can use such an address.
 
     Raises:
         ValueError: The text is not such an address.
@@ -66,7 +70,7 @@
     if not separator:
         raise ValueError("the address has no port")
     if host.startswith("[") and host.endswith("]"):
-        host = str(ipaddress.IPv6Address(host[1:-1]))
+        host = parse_ip(host[1:-1], may_have_scope=may_have_scope)
     else:
         host = str(ipaddress.IPv4Address(host))
     if not (port_text.isascii() and port_text.isdigit()):
@@ -77,11 +81,30 @@
     return Address(host=host, port=port)
 
 
+def parse_ip(text: str, *, may_have_scope: bool = False) -> str:
+    """Returns an IP address in its usual form.
+
+    Args:
+        text: The IPv4 or IPv6 address, without brackets.
+        may_have_scope: Whether an IPv6 address may name an interface.
+
+    Raises:
+        ValueError: The text is not such an address.
+    """
+    found = ipaddress.ip_address(text)
+    scope = getattr(found, "scope_id", None)
+    if scope is not None and not may_have_scope:
+        raise ValueError("the address names an interface")
+    return str(found)
+
+
 def address(min_port: int) -> Kind:
     """Returns the type of an address whose port has a minimum."""
     return Kind(
         expected=f"IP:PORT with an IP number and a port {min_port} to 65535",
-        parse=lambda text: parse_address(text, min_port=min_port),
+        parse=lambda text: parse_address(
+            text, min_port=min_port, may_have_scope=True
+        ),
     )
 
 
--- a/packages/bulrushgrade_daemon/tests/test_connections.py
+++ b/packages/bulrushgrade_daemon/tests/test_connections.py
@@ -1,6 +1,7 @@
 """Tests of opening connections."""
 
 import socket
+import types
 
 import fakes
 from test_outbound import Reactor
@@ -45,6 +46,28 @@
     assert not failed.is_refused
 
 
+def test_address_with_an_unknown_interface_is_a_failure():
+    """Guards against an address whose interface ends who connects to it."""
+
+    def connect(*args, **options):
+        raise socket.gaierror(socket.EAI_NONAME, "Name or service not known")
+
+    reactor = types.SimpleNamespace(connectTCP=connect)
+    finding = connections.find_connect_error(
+        reactor, "fe80::1%eth7", 80, timeout_s=0.3
+    )
+    ended = []
+    fakes.run(finding).addBoth(ended.append)
+    assert [failed.reason for failed in ended] == ["gaierror"]
+
+
+def test_host_that_is_no_ip_address_is_a_failure():
+    """Guards against a failed look-up that ends who connects."""
+    connector, ended = find_connect_error()
+    connector.fail(error.DNSLookupError())
+    assert [failed.reason for failed in ended] == ["DNSLookupError"]
+
+
 def test_opened_connection_is_closed_and_reports_no_error():
     connector, ended = find_connect_error()
     transport = Transport()
