Count datagrams that can't be written as lost

A datagram to a peer that could not be written ended the process, with every request that it had open: no route while a link is down, a full send buffer, a message above 64 KiB, an address of the other family. So did an announced address that is no IP address: for datagrams at the next message, for relayed connections at the look-up.

Cause: the socket's write raises, in a timer's callback or in a task, where that counts as a broken invariant.

Why this works: messages among hosts may be lost anyway, so that one that can't be written is counted and logged once for each reason. Announced addresses are checked where the record is read.

test_datagram_that_can_not_be_written_counts_as_lost and test_announcement_without_an_ip_address_is_unreadable failed before.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/peerlink.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/peerlink.py
@@ -16,11 +16,13 @@
 import msgspec
 from returns.result import Failure
 from returns.result import Result
+from twisted.internet import error as internet_error
 from twisted.internet import protocol
 
 from bulrushgrade import fleetmembers
 from bulrushgrade_daemon import decisionlog
 from bulrushgrade_daemon import gatewaymessages
+from bulrushgrade_daemon import keys
 from bulrushgrade_daemon import task
 from bulrushgrade_daemon import topicreader
 
@@ -39,12 +41,22 @@
 among the next records then."""
 
 
+MAX_PORT = 65_535
+
+
 class _Announcement(msgspec.Struct):
     address: str
     zone: str = ""
     relay: str = ""
 
 
+# A link is down, a datagram is too long, or the address is of another family.
+_UNSENT_ERRORS = (
+    OSError,
+    internet_error.MessageLengthError,
+    internet_error.InvalidAddressError,
+)
+
 _announcement_decoder = msgspec.json.Decoder(_Announcement)
 
 
@@ -120,6 +132,9 @@
         self._peers: dict[str, _Peer] = {}
         self._address_changes = 0
         self._sent = 0
+        self._unsent = 0
+        # Why the last datagram to a host could not be sent.
+        self._unsent_reasons: dict[str, str] = {}
         self._unreadable = 0
         self._announced_again = 0
         self._port: Any = None
@@ -146,9 +161,10 @@
 
     @property
     def counts(self) -> dict[str, int]:
-        """Datagrams sent, invalid datagrams and records, announcements."""
+        """Datagrams sent or not, invalid input, announcements."""
         return {
             "sent": self._sent,
+            "unsent": self._unsent,
             "unreadable": self._unreadable,
             "announced_again": self._announced_again,
         }
@@ -158,11 +174,11 @@
         self._port = self._reactor.listenUDP(
             self._listen.port, self, interface=self._listen.host
         )
-        host = self._port.getHost()
+        host, relay = self._port.getHost(), self._relay_address()
         self._own = _Peer(
             address=(host.host, host.port),
             zone=self._zone,
-            relay=_parse_address(self._relay_address()),
+            relay=_parse_address(relay) if relay else None,
         )
         self._spawn_announcing()
 
@@ -238,6 +254,7 @@
 
     def _apply_record(self, record: topicreader.KeyedRecord) -> bool:
         if record.value is None:
+            self._unsent_reasons.pop(record.key, None)
             return self._peers.pop(record.key, None) is not None
         found = _decode_announcement(record.value)
         if found is None:
@@ -296,10 +313,30 @@
             if peer is None:
                 all_known = False
                 continue
-            self._sent += 1
-            self.transport.write(datagram, peer.address)
+            self._write(host, datagram, peer.address)
         return all_known
 
+    def _write(
+        self, host: str, datagram: bytes, address: tuple[str, int]
+    ) -> None:
+        """Writes a datagram; one that can't be sent counts as lost."""
+        try:
+            self.transport.write(datagram, address)
+        except _UNSENT_ERRORS as error:
+            self._unsent += 1
+            reason = type(error).__name__
+            if self._unsent_reasons.get(host) != reason:
+                self._unsent_reasons[host] = reason
+                self._log.note(
+                    "datagram_unsent",
+                    peer=host,
+                    bytes=len(datagram),
+                    reason=f"{reason}: {error}",
+                )
+            return
+        self._sent += 1
+        self._unsent_reasons.pop(host, None)
+
     def broadcast(self, message: gatewaymessages.Message) -> None:
         """Sends a message to all known peers and repeats it once.
 
@@ -348,23 +385,25 @@
 def _decode_announcement(value: bytes) -> _Peer | None:
     try:
         found = _announcement_decoder.decode(value)
-        host, _, port = found.address.rpartition(":")
         return _Peer(
-            address=(host, int(port)),
+            address=_parse_address(found.address),
             zone=found.zone,
-            relay=_parse_address(found.relay),
+            relay=_parse_address(found.relay) if found.relay else None,
         )
-    except (msgspec.DecodeError, ValueError):
+    except (msgspec.DecodeError, ValueError, RecursionError):
         return None
 
 
-def _parse_address(text: str) -> tuple[str, int] | None:
-    """Returns the address in ``IP:PORT``, None if the text is empty.
+def _parse_address(text: str) -> tuple[str, int]:
+    """Returns the address in ``IP:PORT``; hosts write IPv6 without brackets.
 
     Raises:
-        ValueError: The port is no number.
+        ValueError: The text is not such an address.
     """
-    if not text:
-        return None
-    host, _, port = text.rpartition(":")
-    return host, int(port)
+    host, _, port_text = text.rpartition(":")
+    if not (port_text.isascii() and port_text.isdigit()):
+        raise ValueError("the port is not a number")
+    port = int(port_text)
+    if not 0 < port <= MAX_PORT:
+        raise ValueError("the port is out of range")
+    return keys.parse_ip(host), port
--- a/packages/bulrushgrade_daemon/tests/test_peerlink.py
+++ b/packages/bulrushgrade_daemon/tests/test_peerlink.py
@@ -1,10 +1,14 @@
 """Tests of the announcements of hosts' addresses."""
 
+import errno
+import json
 import types
 
 import fakes
+import pytest
 from returns.result import Failure
 from returns.result import Success
+from twisted.internet import error
 
 from bulrushgrade_daemon import keys
 from bulrushgrade_daemon import peerlink
@@ -133,3 +137,65 @@
     scene.topic.is_away = False
     scene.reactor.pump([peerlink.ANNOUNCE_RETRY_S] * 5)
     assert scene.topic.writes == 1
+
+
+class BadTransport:
+    """A socket whose writes fail."""
+
+    def __init__(self, failure):
+        self.failure = failure
+
+    def write(self, datagram, address):
+        if self.failure is not None:
+            raise self.failure
+
+
+@pytest.mark.parametrize(
+    "failure",
+    [
+        OSError(errno.ENETUNREACH, "Network is unreachable"),
+        BlockingIOError(errno.EAGAIN, "Resource temporarily unavailable"),
+        error.MessageLengthError("message too long"),
+        error.InvalidAddressError("::1", "IPv4 port"),
+    ],
+    ids=lambda failure: type(failure).__name__,
+)
+def test_datagram_that_can_not_be_written_counts_as_lost(failure):
+    """Guards against a link or a long message that ends its sender."""
+    scene = Scene()
+    first, _ = scene.start("h1", 4001), scene.start("h2", 4002)
+    first.apply_listing(scene.topic.list())
+    first.transport = BadTransport(failure)
+    assert first.send_datagram(["h2"], b"x")
+    assert first.send_datagram(["h2"], b"x")
+    assert (first.counts["sent"], first.counts["unsent"]) == (0, 2)
+    assert scene.lines.count("datagram_unsent") == 1
+    first.transport.failure = None
+    first.send_datagram(["h2"], b"x")
+    assert first.counts["sent"] == 1
+    first.transport.failure = failure
+    first.send_datagram(["h2"], b"x")
+    assert scene.lines.count("datagram_unsent") == 2
+
+
+@pytest.mark.parametrize(
+    "address", ["h2:4002", "127.0.0.1", "[::1%eth7]:1", "10.0.0.1:70000", ":1"]
+)
+@pytest.mark.parametrize("field", ["address", "relay"])
+def test_announcement_without_an_ip_address_is_unreadable(field, address):
+    """Guards against an announcement that raises where it is used."""
+    scene = Scene()
+    link = scene.start("h1", 4001)
+    found = {"address": "127.0.0.1:4002", field: address}
+    value = json.dumps(found).encode()
+    link.apply_records((topicreader.KeyedRecord(key="h2", value=value),))
+    assert link.hosts == []
+    assert link.counts["unreadable"] == 1
+
+
+def test_hosts_announce_ipv6_addresses():
+    scene = Scene()
+    link = scene.start("h1", 4001)
+    value = b'{"address": "fd00::2:4002", "relay": "fd00::2:4003"}'
+    link.apply_records((topicreader.KeyedRecord(key="h2", value=value),))
+    assert link.relay_of("h2/1") == ("fd00::2", 4003)
