Bound what fields of entries and answers may state

Cause: a field was taken as its type allows, and raised where it was used, in a task or a timer, where that counts as a broken invariant.

A record whose key is too long is counted and not written.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/crashrecords.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/crashrecords.py
@@ -59,7 +59,7 @@
         return None
     try:
         value = _decoder.decode(record.value)
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, RecursionError):
         return None
     fingerprint, endpoint = key
     return crashledger.Involvement(
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaymessages.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/gatewaymessages.py
@@ -636,5 +636,5 @@
     """Parses a datagram; returns None if it is not a message."""
     try:
         return _decoder.decode(datagram)
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, RecursionError):
         return None
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/orderrecords.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/orderrecords.py
@@ -69,5 +69,5 @@
             number=head.number,
             epoch=head.epoch,
         )
-    except (msgspec.DecodeError, KeyError):
+    except (msgspec.DecodeError, KeyError, RecursionError):
         return None
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/partrecords.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/partrecords.py
@@ -106,7 +106,7 @@
         value = _decoder.decode(record.value)
         runtime = bytes.fromhex(value.runtime)
         requests = frozenset(map(bytes.fromhex, value.requests))
-    except (msgspec.DecodeError, ValueError):
+    except (msgspec.DecodeError, ValueError, RecursionError):
         return None
     part, endpoint = key
     age_s = unix_s - value.at_ms / 1000
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/recordwriter.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/recordwriter.py
@@ -59,13 +59,13 @@
         self._on_broken = on_broken
         # Records to write, the oldest first; None deletes the record.
         self._waiting: dict[str, bytes | None] = {}
-        self._counts = {"written": 0, "failed": 0}
+        self._counts = {"written": 0, "failed": 0, "unwritable": 0}
         self._delayed: Any = None
         self._writing: defer.Deferred | None = None
 
     @property
     def counts(self) -> dict[str, int]:
-        """Number of records written, and of failed writes."""
+        """Number of records written or unwritable, and of failed writes."""
         return dict(self._counts)
 
     def __len__(self) -> int:
@@ -75,7 +75,14 @@
         return key in self._waiting
 
     def put(self, key: str, value: bytes | None) -> None:
-        """Queues a record; `flush` has it written."""
+        """Queues a record; `flush` has it written.
+
+        A key that is too long, as the id of an endpoint in it may be, can't be
+        written. Other hosts then don't learn of the record.
+        """
+        if len(key.encode()) > topicreader.MAX_KEY_BYTES:
+            self._counts["unwritable"] += 1
+            return
         self._waiting[key] = value
 
     def discard(self, key: str) -> None:
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/relayframes.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/relayframes.py
@@ -158,5 +158,5 @@
 def _decode(decoder: msgspec.msgpack.Decoder, body: bytes):
     try:
         return decoder.decode(body)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         raise FrameError(str(error)) from None
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/topicreader.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/topicreader.py
@@ -8,6 +8,9 @@
 
 from bulrushgrade_daemon import storeepoch
 
+MAX_KEY_BYTES = 255
+"""Maximum size of a key, in UTF-8."""
+
 
 @attrs.frozen(kw_only=True)
 class KeyedRecord:
--- a/packages/bulrushgrade_daemon/tests/test_gatewaymessages.py
+++ b/packages/bulrushgrade_daemon/tests/test_gatewaymessages.py
@@ -60,7 +60,15 @@
 
 
 @pytest.mark.parametrize(
-    "datagram", [b"", b"\x00nonsense", b"\x91\xa4load", b"\x92\xa5begun\x01"]
+    "datagram",
+    [
+        b"",
+        b"\x00nonsense",
+        b"\x91\xa4load",
+        b"\x92\xa5begun\x01",
+        b"\x91" * 100_000,
+    ],
+    ids=lambda datagram: repr(datagram[:12]),
 )
 def test_an_invalid_datagram_parses_to_none(datagram):
     assert gatewaymessages.parse(datagram) is None
--- a/packages/bulrushgrade_daemon/tests/test_recordwriter.py
+++ b/packages/bulrushgrade_daemon/tests/test_recordwriter.py
@@ -25,7 +25,7 @@
     topic.is_away = False
     clock.advance(recordwriter.RETRY_S)
     assert topic.records == {"a": b"2"}
-    assert writer.counts == {"written": 1, "failed": 1}
+    assert writer.counts == {"written": 1, "failed": 1, "unwritable": 0}
 
 
 def test_deletions_wait_for_others_and_hold_no_record_up():
@@ -50,3 +50,13 @@
     writer.discard("a")
     writer.flush()
     assert topic.batches == []
+
+
+def test_key_that_is_too_long_holds_no_other_record_up():
+    """Guards against the long id of an endpoint that ends its host."""
+    _, topic, writer = make_writer()
+    writer.put("ş" * 128, b"1")
+    writer.put("a" * 255, b"2")
+    writer.flush()
+    assert topic.records == {"a" * 255: b"2"}
+    assert writer.counts["unwritable"] == 1
