Refuse streams that nobody can tell the version of after a loss of all hosts

What callers saw: a stream that had broken off when its host was killed was taken up with 200 by the host after its restart, at the only version that it found.

Cause: without a record, the only version counted if somebody had followed the records for longer than streams last; but a host that knew of no other one relied on what it saw at once. That is a single host after its start, or any host while the topic has lost the hosts' announcements.

Ruled out: fleets whose hosts know of each other.

Why this works: a host that has just started knows neither what began a stream nor what has left, and neither does anybody else after a loss of all hosts. So it refuses, as not run, until no stream can be from before.

Failed before: test_no_stream_goes_on_at_the_successor_after_all_hosts_were_killed (8 of 12 cases of the model, and the single host with processes) and the state machine, which now restarts all hosts and loses announcements.

--- a/packages/bulrushgrade/bulrushgrade/streamorigins.py
+++ b/packages/bulrushgrade/bulrushgrade/streamorigins.py
@@ -70,20 +70,19 @@
     peers: Iterable[OriginView],
     *,
     service: str | None,
-    has_peers: bool,
 ) -> Origin | None:
     """Returns what began a stream, None if that is not certain.
 
     Without a record, the version follows from the records of endpoints: a host
     tells others of each stream unless one version alone may have run it. A host
     that has started lately doesn't know which ones served before, and asks
-    others that do.
+    others that do. If all hosts have started lately, or the only one has, the
+    version may have left meanwhile, and nobody knows.
 
     Args:
         own: What this host knows.
         peers: What the peers know that replied.
         service: The service of the request's route, None if it has several.
-        has_peers: Whether there may be other hosts.
     """
     heard = [own, *peers]
     origins = {one.origin for one in heard if one.origin is not None}
@@ -96,7 +95,7 @@
         return None
     if any(one.has_several for one in heard):
         return None
-    if has_peers and not any(one.is_certain for one in heard):
+    if not any(one.is_certain for one in heard):
         return None
     return Origin(service=service, software=sole.pop())
 
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/originsharing.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/originsharing.py
@@ -234,9 +234,7 @@
             if not peers and own.sole is not None:
                 await self._wait_for_records()
                 own = self._view(key, service)
-        found = streamorigins.resolve(
-            own, peers, service=service, has_peers=self._knowledge.has_peers()
-        )
+        found = streamorigins.resolve(own, peers, service=service)
         self._counts["unknown" if found is None else "found"] += 1
         age_s = self._knowledge.age_s()
         self._log.note(
--- a/packages/bulrushgrade_daemon/tests/test_originsharing.py
+++ b/packages/bulrushgrade_daemon/tests/test_originsharing.py
@@ -140,6 +140,44 @@
     assert resume_all(fleet, "h1", streams) == 0
 
 
+@pytest.mark.parametrize("hosts", [1, 2, 6])
+@pytest.mark.parametrize("when", ["before", "meanwhile"])
+@pytest.mark.parametrize("has_lost_hosts", [False, True])
+def test_no_stream_goes_on_at_the_successor_after_all_hosts_were_killed(
+    hosts, when, has_lost_hosts
+):
+    """Guards against hosts that take the version they find for the only one.
+
+    What began the streams left while no host could see it, or shortly before
+    that. Hosts may not know either that there are others.
+    """
+    fleet = make_fleet(hosts, versions=("v1", "v1"))
+    streams = begin_streams(fleet, "h0", 5)
+    fleet.register("e9", "v2")
+    if when == "before":
+        fleet.remove("e0")
+        fleet.remove("e1")
+        fleet.advance(1.0)
+    else:
+        fleet.records = {"e9": fleet.records["e9"]}
+    fleet.has_lost_hosts = has_lost_hosts
+    fleet.restart_all()
+    for pause_s in (0.0, 0.05, 0.5, 1.5):
+        fleet.advance(pause_s)
+        for name in list(fleet.hosts):
+            assert resume_all(fleet, name, streams) == 0
+
+
+@pytest.mark.parametrize("hosts", [1, 6])
+def test_streams_go_on_once_hosts_have_followed_the_records(hosts):
+    """Guards against refusals for longer than streams from before may last."""
+    fleet = make_fleet(hosts)
+    fleet.restart_all()
+    fleet.advance(LONG_S, step_s=0.5)
+    streams = begin_streams(fleet, "h0")
+    assert resume_all(fleet, f"h{hosts - 1}", streams) == len(streams)
+
+
 def test_host_cut_off_from_peers_goes_on_with_the_only_version():
     """Guards against refusals where no other version has served."""
     fleet = make_fleet()
@@ -367,6 +405,16 @@
         self.fleet.without_store.discard(name)
         self.fleet.start(host)
 
+    @stateful.rule()
+    def restart_all_hosts(self):
+        self.fleet.cut_off.clear()
+        self.fleet.without_store.clear()
+        self.fleet.restart_all()
+
+    @stateful.rule(has_lost_hosts=st.booleans())
+    def lose_announcements(self, has_lost_hosts):
+        self.fleet.has_lost_hosts = has_lost_hosts
+
     @stateful.rule(host=st.sampled_from(HOSTS))
     def isolate(self, host):
         self.change(self.fleet.cut_off, host, False)
