Count an answer with an impossible status as lost

What callers saw: nothing yet; found while cutting answers. An endpoint's status line with a wrong byte, as 2 0 for 200, was passed on to the caller as the status 2, which is no answer in the protocol.

Cause: Twisted takes any integer for a status, with a sign or underscores.

Why this works: an answer whose status is not 200 to 599 counts as lost, on each path on which a request or a call is sent; it may have run.

test_answer_with_an_impossible_status_is_lost failed before.

--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/outbound.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/outbound.py
@@ -31,6 +31,9 @@
 from bulrushgrade_daemon import answerwatch
 from bulrushgrade_daemon import connections
 
+FINAL_STATUSES = range(200, 600)
+"""Statuses that an answer may have. Twisted takes any integer for one."""
+
 
 @attrs.frozen(kw_only=True)
 class CallFailed:
@@ -359,6 +362,9 @@
                 limit=answerbounds.find_limit(failure.Failure(error)),
             )
         )
+    if response.code not in FINAL_STATUSES:
+        client.transport.abortConnection()
+        return Failure(CallFailed(written=True, reason="invalid status"))
     return Success(Answer(client=client, response=response))
 
 
--- a/packages/bulrushgrade_daemon/tests/test_cutanswers.py
+++ b/packages/bulrushgrade_daemon/tests/test_cutanswers.py
@@ -200,6 +200,19 @@
         assert isinstance(found[0], Failure), FRAMED[name][:at]
 
 
+@pytest.mark.parametrize("make_link", [Direct, Relayed])
+@pytest.mark.parametrize(
+    "status", [b"2 0", b"0", b"-200", b"+20", b"2_0", b"600", b"2000", b"99"]
+)
+def test_answer_with_an_impossible_status_is_lost(make_link, status):
+    """Guards against a wrong byte in a status that callers can't read."""
+    answer = FRAMED["length"].replace(b"200", status, 1)
+    found, caller = cut(make_link, forward_whole, answer, len(answer))
+    assert isinstance(found, outbound.CallFailed)
+    assert found.written
+    assert not caller.is_finished
+
+
 class Pool:
     """A client with kept connections, of which one has been used."""
 
