Set entries aside whose service the configuration doesn't name

A whole entry of another writer under an endpoint's id, with a service that no configuration names and a higher sequence, took the endpoint out of use and hid its drain.

It is kept until a configuration names its service, as hosts may read the endpoints of a new service before its configuration, and peers relay no heartbeats. Where the directory knows the endpoint under this service, from an earlier configuration, the entry holds, so that a drain is taken in.

test_entry_of_an_unnamed_service_hides_no_entry_of_the_endpoint (four cases) and test_heartbeats_are_no_news_beside_entries_of_another_writer failed before.

--- a/packages/bulrushgrade/bulrushgrade/directory.py
+++ b/packages/bulrushgrade/bulrushgrade/directory.py
@@ -289,6 +289,13 @@
             entry.trusted_until = trusted_until
         return Change(id=id, previous=entry.known, current=None)
 
+    def discard(self, id: str) -> Change | None:
+        """Forgets what is known of an id, as if it had never had a record."""
+        entry = self._entries.pop(id, None)
+        if entry is None or entry.gone:
+            return None
+        return Change(id=id, previous=entry.known, current=None)
+
     def replace(
         self,
         found: Iterable[Registration],
--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/storeview.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/storeview.py
@@ -74,6 +74,10 @@
         )
         self._software = softwareversions.SoftwareVersions()
         self._unreadable = 0
+        # The latest registration of each id whose service the configuration
+        # doesn't name. It may name it later, or the writer is no endpoint.
+        self._unnamed: dict[str, directory_module.Registration] = {}
+        self._services: frozenset[str] = frozenset()
 
     @property
     def table(self) -> routing.RouteTable | None:
@@ -128,6 +132,7 @@
         if before is not None and found.version <= before:
             return False
         self._table = routing.RouteTable(configuration=found)
+        self._services = _find_services(found)
         self._log.note(
             "configuration_in_force",
             version=found.version,
@@ -135,6 +140,11 @@
             routes=len(found.routes),
             services=len(found.services),
         )
+        if before is None:
+            self._withdraw_unnamed()
+        if self._unnamed:
+            self._put_all(list(self._unnamed.values()))
+            self._expire()
         return True
 
     def extract_state(
@@ -142,9 +152,9 @@
     ) -> topicjournal.RecordState:
         """Returns the state of an endpoint's record without its counter."""
         decoded = self._decode_endpoint(record)
-        if isinstance(decoded, Failure):
+        found = None if isinstance(decoded, Failure) else decoded.unwrap()
+        if found is None or not self._is_named(found):
             return topicjournal.RecordState(content=record.value)
-        found = decoded.unwrap()
         return topicjournal.RecordState(
             content=attrs.evolve(found, sequence=0), order=found.order
         )
@@ -157,6 +167,7 @@
         trusted_until = self._lapses_trusted_until()
         for record in records:
             if record.value is None:
+                self._unnamed.pop(record.key, None)
                 change = self._endpoints.remove(
                     record.key, now=now, trusted_until=trusted_until
                 )
@@ -164,7 +175,7 @@
                 continue
             registration = self._decode_registration(record)
             if registration is not None:
-                self._observe_change(self._endpoints.put(registration, now=now))
+                self._put_all([registration])
         self._expire()
 
     def replace_endpoints(
@@ -179,8 +190,9 @@
             self._decode_registration(r) for r in records if r.value is not None
         ]
         found = [r for r in decoded if r is not None]
+        self._unnamed = {r.id: r for r in found if not self._is_named(r)}
         changes = self._endpoints.replace(
-            found,
+            [r for r in found if r.id not in self._unnamed],
             now=self._timers.now,
             trusted_until=self._lapses_trusted_until(),
         )
@@ -190,6 +202,36 @@
         self._expire()
         return len(changes)
 
+    def _put_all(self, found: list[directory_module.Registration]) -> None:
+        """Applies registrations; sets those of unnamed services aside."""
+        for registration in found:
+            if not self._is_named(registration):
+                self._unnamed[registration.id] = registration
+                continue
+            self._unnamed.pop(registration.id, None)
+            change = self._endpoints.put(registration, now=self._timers.now)
+            self._observe_change(change)
+
+    def _is_named(self, found: directory_module.Registration) -> bool:
+        """Returns whether the configuration names an endpoint's service.
+
+        Until the first configuration any service may be. An endpoint whose
+        service was named stays known, so that it is seen to leave.
+        """
+        if self._table is None:
+            return True
+        if found.service in self._services:
+            return True
+        known = self._endpoints.find(found.id)
+        return known is not None and known.service == found.service
+
+    def _withdraw_unnamed(self) -> None:
+        """Sets endpoints aside that were read before the configuration."""
+        for known in self._endpoints.registrations:
+            if known.service not in self._services:
+                self._observe_change(self._endpoints.discard(known.id))
+                self._unnamed[known.id] = known
+
     def _lapses_trusted_until(self) -> float:
         """Returns until when a removed record may just have expired."""
         regained_at = self._regained_at()
@@ -233,3 +275,9 @@
     def _expire(self) -> None:
         self._endpoints.forget(now=self._timers.now, after_s=REMOVED_TTL_S)
         self._on_changed()
+
+
+def _find_services(found: routing.Configuration) -> frozenset[str]:
+    """Returns the services that a configuration names."""
+    targets = (target for route in found.routes for target in route.targets)
+    return frozenset(found.services) | {target.service for target in targets}
