--- a/packages/bulrushgrade_daemon/bulrushgrade_daemon/keys.py
+++ b/packages/bulrushgrade_daemon/bulrushgrade_daemon/keys.py
@@ -71,6 +71,8 @@
         raise ValueError("the address has no port")
     if host.startswith("[") and host.endswith("]"):
         host = parse_ip(host[1:-1], may_have_scope=may_have_scope)
+        if ":" not in host:
+            raise ValueError("an IPv4 address has no brackets")
     else:
         host = str(ipaddress.IPv4Address(host))
     if not (port_text.isascii() and port_text.isdigit()):
