--- a/packages/bulrushgrade/bulrushgrade/prompt.py
+++ b/packages/bulrushgrade/bulrushgrade/prompt.py
@@ -4,6 +4,10 @@
 
 import attrs
 
+MAX_PART_ID_CHARS = 128
+"""Maximum length of a prompt part's id. Hosts send several to each other in one
+datagram."""
+
 
 @attrs.frozen(kw_only=True)
 class PromptPart:
@@ -63,3 +67,17 @@
     def shared_tokens(self) -> int:
         """Number of tokens of the shared parts."""
         return sum(part.tokens for part in self.shared_parts)
+
+
+def normalize_part_id(text: str) -> str:
+    """Returns the id of a prompt part in its canonical form.
+
+    Ids are hexadecimal numbers. Engines write them without leading zeros, but
+    callers may include these.
+
+    Raises:
+        ValueError: The text is no such number, or too long.
+    """
+    if len(text) > MAX_PART_ID_CHARS:
+        raise ValueError("the id of a prompt part is too long")
+    return f"{int(text, 16):x}"
